frame: lay down the folders, the core types and the checks of the shape

Cause: the project starts; all later work needs the same folders, types and checks. Before: nothing. Conclusion: the parts can now be built side by side.

--- /dev/null
+++ b/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon's duties and edges, and the operator's command line.
--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The `hickorylink` binary.
+
+fn main() {}
--- /dev/null
+++ b/lib/src/document.rs
@@ -0,0 +1,242 @@
+//! Files in JSON with comments, read as views that know their places.
+//!
+//! A reader asks a view for fields; whatever is missing, of the wrong kind or unknown is
+//! collected, so that one pass over a file reports everything that is wrong in it.
+
+use std::cell::RefCell;
+
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{Array, Object, ObjectProp, Value},
+    common::Ranged,
+    parse_to_ast,
+};
+
+use crate::finding::{Finding, Findings, Place};
+
+/// How alike an unknown name and a known one must be to be suggested, from 0 to 1.
+const LIKENESS: f64 = 0.7;
+
+/// A parsed file with what has been found wrong in it so far.
+pub struct Document<'a> {
+    file: &'a str,
+    text: &'a str,
+    found: RefCell<Vec<(usize, String)>>,
+}
+
+/// An object in a document.
+#[derive(Clone, Copy)]
+pub struct ObjectView<'d, 'a> {
+    document: &'d Document<'a>,
+    object: &'d Object<'a>,
+}
+
+/// A value in a document, with the name of the field that holds it.
+#[derive(Clone, Copy)]
+pub struct ValueView<'d, 'a> {
+    document: &'d Document<'a>,
+    field: &'d str,
+    value: &'d Value<'a>,
+}
+
+impl<'a> Document<'a> {
+    /// Reads `text`, passes its root object to `read`, and gives what `read` made of it.
+    ///
+    /// # Errors
+    ///
+    /// All findings, ordered by place, if there is at least one.
+    pub fn read<T>(
+        file: &'a str,
+        text: &'a str,
+        read: impl FnOnce(ObjectView<'_, 'a>) -> Option<T>,
+    ) -> Result<T, Findings> {
+        let document = Self { file, text, found: RefCell::default() };
+        let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
+        let value = match &parsed {
+            Ok(result) => result.value.as_ref(),
+            Err(error) => {
+                document.add(error.range().start, error.kind().to_string());
+                None
+            }
+        };
+        let made = match value {
+            Some(Value::Object(object)) => read(ObjectView { document: &document, object }),
+            Some(other) => {
+                document.add(other.range().start, "expected an object".to_owned());
+                None
+            }
+            None => {
+                if parsed.is_ok() {
+                    document.add(0, "the file is empty; expected an object".to_owned());
+                }
+                None
+            }
+        };
+        document.finish(made)
+    }
+
+    fn finish<T>(self, made: Option<T>) -> Result<T, Findings> {
+        let mut found = self.found.take();
+        if found.is_empty() {
+            match made {
+                Some(made) => return Ok(made),
+                None => found.push((0, "the file could not be read".to_owned())),
+            }
+        }
+        found.sort();
+        let items = found
+            .into_iter()
+            .map(|(at, message)| Finding { place: place(self.file, self.text, at), message })
+            .collect();
+        Err(Findings { items })
+    }
+
+    fn add(&self, at: usize, message: String) {
+        self.found.borrow_mut().push((at, message));
+    }
+}
+
+fn place(file: &str, text: &str, at: usize) -> Place {
+    let before = text.get(..at).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
+    Place {
+        file: file.to_owned(),
+        line: u32::try_from(line).unwrap_or(u32::MAX),
+        column: u32::try_from(column).unwrap_or(u32::MAX),
+    }
+}
+
+impl<'d, 'a> ObjectView<'d, 'a> {
+    /// Reports every field whose name is not in `known`, and every field given twice.
+    pub fn only(self, known: &[&str]) -> Self {
+        for (at, prop) in self.object.properties.iter().enumerate() {
+            let name = prop.name.as_str();
+            if !known.contains(&name) {
+                self.document.add(prop.range.start, unknown("field", name, known));
+            }
+            if self.object.properties[..at].iter().any(|earlier| earlier.name.as_str() == name) {
+                self.document.add(prop.range.start, format!("field \"{name}\" is given twice"));
+            }
+        }
+        self
+    }
+
+    /// Reports `message` at the start of the object.
+    pub fn report(self, message: impl Into<String>) {
+        self.document.add(self.object.range.start, message.into());
+    }
+
+    /// The field, or `None` if it isn't there.
+    pub fn get(self, field: &str) -> Option<ValueView<'d, 'a>> {
+        let prop: &'d ObjectProp<'a> =
+            self.object.properties.iter().find(|prop| prop.name.as_str() == field)?;
+        Some(ValueView { document: self.document, field: prop.name.as_str(), value: &prop.value })
+    }
+
+    /// The field; reports it if it isn't there.
+    pub fn need(self, field: &str) -> Option<ValueView<'d, 'a>> {
+        let found = self.get(field);
+        if found.is_none() {
+            self.report(format!("field \"{field}\" is missing"));
+        }
+        found
+    }
+
+    /// The elements of an array field that may be left out.
+    pub fn list(self, field: &str) -> Vec<ValueView<'d, 'a>> {
+        self.get(field).map(ValueView::elements).unwrap_or_default()
+    }
+}
+
+impl<'d, 'a> ValueView<'d, 'a> {
+    /// Reports `message` at the value.
+    pub fn report(self, message: impl Into<String>) {
+        self.document.add(self.value.range().start, message.into());
+    }
+
+    fn wrong<T>(self, expected: &str) -> Option<T> {
+        self.report(format!("\"{}\" must be {expected}", self.field));
+        None
+    }
+
+    /// Text that isn't empty.
+    pub fn text(self) -> Option<&'d str> {
+        match self.value {
+            Value::StringLit(text) if !text.value.is_empty() => Some(&text.value),
+            _ => self.wrong("text that isn't empty"),
+        }
+    }
+
+    /// One of the names in `known`; a near miss is answered with the nearest of them.
+    pub fn choice(self, known: &[&str]) -> Option<&'d str> {
+        let text = self.text()?;
+        if known.contains(&text) {
+            return Some(text);
+        }
+        self.report(unknown(self.field, text, known));
+        None
+    }
+
+    /// A whole number within `bounds`.
+    pub fn whole(self, bounds: std::ops::RangeInclusive<u64>) -> Option<u64> {
+        let expected = || format!("a whole number from {} to {}", bounds.start(), bounds.end());
+        match self.value {
+            Value::NumberLit(number) => match number.value.parse::<u64>() {
+                Ok(number) if bounds.contains(&number) => Some(number),
+                _ => self.wrong(&expected()),
+            },
+            _ => self.wrong(&expected()),
+        }
+    }
+
+    /// A number within `bounds`.
+    pub fn number(self, bounds: std::ops::RangeInclusive<f64>) -> Option<f64> {
+        let expected = || format!("a number from {} to {}", bounds.start(), bounds.end());
+        match self.value {
+            Value::NumberLit(number) => match number.value.parse::<f64>() {
+                Ok(number) if bounds.contains(&number) => Some(number),
+                _ => self.wrong(&expected()),
+            },
+            _ => self.wrong(&expected()),
+        }
+    }
+
+    /// `true` or `false`.
+    pub fn flag(self) -> Option<bool> {
+        match self.value {
+            Value::BooleanLit(flag) => Some(flag.value),
+            _ => self.wrong("true or false"),
+        }
+    }
+
+    /// An object.
+    pub fn object(self) -> Option<ObjectView<'d, 'a>> {
+        match self.value {
+            Value::Object(object) => Some(ObjectView { document: self.document, object }),
+            _ => self.wrong("an object"),
+        }
+    }
+
+    /// The elements of an array; anything else is reported and counts as empty.
+    pub fn elements(self) -> Vec<Self> {
+        match self.value {
+            Value::Array(Array { elements, .. }) => {
+                elements.iter().map(|value| Self { value, ..self }).collect()
+            }
+            _ => self.wrong("an array").unwrap_or_default(),
+        }
+    }
+}
+
+fn unknown(what: &str, name: &str, known: &[&str]) -> String {
+    let likeness = |known: &&&str| strsim::jaro_winkler(name, known);
+    let nearest = known
+        .iter()
+        .max_by(|a, b| likeness(a).total_cmp(&likeness(b)))
+        .filter(|nearest| likeness(nearest) >= LIKENESS);
+    match nearest {
+        Some(nearest) => format!("unknown {what} \"{name}\"; did you mean \"{nearest}\"?"),
+        None => format!("unknown {what} \"{name}\"; known: {}", known.join(", ")),
+    }
+}
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,22 @@
+//! The decisions and the state of hickorylink, a scheduler for colocated latency-critical and
+//! batch work.
+//!
+//! Nothing here does I/O, reads a clock or starts a thread. Each part is a machine that takes an
+//! event and the present time and fills a list of effects; the daemon's duties, a property test
+//! or a model check drive the same code.
+
+pub mod chart;
+pub mod command;
+pub mod consensus;
+mod derives;
+pub mod document;
+pub mod finding;
+pub mod ids;
+pub mod ledger;
+pub mod policy;
+pub mod resources;
+pub mod router;
+pub mod scheduler;
+pub mod task;
+pub mod time;
+pub mod worker;
