interference: fix the face that the scheduler builds against

Cause: placement and the interference policy are built side by side. Ruled out: events and effects as for the other machines (the policy lives inside the scheduler's duty; a message for each look-up of a penalty would cost more than the look-up). Change: the types that pass between the two and a policy that does nothing. Before and after: no behaviour. Conclusion: both sides compile alone.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod document;
 pub mod finding;
 pub mod ids;
+pub mod interference;
 pub mod ledger;
 pub mod policy;
 pub mod resources;
