interference: learn pairs from late samples and act by a state chart

Cause: the interference part had a face and no decisions. Ruled out: interning by name in every estimate (string compares at each sample), a full covariance (cost grows with the square of the neighbours); a settling time after every step (slow when several tasks hurt at once) in favour of the level that the neighbours don't account for. Change: history of stays per worker, a diagonal Kalman filter per pair, a chart per batch task.

--- /dev/null
+++ b/lib/src/interference/model.rs
@@ -0,0 +1,282 @@
+//! How much each kind of batch task slows each service, estimated from samples.
+//!
+//! The logarithm of a replica's latency is the sum of the service's own level at its load and of
+//! one term for each kind of task beside it, times how much of that kind runs. The terms are
+//! estimated by a Kalman filter with a diagonal covariance, so that each has a mean and a
+//! variance, and a sample costs time in proportion to the kinds beside the replica. Variances
+//! grow with time, and grow at once when samples stop matching the estimates: that forgets.
+
+use std::time::Duration;
+
+use crate::{interference::limits::MIN_SAMPLES, time::Time};
+
+/// Bands of load that have a level of their own.
+const BANDS: usize = 8;
+/// The variance of a pair of which nothing is known.
+const PAIR_PRIOR: f32 = 0.25;
+/// The variance of a level of which nothing is known.
+const LEVEL_PRIOR: f32 = 1.0;
+/// How much a pair's variance grows in a second.
+const PAIR_DRIFT: f32 = 0.000_05;
+/// How much a level's variance grows in a second.
+const LEVEL_DRIFT: f32 = 0.000_2;
+/// The variance of one sample, before it is known better, and its bounds.
+const NOISE: f64 = 0.05;
+const NOISE_BOUNDS: (f64, f64) = (0.005, 0.5);
+/// The weight of one sample in the running noise.
+const NOISE_WEIGHT: f64 = 0.01;
+/// Standard deviations beyond which an innovation counts no more.
+const CLIP_SIGMA: f64 = 3.0;
+/// The weight of one sample in the running surprise.
+const SURPRISE_WEIGHT: f64 = 0.05;
+/// The mean of squared normalised innovations that tells a change; 1 is what is expected.
+const SURPRISE_LIMIT: f64 = 3.0;
+/// The largest squared normalised innovation that one sample adds.
+const SURPRISE_CAP: f64 = 16.0;
+/// How much a change widens the variances of what was seen.
+const WIDENING: f32 = 4.0;
+
+/// How much of a kind ran beside a replica: the sum of the tasks' throttles as fractions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Exposure {
+    /// The kind's number.
+    pub(crate) kind: u32,
+    /// The sum.
+    pub(crate) amount: f32,
+}
+
+/// One sample of a service's replica, ready to learn from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Observation<'o> {
+    /// The service's number.
+    pub(crate) service: u32,
+    /// When the sample was taken.
+    pub(crate) taken: Time,
+    /// The natural logarithm of the latency in seconds.
+    pub(crate) latency: f64,
+    /// The replica's load: its use over its size.
+    pub(crate) load: f64,
+    /// What ran beside it, each kind once.
+    pub(crate) beside: &'o [Exposure],
+}
+
+/// What is known of a pair: the logarithm of the slowdown that one whole task causes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Harm {
+    /// The estimate; zero if nothing is known.
+    pub mean: f64,
+    /// Its standard deviation.
+    pub deviation: f64,
+    /// How many samples it rests on.
+    pub samples: u32,
+}
+
+impl Harm {
+    /// What holds for a pair of which nothing is known.
+    pub(crate) const UNKNOWN: Self = Self { mean: 0.0, deviation: 0.5, samples: 0 };
+
+    /// The least harm that is likely, `sigma` standard deviations below the mean; zero while the
+    /// estimate rests on too few samples.
+    pub(crate) fn at_least(&self, sigma: f64) -> f64 {
+        if self.samples < MIN_SAMPLES {
+            return 0.0;
+        }
+        (self.mean - sigma * self.deviation).max(0.0)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Estimate {
+    mean: f32,
+    variance: f32,
+    seconds: u32,
+    samples: u32,
+}
+
+/// The estimates of all pairs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Model {
+    services: Vec<ServiceModel>,
+}
+
+#[derive(Clone, Debug)]
+struct ServiceModel {
+    levels: [Estimate; BANDS],
+    pairs: Vec<Estimate>,
+    noise: f64,
+    surprise: f64,
+}
+
+impl Estimate {
+    const fn unknown(variance: f32) -> Self {
+        Self { mean: 0.0, variance, seconds: 0, samples: 0 }
+    }
+
+    /// The variance at a later time.
+    fn widened(&self, seconds: u32, drift: f32, prior: f32) -> f32 {
+        let elapsed = seconds.saturating_sub(self.seconds) as f32;
+        (self.variance + drift * elapsed).min(prior)
+    }
+
+    /// Takes in an innovation; `variance` is the estimate's, `total` the innovation's.
+    fn correct(&mut self, seconds: u32, variance: f32, amount: f32, innovation: f64, total: f64) {
+        let gain = f64::from(variance * amount) / total;
+        self.mean += (gain * innovation) as f32;
+        self.variance = (f64::from(variance) * (1.0 - gain * f64::from(amount))) as f32;
+        self.seconds = self.seconds.max(seconds);
+        self.samples = self.samples.saturating_add(1);
+    }
+}
+
+impl ServiceModel {
+    fn new() -> Self {
+        Self {
+            levels: [Estimate::unknown(LEVEL_PRIOR); BANDS],
+            pairs: Vec::new(),
+            noise: NOISE,
+            surprise: 1.0,
+        }
+    }
+
+    fn learn(&mut self, seen: &Observation<'_>) {
+        let seconds = seconds_of(seen.taken);
+        let band = band_of(seen.load);
+        self.open_band(band, seen.latency);
+        self.grow(seen.beside);
+        let level = self.levels[band];
+        let mut expected = f64::from(level.mean);
+        let mut total = self.noise + f64::from(level.widened(seconds, LEVEL_DRIFT, LEVEL_PRIOR));
+        for beside in seen.beside {
+            let pair = &self.pairs[beside.kind as usize];
+            expected += f64::from(pair.mean * beside.amount);
+            let variance = pair.widened(seconds, PAIR_DRIFT, PAIR_PRIOR);
+            total += f64::from(variance * beside.amount * beside.amount);
+        }
+        let innovation = seen.latency - expected;
+        self.correct(seen, band, innovation, total);
+        self.adapt(seen, band, innovation, total);
+    }
+
+    /// Gives a band that was never seen the level of the nearest one that was.
+    fn open_band(&mut self, band: usize, latency: f64) {
+        if self.levels[band].samples > 0 {
+            return;
+        }
+        let seen = (0..BANDS).filter(|at| self.levels[*at].samples > 0);
+        let nearest = seen.min_by_key(|at| at.abs_diff(band));
+        self.levels[band].mean = match nearest {
+            Some(at) => self.levels[at].mean,
+            None => latency as f32,
+        };
+    }
+
+    fn grow(&mut self, beside: &[Exposure]) {
+        let needed = beside.iter().map(|beside| beside.kind as usize + 1).max().unwrap_or(0);
+        if needed > self.pairs.len() {
+            self.pairs.resize(needed, Estimate::unknown(PAIR_PRIOR));
+        }
+    }
+
+    fn correct(&mut self, seen: &Observation<'_>, band: usize, innovation: f64, total: f64) {
+        let seconds = seconds_of(seen.taken);
+        let limit = CLIP_SIGMA * total.sqrt();
+        let innovation = innovation.clamp(-limit, limit);
+        let level = &mut self.levels[band];
+        let variance = level.widened(seconds, LEVEL_DRIFT, LEVEL_PRIOR);
+        level.correct(seconds, variance, 1.0, innovation, total);
+        for beside in seen.beside {
+            let pair = &mut self.pairs[beside.kind as usize];
+            let variance = pair.widened(seconds, PAIR_DRIFT, PAIR_PRIOR);
+            pair.correct(seconds, variance, beside.amount, innovation, total);
+            // A neighbour can't make a service faster; a negative term is noise.
+            pair.mean = pair.mean.max(0.0);
+        }
+    }
+
+    /// Follows the noise of samples, and widens what was seen when it no longer matches.
+    fn adapt(&mut self, seen: &Observation<'_>, band: usize, innovation: f64, total: f64) {
+        let squared = innovation * innovation;
+        let (least, most) = NOISE_BOUNDS;
+        self.noise = (self.noise + NOISE_WEIGHT * (squared - self.noise)).clamp(least, most);
+        let surprise = (squared / total).min(SURPRISE_CAP);
+        self.surprise += SURPRISE_WEIGHT * (surprise - self.surprise);
+        if self.surprise <= SURPRISE_LIMIT {
+            return;
+        }
+        self.surprise = 1.0;
+        let level = &mut self.levels[band];
+        level.variance = (level.variance * WIDENING).min(LEVEL_PRIOR);
+        for beside in seen.beside {
+            let pair = &mut self.pairs[beside.kind as usize];
+            pair.variance = (pair.variance * WIDENING).min(PAIR_PRIOR);
+        }
+    }
+}
+
+impl Model {
+    /// Learns from one sample.
+    pub(crate) fn learn(&mut self, seen: &Observation<'_>) {
+        let needed = seen.service as usize + 1;
+        if needed > self.services.len() {
+            self.services.resize_with(needed, ServiceModel::new);
+        }
+        self.services[seen.service as usize].learn(seen);
+    }
+
+    /// What is known at `now` of a pair.
+    pub(crate) fn harm(&self, now: Time, service: u32, kind: u32) -> Harm {
+        let model = self.services.get(service as usize);
+        let Some(pair) = model.and_then(|model| model.pairs.get(kind as usize)) else {
+            return Harm::UNKNOWN;
+        };
+        let variance = pair.widened(seconds_of(now), PAIR_DRIFT, PAIR_PRIOR);
+        Harm {
+            mean: pair.mean.into(),
+            deviation: f64::from(variance).sqrt(),
+            samples: pair.samples,
+        }
+    }
+
+    /// The estimate of a pair; zero if nothing is known.
+    pub(crate) fn mean(&self, service: u32, kind: u32) -> f64 {
+        let model = self.services.get(service as usize);
+        let pair = model.and_then(|model| model.pairs.get(kind as usize));
+        pair.map_or(0.0, |pair| pair.mean.into())
+    }
+
+    /// What all that ran beside a replica accounts for, as the logarithm of the slowdown.
+    pub(crate) fn harm_of(&self, service: u32, beside: &[Exposure]) -> f64 {
+        beside.iter().map(|kind| self.mean(service, kind.kind) * f64::from(kind.amount)).sum()
+    }
+
+    /// Forgets a service whose number now stands for another.
+    pub(crate) fn forget_service(&mut self, service: u32) {
+        if let Some(model) = self.services.get_mut(service as usize) {
+            *model = ServiceModel::new();
+        }
+    }
+
+    /// Forgets a kind whose number now stands for another.
+    pub(crate) fn forget_kind(&mut self, kind: u32) {
+        for model in &mut self.services {
+            if let Some(pair) = model.pairs.get_mut(kind as usize) {
+                *pair = Estimate::unknown(PAIR_PRIOR);
+            }
+        }
+    }
+
+    /// How many pairs have room in memory.
+    pub(crate) fn pairs(&self) -> usize {
+        self.services.iter().map(|model| model.pairs.len()).sum()
+    }
+}
+
+fn band_of(load: f64) -> usize {
+    // A float that is negative or no number becomes 0.
+    ((load * BANDS as f64) as usize).min(BANDS - 1)
+}
+
+fn seconds_of(time: Time) -> u32 {
+    let seconds = Duration::from_nanos(time.as_nanos()).as_secs();
+    u32::try_from(seconds).unwrap_or(u32::MAX)
+}
--- a/lib/src/interference/port.rs
+++ b/lib/src/interference/port.rs
@@ -61,4 +61,34 @@
             attempt: TaskAttempt,
         },
     }
+
+    /// What became of the samples of services' latency.
+    #[derive(Copy, Default)]
+    pub struct Counters {
+        /// Samples that were learned from.
+        pub counted: u64,
+        /// Samples dropped because the replica or a try beside it wasn't known to be there.
+        pub unknown: u64,
+        /// Samples dropped because they were too old.
+        pub old: u64,
+        /// Samples dropped because they had been counted.
+        pub duplicate: u64,
+        /// Samples dropped because too many waited for a decision.
+        pub overflow: u64,
+    }
+
+    /// How much the policy remembers.
+    #[derive(Copy, Default)]
+    pub struct Footprint {
+        /// Workers.
+        pub workers: usize,
+        /// Tries on them, with those that left a short time ago.
+        pub stays: usize,
+        /// Services told apart.
+        pub services: usize,
+        /// Kinds told apart.
+        pub kinds: usize,
+        /// Pairs with room for an estimate.
+        pub pairs: usize,
+    }
 }
--- /dev/null
+++ b/lib/src/interference/stay.rs
@@ -0,0 +1,275 @@
+//! The stay of a try on a worker, and what was seen of it.
+
+use std::time::Duration;
+
+use crate::{
+    ids::TaskAttempt,
+    interference::{
+        control::{Control, Outcome},
+        limits::{
+            MAX_RECENT, MAX_THROTTLES, SETTLE, SKEW, SPACING, STALE, WHOLE, hurt_ratio, slack_ratio,
+        },
+        port::{Neighbour, Role},
+    },
+    policy::Objective,
+    time::Time,
+    worker::Sample,
+};
+
+/// The weight of a new sample in a replica's running level.
+const LEVEL_WEIGHT: f64 = 0.4;
+
+/// A sample that waits for the next decision; ordered by its time.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Pending {
+    /// When it was taken.
+    pub(crate) taken: Time,
+    /// The replica's try.
+    pub(crate) attempt: TaskAttempt,
+    /// Its 99th percentile.
+    pub(crate) latency: Duration,
+    /// The processors it used, in thousandths.
+    pub(crate) millicores: u64,
+    /// What the worker saw beside it, in order.
+    pub(crate) beside: Vec<TaskAttempt>,
+}
+
+/// A try's stay on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Stay {
+    /// The try.
+    pub(crate) attempt: TaskAttempt,
+    /// When it was placed.
+    pub(crate) since: Time,
+    /// When it left, if it has.
+    pub(crate) until: Option<Time>,
+    /// What it does.
+    pub(crate) occupant: Occupant,
+}
+
+/// What a try does on a worker.
+#[derive(Clone, Debug)]
+pub(crate) enum Occupant {
+    /// A service's replica.
+    Service(Replica),
+    /// Batch work.
+    Batch(Batch),
+}
+
+/// What is known of a replica.
+#[derive(Clone, Debug)]
+pub(crate) struct Replica {
+    /// The service's number; nothing if there are too many to tell apart.
+    pub(crate) service: Option<u32>,
+    /// What its customer's plan weighs decisions by.
+    pub(crate) objective: Objective,
+    /// The processors it holds, in thousandths.
+    millicores: u64,
+    /// The logarithm of the good latency in seconds.
+    good: f64,
+    /// The logarithm of the latency that its neighbours don't account for; nothing before the
+    /// first sample.
+    level: Option<f64>,
+    /// What its neighbours account for, as the logarithm of the slowdown.
+    pub(crate) harm: f64,
+    /// When the newest sample was taken, or else when the replica was placed.
+    newest: Time,
+    /// The last samples that counted.
+    recent: Vec<Pending>,
+}
+
+/// What is known of a batch task.
+#[derive(Clone, Debug)]
+pub(crate) struct Batch {
+    /// The kind's number; nothing if there are too many to tell apart.
+    pub(crate) kind: Option<u32>,
+    /// How often it may still be evicted.
+    pub(crate) evictions: u32,
+    /// What is done with it.
+    pub(crate) control: Control,
+    /// Its throttles, each with the time it was asked for.
+    throttles: Vec<(Time, u32)>,
+}
+
+impl Pending {
+    /// A sample that arrived at `now`, or `None` if it says nothing of latency.
+    pub(crate) fn new(now: Time, sample: &Sample) -> Option<Self> {
+        let latency = sample.latency.filter(|latency| !latency.is_zero())?;
+        let age = u64::try_from(sample.age.as_nanos()).unwrap_or(u64::MAX);
+        let mut beside = sample.beside.clone();
+        beside.sort_unstable();
+        beside.dedup();
+        Some(Self {
+            taken: Time::from_nanos(now.as_nanos().saturating_sub(age)),
+            attempt: sample.attempt,
+            latency,
+            millicores: sample.used.millicores,
+            beside,
+        })
+    }
+
+    /// Whether both are one sample that was delivered twice.
+    fn same(&self, other: &Self) -> bool {
+        let apart = self.taken.since(other.taken).max(other.taken.since(self.taken));
+        let equal = self.latency == other.latency
+            && self.millicores == other.millicores
+            && self.beside == other.beside;
+        apart.is_zero() || (equal && apart < SPACING)
+    }
+}
+
+impl Stay {
+    /// The stay of a try that is placed now; `number` is that of its service or kind.
+    pub(crate) fn new(now: Time, neighbour: &Neighbour, number: Option<u32>) -> Self {
+        let objective = neighbour.objective;
+        let occupant = match &neighbour.role {
+            Role::Service { service: _, latency } => Occupant::Service(Replica {
+                service: number,
+                objective,
+                millicores: neighbour.size.millicores,
+                good: latency.as_secs_f64().max(f64::MIN_POSITIVE).ln(),
+                level: None,
+                harm: 0.0,
+                newest: now,
+                recent: Vec::new(),
+            }),
+            Role::Batch { kind: _, evictions } => Occupant::Batch(Batch {
+                kind: number,
+                evictions: *evictions,
+                control: Control::new(now, objective),
+                throttles: Vec::new(),
+            }),
+        };
+        Self { attempt: neighbour.attempt, since: now, until: None, occupant }
+    }
+
+    /// Whether the try was there at `time`, give or take the time that messages take.
+    pub(crate) fn covers(&self, time: Time) -> bool {
+        time + SKEW >= self.since && self.until.is_none_or(|until| time <= until + SKEW)
+    }
+
+    /// The batch task, if it is one.
+    pub(crate) fn batch(&self) -> Option<&Batch> {
+        match &self.occupant {
+            Occupant::Service(_) => None,
+            Occupant::Batch(batch) => Some(batch),
+        }
+    }
+
+    /// The batch task, if it is one.
+    pub(crate) fn batch_mut(&mut self) -> Option<&mut Batch> {
+        match &mut self.occupant {
+            Occupant::Service(_) => None,
+            Occupant::Batch(batch) => Some(batch),
+        }
+    }
+
+    /// The replica, if it is one.
+    pub(crate) fn replica(&self) -> Option<&Replica> {
+        match &self.occupant {
+            Occupant::Service(replica) => Some(replica),
+            Occupant::Batch(_) => None,
+        }
+    }
+
+    /// The replica, if it is one.
+    pub(crate) fn replica_mut(&mut self) -> Option<&mut Replica> {
+        match &mut self.occupant {
+            Occupant::Service(replica) => Some(replica),
+            Occupant::Batch(_) => None,
+        }
+    }
+}
+
+impl Replica {
+    /// Counts a sample; false if it was counted before.
+    pub(crate) fn admit(&mut self, pending: &Pending) -> bool {
+        if self.recent.iter().any(|recent| recent.same(pending)) {
+            return false;
+        }
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.remove(0);
+        }
+        self.recent.push(pending.clone());
+        true
+    }
+
+    /// The load: the processors used, over those held.
+    pub(crate) fn load(&self, millicores: u64) -> f64 {
+        millicores as f64 / self.millicores.max(1) as f64
+    }
+
+    /// Follows the level by a sample whose neighbours account for `harm` of its latency; a sample
+    /// older than the newest says nothing of the present.
+    pub(crate) fn observe(&mut self, taken: Time, latency: f64, harm: f64) {
+        if self.level.is_some() && taken <= self.newest {
+            return;
+        }
+        let own = latency - harm;
+        self.level = match self.level {
+            Some(level) if taken.since(self.newest) < STALE => {
+                Some(level + LEVEL_WEIGHT * (own - level))
+            }
+            Some(_) | None => Some(own),
+        };
+        self.newest = taken;
+    }
+
+    /// The logarithm of the expected latency over the good latency; nothing if no sample is new
+    /// enough.
+    pub(crate) fn ratio(&self, now: Time) -> Option<f64> {
+        let level = self.level.filter(|_| now.since(self.newest) < STALE)?;
+        Some(level + self.harm - self.good)
+    }
+
+    /// Whether a ratio, as [`Self::ratio`] gives it, means that the service is hurt.
+    pub(crate) fn is_hurt(&self, ratio: f64) -> bool {
+        ratio > hurt_ratio(self.objective).ln()
+    }
+
+    /// Whether a ratio, as [`Self::ratio`] gives it, leaves slack.
+    pub(crate) fn has_slack(&self, ratio: f64) -> bool {
+        ratio < slack_ratio(self.objective).ln()
+    }
+
+    /// Whether a sample may still come that would tell the ratio.
+    pub(crate) fn is_awaited(&self, now: Time) -> bool {
+        self.level.is_none() && now.since(self.newest) < STALE
+    }
+
+    /// Whether the newest sample was taken after an action at `time` could show.
+    pub(crate) fn seen_after(&self, time: Time) -> bool {
+        self.level.is_some() && self.newest >= time + SETTLE
+    }
+}
+
+impl Batch {
+    /// The part of its processors that it used at `time`, at most.
+    pub(crate) fn amount_at(&self, time: Time) -> f64 {
+        let permille = self.throttles.iter().rev().find(|(since, _)| *since <= time);
+        f64::from(permille.map_or(WHOLE, |(_, permille)| *permille)) / f64::from(WHOLE)
+    }
+
+    /// The part of its processors that it may use now.
+    pub(crate) fn amount(&self) -> f64 {
+        f64::from(self.control.permille()) / f64::from(WHOLE)
+    }
+
+    /// How much more it would use after a step up.
+    pub(crate) fn raise(&self) -> f64 {
+        f64::from(self.control.raised()) / f64::from(WHOLE) - self.amount()
+    }
+
+    /// Remembers what was asked for.
+    pub(crate) fn note(&mut self, now: Time, outcome: Outcome) {
+        match outcome {
+            Outcome::Nothing | Outcome::Move => {}
+            Outcome::Throttle(permille) => {
+                if self.throttles.len() >= MAX_THROTTLES {
+                    self.throttles.remove(0);
+                }
+                self.throttles.push((now, permille));
+            }
+        }
+    }
+}
