--- a/lib/src/interference/control.rs
+++ b/lib/src/interference/control.rs
@@ -50,6 +50,8 @@
         Budgeted = "budgeted",
         /// The next step down reaches the floor.
         Lowest = "lowest",
+        /// The last step was up.
+        Risen = "risen",
         /// The next step up lifts the throttle.
         Whole = "whole",
         /// The next step up is expected to hurt no service, or the hold is over.
@@ -128,6 +130,7 @@
     state: State,
     objective: Objective,
     permille: u32,
+    risen: bool,
     marked: Time,
     relapses: u32,
 }
@@ -135,7 +138,8 @@
 impl Control {
     /// The machine of a task that was just placed; `objective` is that of its customer's plan.
     pub(crate) fn new(now: Time, objective: Objective) -> Self {
-        Self { state: CHART.initial(), objective, permille: WHOLE, marked: now, relapses: 0 }
+        let state = CHART.initial();
+        Self { state, objective, permille: WHOLE, risen: false, marked: now, relapses: 0 }
     }
 
     /// Where the machine stands.
@@ -181,10 +185,12 @@
             }
             Reaction::StepDown => {
                 self.permille = self.lowered();
+                self.risen = false;
                 Outcome::Throttle(self.permille)
             }
             Reaction::StepUp => {
                 self.permille = self.raised();
+                self.risen = true;
                 Outcome::Throttle(self.permille)
             }
             Reaction::MoveAway => Outcome::Move,
@@ -210,6 +216,7 @@
             Guard::Settled => facts.settled,
             Guard::Budgeted => facts.budgeted,
             Guard::Lowest => self.lowered() == floor(self.objective),
+            Guard::Risen => self.risen,
             Guard::Whole => self.raised() == WHOLE,
             Guard::Safe => facts.harmless || elapsed >= self.hold(),
             Guard::Stuck => elapsed >= floor_hold(self.objective),
--- /dev/null
+++ b/lib/tests/interference/rules.rs
@@ -0,0 +1,282 @@
+//! The rules of the interference policy, case by case.
+
+use std::time::Duration;
+
+use hickorylink_lib::{
+    interference::port::{Action, Counters},
+    policy::Objective::{self, Latency, Throughput},
+};
+
+use crate::world::{GOOD, World, attempt, batch, sample, service, worker};
+
+const SEED: u64 = 11;
+
+#[test]
+fn a_sample_counts_for_what_ran_when_it_was_taken() {
+    struct Case {
+        name: &'static str,
+        /// Seconds before now at which the noisy and the quiet task changed places.
+        swapped: u64,
+        /// The age of the samples in seconds.
+        age: u64,
+        noisy: bool,
+        quiet: bool,
+    }
+    let cases = [
+        Case { name: "taken before the swap", swapped: 10, age: 20, noisy: true, quiet: false },
+        Case { name: "taken after the swap", swapped: 30, age: 5, noisy: false, quiet: true },
+    ];
+    for case in cases {
+        let mut world = World::new(SEED, &[]);
+        world.place(1, service(1, Latency));
+        world.run(20);
+        world.place(1, batch(2, "noisy", 3, Latency));
+        world.run(60);
+        world.end(2);
+        world.place(1, batch(3, "quiet", 3, Latency));
+        world.now = world.now + Duration::from_secs(case.swapped);
+        let beside: &[u64] = if case.noisy { &[2] } else { &[3] };
+        let before = (harm(&world, "noisy"), harm(&world, "quiet"));
+        for number in 0..40 {
+            let age = Duration::from_secs(case.age) + Duration::from_millis(100 * number);
+            let latency = 0.03 + 0.000_1 * number as f64;
+            world.policy.sampled(world.now, &worker(1), &sample(1, age, latency, beside));
+        }
+        world.tick();
+        let after = (harm(&world, "noisy"), harm(&world, "quiet"));
+        assert_eq!(after.0 > before.0, case.noisy, "{}: noisy {before:?} {after:?}", case.name);
+        assert_eq!(after.1 > before.1, case.quiet, "{}: quiet {before:?} {after:?}", case.name);
+    }
+}
+
+fn harm(world: &World, kind: &str) -> f64 {
+    world.policy.harm(world.now, &"folddesk".into(), &"dermaga".into(), &kind.into()).mean
+}
+
+#[test]
+fn samples_that_cannot_be_attributed_are_dropped_and_counted() {
+    struct Case {
+        name: &'static str,
+        /// The replica's task, the age in milliseconds and the tasks beside it.
+        samples: &'static [(u64, u64, &'static [u64])],
+        want: Counters,
+    }
+    let none = Counters::default();
+    let cases = [
+        Case {
+            name: "one sample",
+            samples: &[(1, 500, &[2])],
+            want: Counters { counted: 1, ..none },
+        },
+        Case {
+            name: "an unknown replica",
+            samples: &[(9, 500, &[2])],
+            want: Counters { unknown: 1, ..none },
+        },
+        Case {
+            name: "a batch task that claims a latency",
+            samples: &[(2, 500, &[1])],
+            want: Counters { unknown: 1, ..none },
+        },
+        Case {
+            name: "an unknown neighbour",
+            samples: &[(1, 500, &[2, 7])],
+            want: Counters { unknown: 1, ..none },
+        },
+        Case {
+            name: "a neighbour that had left long before",
+            samples: &[(1, 500, &[3])],
+            want: Counters { unknown: 1, ..none },
+        },
+        Case {
+            name: "a neighbour before it had left",
+            samples: &[(1, 10_500, &[3])],
+            want: Counters { counted: 1, ..none },
+        },
+        Case { name: "too old", samples: &[(1, 61_000, &[2])], want: Counters { old: 1, ..none } },
+        Case {
+            name: "delivered twice",
+            samples: &[(1, 500, &[2]), (1, 500, &[2])],
+            want: Counters { counted: 1, duplicate: 1, ..none },
+        },
+        Case {
+            name: "delivered again later with its age counted on",
+            samples: &[(1, 500, &[2]), (1, 800, &[2])],
+            want: Counters { counted: 1, duplicate: 1, ..none },
+        },
+        Case {
+            name: "two samples that are equal by chance",
+            samples: &[(1, 500, &[2]), (1, 1_500, &[2])],
+            want: Counters { counted: 2, ..none },
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(SEED, &[]);
+        world.policy.placed(world.now, &worker(1), &service(1, Latency));
+        world.policy.placed(world.now, &worker(1), &batch(2, "quiet", 3, Latency));
+        world.policy.placed(world.now, &worker(1), &batch(3, "quiet", 3, Latency));
+        world.now = world.now + Duration::from_secs(91);
+        world.policy.left(world.now, &worker(1), attempt(3));
+        world.now = world.now + Duration::from_secs(9);
+        for (task, millis, beside) in case.samples {
+            let sample = sample(*task, Duration::from_millis(*millis), 0.01, beside);
+            world.policy.sampled(world.now, &worker(1), &sample);
+        }
+        world.policy.decide(world.now, &mut Vec::new());
+        assert_eq!(*world.policy.counters(), case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn actions_follow_the_objective_and_the_budget() {
+    struct Case {
+        name: &'static str,
+        service: Objective,
+        batch: Objective,
+        /// The latency without neighbours over the good latency.
+        alone: f64,
+        /// The harm of the noisy kind.
+        harm: f64,
+        evictions: u32,
+        throttled: bool,
+        moved: bool,
+    }
+    let base = Case {
+        name: "a hurt service",
+        service: Latency,
+        batch: Latency,
+        alone: 0.4,
+        harm: 1.5,
+        evictions: 3,
+        throttled: true,
+        moved: false,
+    };
+    let cases = [
+        Case { name: "no harm", harm: 0.0, throttled: false, ..base },
+        Case { name: "harm that leaves slack", harm: 0.3, throttled: false, ..base },
+        Case { name: "latency plans act below the good latency", harm: 0.8, ..base },
+        Case {
+            name: "throughput plans let it pass",
+            service: Throughput,
+            harm: 0.8,
+            throttled: false,
+            ..base
+        },
+        Case { name: "throughput plans act above it", service: Throughput, harm: 1.2, ..base },
+        Case { name: "the floor doesn't help: moved", alone: 0.68, moved: true, ..base },
+        Case {
+            name: "the floor doesn't help a throughput plan's service: moved",
+            service: Throughput,
+            batch: Throughput,
+            alone: 0.95,
+            moved: true,
+            ..base
+        },
+        Case { name: "no eviction left: never moved", alone: 0.68, evictions: 0, ..base },
+        base,
+    ];
+    for case in cases {
+        let mut world = World::new(SEED, &[("noisy", case.harm)]);
+        world.alone = case.alone * GOOD;
+        world.place(1, service(1, case.service));
+        world.run(30);
+        // Tasks that come and go together can't be told apart.
+        world.place(1, batch(3, "quiet", 3, case.batch));
+        world.run(30);
+        world.place(1, batch(2, "noisy", case.evictions, case.batch));
+        world.run(120);
+        let throttled = world.actions.iter().any(|(_, action)| touches(action, 2));
+        let spared = !world.actions.iter().any(|(_, action)| touches(action, 3));
+        let moved = world.moved() == [2];
+        let got = (throttled, moved, spared);
+        assert_eq!(got, (case.throttled, case.moved, true), "{}: {:?}", case.name, world.actions);
+    }
+}
+
+fn touches(action: &Action, task: u64) -> bool {
+    match action {
+        Action::Throttle { worker: _, attempt: who, permille: _ }
+        | Action::Move { worker: _, attempt: who } => *who == attempt(task),
+    }
+}
+
+#[test]
+fn throughput_plans_are_throttled_longer_before_a_move() {
+    let moved_after = |objective| {
+        let mut world = World::new(SEED, &[("noisy", 1.5)]);
+        world.alone = 0.68 * GOOD;
+        world.place(1, service(1, Latency));
+        world.run(30);
+        world.place(1, batch(2, "noisy", 3, objective));
+        let placed = world.now;
+        world.run(120);
+        let moved = world.actions.iter().find(|(_, action)| matches!(action, Action::Move { .. }));
+        moved.map(|(at, _)| at.since(placed).as_secs()).expect("it is moved")
+    };
+    let (latency, throughput) = (moved_after(Latency), moved_after(Throughput));
+    assert!(latency + 20 <= throughput, "{latency} s, {throughput} s");
+}
+
+#[test]
+fn placement_avoids_what_hurt_before() {
+    struct Case {
+        name: &'static str,
+        kind: &'static str,
+        on: u64,
+        least: f64,
+        most: f64,
+    }
+    let cases = [
+        Case { name: "the noisy kind", kind: "noisy", on: 2, least: 0.3, most: 10.0 },
+        Case { name: "the quiet kind", kind: "quiet", on: 2, least: 0.0, most: 0.1 },
+        Case { name: "an unknown kind", kind: "new", on: 2, least: 0.0, most: 0.0 },
+        Case { name: "a worker without services", kind: "noisy", on: 3, least: 0.0, most: 0.0 },
+        Case { name: "an unknown worker", kind: "noisy", on: 9, least: 0.0, most: 0.0 },
+    ];
+    let mut world = World::new(SEED, &[("noisy", 1.0)]);
+    world.place(1, service(1, Latency));
+    world.place(2, service(2, Latency));
+    world.place(3, batch(3, "quiet", 3, Latency));
+    world.run(30);
+    world.place(1, batch(4, "noisy", 0, Latency));
+    world.run(60);
+    world.place(1, batch(5, "quiet", 0, Latency));
+    world.run(60);
+    for case in cases {
+        let neighbour = batch(99, case.kind, 3, Latency);
+        let penalty = world.policy.penalty(world.now, &worker(case.on), &neighbour);
+        let range = case.least..=case.most;
+        assert!(range.contains(&penalty), "{}: {penalty}", case.name);
+    }
+    let beside_noisy = world.policy.penalty(world.now, &worker(1), &service(98, Latency));
+    let alone = world.policy.penalty(world.now, &worker(2), &service(98, Latency));
+    assert!(beside_noisy > alone, "a replica avoids the noisy task: {beside_noisy}, {alone}");
+}
+
+#[test]
+fn decisions_keep_to_the_control_interval() {
+    let mut world = World::new(SEED, &[]);
+    assert_eq!(world.policy.next_deadline(), None);
+    world.place(1, service(1, Latency));
+    let due = world.policy.next_deadline().expect("a decision is due");
+    assert_eq!(due.since(world.now), Duration::from_secs(1));
+    world.policy.sampled(world.now, &worker(1), &sample(1, Duration::ZERO, 0.01, &[]));
+    world.policy.decide(world.now + Duration::from_millis(999), &mut Vec::new());
+    assert_eq!(world.policy.counters().counted, 0, "not before the interval is over");
+    world.policy.decide(due, &mut Vec::new());
+    assert_eq!(world.policy.counters().counted, 1);
+}
+
+#[test]
+fn everything_is_forgotten_once_all_has_left() {
+    let mut world = World::new(SEED, &[]);
+    world.place(1, service(1, Latency));
+    world.place(1, batch(2, "noisy", 3, Latency));
+    world.run(5);
+    world.end(1);
+    world.end(2);
+    world.run(62);
+    let footprint = world.policy.footprint();
+    assert_eq!((footprint.workers, footprint.stays), (0, 0));
+    assert_eq!(world.policy.next_deadline(), None);
+}
