standin: workers, targets and callers that show what really ran

Cause: the whole path needs something to announce itself, run tasks under a lease, serve requests and call for them. Ruled out: workers as processes of their own (a few hundred processes for 48 workers of each user; as tasks of one process they show the same to the system). Before and after: builds; not run yet, as the daemon isn't there.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! event and the present time and fills a list of effects; the daemon's duties, a property test
 //! or a model check drive the same code.
 
+pub mod api;
 pub mod chart;
 pub mod command;
 pub mod consensus;
@@ -18,6 +19,7 @@
 pub mod resources;
 pub mod router;
 pub mod scheduler;
+pub mod settings;
 pub mod task;
 pub mod time;
 pub mod worker;
--- /dev/null
+++ b/lib/src/settings.rs
@@ -0,0 +1,266 @@
+//! The settings of one instance, read from JSON with comments.
+
+use std::{net::SocketAddr, time::Duration};
+
+use crate::{
+    data,
+    document::{Document, ObjectView, ValueView},
+    finding::Findings,
+    ids::{DataCentre, InstanceName, OperatorName},
+    policy::CredentialHash,
+    symbols,
+};
+
+/// The longest name of an instance or a data centre, in bytes.
+const NAME_BYTES: usize = 64;
+
+/// The most voters a council has; more make each commit slower and survive no likely failure.
+const COUNCIL_MOST: u64 = 7;
+
+/// The default number of voters.
+const COUNCIL_DEFAULT: u64 = 3;
+
+/// The default and the largest size of a request's body, in kibibytes.
+const BODY_DEFAULT_KIB: u64 = 1024;
+const BODY_MOST_KIB: u64 = 16 * 1024;
+
+/// The default and the largest number of connections from callers.
+const CONNECTIONS_DEFAULT: u64 = 2048;
+const CONNECTIONS_MOST: u64 = 65_536;
+
+/// The default time an instance that leaves waits for its requests, in milliseconds.
+const DRAIN_DEFAULT_MS: u64 = 30_000;
+const DRAIN_MOST_MS: u64 = 3_600_000;
+
+/// The shortest key that peers may know each other by, in bytes.
+const KEY_BYTES: usize = 16;
+
+symbols! {
+    /// How log records are written.
+    pub enum LogFormat {
+        /// One JSON object a line.
+        Json = "json",
+        /// Lines for people.
+        Terminal = "terminal",
+    }
+
+    /// The least severe records that are written.
+    pub enum LogLevel {
+        /// Failures that need somebody.
+        Error = "error",
+        /// What may need somebody.
+        Warning = "warning",
+        /// What happened.
+        Info = "info",
+        /// How it happened.
+        Debug = "debug",
+    }
+}
+
+data! {
+    /// The settings of one instance.
+    pub struct Settings {
+        /// The instance's name.
+        pub name: InstanceName,
+        /// Its data centre.
+        pub centre: DataCentre,
+        /// Where callers, workers and operators reach it.
+        pub listen: SocketAddr,
+        /// Where other instances reach it.
+        pub peer_listen: SocketAddr,
+        /// Instances to call first.
+        pub peers: Vec<SocketAddr>,
+        /// The folder for state that must survive; an instance without one doesn't vote.
+        pub data: Option<String>,
+        /// Whether it founds the council if none exists yet.
+        pub founding: bool,
+        /// How many voters the council aims at.
+        pub council: u32,
+        /// The key by which instances know each other.
+        pub peer_key: String,
+        /// The key by which workers are known.
+        pub worker_key: String,
+        /// The operator who may make the first edit, while no plans list stands.
+        pub operator: FirstOperator,
+        /// The log.
+        pub log: LogSettings,
+        /// Limits.
+        pub limits: LimitSettings,
+    }
+
+    /// The operator of the first edit.
+    pub struct FirstOperator {
+        /// The name.
+        pub name: OperatorName,
+        /// The hash of the credential.
+        pub credential: CredentialHash,
+    }
+
+    /// The log.
+    #[derive(Copy)]
+    pub struct LogSettings {
+        /// How records are written.
+        pub format: LogFormat,
+        /// Which are written.
+        pub level: LogLevel,
+    }
+
+    /// Limits of an instance.
+    #[derive(Copy)]
+    pub struct LimitSettings {
+        /// The largest body of a request, in bytes.
+        pub body: usize,
+        /// Connections from callers held open at a time.
+        pub connections: usize,
+        /// How long an instance that leaves waits for its requests.
+        pub drain: Duration,
+    }
+}
+
+const FIELDS: &[&str] = &[
+    "name",
+    "centre",
+    "listen",
+    "peer_listen",
+    "peers",
+    "data",
+    "founding",
+    "council",
+    "peer_key",
+    "worker_key",
+    "operator",
+    "log",
+    "limits",
+];
+
+impl Settings {
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong in it, with places.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        Document::read(file, text, |root| read_settings(root.only(FIELDS)))
+    }
+}
+
+fn read_settings(root: ObjectView<'_, '_>) -> Option<Settings> {
+    let name = root.need("name").and_then(read_name);
+    let centre = root.need("centre").and_then(read_name);
+    let listen = root.need("listen").and_then(read_address);
+    let peer_listen = root.need("peer_listen").and_then(read_address);
+    let peers = root.list("peers").into_iter().filter_map(read_address).collect();
+    let data = root.get("data").and_then(ValueView::text).map(str::to_owned);
+    let founding = root.get("founding").and_then(ValueView::flag).unwrap_or(false);
+    let council = whole(root, "council", 1..=COUNCIL_MOST).unwrap_or(COUNCIL_DEFAULT);
+    let peer_key = root.need("peer_key").and_then(read_key);
+    let worker_key = root.need("worker_key").and_then(read_key);
+    let operator = root.need("operator").and_then(read_operator);
+    let log = read_log(root);
+    let limits = read_limits(root);
+    if founding && data.is_none() {
+        root.report("\"founding\" needs \"data\": the first voter keeps the council's log on disk");
+    }
+    Some(Settings {
+        name: name?.into(),
+        centre: centre?.into(),
+        listen: listen?,
+        peer_listen: peer_listen?,
+        peers,
+        data,
+        founding,
+        council: u32::try_from(council).ok()?,
+        peer_key: peer_key?.to_owned(),
+        worker_key: worker_key?.to_owned(),
+        operator: operator?,
+        log: log?,
+        limits,
+    })
+}
+
+fn whole(
+    object: ObjectView<'_, '_>,
+    field: &str,
+    bounds: std::ops::RangeInclusive<u64>,
+) -> Option<u64> {
+    object.get(field)?.whole(bounds)
+}
+
+fn read_name<'d>(value: ValueView<'d, '_>) -> Option<&'d str> {
+    let name = value.text()?;
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    if name.len() <= NAME_BYTES && name.chars().all(allowed) {
+        return Some(name);
+    }
+    value.report(format!("a name has at most {NAME_BYTES} of the characters a to z, 0 to 9 and -"));
+    None
+}
+
+fn read_address(value: ValueView<'_, '_>) -> Option<SocketAddr> {
+    let text = value.text()?;
+    let address = text.parse().ok();
+    if address.is_none() {
+        value.report(format!("\"{text}\" is not an IP address with a port, as in 10.0.0.1:7001"));
+    }
+    address
+}
+
+fn read_key<'d>(value: ValueView<'d, '_>) -> Option<&'d str> {
+    let key = value.text()?;
+    if key.len() >= KEY_BYTES {
+        return Some(key);
+    }
+    value.report(format!("a key has at least {KEY_BYTES} bytes"));
+    None
+}
+
+fn read_operator(value: ValueView<'_, '_>) -> Option<FirstOperator> {
+    let object = value.object()?.only(&["name", "credential"]);
+    let name = object.need("name").and_then(read_name);
+    let credential = object.need("credential").and_then(read_credential);
+    Some(FirstOperator { name: name?.into(), credential: credential? })
+}
+
+/// Reads the hash of a credential, as `blake3:` and 64 hexadecimal digits.
+pub fn read_credential(value: ValueView<'_, '_>) -> Option<CredentialHash> {
+    let text = value.text()?;
+    let hash = text.strip_prefix("blake3:").and_then(|hex| blake3::Hash::from_hex(hex).ok());
+    if hash.is_none() {
+        value.report(
+            "a credential is given as \"blake3:\" and 64 hexadecimal digits; \
+             `hickorylink credential hash` makes one",
+        );
+    }
+    hash.map(|hash| CredentialHash { digest: *hash.as_bytes() })
+}
+
+fn read_log(root: ObjectView<'_, '_>) -> Option<LogSettings> {
+    let mut log = LogSettings { format: LogFormat::Json, level: LogLevel::Info };
+    let Some(value) = root.get("log") else { return Some(log) };
+    let object = value.object()?.only(&["format", "level"]);
+    if let Some(format) = object.get("format").and_then(|value| value.choice(LogFormat::NAMES)) {
+        log.format = LogFormat::from_name(format)?;
+    }
+    if let Some(level) = object.get("level").and_then(|value| value.choice(LogLevel::NAMES)) {
+        log.level = LogLevel::from_name(level)?;
+    }
+    Some(log)
+}
+
+fn read_limits(root: ObjectView<'_, '_>) -> LimitSettings {
+    let object = root
+        .get("limits")
+        .and_then(ValueView::object)
+        .map(|object| object.only(&["body_kib", "connections", "drain_ms"]));
+    let limit = |field: &str, default: u64, most: u64| {
+        object.and_then(|object| whole(object, field, 1..=most)).unwrap_or(default)
+    };
+    let body = limit("body_kib", BODY_DEFAULT_KIB, BODY_MOST_KIB) * 1024;
+    let connections = limit("connections", CONNECTIONS_DEFAULT, CONNECTIONS_MOST);
+    let drain = limit("drain_ms", DRAIN_DEFAULT_MS, DRAIN_MOST_MS);
+    LimitSettings {
+        body: usize::try_from(body).unwrap_or(usize::MAX),
+        connections: usize::try_from(connections).unwrap_or(usize::MAX),
+        drain: Duration::from_millis(drain),
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,8 @@
+//! Stand-ins for the platform's workers and targets, and for callers. Never ships.
+
+pub mod caller;
+pub mod cluster;
+pub mod demo;
+pub mod journal;
+pub mod net;
+pub mod worker;
