router: admit, claim, send and answer requests by two charts

Cause: the daemon needs the decisions for requests: who may call, which key is claimed, which target gets the request, what the caller is told. Ruled out: tokens from a central server for each request (a round trip, and it dies with its holder); one big match over request flags in place of a chart; a queue with one eviction victim (bounded rooms where a customer may hold no more than is free need no victim). Change: Router with Config, handle, next_deadline and status. The lives of a request and of a target are charts in charts/, interpreted. Slots are dealt over the instances by a pure function of the views; a part shrinks at once and grows after the settle time. Targets by power of two choices over an index of free slots; fair queue, retry budgets, back-off, hedging, ejection, silent connections, drain. NotRun gains MissingKey. A request of a plan with exact counts that carries a key is claimed although it is idempotent, so that a resend isn't counted again.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -3,4 +3,281 @@
 //! Every request ends in exactly one of three ways: it ran and here is the whole answer; it did
 //! not run; or it is unknown whether it ran.
 
+mod admission;
+mod budget;
+mod choice;
+mod config;
+mod fleet;
+mod latency;
+mod occupancy;
 pub mod port;
+mod queue;
+pub mod request;
+mod silence;
+pub mod slots;
+mod status;
+mod steps;
+pub mod target;
+mod timers;
+mod tries;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub use self::{
+    config::Config,
+    status::{Counters, Status, TargetStatus},
+};
+use crate::{
+    command::ClaimResult,
+    ids::{CustomerName, RequestId},
+    policy::Policy,
+    router::{
+        budget::Budget,
+        choice::{Wish, choose},
+        fleet::Fleet,
+        occupancy::Occupancy,
+        port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, Response, TryId},
+        request::{Entry, RequestEvent},
+        steps::Signal,
+        target::TargetEvent,
+        timers::{Alarm, Timers},
+        tries::Try,
+    },
+    time::Time,
+};
+
+/// The router of one instance.
+#[derive(Debug)]
+pub struct Router {
+    config: Config,
+    policy: Arc<Policy>,
+    rng: ChaCha8Rng,
+    timers: Timers,
+    fleet: Fleet,
+    requests: BTreeMap<RequestId, Entry>,
+    tries: BTreeMap<TryId, Try>,
+    budgets: BTreeMap<CustomerName, Budget>,
+    waiting: Occupancy,
+    unsettled: Occupancy,
+    counters: Counters,
+    draining: bool,
+    drained: bool,
+    depart: Option<Time>,
+}
+
+impl Router {
+    /// A router that knows no policy, instance or target yet; `seed` decides its random choices.
+    pub fn new(config: Config, _now: Time, seed: u64) -> Self {
+        Self {
+            policy: Arc::new(Policy::default()),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            timers: Timers::default(),
+            fleet: Fleet::default(),
+            requests: BTreeMap::new(),
+            tries: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            waiting: Occupancy::new(config.queue),
+            unsettled: Occupancy::new(config.unsettled),
+            counters: Counters::default(),
+            draining: false,
+            drained: false,
+            depart: None,
+            config,
+        }
+    }
+
+    /// Takes in what happened and says what to do. Timers that are due go before the event.
+    pub fn handle(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        while let Some(alarm) = self.timers.due(now) {
+            self.ring(now, alarm, effects);
+        }
+        match event {
+            Event::Timer => {}
+            Event::Policy(policy) => self.set_policy(policy),
+            Event::Instances(peers) => {
+                self.fleet.instances(now, peers, &self.config, &mut self.timers);
+                self.pump_all(now, effects);
+            }
+            Event::Target(target) => {
+                let service = self.fleet.announce(now, *target, &self.config, &mut self.timers);
+                self.pump(now, service, effects);
+            }
+            Event::TargetGone { address } => {
+                self.fleet.withdraw(now, &address, &self.config, &mut self.timers);
+            }
+            Event::Request(request) => self.admit(now, *request, effects),
+            Event::CallerGone { request } => {
+                let signal = Signal::because(RequestEvent::CallerGone, NotRun::CallerGone);
+                self.step(now, request, signal, effects);
+            }
+            Event::ClaimAnswered { request, answer } => {
+                self.claim_answered(now, request, answer, effects);
+            }
+            Event::Recorded { request } => {
+                self.step(now, request, Signal::new(RequestEvent::Recorded), effects);
+            }
+            Event::TryEnded { attempt, end } => self.try_ended(now, attempt, end, effects),
+            Event::Progress { attempt } => self.progress(now, attempt),
+            Event::Drain => self.draining = true,
+        }
+        self.check_drained(now, effects);
+    }
+
+    /// When [`Event::Timer`] is to come, if nothing happens before.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.timers.next()
+    }
+
+    /// What the router did and holds.
+    pub fn status(&self) -> Status {
+        let targets = self.fleet.targets.iter().flatten().map(|target| TargetStatus {
+            address: target.info.address.clone(),
+            service: target.info.service.clone(),
+            state: target.state,
+            part: target.part,
+            flying: target.flying,
+            latency: (target.average.seconds() * 1e6) as u64,
+        });
+        Status {
+            counters: self.counters.clone(),
+            open: self.requests.values().filter(|entry| entry.state.is_open()).count(),
+            waiting: self.waiting.total(),
+            unsettled: self.unsettled.total(),
+            flying: self.tries.len(),
+            draining: self.draining,
+            targets: targets.collect(),
+        }
+    }
+
+    fn ring(&mut self, now: Time, alarm: Alarm, effects: &mut Vec<Effect>) {
+        match alarm {
+            Alarm::Deadline(id) => {
+                self.step(now, id, Signal::new(RequestEvent::Deadline), effects);
+            }
+            Alarm::Request(id) => self.wake(now, id, effects),
+            Alarm::Release(id) => {
+                self.counters.forgotten += 1;
+                self.step(now, id, Signal::new(RequestEvent::Expired), effects);
+            }
+            Alarm::Silence(attempt) => self.silent(now, attempt, effects),
+            Alarm::Linger(attempt) => self.lingered(now, attempt, effects),
+            Alarm::Target(key) => {
+                self.fleet.target_mut(key).alarm = None;
+                self.fleet.step(now, key, TargetEvent::Timer, &self.config, &mut self.timers);
+                let service = self.fleet.target(key).service;
+                self.pump(now, service, effects);
+            }
+            Alarm::Settle => {
+                self.fleet.deal_all(now, &self.config, &mut self.timers);
+                self.pump_all(now, effects);
+            }
+            Alarm::Depart => {}
+        }
+    }
+
+    /// A request's pause is over, or it is slower than most.
+    fn wake(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        entry.wake = None;
+        let service = entry.service;
+        self.step(now, id, Signal::new(RequestEvent::Timer), effects);
+        self.pump(now, service, effects);
+    }
+
+    fn set_policy(&mut self, policy: Arc<Policy>) {
+        let known = |customer: &CustomerName| policy.customers.contains_key(customer);
+        self.budgets.retain(|customer, _| known(customer));
+        for service in &mut self.fleet.services {
+            service.queue.retain(known);
+        }
+        self.policy = policy;
+    }
+
+    fn claim_answered(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        answer: ClaimAnswer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let signal = match answer {
+            ClaimAnswer::Claimed => Signal::new(RequestEvent::Claimed),
+            ClaimAnswer::Earlier(result) => Signal::with(RequestEvent::ClaimFound, earlier(result)),
+            ClaimAnswer::KeyReused => {
+                let outcome = RequestOutcome::NotRun { reason: NotRun::KeyReused };
+                Signal::with(RequestEvent::ClaimFound, outcome)
+            }
+            ClaimAnswer::Unavailable => {
+                Signal::because(RequestEvent::ClaimFailed, NotRun::CouncilUnavailable)
+            }
+        };
+        let service = self.requests.get(&id).map(|entry| entry.service);
+        self.step(now, id, signal, effects);
+        if let Some(service) = service {
+            self.pump(now, service, effects);
+        }
+    }
+
+    fn pump_all(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for service in 0..self.fleet.services.len() {
+            self.pump(now, service, effects);
+        }
+    }
+
+    /// Sends waiting requests while targets have free slots.
+    fn pump(&mut self, now: Time, service: usize, effects: &mut Vec<Effect>) {
+        while let Some(id) = self.fleet.services[service].queue.peek() {
+            let entry = &self.requests[&id];
+            let wish = Wish { avoid: entry.last, idempotent: entry.request.idempotent };
+            let found = choose(&self.fleet, service, wish, now, &self.config, &mut self.rng);
+            let Some(target) = found else { return };
+            let median = self.fleet.services[service].quantiles.median(now);
+            let signal = match now + median > entry.request.deadline {
+                true => Signal::because(RequestEvent::Unservable, NotRun::Deadline),
+                false => Signal::to(target),
+            };
+            self.step(now, id, signal, effects);
+        }
+    }
+
+    fn check_drained(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if !self.draining || self.drained {
+            return;
+        }
+        let open = self.requests.values().any(|entry| entry.state.is_open());
+        if open {
+            return;
+        }
+        if !self.requests.is_empty() {
+            match self.depart {
+                None => {
+                    let at = now + self.config.leave_after;
+                    self.depart = Some(at);
+                    self.timers.set(at, Alarm::Depart);
+                    return;
+                }
+                Some(at) if now < at => return,
+                Some(_) => {}
+            }
+        }
+        self.drained = true;
+        effects.push(Effect::Drained);
+    }
+}
+
+/// What a resend is told of the request that claimed the key before.
+fn earlier(result: Option<ClaimResult>) -> RequestOutcome {
+    match result {
+        Some(ClaimResult::Ran { status, body: Some(body) }) => {
+            RequestOutcome::Ran(Response { status, body })
+        }
+        Some(ClaimResult::Ran { status, body: None }) => RequestOutcome::RanEarlier { status },
+        Some(ClaimResult::Unknown) => RequestOutcome::Unknown {
+            reason: "an earlier request with this key may have run".to_owned(),
+        },
+        Some(ClaimResult::NotRun) | None => RequestOutcome::NotRun { reason: NotRun::InProgress },
+    }
+}
--- a/lib/src/router/port.rs
+++ b/lib/src/router/port.rs
@@ -198,6 +198,8 @@
         CouncilUnavailable,
         /// The key belongs to a different request.
         KeyReused,
+        /// It isn't idempotent and carries no key.
+        MissingKey,
         /// A request with this key is under way.
         InProgress,
         /// Targets refused it or couldn't be reached.
--- /dev/null
+++ b/lib/src/router/request.rs
@@ -0,0 +1,254 @@
+//! One request that was admitted, and the chart of its life.
+
+use std::sync::LazyLock;
+
+use crate::{
+    chart::{Chart, Vocabulary},
+    router::port::{NotRun, Request, RequestOutcome},
+    symbols,
+    time::Time,
+};
+
+symbols! {
+    /// Where a request is in its life.
+    pub enum RequestState {
+        /// It was just admitted.
+        Admitted = "admitted",
+        /// Its key is being claimed.
+        Claiming = "claiming",
+        /// It was answered "not run" before its claim was.
+        Releasing = "releasing",
+        /// It waits for a slot.
+        Waiting = "waiting",
+        /// A try or two are under way.
+        Sending = "sending",
+        /// It waits before the next try.
+        BackingOff = "backing_off",
+        /// It ran; the answer waits for the record.
+        Recording = "recording",
+        /// It was answered; its record isn't confirmed yet.
+        Settling = "settling",
+        /// Nothing is left to do.
+        Done = "done",
+    }
+
+    /// What happens to a request.
+    pub enum RequestEvent {
+        /// It was admitted.
+        Start = "start",
+        /// Its key is claimed.
+        Claimed = "claimed",
+        /// Its key was claimed before, or belongs to a different request.
+        ClaimFound = "claim_found",
+        /// The council doesn't answer.
+        ClaimFailed = "claim_failed",
+        /// A target has a free slot for it.
+        Dispatch = "dispatch",
+        /// A whole answer came.
+        Answered = "answered",
+        /// A try ended before the target started it.
+        Refused = "refused",
+        /// A try ended without a whole answer after bytes left.
+        Lost = "lost",
+        /// Its pause is over, or it is slower than most.
+        Timer = "timer",
+        /// Its deadline passed.
+        Deadline = "deadline",
+        /// Its caller went away.
+        CallerGone = "caller_gone",
+        /// It can't be served before its deadline.
+        Unservable = "unservable",
+        /// Its record is confirmed.
+        Recorded = "recorded",
+        /// Its claim is remembered no longer.
+        Expired = "expired",
+    }
+
+    /// What a rule depends on.
+    pub enum RequestGuard {
+        /// It needs a claim.
+        NeedsClaim = "needs_claim",
+        /// It holds a claim.
+        ClaimHeld = "claim_held",
+        /// The answer waits for the record.
+        ExactCounts = "exact_counts",
+        /// Another try is still under way.
+        TryOpen = "try_open",
+        /// It may be sent again after it may have run.
+        Idempotent = "idempotent",
+        /// The budget and the deadline leave room for another try.
+        MayRetry = "may_retry",
+        /// A second try may be sent while the first is under way.
+        MayHedge = "may_hedge",
+    }
+
+    /// What a rule does.
+    pub enum RequestAction {
+        /// Asks the council for the key.
+        Claim = "claim",
+        /// Notes that the key is claimed.
+        HoldClaim = "hold_claim",
+        /// Puts it into the queue of its service.
+        Enqueue = "enqueue",
+        /// Takes it off the queue.
+        Dequeue = "dequeue",
+        /// Sends a try to the target that was found.
+        Send = "send",
+        /// Sends a second try to another target.
+        Hedge = "hedge",
+        /// Gives up the tries that are under way.
+        Abandon = "abandon",
+        /// Notes that it may have run.
+        MarkLeft = "mark_left",
+        /// Sets the pause before the next try.
+        BackOff = "back_off",
+        /// Takes the outcome that came.
+        Keep = "keep",
+        /// Makes the outcome "unknown" if it may have run and "not run" otherwise.
+        GiveUp = "give_up",
+        /// Records what became of it.
+        Record = "record",
+        /// Tells the caller the outcome.
+        Answer = "answer",
+        /// Tells the caller that the outcome isn't recorded.
+        AnswerUnrecorded = "answer_unrecorded",
+    }
+}
+
+/// The chart of a request's life.
+pub type RequestChart = Chart<RequestState, RequestEvent, RequestGuard, RequestAction>;
+
+/// The names that the chart may use.
+pub const REQUEST_VOCABULARY: Vocabulary<
+    'static,
+    RequestState,
+    RequestEvent,
+    RequestGuard,
+    RequestAction,
+> = Vocabulary {
+    states: (RequestState::ALL, RequestState::NAMES),
+    events: (RequestEvent::ALL, RequestEvent::NAMES),
+    guards: (RequestGuard::ALL, RequestGuard::NAMES),
+    actions: (RequestAction::ALL, RequestAction::NAMES),
+};
+
+/// The text of the chart's file.
+pub const REQUEST_CHART: &str = include_str!("../../../charts/request.jsonc");
+
+pub(super) static CHART: LazyLock<RequestChart> = LazyLock::new(|| {
+    Chart::parse("request.jsonc", REQUEST_CHART, &REQUEST_VOCABULARY).expect("the chart is whole")
+});
+
+/// Which bound a request counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Room {
+    /// Requests that wait.
+    Waiting,
+    /// Requests whose claim or record isn't confirmed.
+    Unsettled,
+    /// None: slots bound it, or it is over.
+    Free,
+}
+
+impl RequestState {
+    pub(super) fn room(self) -> Room {
+        match self {
+            Self::Claiming | Self::Waiting | Self::BackingOff => Room::Waiting,
+            Self::Releasing | Self::Recording | Self::Settling => Room::Unsettled,
+            Self::Admitted | Self::Sending | Self::Done => Room::Free,
+        }
+    }
+
+    /// Whether the caller still waits.
+    pub(super) fn is_open(self) -> bool {
+        match self {
+            Self::Admitted
+            | Self::Claiming
+            | Self::Waiting
+            | Self::Sending
+            | Self::BackingOff
+            | Self::Recording => true,
+            Self::Releasing | Self::Settling | Self::Done => false,
+        }
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) request: Request,
+    /// The index of its service.
+    pub(super) service: usize,
+    pub(super) state: RequestState,
+    /// Whether its plan wants the count committed before the answer.
+    pub(super) exact: bool,
+    pub(super) claimed: bool,
+    /// Whether it may have run without a whole answer.
+    pub(super) left: bool,
+    /// The number of the last try.
+    pub(super) tries: u32,
+    /// The numbers of the tries under way.
+    pub(super) open: Vec<u32>,
+    /// The target of the last try.
+    pub(super) last: Option<usize>,
+    pub(super) outcome: Option<RequestOutcome>,
+    /// What went wrong last, for the caller.
+    pub(super) trouble: Option<String>,
+    /// When it is sent again or hedged.
+    pub(super) wake: Option<Time>,
+    /// When its claim is forgotten.
+    pub(super) release: Option<Time>,
+}
+
+impl Entry {
+    pub(super) fn new(request: Request, service: usize, exact: bool) -> Self {
+        Self {
+            request,
+            service,
+            state: CHART.initial(),
+            exact,
+            claimed: false,
+            left: false,
+            tries: 0,
+            open: Vec::new(),
+            last: None,
+            outcome: None,
+            trouble: None,
+            wake: None,
+            release: None,
+        }
+    }
+
+    /// Whether the key is claimed before the request leaves. A request of a plan with exact
+    /// counts is claimed although it is idempotent, so that a resend isn't counted again.
+    pub(super) fn needs_claim(&self) -> bool {
+        self.request.key.is_some() && (self.exact || !self.request.idempotent)
+    }
+
+    /// The outcome of a request that is given up for `reason`.
+    pub(super) fn given_up(&self, reason: NotRun) -> RequestOutcome {
+        match self.left {
+            false => RequestOutcome::NotRun { reason },
+            true => {
+                let trouble = self.trouble.as_deref().unwrap_or("no whole answer came");
+                RequestOutcome::Unknown { reason: format!("{trouble}; {}", ending(reason)) }
+            }
+        }
+    }
+}
+
+fn ending(reason: NotRun) -> &'static str {
+    match reason {
+        NotRun::Deadline => "the deadline passed",
+        NotRun::CallerGone => "the caller went away",
+        NotRun::TargetsUnavailable => "it isn't sent again",
+        NotRun::NotAllowed
+        | NotRun::NoTarget
+        | NotRun::Overloaded
+        | NotRun::Draining
+        | NotRun::CouncilUnavailable
+        | NotRun::KeyReused
+        | NotRun::MissingKey
+        | NotRun::InProgress => "it was given up",
+    }
+}
--- /dev/null
+++ b/lib/src/router/silence.rs
@@ -0,0 +1,39 @@
+//! Connections that went silent while their target answers others.
+
+use crate::{
+    router::{
+        Router,
+        port::{Effect, TryId},
+        target::TargetEvent,
+        timers::Alarm,
+    },
+    time::Time,
+};
+
+/// After so many silent spans a try is given up although its target is silent altogether.
+const SILENT_SPANS: u32 = 3;
+
+impl Router {
+    /// No progress came on a try for the configured time.
+    ///
+    /// If the target was heard on another connection since, something between the two ends has
+    /// lost track of this one. Otherwise the target's idle connections are doubted, and the try
+    /// gets a few more spans. Either way the next tries at the target open new connections.
+    pub(super) fn silent(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
+        let Some(flying) = self.tries.get_mut(&attempt) else { return };
+        flying.silences += 1;
+        let (key, silences) = (flying.target, flying.silences);
+        let target = self.fleet.target_mut(key);
+        let heard_since = target.heard > flying.heard;
+        target.fresh = true;
+        effects.push(Effect::CloseIdle { target: target.info.address.clone() });
+        if heard_since || silences >= SILENT_SPANS {
+            self.counters.silent += 1;
+            self.lose_silent(now, attempt, effects);
+            return;
+        }
+        flying.check = now + self.config.silence;
+        self.timers.set(flying.check, Alarm::Silence(attempt));
+        self.fleet.step(now, key, TargetEvent::Failed, &self.config, &mut self.timers);
+    }
+}
--- /dev/null
+++ b/lib/src/router/tries.rs
@@ -0,0 +1,163 @@
+//! The tries that hold a slot: how they end, go silent and are given up.
+
+use crate::{
+    ids::RequestId,
+    router::{
+        Router,
+        port::{Effect, NotRun, RequestOutcome, TryEnd, TryId},
+        request::RequestEvent,
+        steps::Signal,
+        target::TargetEvent,
+        timers::Alarm,
+    },
+    time::Time,
+};
+
+/// Statuses from this one on are the target's own failures.
+const SERVER_ERROR: u16 = 500;
+
+/// One try that holds a slot.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Try {
+    pub(super) target: usize,
+    sent: Time,
+    /// When something last came on its connection.
+    pub(super) heard: Time,
+    fresh: bool,
+    /// Silent spans so far.
+    pub(super) silences: u32,
+    /// When it is next looked at for silence.
+    pub(super) check: Time,
+    /// When it gives its slot back, if it was abandoned.
+    abandoned: Option<Time>,
+}
+
+impl Try {
+    pub(super) fn new(now: Time, target: usize, fresh: bool, check: Time) -> Self {
+        Self { target, sent: now, heard: now, fresh, silences: 0, check, abandoned: None }
+    }
+}
+
+impl Router {
+    /// A try ended; late and repeated ends are counted and dropped.
+    pub(super) fn try_ended(
+        &mut self,
+        now: Time,
+        attempt: TryId,
+        end: TryEnd,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(ended) = self.tries.remove(&attempt) else {
+            self.counters.late += 1;
+            return;
+        };
+        let service = self.fleet.target(ended.target).service;
+        self.timers.cancel(ended.check, Alarm::Silence(attempt));
+        if let Some(at) = ended.abandoned {
+            self.counters.late += 1;
+            self.timers.cancel(at, Alarm::Linger(attempt));
+        } else {
+            self.learn(now, ended, &end);
+            self.close(attempt);
+            let signal = self.signal_of(attempt.request, end);
+            self.step(now, attempt.request, signal, effects);
+        }
+        self.fleet.free_slot(ended.target, &self.config);
+        self.pump(now, service, effects);
+    }
+
+    /// Learns about the target from a try that ended by itself.
+    fn learn(&mut self, now: Time, ended: Try, end: &TryEnd) {
+        let failed = match end {
+            TryEnd::Answered(response) => {
+                let target = self.fleet.target_mut(ended.target);
+                target.heard = now;
+                target.fresh &= !ended.fresh;
+                let took = now.since(ended.sent);
+                target.average.observe(now, took);
+                let service = target.service;
+                self.fleet.services[service].quantiles.observe(now, took);
+                response.status >= SERVER_ERROR
+            }
+            TryEnd::Refused | TryEnd::NotSent { .. } | TryEnd::Lost { .. } => true,
+        };
+        let event = match failed {
+            true => TargetEvent::Failed,
+            false => TargetEvent::Succeeded,
+        };
+        self.fleet.step(now, ended.target, event, &self.config, &mut self.timers);
+    }
+
+    fn signal_of(&mut self, id: RequestId, end: TryEnd) -> Signal {
+        let (event, trouble) = match end {
+            TryEnd::Answered(response) => {
+                return Signal::with(RequestEvent::Answered, RequestOutcome::Ran(response));
+            }
+            TryEnd::Refused => (RequestEvent::Refused, None),
+            TryEnd::NotSent { reason } => (RequestEvent::Refused, Some(reason)),
+            TryEnd::Lost { reason } => (RequestEvent::Lost, Some(reason)),
+        };
+        if let (Some(entry), Some(_)) = (self.requests.get_mut(&id), &trouble) {
+            entry.trouble = trouble;
+        }
+        Signal::because(event, NotRun::TargetsUnavailable)
+    }
+
+    /// Takes a try off the open ones of its request.
+    fn close(&mut self, attempt: TryId) {
+        if let Some(entry) = self.requests.get_mut(&attempt.request) {
+            entry.open.retain(|number| *number != attempt.number);
+        }
+    }
+
+    /// Gives up all open tries of a request; their slots stay taken for a while, since the
+    /// targets may still work on them.
+    pub(super) fn abandon(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        for number in std::mem::take(&mut entry.open) {
+            self.abandon_try(now, TryId { request: id, number }, effects);
+        }
+    }
+
+    /// A try's connection went silent: it ends as lost, and its slot stays taken for a while.
+    pub(super) fn lose_silent(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
+        let Some(silent) = self.tries.get(&attempt).copied() else { return };
+        let end = TryEnd::Lost { reason: "its connection went silent".to_owned() };
+        self.abandon_try(now, attempt, effects);
+        self.learn(now, silent, &end);
+        self.close(attempt);
+        let signal = self.signal_of(attempt.request, end);
+        self.step(now, attempt.request, signal, effects);
+    }
+
+    fn abandon_try(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
+        let Some(given_up) = self.tries.get_mut(&attempt) else { return };
+        let until = now + self.config.linger;
+        given_up.abandoned = Some(until);
+        self.timers.cancel(given_up.check, Alarm::Silence(attempt));
+        self.timers.set(until, Alarm::Linger(attempt));
+        effects.push(Effect::Abandon { attempt });
+    }
+
+    /// An abandoned try gives its slot back.
+    pub(super) fn lingered(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
+        let Some(over) = self.tries.remove(&attempt) else { return };
+        let service = self.fleet.target(over.target).service;
+        self.fleet.free_slot(over.target, &self.config);
+        self.pump(now, service, effects);
+    }
+
+    /// Something came on the connection of a try.
+    pub(super) fn progress(&mut self, now: Time, attempt: TryId) {
+        let Some(flying) = self.tries.get_mut(&attempt).filter(|t| t.abandoned.is_none()) else {
+            self.counters.late += 1;
+            return;
+        };
+        self.fleet.target_mut(flying.target).heard = now;
+        flying.heard = now;
+        flying.silences = 0;
+        self.timers.cancel(flying.check, Alarm::Silence(attempt));
+        flying.check = now + self.config.silence;
+        self.timers.set(flying.check, Alarm::Silence(attempt));
+    }
+}
--- /dev/null
+++ b/lib/tests/router/main.rs
@@ -0,0 +1,4 @@
+//! The router: what becomes of requests, and which targets they go to.
+
+mod rules;
+mod world;
--- /dev/null
+++ b/lib/tests/router/world.rs
@@ -0,0 +1,205 @@
+//! A router with a policy, instances and targets, driven event by event.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    ids::{InstanceId, RequestId},
+    policy::{Allowance, CredentialHash, Customer, Objective, Plan, Policy, Service},
+    resources::Resources,
+    router::{
+        Config, Router,
+        port::{
+            ClaimAnswer, Effect, Event, Peer, Request, RequestOutcome, Response, Target, TryEnd,
+            TryId,
+        },
+    },
+    time::Time,
+};
+
+pub(crate) const SERVICE: &str = "folddesk";
+pub(crate) const CENTRE: &str = "akl-a";
+
+/// A customer of the policy in these tests.
+pub(crate) struct Buyer {
+    pub(crate) name: &'static str,
+    pub(crate) exact: bool,
+    pub(crate) permille: u32,
+    pub(crate) weight: u32,
+}
+
+pub(crate) const STORE: Buyer = Buyer { name: "store", exact: false, permille: 200, weight: 1 };
+pub(crate) const RIVAL: Buyer = Buyer { name: "rival", exact: false, permille: 200, weight: 1 };
+pub(crate) const MEMBER: Buyer = Buyer { name: "member", exact: true, permille: 200, weight: 1 };
+pub(crate) const FRUGAL: Buyer = Buyer { name: "frugal", exact: false, permille: 0, weight: 1 };
+pub(crate) const HEAVY: Buyer = Buyer { name: "heavy", exact: false, permille: 200, weight: 3 };
+
+/// All customers of the policy.
+pub(crate) const BUYERS: [Buyer; 5] = [STORE, RIVAL, MEMBER, FRUGAL, HEAVY];
+
+pub(crate) fn policy() -> Arc<Policy> {
+    let mut policy = Policy::default();
+    for buyer in BUYERS {
+        let plan = Plan {
+            objective: Objective::Latency,
+            urgent: false,
+            weight: buyer.weight,
+            retry_permille: buyer.permille,
+            exact_counts: buyer.exact,
+            task_evictions: 0,
+            hourly_evictions: 0,
+            services: vec![SERVICE.into()],
+            allowance: Allowance::default(),
+        };
+        policy.plans.insert(buyer.name.into(), plan);
+        let credential = CredentialHash::of(buyer.name);
+        let customer = Customer { plan: buyer.name.into(), credential };
+        policy.customers.insert(buyer.name.into(), customer);
+    }
+    let service = Service {
+        owner: "store".into(),
+        size: Resources::default(),
+        replicas: BTreeMap::new(),
+        latency: Duration::from_millis(50),
+        good_ppm: 999_000,
+    };
+    policy.services.insert(SERVICE.into(), service);
+    Arc::new(policy)
+}
+
+pub(crate) fn peers(list: &[(u64, &str)]) -> Vec<Peer> {
+    let peer =
+        |(id, centre): &(u64, &str)| Peer { instance: InstanceId(*id), centre: (*centre).into() };
+    list.iter().map(peer).collect()
+}
+
+pub(crate) fn target(address: &str, centre: &str) -> Target {
+    Target {
+        address: address.to_owned(),
+        worker: address.into(),
+        centre: centre.into(),
+        service: SERVICE.into(),
+        slots: 8,
+        connections: 64,
+        leaving: false,
+    }
+}
+
+/// A request that is sent to the router.
+pub(crate) fn request(id: u64, customer: &str, idempotent: bool, deadline: Time) -> Request {
+    let key = (!idempotent).then(|| format!("key-{id}").as_str().into());
+    Request {
+        request: RequestId(id),
+        customer: customer.into(),
+        service: SERVICE.into(),
+        path: "/plan".to_owned(),
+        idempotent,
+        key,
+        deadline,
+        body: Bytes::from(format!("body {id}")),
+    }
+}
+
+pub(crate) fn attempt(request: u64, number: u32) -> TryId {
+    TryId { request: RequestId(request), number }
+}
+
+pub(crate) fn answered(request: u64) -> TryEnd {
+    TryEnd::Answered(Response { status: 200, body: Bytes::from(format!("answer {request}")) })
+}
+
+pub(crate) fn lost() -> TryEnd {
+    TryEnd::Lost { reason: "the connection was reset".to_owned() }
+}
+
+/// A router and everything that it asked for.
+pub(crate) struct World {
+    pub(crate) router: Router,
+    pub(crate) now: Time,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl World {
+    /// An instance alone in its data centre, whose parts have settled, with `targets` targets.
+    pub(crate) fn new(targets: usize) -> Self {
+        Self::with(config(), targets)
+    }
+
+    pub(crate) fn with(config: Config, targets: usize) -> Self {
+        let mut world = Self::empty(config);
+        world.handle(Event::Policy(policy()));
+        world.handle(Event::Instances(peers(&[(1, CENTRE)])));
+        for at in 0..targets {
+            world.handle(Event::Target(Box::new(target(&address(at), CENTRE))));
+        }
+        world.pass(Duration::from_secs(20));
+        world
+    }
+
+    pub(crate) fn empty(config: Config) -> Self {
+        let now = Time::from_millis(1_000);
+        let router = Router::new(config, now, SEED);
+        Self { router, now, effects: Vec::new() }
+    }
+
+    pub(crate) fn handle(&mut self, event: Event) {
+        self.router.handle(self.now, event, &mut self.effects);
+    }
+
+    /// Lets time pass, timer by timer.
+    pub(crate) fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while let Some(at) = self.router.next_deadline().filter(|at| *at <= end) {
+            self.now = self.now.max(at);
+            self.handle(Event::Timer);
+        }
+        self.now = end;
+    }
+
+    pub(crate) fn ask(&mut self, request: Request) {
+        self.handle(Event::Request(Box::new(request)));
+    }
+
+    pub(crate) fn end(&mut self, attempt: TryId, end: TryEnd) {
+        self.handle(Event::TryEnded { attempt, end });
+    }
+
+    pub(crate) fn claim(&mut self, request: u64, answer: ClaimAnswer) {
+        self.handle(Event::ClaimAnswered { request: RequestId(request), answer });
+    }
+
+    pub(crate) fn recorded(&mut self, request: u64) {
+        self.handle(Event::Recorded { request: RequestId(request) });
+    }
+
+    /// What the caller of a request was told.
+    pub(crate) fn outcomes(&self, id: u64) -> Vec<&RequestOutcome> {
+        let answers = self.effects.iter().filter_map(answer);
+        answers.filter(|(request, _)| request.0 == id).map(|(_, outcome)| outcome).collect()
+    }
+
+    /// The tries that were sent, with their targets.
+    pub(crate) fn sent(&self) -> Vec<(TryId, &str)> {
+        self.effects.iter().filter_map(send).collect()
+    }
+}
+
+pub(crate) fn answer(effect: &Effect) -> Option<(RequestId, &RequestOutcome)> {
+    let Effect::Answer { request, outcome } = effect else { return None };
+    Some((*request, outcome))
+}
+
+pub(crate) fn send(effect: &Effect) -> Option<(TryId, &str)> {
+    let Effect::Send { attempt, target, .. } = effect else { return None };
+    Some((*attempt, target))
+}
+
+pub(crate) const SEED: u64 = 7;
+
+pub(crate) fn config() -> Config {
+    Config::new(InstanceId(1), CENTRE.into())
+}
+
+pub(crate) fn address(at: usize) -> String {
+    format!("10.0.{}.{}:80", at / 250, at % 250)
+}
