lists: read both lists and report everything that is wrong

Ruled out: serde readers, which stop at the first fault and know no places; one check for edits of either list, by which no plan could ever be added.

Change: readers of the plans and the usage list, the checks that span both, and the policy that they make; samples of both users. document.rs gains places of views, the names of an object's fields, and a table of line starts, so that a place costs no scan of the text; a finding that is found twice is reported once.

Seen red on faults put in by hand: without check_services, 'an unknown service in a plan' got a list where it wants findings; with the guarantee check off, 'replicas past the owner's guarantee' got ().

--- a/lib/src/document.rs
+++ b/lib/src/document.rs
@@ -3,7 +3,10 @@
 //! A reader asks a view for fields; whatever is missing, of the wrong kind or unknown is
 //! collected, so that one pass over a file reports everything that is wrong in it.
 
-use std::cell::RefCell;
+use std::{
+    cell::{OnceCell, RefCell},
+    collections::BTreeSet,
+};
 
 use jsonc_parser::{
     CollectOptions, ParseOptions,
@@ -17,10 +20,15 @@
 /// How alike an unknown name and a known one must be to be suggested, from 0 to 1.
 const LIKENESS: f64 = 0.7;
 
+/// How many known names a finding lists before it only counts the rest.
+const KNOWN_SHOWN: usize = 10;
+
 /// A parsed file with what has been found wrong in it so far.
 pub struct Document<'a> {
     file: &'a str,
     text: &'a str,
+    /// Where each line starts, found when the first place is asked for.
+    lines: OnceCell<Vec<usize>>,
     found: RefCell<Vec<(usize, String)>>,
 }
 
@@ -50,7 +58,7 @@
         text: &'a str,
         read: impl FnOnce(ObjectView<'_, 'a>) -> Option<T>,
     ) -> Result<T, Findings> {
-        let document = Self { file, text, found: RefCell::default() };
+        let document = Self { file, text, lines: OnceCell::new(), found: RefCell::default() };
         let parsed = parse_to_ast(text, &CollectOptions::default(), &ParseOptions::default());
         let value = match &parsed {
             Ok(result) => result.value.as_ref(),
@@ -75,7 +83,7 @@
         document.finish(made)
     }
 
-    fn finish<T>(self, made: Option<T>) -> Result<T, Findings> {
+    fn finish<T>(&self, made: Option<T>) -> Result<T, Findings> {
         let mut found = self.found.take();
         if found.is_empty() {
             match made {
@@ -84,9 +92,10 @@
             }
         }
         found.sort();
+        found.dedup();
         let items = found
             .into_iter()
-            .map(|(at, message)| Finding { place: place(self.file, self.text, at), message })
+            .map(|(at, message)| Finding { place: self.place(at), message })
             .collect();
         Err(Findings { items })
     }
@@ -94,39 +103,55 @@
     fn add(&self, at: usize, message: String) {
         self.found.borrow_mut().push((at, message));
     }
-}
 
-fn place(file: &str, text: &str, at: usize) -> Place {
-    let before = text.get(..at).unwrap_or(text);
-    let line = before.matches('\n').count() + 1;
-    let column = before.rsplit('\n').next().unwrap_or("").chars().count() + 1;
-    Place {
-        file: file.to_owned(),
-        line: u32::try_from(line).unwrap_or(u32::MAX),
-        column: u32::try_from(column).unwrap_or(u32::MAX),
+    /// The place of a byte of the text.
+    fn place(&self, at: usize) -> Place {
+        let starts = self.lines.get_or_init(|| {
+            let breaks = self.text.match_indices('\n').map(|(at, _)| at + 1);
+            std::iter::once(0).chain(breaks).collect()
+        });
+        let line = starts.partition_point(|start| *start <= at);
+        let start = starts[line - 1];
+        let column = self.text.get(start..at).unwrap_or("").chars().count() + 1;
+        Place {
+            file: self.file.to_owned(),
+            line: u32::try_from(line).unwrap_or(u32::MAX),
+            column: u32::try_from(column).unwrap_or(u32::MAX),
+        }
     }
 }
 
 impl<'d, 'a> ObjectView<'d, 'a> {
     /// Reports every field whose name is not in `known`, and every field given twice.
     pub fn only(self, known: &[&str]) -> Self {
-        for (at, prop) in self.object.properties.iter().enumerate() {
+        let mut seen = BTreeSet::new();
+        for prop in &self.object.properties {
             let name = prop.name.as_str();
             if !known.contains(&name) {
                 self.document.add(prop.range.start, unknown("field", name, known));
             }
-            if self.object.properties[..at].iter().any(|earlier| earlier.name.as_str() == name) {
+            if !seen.insert(name) {
                 self.document.add(prop.range.start, format!("field \"{name}\" is given twice"));
             }
         }
         self
     }
 
+    /// Where the object starts.
+    pub fn place(self) -> Place {
+        self.document.place(self.object.range.start)
+    }
+
     /// Reports `message` at the start of the object.
     pub fn report(self, message: impl Into<String>) {
         self.document.add(self.object.range.start, message.into());
     }
 
+    /// The names of all fields, in the order of the file.
+    pub fn names(self) -> Vec<&'d str> {
+        self.object.properties.iter().map(|prop| prop.name.as_str()).collect()
+    }
+
     /// The field, or `None` if it isn't there.
     pub fn get(self, field: &str) -> Option<ValueView<'d, 'a>> {
         let prop: &'d ObjectProp<'a> =
@@ -150,6 +175,11 @@
 }
 
 impl<'d, 'a> ValueView<'d, 'a> {
+    /// Where the value starts.
+    pub fn place(self) -> Place {
+        self.document.place(self.value.range().start)
+    }
+
     /// Reports `message` at the value.
     pub fn report(self, message: impl Into<String>) {
         self.document.add(self.value.range().start, message.into());
@@ -168,6 +198,14 @@
         }
     }
 
+    /// The text, without a report if it is something else.
+    pub fn as_text(self) -> Option<&'d str> {
+        match self.value {
+            Value::StringLit(text) => Some(&text.value),
+            _ => None,
+        }
+    }
+
     /// One of the names in `known`; a near miss is answered with the nearest of them.
     pub fn choice(self, known: &[&str]) -> Option<&'d str> {
         let text = self.text()?;
@@ -229,7 +267,8 @@
     }
 }
 
-fn unknown(what: &str, name: &str, known: &[&str]) -> String {
+/// Says that `name` is none of the `known` names, and which of them is nearest.
+pub(crate) fn unknown(what: &str, name: &str, known: &[&str]) -> String {
     let likeness = |known: &&&str| strsim::jaro_winkler(name, known);
     let nearest = known
         .iter()
@@ -237,6 +276,11 @@
         .filter(|nearest| likeness(nearest) >= LIKENESS);
     match nearest {
         Some(nearest) => format!("unknown {what} \"{name}\"; did you mean \"{nearest}\"?"),
+        None if known.len() > KNOWN_SHOWN => {
+            let shown = known[..KNOWN_SHOWN].join(", ");
+            let more = known.len() - KNOWN_SHOWN;
+            format!("unknown {what} \"{name}\"; known: {shown} and {more} more")
+        }
         None => format!("unknown {what} \"{name}\"; known: {}", known.join(", ")),
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod ids;
 pub mod interference;
 pub mod ledger;
+pub mod lists;
 pub mod policy;
 pub mod resources;
 pub mod router;
--- /dev/null
+++ b/lib/src/lists/check.rs
@@ -0,0 +1,129 @@
+//! What spans both lists, and the policy that they make together.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    document::unknown,
+    finding::{Finding, Findings},
+    ids::{CustomerName, PlanName},
+    lists::{PlanRow, PlansList, ServiceRow, UsageList},
+    policy::{Plan, Policy, Service},
+    resources::Resources,
+};
+
+/// Makes the policy of two lists; a plan without a usage row may use nothing.
+///
+/// The revisions are left at 0: they are the council's.
+pub fn combine(plans: &PlansList, usage: &UsageList) -> Policy {
+    let with_allowance = |(name, row): (&PlanName, &PlanRow)| {
+        let allowance = usage.usage.get(name).map(|row| row.allowance).unwrap_or_default();
+        (name.clone(), Plan { allowance, ..row.plan.clone() })
+    };
+    Policy {
+        plans: plans.plans.iter().map(with_allowance).collect(),
+        customers: plans.customers.clone(),
+        operators: plans.operators.clone(),
+        services: plans.services.iter().map(|(n, row)| (n.clone(), row.service.clone())).collect(),
+        ..Policy::default()
+    }
+}
+
+/// Checks that the lists fit: rows for the same plans, and services within their owners'
+/// guarantees.
+///
+/// # Errors
+///
+/// Everything that doesn't fit, with places in either list.
+pub fn check_together(plans: &PlansList, usage: &UsageList) -> Result<(), Findings> {
+    let mut items = Vec::new();
+    let known: Vec<&str> = plans.plans.keys().map(PlanName::as_str).collect();
+    for (name, row) in &usage.usage {
+        if !plans.plans.contains_key(name) {
+            let message = unknown("plan", name.as_str(), &known);
+            items.push(Finding { place: row.place.clone(), message });
+        }
+    }
+    for (name, row) in &plans.plans {
+        if !usage.usage.contains_key(name) {
+            let message = format!("plan \"{name}\" has no row in the usage list");
+            items.push(Finding { place: row.place.clone(), message });
+        }
+    }
+    items.extend(replica_findings(plans, usage));
+    finish(items)
+}
+
+/// Checks only that services fit their owners' guarantees.
+///
+/// An edit of the plans is held to this alone: a new plan gets its usage row by the next edit of
+/// the other list, and a plan that goes leaves a row behind until then.
+///
+/// # Errors
+///
+/// Each service at which an owner's replicas pass what its plan guarantees.
+pub fn check_replicas(plans: &PlansList, usage: &UsageList) -> Result<(), Findings> {
+    finish(replica_findings(plans, usage))
+}
+
+fn finish(mut items: Vec<Finding>) -> Result<(), Findings> {
+    if items.is_empty() {
+        return Ok(());
+    }
+    let order = |finding: &Finding| {
+        let place = &finding.place;
+        (place.file.clone(), place.line, place.column)
+    };
+    items.sort_by_key(order);
+    Err(Findings { items })
+}
+
+fn replica_findings(plans: &PlansList, usage: &UsageList) -> Vec<Finding> {
+    let mut used: BTreeMap<&CustomerName, Resources> = BTreeMap::new();
+    let mut rows: Vec<&ServiceRow> = plans.services.values().collect();
+    rows.sort_by_key(|row| (row.place.line, row.place.column));
+    let mut items = Vec::new();
+    for row in rows {
+        let owner = &row.service.owner;
+        let guaranteed = guarantee(plans, usage, owner);
+        let sum = used.entry(owner).or_default();
+        *sum = sum.saturating_add(&all_replicas(&row.service));
+        if !guaranteed.fits(sum) {
+            let message = over_guarantee(owner, sum, &guaranteed);
+            items.push(Finding { place: row.place.clone(), message });
+        }
+    }
+    items
+}
+
+fn guarantee(plans: &PlansList, usage: &UsageList, owner: &CustomerName) -> Resources {
+    let row = plans.customers.get(owner).and_then(|customer| usage.usage.get(&customer.plan));
+    row.map(|row| row.allowance.guaranteed).unwrap_or_default()
+}
+
+/// What a service's replicas need in all data centres.
+fn all_replicas(service: &Service) -> Resources {
+    let count: u64 = service.replicas.values().copied().map(u64::from).sum();
+    let accelerators = count.saturating_mul(service.size.accelerators.into());
+    Resources {
+        millicores: service.size.millicores.saturating_mul(count),
+        memory_mib: service.size.memory_mib.saturating_mul(count),
+        accelerators: u32::try_from(accelerators).unwrap_or(u32::MAX),
+    }
+}
+
+fn over_guarantee(owner: &CustomerName, sum: &Resources, guaranteed: &Resources) -> String {
+    format!(
+        "the replicas of \"{owner}\" up to here need {}; its plan guarantees {}",
+        amount(sum),
+        amount(guaranteed)
+    )
+}
+
+fn amount(amount: &Resources) -> String {
+    format!(
+        "{} processors, {} GiB, {} accelerators",
+        amount.millicores as f64 / 1000.0,
+        amount.memory_mib as f64 / 1024.0,
+        amount.accelerators
+    )
+}
--- /dev/null
+++ b/lib/src/lists/plans.rs
@@ -0,0 +1,279 @@
+//! The reader of the list of plans.
+
+use std::{
+    collections::{BTreeMap, btree_map::Entry},
+    time::Duration,
+};
+
+use crate::{
+    document::{ObjectView, ValueView, unknown},
+    ids::{CustomerName, DataCentre, OperatorName, PlanName, ServiceName},
+    lists::{
+        CUSTOMERS_MAX, PLANS_MAX, PlanRow, PlansList, ServiceRow,
+        fields::{
+            credential, insert, is_name, name, name_fault, optional, optional_u32, resources,
+            row_name, rows, version,
+        },
+    },
+    policy::{Allowance, CredentialHash, Customer, Objective, Plan, Service},
+    resources::Resources,
+};
+
+const FIELDS: &[&str] = &["version", "operators", "plans", "customers", "services"];
+const OPERATOR_FIELDS: &[&str] = &["name", "credential"];
+const CUSTOMER_FIELDS: &[&str] = &["name", "plan", "credential"];
+const PLAN_FIELDS: &[&str] = &[
+    "name",
+    "objective",
+    "urgent",
+    "weight",
+    "retry_percent",
+    "exact_counts",
+    "task_evictions",
+    "hourly_evictions",
+    "services",
+];
+const SERVICE_FIELDS: &[&str] =
+    &["name", "owner", "size", "replicas", "latency_ms", "good_percent"];
+
+/// A plan's weight if it gives none.
+const WEIGHT: u32 = 1;
+
+/// The largest weight of a plan.
+const WEIGHT_MAX: u64 = 1_000;
+
+/// Retries and hedges if a plan gives none, in percent of the requests.
+const RETRY_PERCENT: f64 = 10.0;
+
+/// Evictions of one task if a plan gives none.
+const TASK_EVICTIONS: u32 = 3;
+
+/// Evictions that a customer bears an hour if its plan gives none.
+const HOURLY_EVICTIONS: u32 = 60;
+
+/// The most evictions that a plan can name.
+const EVICTIONS_MAX: u64 = 1_000_000;
+
+/// The most replicas of a service in a data centre.
+const REPLICAS_MAX: u64 = 10_000;
+
+/// The most data centres that a service can name.
+const CENTRES_MAX: usize = 64;
+
+/// The longest latency that a service can aim at, in milliseconds.
+const LATENCY_MAX: f64 = 600_000.0;
+
+/// Good requests aimed at if a service gives none, in percent.
+const GOOD_PERCENT: f64 = 99.9;
+
+/// Who holds each credential of the list.
+type Holders = BTreeMap<CredentialHash, String>;
+
+/// Reads the list from its root object.
+pub(super) fn read(root: ObjectView<'_, '_>) -> Option<PlansList> {
+    let root = root.only(FIELDS);
+    let version = version(root);
+    let mut holders = Holders::new();
+    let operators = operators(root, &mut holders);
+    let plans = plans(root);
+    let customers = customers(root, &plans, &mut holders);
+    let services = services(root, &customers);
+    check_services(root, &services);
+    if operators.is_empty() {
+        root.report("\"operators\" names nobody; nobody could edit the list again");
+    }
+    let place = root.get("version")?.place();
+    Some(PlansList { version: version?, place, operators, plans, customers, services })
+}
+
+/// The row's credential; reports one that somebody else in the list holds.
+fn own_credential(
+    row: ObjectView<'_, '_>,
+    what: &str,
+    name: Option<&str>,
+    holders: &mut Holders,
+) -> Option<CredentialHash> {
+    let hash = credential(row)?;
+    match holders.entry(hash) {
+        Entry::Vacant(free) => {
+            free.insert(format!("{what} \"{}\"", name.unwrap_or("?")));
+        }
+        Entry::Occupied(taken) => {
+            let at = row.get("credential")?;
+            at.report(format!("the credential is also that of {}", taken.get()));
+        }
+    }
+    Some(hash)
+}
+
+fn operators(
+    root: ObjectView<'_, '_>,
+    holders: &mut Holders,
+) -> BTreeMap<OperatorName, CredentialHash> {
+    let mut operators = BTreeMap::new();
+    for row in rows(root, "operators", PLANS_MAX) {
+        let row = row.only(OPERATOR_FIELDS);
+        let name = row_name(row);
+        let hash = own_credential(row, "operator", name, holders);
+        if let (Some(name), Some(hash)) = (name, hash) {
+            insert(&mut operators, row, "operator", (name.into(), hash));
+        }
+    }
+    operators
+}
+
+fn plans(root: ObjectView<'_, '_>) -> BTreeMap<PlanName, PlanRow> {
+    let mut plans = BTreeMap::new();
+    for row in rows(root, "plans", PLANS_MAX) {
+        let row = row.only(PLAN_FIELDS);
+        let name = row_name(row);
+        let plan = plan(row);
+        // A faulty plan is kept under its name, so that its customers aren't reported as well.
+        if let Some(name) = name {
+            let plan = PlanRow { place: row.place(), plan: plan.unwrap_or_else(empty_plan) };
+            insert(&mut plans, row, "plan", (name.into(), plan));
+        }
+    }
+    plans
+}
+
+fn empty_plan() -> Plan {
+    Plan {
+        objective: Objective::Latency,
+        urgent: false,
+        weight: WEIGHT,
+        retry_permille: 0,
+        exact_counts: true,
+        task_evictions: 0,
+        hourly_evictions: 0,
+        services: Vec::new(),
+        allowance: Allowance::default(),
+    }
+}
+
+fn plan(row: ObjectView<'_, '_>) -> Option<Plan> {
+    let objective = row.need("objective").and_then(|value| value.choice(Objective::NAMES));
+    let urgent = optional(row, "urgent", false, ValueView::flag);
+    let weight = optional_u32(row, "weight", WEIGHT, 1..=WEIGHT_MAX);
+    let retry = optional(row, "retry_percent", RETRY_PERCENT, |v| v.number(0.0..=100.0));
+    let exact = optional(row, "exact_counts", true, ValueView::flag);
+    let task = optional_u32(row, "task_evictions", TASK_EVICTIONS, 0..=EVICTIONS_MAX);
+    let hourly = optional_u32(row, "hourly_evictions", HOURLY_EVICTIONS, 0..=EVICTIONS_MAX);
+    let services = row.list("services").into_iter().filter_map(name).map(ServiceName::from);
+    Some(Plan {
+        services: services.collect(),
+        objective: Objective::from_name(objective?)?,
+        urgent: urgent?,
+        weight: weight?,
+        retry_permille: (retry? * 10.0).round() as u32,
+        exact_counts: exact?,
+        task_evictions: task?,
+        hourly_evictions: hourly?,
+        allowance: Allowance::default(),
+    })
+}
+
+fn customers(
+    root: ObjectView<'_, '_>,
+    plans: &BTreeMap<PlanName, PlanRow>,
+    holders: &mut Holders,
+) -> BTreeMap<CustomerName, Customer> {
+    let known: Vec<&str> = plans.keys().map(PlanName::as_str).collect();
+    let mut customers = BTreeMap::new();
+    for row in rows(root, "customers", CUSTOMERS_MAX) {
+        let row = row.only(CUSTOMER_FIELDS);
+        let name = row_name(row);
+        let plan = row.need("plan").and_then(|value| value.choice(&known));
+        let hash = own_credential(row, "customer", name, holders);
+        // A faulty customer is kept under its name, so that its services aren't reported as well.
+        if let Some(name) = name {
+            let customer = Customer {
+                plan: plan.unwrap_or_default().into(),
+                credential: hash.unwrap_or(CredentialHash { digest: [0; 32] }),
+            };
+            insert(&mut customers, row, "customer", (name.into(), customer));
+        }
+    }
+    customers
+}
+
+fn services(
+    root: ObjectView<'_, '_>,
+    customers: &BTreeMap<CustomerName, Customer>,
+) -> BTreeMap<ServiceName, ServiceRow> {
+    let known: Vec<&str> = customers.keys().map(CustomerName::as_str).collect();
+    let mut services = BTreeMap::new();
+    for row in rows(root, "services", PLANS_MAX) {
+        let row = row.only(SERVICE_FIELDS);
+        let name = row_name(row);
+        let service = service(row, &known);
+        if let (Some(name), Some(service)) = (name, service) {
+            let service = ServiceRow { place: row.place(), service };
+            insert(&mut services, row, "service", (name.into(), service));
+        }
+    }
+    services
+}
+
+fn service(row: ObjectView<'_, '_>, owners: &[&str]) -> Option<Service> {
+    let owner = row.need("owner").and_then(|value| value.choice(owners));
+    let size = row.need("size").and_then(replica_size);
+    let replicas = row.need("replicas").and_then(replicas);
+    let latency = row.need("latency_ms").and_then(|value| value.number(0.001..=LATENCY_MAX));
+    let good = optional(row, "good_percent", GOOD_PERCENT, |v| v.number(0.0..=100.0));
+    Some(Service {
+        owner: owner?.into(),
+        size: size?,
+        replicas: replicas?,
+        latency: Duration::from_micros((latency? * 1000.0).round() as u64),
+        good_ppm: (good? * 10_000.0).round() as u32,
+    })
+}
+
+fn replica_size(value: ValueView<'_, '_>) -> Option<Resources> {
+    let size = resources(value)?;
+    if size.millicores == 0 || size.memory_mib == 0 {
+        value.report("a replica needs processors and memory above zero");
+    }
+    Some(size)
+}
+
+fn replicas(value: ValueView<'_, '_>) -> Option<BTreeMap<DataCentre, u32>> {
+    let object = value.object()?;
+    let centres = object.names();
+    if centres.len() > CENTRES_MAX {
+        value.report(format!("{} data centres; at most {CENTRES_MAX} fit", centres.len()));
+        return None;
+    }
+    object.only(&centres);
+    let mut replicas = BTreeMap::new();
+    for centre in centres {
+        if !is_name(centre) {
+            value.report(name_fault(centre));
+        }
+        let count = object.get(centre).and_then(|count| count.whole(0..=REPLICAS_MAX));
+        replicas.insert(centre.into(), u32::try_from(count.unwrap_or(0)).ok()?);
+    }
+    Some(replicas)
+}
+
+/// Reports services in the plans that the list doesn't have, and those that stand twice.
+fn check_services(root: ObjectView<'_, '_>, services: &BTreeMap<ServiceName, ServiceRow>) {
+    // A service with a fault of its own is known by its name, so that it is reported once.
+    let listed = rows(root, "services", PLANS_MAX);
+    let named = listed.iter().filter_map(|row| row.get("name")?.as_text());
+    let known: Vec<&str> = services.keys().map(ServiceName::as_str).chain(named).collect();
+    for row in rows(root, "plans", PLANS_MAX) {
+        let mut seen = Vec::new();
+        for value in row.list("services") {
+            let Some(service) = value.as_text() else { continue };
+            if !known.contains(&service) {
+                value.report(unknown("service", service, &known));
+            }
+            if seen.contains(&service) {
+                value.report(format!("service \"{service}\" is named twice"));
+            }
+            seen.push(service);
+        }
+    }
+}
