council: agree on one log by a chart of roles

Cause: the council's types had no machine behind them.

Ruled out: sending an answer with the write it rests on and counting on the edge to hold it back; the machine holds messages until the newest term and vote are synced, and an append answer only names entries that are.

Change: charts/consensus.jsonc holds the roles and is interpreted; elections with pre-votes and drawn timeouts, a leader that steps down without a quorum, batched proposals, pipelined appends, reads confirmed by a round of heartbeats,

--- /dev/null
+++ b/lib/src/consensus/entries.rs
@@ -0,0 +1,132 @@
+//! The log in memory: the newest snapshot, and the entries that are still held.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+
+use crate::{
+    consensus::log::{Entry, Members, Payload, Snapshot},
+    ids::{Index, Term},
+};
+
+/// What an entry takes in a message beside its payload, in bytes, at most.
+const ENTRY_OVERHEAD_BYTES: usize = 24;
+
+/// What one member takes in an entry, in bytes, at most.
+const MEMBER_BYTES: usize = 10;
+
+/// The entries after `base`, in order and without gaps.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(super) struct Log {
+    snapshot: Snapshot,
+    base: Index,
+    base_term: Term,
+    entries: VecDeque<Entry>,
+}
+
+impl Log {
+    pub(super) fn new(snapshot: Option<Snapshot>, entries: Vec<Entry>) -> Self {
+        let snapshot = snapshot.unwrap_or_else(|| Snapshot {
+            index: Index(0),
+            term: Term(0),
+            members: Members::default(),
+            state: Bytes::new(),
+        });
+        let (base, base_term) = (snapshot.index, snapshot.term);
+        Self { snapshot, base, base_term, entries: entries.into() }
+    }
+
+    /// The newest snapshot; at index 0 if there is none.
+    pub(super) fn snapshot(&self) -> &Snapshot {
+        &self.snapshot
+    }
+
+    pub(super) fn last(&self) -> Index {
+        Index(self.base.0 + self.entries.len() as u64)
+    }
+
+    pub(super) fn last_term(&self) -> Term {
+        self.entries.back().map_or(self.base_term, |entry| entry.term)
+    }
+
+    pub(super) fn get(&self, index: Index) -> Option<&Entry> {
+        let offset = index.0.checked_sub(self.base.0 + 1)?;
+        self.entries.get(usize::try_from(offset).ok()?)
+    }
+
+    /// The term of the entry at `index`; nothing if it isn't held.
+    pub(super) fn term_at(&self, index: Index) -> Option<Term> {
+        if index == self.base {
+            return Some(self.base_term);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// The entries after `after` and up to `upto`, until `bytes` of payload are reached; at least
+    /// one, if there is one.
+    pub(super) fn batch(&self, after: Index, upto: Index, bytes: usize) -> Vec<Entry> {
+        let mut entries = Vec::new();
+        let mut size = 0;
+        for at in after.0 + 1..=upto.0.min(self.last().0) {
+            let Some(entry) = self.get(Index(at)) else { break };
+            size += entry_bytes(entry);
+            if size > bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(entry.clone());
+        }
+        entries
+    }
+
+    pub(super) fn append(&mut self, entry: Entry) {
+        debug_assert_eq!(entry.index.0, self.last().0 + 1, "entries have no gaps");
+        self.entries.push_back(entry);
+    }
+
+    /// Drops the entries from `from` on.
+    pub(super) fn truncate(&mut self, from: Index) {
+        let keep = from.0.saturating_sub(self.base.0 + 1);
+        self.entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    }
+
+    /// Where a leader should try next after the entry at `index` didn't match: before the run of
+    /// entries that share its term.
+    pub(super) fn before_conflict(&self, index: Index) -> Index {
+        if index > self.last() {
+            return self.last();
+        }
+        let Some(term) = self.term_at(index) else { return self.base };
+        let mut at = index;
+        while at > self.base && self.term_at(at) == Some(term) {
+            at = Index(at.0 - 1);
+        }
+        at
+    }
+
+    /// Takes a snapshot of held entries and drops those that lie more than `tail` behind it.
+    pub(super) fn compact(&mut self, snapshot: Snapshot, tail: u64) {
+        let base = Index(snapshot.index.0.saturating_sub(tail).max(self.base.0));
+        if let Some(term) = self.term_at(base) {
+            let gone = usize::try_from(base.0 - self.base.0).unwrap_or(usize::MAX);
+            self.entries.drain(..gone.min(self.entries.len()));
+            self.base = base;
+            self.base_term = term;
+        }
+        self.snapshot = snapshot;
+    }
+
+    /// Replaces everything by a snapshot.
+    pub(super) fn reset(&mut self, snapshot: Snapshot) {
+        *self = Self::new(Some(snapshot), Vec::new());
+    }
+}
+
+/// About how much an entry takes in a message, in bytes.
+pub(super) fn entry_bytes(entry: &Entry) -> usize {
+    let payload = match &entry.payload {
+        Payload::Empty => 0,
+        Payload::Command(command) => command.len(),
+        Payload::Members(members) => MEMBER_BYTES * (members.voters.len() + members.learners.len()),
+    };
+    ENTRY_OVERHEAD_BYTES + payload
+}
--- a/lib/src/consensus/log.rs
+++ b/lib/src/consensus/log.rs
@@ -9,6 +9,7 @@
 
 data! {
     /// An entry of the log.
+    #[derive(Hash)]
     pub struct Entry {
         /// Its position.
         pub index: Index,
@@ -19,6 +20,7 @@
     }
 
     /// What an entry carries.
+    #[derive(Hash)]
     pub enum Payload {
         /// Nothing; a new leader's first entry.
         Empty,
@@ -29,7 +31,7 @@
     }
 
     /// The instances that take part in agreement, each list sorted.
-    #[derive(Default)]
+    #[derive(Hash, Default)]
     pub struct Members {
         /// They vote and count for a quorum.
         pub voters: Vec<InstanceId>,
@@ -38,7 +40,7 @@
     }
 
     /// What an instance must remember before it says anything that rests on it.
-    #[derive(Copy, Default)]
+    #[derive(Hash, Copy, Default)]
     pub struct HardState {
         /// The newest term it knows.
         pub term: Term,
@@ -47,6 +49,7 @@
     }
 
     /// The state up to an entry, in place of the entries.
+    #[derive(Hash)]
     pub struct Snapshot {
         /// The last entry that it holds.
         pub index: Index,
@@ -61,7 +64,7 @@
     /// A write for storage: its parts are applied in the order of the fields, then synced.
     ///
     /// Storage may sync several writes at once, and answers with the last one's number.
-    #[derive(Default)]
+    #[derive(Hash, Default)]
     pub struct Write {
         /// The number of the write; each is larger than the one before.
         pub sequence: u64,
@@ -76,7 +79,7 @@
     }
 
     /// What storage found at the start.
-    #[derive(Default)]
+    #[derive(Hash, Default)]
     pub struct Recovered {
         /// The hard state.
         pub hard: HardState,
--- a/lib/src/consensus/message.rs
+++ b/lib/src/consensus/message.rs
@@ -10,6 +10,7 @@
 
 data! {
     /// A message; `term` is the sender's, except in a pre-vote, where it is the term asked for.
+    #[derive(Hash)]
     pub struct Message {
         /// The term.
         pub term: Term,
@@ -18,6 +19,7 @@
     }
 
     /// What a message says.
+    #[derive(Hash)]
     pub enum Body {
         /// Would you vote for me?
         PreVote {
--- /dev/null
+++ b/lib/tests/consensus/world.rs
@@ -0,0 +1,550 @@
+//! A council in one process: members with disks that may fail, a network that loses, repeats and
+//! reorders, and a check of everything that the members say.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    consensus::{
+        Consensus,
+        chart::Role,
+        log::{Entry, HardState, Members, Payload, Recovered, Snapshot, Write},
+        message::Message,
+        port::{Config, Effect, Event},
+    },
+    ids::{Index, InstanceId, Term, Ticket},
+    time::Time,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// After how many entries a member takes a snapshot.
+const COMPACT_EVERY: u64 = 20;
+
+/// The size of the encoded state of the test's ledger, in bytes.
+const STATE_BYTES: usize = 100;
+
+/// How unkind the network is, in messages of a hundred.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Network {
+    pub(crate) lost: u32,
+    pub(crate) repeated: u32,
+    pub(crate) slowest: u64,
+}
+
+/// What a member finds again after a crash.
+#[derive(Clone, Default)]
+struct Disk {
+    hard: HardState,
+    snapshot: Option<Snapshot>,
+    entries: Vec<Entry>,
+}
+
+impl Disk {
+    fn write(&mut self, write: Write) {
+        if let Some(snapshot) = write.snapshot {
+            self.entries.retain(|entry| entry.index > snapshot.index);
+            self.snapshot = Some(snapshot);
+        }
+        if let Some(hard) = write.hard {
+            self.hard = hard;
+        }
+        if let Some(from) = write.truncate {
+            self.entries.retain(|entry| entry.index < from);
+        }
+        self.entries.extend(write.entries);
+    }
+
+    fn recover(&self) -> Recovered {
+        let Self { hard, snapshot, entries } = self.clone();
+        Recovered { hard, snapshot, entries }
+    }
+}
+
+struct Member {
+    machine: Option<Consensus>,
+    disk: Disk,
+    unsynced: Vec<Write>,
+    /// Larger with each restart, so that what was under way in an earlier life is void.
+    life: u64,
+    frozen: bool,
+    /// What arrived while it was frozen.
+    inbox: Vec<Event>,
+    applied: Index,
+    digest: u64,
+    compacted: Index,
+}
+
+/// What happens at a time.
+#[derive(Clone, Debug)]
+pub(crate) enum Happening {
+    Arrives { from: InstanceId, to: InstanceId, message: Message },
+    Stored { at: InstanceId, life: u64, sequence: u64 },
+    Restart { at: InstanceId },
+    Thaw { at: InstanceId },
+    Heal,
+}
+
+/// The council with its surroundings.
+pub(crate) struct World {
+    pub(crate) now: Time,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) network: Network,
+    pub(crate) bootstrap: Members,
+    seed: u64,
+    members: BTreeMap<InstanceId, Member>,
+    agenda: BTreeMap<(Time, u64), Happening>,
+    scheduled: u64,
+    /// Pairs that can't reach each other.
+    cuts: BTreeSet<(InstanceId, InstanceId)>,
+    lost: BTreeSet<InstanceId>,
+    leaders: BTreeMap<Term, InstanceId>,
+    committed: BTreeMap<Index, Entry>,
+    digests: BTreeMap<Index, u64>,
+    commands: BTreeMap<Bytes, Index>,
+    accepted: BTreeMap<(InstanceId, Index, Term), Ticket>,
+    acked: BTreeMap<Ticket, Index>,
+    floors: BTreeMap<Ticket, Index>,
+    next_ticket: u64,
+    pub(crate) reads: u64,
+    pub(crate) elections: u64,
+    pub(crate) restores: u64,
+    violations: Vec<String>,
+}
+
+impl World {
+    pub(crate) fn new(voters: u64, learners: u64, seed: u64) -> Self {
+        let ids = |from: u64, to: u64| (from..=to).map(InstanceId).collect::<Vec<_>>();
+        let bootstrap =
+            Members { voters: ids(1, voters), learners: ids(voters + 1, voters + learners) };
+        let mut world = Self {
+            now: Time::from_millis(1),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            network: Network::default(),
+            seed,
+            members: BTreeMap::new(),
+            agenda: BTreeMap::new(),
+            scheduled: 0,
+            cuts: BTreeSet::new(),
+            lost: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            digests: BTreeMap::from([(Index(0), 0)]),
+            commands: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            acked: BTreeMap::new(),
+            floors: BTreeMap::new(),
+            next_ticket: 0,
+            reads: 0,
+            elections: 0,
+            restores: 0,
+            violations: Vec::new(),
+            bootstrap: bootstrap.clone(),
+        };
+        for id in bootstrap.all() {
+            world.start(id, Disk::default(), 0);
+        }
+        world
+    }
+
+    /// The first violation of a promise, if there was one.
+    pub(crate) fn verdict(&self) -> Result<(), String> {
+        self.violations.first().map_or(Ok(()), |violation| Err(violation.clone()))
+    }
+
+    pub(crate) fn acked(&self) -> usize {
+        self.acked.len()
+    }
+
+    pub(crate) fn ids(&self) -> Vec<InstanceId> {
+        self.members.keys().copied().collect()
+    }
+
+    /// Members that run, frozen or not.
+    pub(crate) fn running(&self) -> Vec<InstanceId> {
+        let running = self.members.iter().filter(|(_, member)| member.machine.is_some());
+        running.map(|(id, _)| *id).collect()
+    }
+
+    pub(crate) fn machine(&self, id: InstanceId) -> Option<&Consensus> {
+        self.members.get(&id).and_then(|member| member.machine.as_ref())
+    }
+
+    /// The member that leads in the newest term.
+    pub(crate) fn leader(&self) -> Option<InstanceId> {
+        let leads = |id: &InstanceId| {
+            self.machine(*id).map(Consensus::status).filter(|status| status.role == Role::Leader)
+        };
+        let leaders = self.running().into_iter().filter_map(|id| leads(&id).map(|s| (s.term, id)));
+        leaders.max().map(|(_, id)| id)
+    }
+
+    fn config(me: InstanceId) -> Config {
+        Config {
+            me,
+            heartbeat: Duration::from_millis(50),
+            election: Duration::from_millis(200),
+            max_batch_bytes: 200,
+            max_inflight: 3,
+            chunk_bytes: 40,
+            max_pending: 32,
+            catch_up_margin: 8,
+            replace_after: Duration::from_millis(1_000),
+        }
+    }
+
+    fn start(&mut self, id: InstanceId, disk: Disk, life: u64) {
+        let recovered = disk.recover();
+        let machine =
+            Consensus::new(Self::config(id), recovered, &self.bootstrap, self.now, self.seed);
+        let member = Member {
+            machine: Some(machine),
+            disk,
+            unsynced: Vec::new(),
+            life,
+            frozen: false,
+            inbox: Vec::new(),
+            applied: Index(0),
+            digest: 0,
+            compacted: Index(0),
+        };
+        self.members.insert(id, member);
+        self.feed(id, Event::Timer);
+    }
+
+    pub(crate) fn at(&mut self, delay: u64, happening: Happening) {
+        self.scheduled += 1;
+        self.agenda.insert((self.now + Duration::from_micros(delay), self.scheduled), happening);
+    }
+
+    /// Runs everything up to `until`.
+    pub(crate) fn run_until(&mut self, until: Time) {
+        loop {
+            let due = self.agenda.first_key_value().map(|((at, _), _)| *at);
+            let timer = self.first_timer();
+            let next = match (due, timer) {
+                (Some(due), Some((at, id))) if at < due => (at, Some(id)),
+                (Some(due), _) => (due, None),
+                (None, Some((at, id))) => (at, Some(id)),
+                (None, None) => return,
+            };
+            if next.0 > until || !self.violations.is_empty() {
+                self.now = until;
+                return;
+            }
+            self.now = self.now.max(next.0);
+            match next.1 {
+                Some(id) => self.feed(id, Event::Timer),
+                None => self.next_happening(),
+            }
+        }
+    }
+
+    pub(crate) fn run_for(&mut self, millis: u64) {
+        self.run_until(self.now + Duration::from_millis(millis));
+    }
+
+    fn first_timer(&self) -> Option<(Time, InstanceId)> {
+        let awake = self.members.iter().filter(|(_, member)| !member.frozen);
+        awake.filter_map(|(id, m)| Some((m.machine.as_ref()?.next_deadline()?, *id))).min()
+    }
+
+    fn next_happening(&mut self) {
+        let Some((_, happening)) = self.agenda.pop_first() else { return };
+        match happening {
+            Happening::Arrives { from, to, message } => {
+                if !self.cuts.contains(&(from, to)) {
+                    self.feed(to, Event::Receive { from, message });
+                }
+            }
+            Happening::Stored { at, life, sequence } => self.sync(at, life, sequence),
+            Happening::Restart { at } => self.restart(at),
+            Happening::Thaw { at } => self.thaw(at),
+            Happening::Heal => self.cuts.clear(),
+        }
+    }
+
+    fn sync(&mut self, at: InstanceId, life: u64, sequence: u64) {
+        let Some(member) = self.members.get_mut(&at).filter(|member| member.life == life) else {
+            return;
+        };
+        let (synced, unsynced): (Vec<_>, Vec<_>) =
+            member.unsynced.drain(..).partition(|write| write.sequence <= sequence);
+        member.unsynced = unsynced;
+        for write in synced {
+            member.disk.write(write);
+        }
+        self.feed(at, Event::Stored { sequence });
+    }
+
+    /// Stops a member; what wasn't synced is gone.
+    pub(crate) fn crash(&mut self, at: InstanceId) {
+        if let Some(member) = self.members.get_mut(&at) {
+            member.machine = None;
+            member.life += 1;
+            member.frozen = false;
+            member.unsynced.clear();
+            member.inbox.clear();
+        }
+    }
+
+    fn restart(&mut self, at: InstanceId) {
+        let Some(member) = self.members.get(&at) else { return };
+        if member.machine.is_none() && !self.lost.contains(&at) {
+            let (disk, life) = (member.disk.clone(), member.life);
+            self.start(at, disk, life);
+        }
+    }
+
+    /// Destroys a member with its disk and brings up a new identity in its stead.
+    pub(crate) fn lose_disk(&mut self, at: InstanceId) -> InstanceId {
+        self.crash(at);
+        self.lost.insert(at);
+        self.join()
+    }
+
+    /// Whether every voter in force still has its disk.
+    pub(crate) fn is_whole(&self) -> bool {
+        let Some(status) = self.leader().and_then(|id| self.machine(id)).map(Consensus::status)
+        else {
+            return false;
+        };
+        let newest = self.committed.values().rev().find_map(|entry| match &entry.payload {
+            Payload::Members(members) => Some(members),
+            Payload::Empty | Payload::Command(_) => None,
+        });
+        newest == Some(&status.members)
+            && status.members.voters.len() % 2 == 1
+            && status.members.voters.iter().all(|voter| !self.lost.contains(voter))
+    }
+
+    /// Starts a new instance that has yet to be contacted.
+    pub(crate) fn join(&mut self) -> InstanceId {
+        let id = InstanceId(self.members.keys().next_back().map_or(1, |last| last.0 + 1));
+        let bootstrap = std::mem::take(&mut self.bootstrap);
+        self.start(id, Disk::default(), 0);
+        self.bootstrap = bootstrap;
+        id
+    }
+
+    pub(crate) fn freeze(&mut self, at: InstanceId) {
+        if let Some(member) = self.members.get_mut(&at) {
+            member.frozen = true;
+        }
+    }
+
+    /// A frozen member goes on where it stood: it is asked for a read before it hears anything.
+    fn thaw(&mut self, at: InstanceId) {
+        let Some(member) = self.members.get_mut(&at) else { return };
+        member.frozen = false;
+        let inbox = std::mem::take(&mut member.inbox);
+        self.read(at);
+        for event in inbox {
+            self.feed(at, event);
+        }
+    }
+
+    /// Cuts one side off from the other.
+    pub(crate) fn cut(&mut self, side: &[InstanceId]) {
+        for a in self.ids() {
+            for b in self.ids() {
+                if side.contains(&a) != side.contains(&b) {
+                    self.cuts.insert((a, b));
+                }
+            }
+        }
+    }
+
+    pub(crate) fn heal(&mut self) {
+        self.cuts.clear();
+    }
+
+    pub(crate) fn propose(&mut self, at: InstanceId) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let command = Bytes::copy_from_slice(&ticket.0.to_le_bytes());
+        self.feed(at, Event::Propose { ticket, command });
+        ticket
+    }
+
+    /// Asks a member for a read, which must see all that anybody has applied by now.
+    pub(crate) fn read(&mut self, at: InstanceId) {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let floor = self.committed.keys().next_back().copied().unwrap_or(Index(0));
+        self.floors.insert(ticket, floor);
+        self.feed(at, Event::Read { ticket });
+    }
+
+    pub(crate) fn feed(&mut self, id: InstanceId, event: Event) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        if member.frozen {
+            member.inbox.push(event);
+            return;
+        }
+        let Some(machine) = &mut member.machine else { return };
+        let mut effects = Vec::new();
+        machine.handle(self.now, event, &mut effects);
+        for effect in effects {
+            self.carry_out(id, effect);
+        }
+        self.compact(id);
+    }
+
+    fn compact(&mut self, id: InstanceId) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        if member.applied.0 >= member.compacted.0 + COMPACT_EVERY {
+            member.compacted = member.applied;
+            let event = Event::Compacted { index: member.applied, state: encode(member.digest) };
+            self.feed(id, event);
+        }
+    }
+
+    fn carry_out(&mut self, id: InstanceId, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.deliver(id, to, &message),
+            Effect::Store(write) => self.store(id, write),
+            Effect::Apply(entries) => {
+                for entry in entries {
+                    self.apply(id, entry);
+                }
+            }
+            Effect::Restore(snapshot) => self.restore(id, &snapshot),
+            Effect::Accepted { ticket, index, term } => {
+                self.accepted.insert((id, index, term), ticket);
+            }
+            Effect::ReadReady { ticket, index } => self.check_read(id, ticket, index),
+            Effect::RoleChanged { role: Role::Leader, term, .. } => self.check_leader(id, term),
+            Effect::RoleChanged { .. } | Effect::Rejected { .. } | Effect::ReadFailed { .. } => {}
+            Effect::Unhandled { role, trigger } => {
+                self.violations.push(format!("{id}: {trigger} is not handled as {role}"));
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: InstanceId, to: InstanceId, message: &Message) {
+        let Network { lost, repeated, slowest } = self.network;
+        if self.rng.random_range(0..100) < lost {
+            return;
+        }
+        let copies = if self.rng.random_range(0..100) < repeated { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = 500 + self.rng.random_range(0..=slowest);
+            self.at(delay, Happening::Arrives { from, to, message: message.clone() });
+        }
+    }
+
+    fn store(&mut self, at: InstanceId, write: Write) {
+        let Some(member) = self.members.get_mut(&at) else { return };
+        let (life, sequence) = (member.life, write.sequence);
+        member.unsynced.push(write);
+        let delay = self.rng.random_range(500..=8_000);
+        self.at(delay, Happening::Stored { at, life, sequence });
+    }
+
+    fn apply(&mut self, id: InstanceId, entry: Entry) {
+        let Some(member) = self.members.get_mut(&id) else { return };
+        let index = entry.index;
+        if index.0 != member.applied.0 + 1 {
+            let after = member.applied;
+            self.violations.push(format!("{id}: applies {index} after {after}"));
+            return;
+        }
+        member.applied = index;
+        member.digest = digest(member.digest, &entry);
+        let digest = member.digest;
+        if let Some(ticket) = self.accepted.remove(&(id, index, entry.term)) {
+            self.acked.insert(ticket, index);
+        }
+        if *self.digests.entry(index).or_insert(digest) != digest {
+            self.violations.push(format!("{id}: applies another entry at {index}"));
+        }
+        if let Payload::Command(command) = &entry.payload {
+            let first = *self.commands.entry(command.clone()).or_insert(index);
+            if first != index {
+                self.violations.push(format!("{id}: applies a command at {first} and {index}"));
+            }
+        }
+        self.committed.entry(index).or_insert(entry);
+    }
+
+    fn restore(&mut self, id: InstanceId, snapshot: &Snapshot) {
+        self.restores += 1;
+        let Some(member) = self.members.get_mut(&id) else { return };
+        member.applied = snapshot.index;
+        member.compacted = snapshot.index;
+        let known = self.digests.get(&snapshot.index).copied();
+        member.digest = known.unwrap_or_default();
+        if known.map(encode).as_ref() != Some(&snapshot.state) {
+            let index = snapshot.index;
+            self.violations.push(format!("{id}: restores another state at {index}"));
+        }
+    }
+
+    fn check_read(&mut self, id: InstanceId, ticket: Ticket, index: Index) {
+        self.reads += 1;
+        let floor = self.floors.remove(&ticket);
+        if floor.is_none_or(|floor| index < floor) {
+            self.violations.push(format!("{id}: reads at {index}, before {floor:?}"));
+        }
+    }
+
+    fn check_leader(&mut self, id: InstanceId, term: Term) {
+        self.elections += 1;
+        let first = *self.leaders.entry(term).or_insert(id);
+        if first != id {
+            self.violations.push(format!("{first} and {id} both lead in term {term}"));
+        }
+    }
+
+    /// Brings everything back up but the lost, and checks that nothing acknowledged is missing.
+    pub(crate) fn settle(&mut self) {
+        self.network = Network { lost: 0, repeated: 0, slowest: 2_000 };
+        self.heal();
+        for id in self.ids() {
+            self.restart(id);
+            if self.members.get(&id).is_some_and(|member| member.frozen) {
+                self.thaw(id);
+            }
+        }
+        self.run_for(6_000);
+        let Some(leader) = self.leader() else {
+            self.violations.push("nobody leads after all faults are over".to_owned());
+            return;
+        };
+        let ticket = self.propose(leader);
+        self.run_for(1_000);
+        if !self.acked.contains_key(&ticket) {
+            self.violations.push("a proposal to a healthy council isn't committed".to_owned());
+        }
+        self.check_convergence(leader);
+    }
+
+    fn check_convergence(&mut self, leader: InstanceId) {
+        let Some(status) = self.machine(leader).map(Consensus::status) else { return };
+        let newest = self.acked.values().max().copied().unwrap_or_default();
+        for id in status.members.all() {
+            let applied = self.members.get(&id).map_or(Index(0), |member| member.applied);
+            if !self.lost.contains(&id) && applied < newest {
+                let missing = format!("{id}: has applied {applied}, {newest} was acknowledged");
+                self.violations.push(missing);
+            }
+        }
+    }
+}
+
+fn digest(before: u64, entry: &Entry) -> u64 {
+    let bytes = postcard::to_stdvec(entry).expect("an entry can be encoded");
+    let mut all = before.to_le_bytes().to_vec();
+    all.extend(bytes);
+    u64::from_le_bytes(blake3::hash(&all).as_bytes()[..8].try_into().expect("eight bytes"))
+}
+
+fn encode(digest: u64) -> Bytes {
+    let mut state = vec![0; STATE_BYTES];
+    state[..8].copy_from_slice(&digest.to_le_bytes());
+    state.into()
+}
