scheduler: place open tasks on announced workers, by two state charts

Cause: nothing placed work yet.

Change: the scheduler with its index of free room, quotas by tier, queue by weighted dominant share, leases, preemption, quarantine and explanations. A try and a worker each go through a chart that is interpreted. Shared types get a fence: a number that the holder raises whenever it counts a worker's lease as run out or sees it restarted, carried by LeaseAnswer, CommandBatch and Effect::Command; a worker drops batches with a smaller one. Without it a start that is delayed past the lease runs after the task was placed elsewhere. Event::Shares carries the shares of allowances.

Ruled out: an incarnation in the batch (a late start after a lapse in the same boot gets through); a worker-side memory of tries alone (lost at boot).

--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -23,6 +23,8 @@
     pub struct Ticket(u64);
     /// A worker's boot: a worker that restarts announces a larger one.
     pub struct Incarnation(u64);
+    /// Tells command batches from before a worker's lease was counted as run out from later ones.
+    pub struct Fence(u64);
 }
 
 name! {
--- /dev/null
+++ b/lib/src/scheduler/attempt.rs
@@ -0,0 +1,357 @@
+//! A try's way through its chart.
+
+use crate::{
+    command::YieldCause,
+    ids::{Attempt, TaskAttempt, TaskId},
+    scheduler::{
+        Scheduler,
+        charts::{ATTEMPT, HealthEvent, Phase, PhaseAction, PhaseEvent, PhaseGuard},
+        index::WorkerSlot,
+        port::Effect,
+        tasks::{Record, Stage, Task, Try},
+        timers::Timer,
+    },
+    task::{Checkpoint, EvictionReason, TaskOutcome},
+    time::Time,
+    worker::{AttemptState, StartCommand, WorkerCommand},
+};
+
+/// What an event of a try carries.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Cause<'c> {
+    /// Nothing more.
+    Plain,
+    /// The worker's report.
+    Report(&'c AttemptState),
+    /// Why the try must leave.
+    Evict(EvictionReason),
+    /// The speed, in thousandths.
+    Throttle(u32),
+}
+
+impl Cause<'_> {
+    fn checkpoint(&self) -> Option<&Checkpoint> {
+        match self {
+            Self::Report(AttemptState::Stopped { checkpoint }) => checkpoint.as_ref(),
+            Self::Report(
+                AttemptState::Running
+                | AttemptState::Completed { .. }
+                | AttemptState::Failed { .. }
+                | AttemptState::NotStarted { .. },
+            )
+            | Self::Plain
+            | Self::Evict(_)
+            | Self::Throttle(_) => None,
+        }
+    }
+
+    fn reason(&self) -> String {
+        match self {
+            Self::Report(AttemptState::Failed { reason } | AttemptState::NotStarted { reason }) => {
+                reason.clone()
+            }
+            Self::Report(
+                AttemptState::Running
+                | AttemptState::Completed { .. }
+                | AttemptState::Stopped { .. },
+            )
+            | Self::Plain
+            | Self::Evict(_)
+            | Self::Throttle(_) => String::new(),
+        }
+    }
+}
+
+impl Scheduler {
+    /// Takes an event to a task's current try.
+    pub(super) fn step_try(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        event: PhaseEvent,
+        cause: Cause<'_>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(task) = self.tasks.get(id) else { return };
+        let Some(current) = task.current() else { return };
+        let holds = |guard| self.phase_guard(task, current, guard, cause);
+        match ATTEMPT.step(current.phase, event, holds) {
+            Ok(step) => {
+                if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
+                    current.phase = step.to;
+                }
+                for action in step.actions {
+                    self.act_on_try(now, id, *action, cause, effects);
+                }
+            }
+            Err(unhandled) => self.unhandled(&unhandled),
+        }
+    }
+
+    fn phase_guard(&self, task: &Task, current: &Try, guard: PhaseGuard, cause: Cause<'_>) -> bool {
+        match guard {
+            PhaseGuard::Cancelled => task.open.cancelled,
+            PhaseGuard::Unwanted => {
+                current.eviction.is_some() || !self.fleet[current.worker].leased()
+            }
+            PhaseGuard::Repeatable => task.open.spec.idempotent,
+            PhaseGuard::Checkpointed => {
+                cause.checkpoint().is_some_and(|found| found.attempt == current.attempt)
+            }
+            PhaseGuard::LastFailure => {
+                !task.open.spec.idempotent || task.open.failures + 1 >= self.config.max_failures
+            }
+            PhaseGuard::Surmised => current.surmised,
+            PhaseGuard::FullSpeed => match cause {
+                Cause::Throttle(permille) => permille >= 1_000,
+                Cause::Plain | Cause::Report(_) | Cause::Evict(_) => false,
+            },
+        }
+    }
+
+    fn act_on_try(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        action: PhaseAction,
+        cause: Cause<'_>,
+        effects: &mut Vec<Effect>,
+    ) {
+        match action {
+            PhaseAction::RecordStart => self.record_start(now, id, effects),
+            PhaseAction::RecordAgain => self.record_again(now, id, effects),
+            PhaseAction::SendStart => self.send_start(id),
+            PhaseAction::SendStop => self.send_stop(id),
+            PhaseAction::SendThrottle => self.send_throttle(id, cause),
+            PhaseAction::NoteEviction => self.note_eviction(now, id, cause),
+            PhaseAction::HoldRoom => self.hold_again(now, id),
+            PhaseAction::Release => self.release(now, id, effects),
+            PhaseAction::Requeue => self.delay(now, id),
+            PhaseAction::YieldNotStarted => {
+                self.record_yield(now, id, None, YieldCause::NotStarted, effects);
+            }
+            PhaseAction::YieldFailed => {
+                let failed = YieldCause::Failed { reason: cause.reason() };
+                self.record_yield(now, id, None, failed, effects);
+            }
+            PhaseAction::YieldEvicted => self.record_eviction(now, id, cause, effects),
+            PhaseAction::YieldExpired => {
+                let expired = YieldCause::Evicted(EvictionReason::LeaseExpired);
+                self.record_yield(now, id, None, expired, effects);
+            }
+            PhaseAction::EndCompleted => self.record_completion(now, id, cause, effects),
+            PhaseAction::EndFailed => {
+                self.record_end(now, id, TaskOutcome::Failed { reason: cause.reason() }, effects);
+            }
+            PhaseAction::EndCancelled => {
+                self.record_end(now, id, TaskOutcome::Cancelled, effects);
+            }
+            PhaseAction::EndUnknown => {
+                let reason = "its worker stopped it or was lost, and it may not run twice".into();
+                self.record_end(now, id, TaskOutcome::Unknown { reason }, effects);
+            }
+            PhaseAction::ForgetTry => {
+                if let Some(task) = self.tasks.get_mut(id) {
+                    task.stage = Stage::Parked;
+                    task.since = now;
+                }
+            }
+            PhaseAction::ForgetTask => {
+                self.tasks.remove(id);
+            }
+        }
+    }
+
+    /// Asks for the record of a task's current try, and for it again if there is no answer.
+    pub(super) fn record_start(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
+        self.timers.set(now + self.config.retry, Timer::Record(id));
+        let Some(epoch) = self.hold.records(now, &self.config) else { return };
+        let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
+        effects.push(Effect::RecordStart {
+            epoch,
+            attempt: TaskAttempt { task: id, attempt: current.attempt },
+            worker: self.fleet[current.worker].name.clone(),
+        });
+    }
+
+    /// Asks once more for the record of a try's end.
+    fn record_again(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
+        self.timers.set(now + self.config.retry, Timer::Record(id));
+        let Some(epoch) = self.hold.records(now, &self.config) else { return };
+        let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
+        let attempt = TaskAttempt { task: id, attempt: current.attempt };
+        match current.record.clone() {
+            Some(Record::Yield { checkpoint, cause }) => {
+                effects.push(Effect::RecordYield { epoch, attempt, checkpoint, cause });
+            }
+            Some(Record::End(outcome)) => {
+                effects.push(Effect::RecordEnd { epoch, attempt, outcome });
+            }
+            None => {}
+        }
+    }
+
+    fn record(&mut self, now: Time, id: TaskId, record: Record, effects: &mut Vec<Effect>) {
+        if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
+            current.record = Some(record);
+        }
+        self.record_again(now, id, effects);
+    }
+
+    fn record_yield(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        checkpoint: Option<Checkpoint>,
+        cause: YieldCause,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.record(now, id, Record::Yield { checkpoint, cause }, effects);
+    }
+
+    fn record_end(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        outcome: TaskOutcome,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.record(now, id, Record::End(outcome), effects);
+    }
+
+    fn record_eviction(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        cause: Cause<'_>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
+        // A try that stopped unasked did so because its lease ran out.
+        let reason = current.eviction.unwrap_or(EvictionReason::LeaseExpired);
+        let checkpoint = cause.checkpoint().cloned();
+        self.record_yield(now, id, checkpoint, YieldCause::Evicted(reason), effects);
+    }
+
+    fn record_completion(
+        &mut self,
+        now: Time,
+        id: TaskId,
+        cause: Cause<'_>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let output = match cause {
+            Cause::Report(AttemptState::Completed { output }) => output.clone(),
+            Cause::Report(
+                AttemptState::Running
+                | AttemptState::Failed { .. }
+                | AttemptState::Stopped { .. }
+                | AttemptState::NotStarted { .. },
+            )
+            | Cause::Plain
+            | Cause::Evict(_)
+            | Cause::Throttle(_) => return,
+        };
+        self.record_end(now, id, TaskOutcome::Completed { output }, effects);
+    }
+
+    fn send_start(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get(id) else { return };
+        let Some(current) = task.current() else { return };
+        let spec = &task.open.spec;
+        let start = StartCommand {
+            attempt: TaskAttempt { task: id, attempt: current.attempt },
+            kind: spec.kind.clone(),
+            size: spec.size,
+            service: spec.service.clone(),
+            checkpoint: task.open.checkpoint.clone(),
+            payload: spec.payload.clone(),
+        };
+        self.send(current.worker, WorkerCommand::Start(Box::new(start)));
+    }
+
+    fn send_stop(&mut self, id: TaskId) {
+        let Some(task) = self.tasks.get(id) else { return };
+        let Some(current) = task.current() else { return };
+        let attempt = TaskAttempt { task: id, attempt: current.attempt };
+        let waited = self.fleet[current.worker]
+            .reserved
+            .and_then(|waiting| Some(self.tasks.get(waiting)?.open.spec.urgent));
+        let grace = match waited {
+            Some(true) => self.config.urgent_grace,
+            Some(false) | None => self.config.grace,
+        };
+        self.send(current.worker, WorkerCommand::Stop { attempt, grace });
+    }
+
+    fn send_throttle(&mut self, id: TaskId, cause: Cause<'_>) {
+        let Cause::Throttle(permille) = cause else { return };
+        let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
+        let attempt = TaskAttempt { task: id, attempt: current.attempt };
+        self.send(current.worker, WorkerCommand::Throttle { attempt, permille });
+    }
+
+    fn note_eviction(&mut self, now: Time, id: TaskId, cause: Cause<'_>) {
+        let Cause::Evict(reason) = cause else { return };
+        let Some(task) = self.tasks.get_mut(id) else { return };
+        task.evicted = Some(reason);
+        let customer = task.customer;
+        if let Some(current) = task.current_mut() {
+            current.eviction = Some(reason);
+        }
+        self.quota.evicted(now, customer);
+    }
+
+    /// Gives back the room and the quota of a task's current try.
+    fn release(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
+        let Some(task) = self.tasks.get(id) else { return };
+        let Some(current) = task.current() else { return };
+        let (worker, tier, customer) = (current.worker, current.tier, task.customer);
+        let attempt = TaskAttempt { task: id, attempt: current.attempt };
+        let size = task.size();
+        let service = task.open.spec.service.clone();
+        let expected = current.expected;
+        self.fleet.release(worker, id, &size, tier);
+        self.fleet[worker].expected = self.fleet[worker].expected.saturating_sub(&expected);
+        self.quota.refund(customer, tier, &size);
+        if let Some(service) = service {
+            self.spread.remove(&service, self.fleet[worker].rack);
+        }
+        self.interference.left(now, &self.fleet[worker].name, attempt);
+        self.freed_quota(customer);
+        self.freed_room(worker);
+        self.step_worker(now, worker, HealthEvent::Vacated, effects);
+    }
+
+    /// Holds the room of a task's current try again, about which another holder may know more.
+    fn hold_again(&mut self, now: Time, id: TaskId) {
+        let Some(mut task) = self.tasks.remove(id) else { return };
+        if let Some(current) = task.current_mut() {
+            current.surmised = false;
+            current.eviction = None;
+            current.record = None;
+        }
+        self.hold_room(now, id, task);
+    }
+
+    /// Lets a task wait before it goes back into the queue.
+    pub(super) fn delay(&mut self, now: Time, id: TaskId) {
+        let Some(task) = self.tasks.get_mut(id) else { return };
+        let doubling = task.open.failures.min(6);
+        task.stage = Stage::Delayed;
+        task.since = now;
+        let wait = self.config.retry_delay * 2_u32.pow(doubling);
+        self.timers.set(now + wait, Timer::Requeue(id));
+    }
+
+    /// The try that a worker reports, if it is the current one of its task on that worker.
+    pub(super) fn is_current(&self, attempt: TaskAttempt, worker: WorkerSlot) -> bool {
+        self.tasks.active(attempt).is_some_and(|(_, current)| current.worker == worker)
+    }
+
+    /// The current try of a task, and where it stands.
+    pub(super) fn phase_of(&self, id: TaskId) -> Option<(Attempt, Phase)> {
+        let current = self.tasks.get(id)?.current()?;
+        Some((current.attempt, current.phase))
+    }
+}
--- /dev/null
+++ b/lib/src/scheduler/index.rs
@@ -0,0 +1,209 @@
+//! Workers that may get work, found by their free room.
+//!
+//! Workers stand in buckets by the size class of their free processors, memory and accelerators.
+//! Bit masks of the buckets that hold any worker make a search independent of the number of
+//! workers. Within a bucket on the edge of what is asked for, a few members are probed; a search
+//! may therefore miss a worker that fits, and is repeated later.
+
+use rand::Rng;
+
+use crate::{key, resources::Resources};
+
+key! {
+    /// A worker's place in the scheduler's table.
+    pub(super) struct WorkerSlot(u32);
+}
+
+impl WorkerSlot {
+    pub(super) fn at(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Which end of the buckets a search starts at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Order {
+    /// The smallest hole that fits comes first.
+    Tight,
+    /// The largest hole comes first.
+    Roomy,
+}
+
+/// Four classes to an octave, so that members of a bucket differ by less than a quarter.
+const CLASSES: usize = 128;
+/// From this many accelerators on, all stand in one class.
+const ACCELERATOR_CLASSES: usize = 16;
+/// Members of a bucket that a search looks at.
+const PROBES: usize = 8;
+
+#[derive(Clone, Debug, Default)]
+struct Grid {
+    buckets: Vec<Vec<WorkerSlot>>,
+    rows: Vec<u128>,
+    occupied: u128,
+}
+
+/// The workers that may get work, by free room.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Index {
+    grids: Vec<Grid>,
+    places: Vec<Option<Place>>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Cell {
+    grid: usize,
+    row: usize,
+    column: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Place {
+    cell: Cell,
+    at: usize,
+}
+
+impl Index {
+    /// Whether the worker may get work.
+    pub(super) fn contains(&self, worker: WorkerSlot) -> bool {
+        self.places.get(worker.at()).is_some_and(Option::is_some)
+    }
+
+    /// Adds a worker, or moves it to the bucket of its new free room.
+    pub(super) fn insert(&mut self, worker: WorkerSlot, free: &Resources) {
+        let cell = Cell::of(free);
+        if let Some(Some(place)) = self.places.get(worker.at())
+            && place.cell == cell
+        {
+            return;
+        }
+        self.remove(worker);
+        if self.places.len() <= worker.at() {
+            self.places.resize(worker.at() + 1, None);
+        }
+        if self.grids.len() <= cell.grid {
+            self.grids.resize_with(cell.grid + 1, Grid::default);
+        }
+        let at = self.grids[cell.grid].push(cell, worker);
+        self.places[worker.at()] = Some(Place { cell, at });
+    }
+
+    /// Takes a worker out.
+    pub(super) fn remove(&mut self, worker: WorkerSlot) {
+        let Some(place) = self.places.get_mut(worker.at()).and_then(Option::take) else { return };
+        if let Some(moved) = self.grids[place.cell.grid].swap_remove(place)
+            && let Some(entry) = &mut self.places[moved.at()]
+        {
+            entry.at = place.at;
+        }
+    }
+
+    /// Adds up to `limit` workers to `found` for which `fits` holds and whose free room is at
+    /// least in the class of `asked`.
+    pub(super) fn search(
+        &self,
+        asked: &Resources,
+        order: Order,
+        limit: usize,
+        rng: &mut impl Rng,
+        fits: impl Fn(WorkerSlot) -> bool,
+        found: &mut Vec<WorkerSlot>,
+    ) {
+        let least = Cell::of(asked);
+        for grid in self.grids.iter().skip(least.grid) {
+            let mut rows = grid.occupied & (u128::MAX << least.row);
+            while let Some(row) = take_bit(&mut rows, order) {
+                let mut columns = grid.rows[row] & (u128::MAX << least.column);
+                while let Some(column) = take_bit(&mut columns, order) {
+                    let bucket = &grid.buckets[row * CLASSES + column];
+                    probe(bucket, limit, rng, &fits, found);
+                    if found.len() >= limit {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+impl Cell {
+    fn of(room: &Resources) -> Self {
+        Self {
+            grid: (room.accelerators as usize).min(ACCELERATOR_CLASSES - 1),
+            row: class(room.millicores),
+            column: class(room.memory_mib),
+        }
+    }
+}
+
+impl Grid {
+    fn push(&mut self, cell: Cell, worker: WorkerSlot) -> usize {
+        if self.buckets.is_empty() {
+            self.buckets.resize_with(CLASSES * CLASSES, Vec::new);
+            self.rows.resize(CLASSES, 0);
+        }
+        let bucket = &mut self.buckets[cell.row * CLASSES + cell.column];
+        bucket.push(worker);
+        let at = bucket.len() - 1;
+        self.rows[cell.row] |= 1 << cell.column;
+        self.occupied |= 1 << cell.row;
+        at
+    }
+
+    /// Removes a member and gives the one that took its position.
+    fn swap_remove(&mut self, place: Place) -> Option<WorkerSlot> {
+        let Cell { row, column, .. } = place.cell;
+        let bucket = &mut self.buckets[row * CLASSES + column];
+        bucket.swap_remove(place.at);
+        let moved = bucket.get(place.at).copied();
+        if bucket.is_empty() {
+            self.rows[row] &= !(1 << column);
+            if self.rows[row] == 0 {
+                self.occupied &= !(1 << row);
+            }
+        }
+        moved
+    }
+}
+
+fn probe(
+    bucket: &[WorkerSlot],
+    limit: usize,
+    rng: &mut impl Rng,
+    fits: impl Fn(WorkerSlot) -> bool,
+    found: &mut Vec<WorkerSlot>,
+) {
+    let start = rng.random_range(0..bucket.len());
+    for step in 0..bucket.len().min(PROBES) {
+        let worker = bucket[(start + step) % bucket.len()];
+        if fits(worker) {
+            found.push(worker);
+        }
+        if found.len() >= limit {
+            return;
+        }
+    }
+}
+
+/// Takes the lowest or the highest bit out of a mask.
+fn take_bit(mask: &mut u128, order: Order) -> Option<usize> {
+    if *mask == 0 {
+        return None;
+    }
+    let bit = match order {
+        Order::Tight => mask.trailing_zeros(),
+        Order::Roomy => u128::BITS - 1 - mask.leading_zeros(),
+    };
+    *mask &= !(1 << bit);
+    Some(bit as usize)
+}
+
+/// The size class of an amount: exact below 4, then four classes to an octave.
+fn class(amount: u64) -> usize {
+    if amount < 4 {
+        return amount as usize;
+    }
+    let octave = 63 - amount.leading_zeros() as usize;
+    let quarter = (amount >> (octave - 2)) as usize & 3;
+    ((octave - 1) * 4 + quarter).min(CLASSES - 1)
+}
--- a/lib/src/scheduler/port.rs
+++ b/lib/src/scheduler/port.rs
@@ -1,12 +1,12 @@
 //! What goes into the scheduler and what comes out of it.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use crate::{
     command::YieldCause,
     data,
-    ids::{DataCentre, Epoch, TaskAttempt, TaskId, WorkerName},
-    policy::Policy,
+    ids::{CustomerName, DataCentre, Epoch, Fence, TaskAttempt, TaskId, WorkerName},
+    policy::{Allowance, Policy},
     task::{Checkpoint, OpenTask, TaskOutcome},
     worker::{Announcement, LeaseAnswer, WorkerCommand},
 };
@@ -18,7 +18,11 @@
         Timer,
         /// A new policy is in force.
         Policy(Arc<Policy>),
-        /// This instance holds the data centre's epoch, or no longer does.
+        /// The shares of the allowances that this data centre holds. A customer that isn't named
+        /// may use its whole allowance here.
+        Shares(BTreeMap<CustomerName, Allowance>),
+        /// This instance holds the data centre's epoch, or no longer does. An [`Event::Open`] for
+        /// each open task comes before the event that gives the epoch.
         Hold {
             /// The data centre.
             centre: DataCentre,
@@ -107,6 +111,8 @@
             address: String,
             /// The holder's epoch.
             epoch: Epoch,
+            /// The fence of the worker's lease.
+            fence: Fence,
             /// What to do, in order.
             commands: Vec<WorkerCommand>,
         },
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -10,7 +10,9 @@
 
 use crate::{
     data,
-    ids::{DataCentre, Epoch, Incarnation, Rack, ServiceName, TaskAttempt, TaskKind, WorkerName},
+    ids::{
+        DataCentre, Epoch, Fence, Incarnation, Rack, ServiceName, TaskAttempt, TaskKind, WorkerName,
+    },
     resources::Resources,
     task::Checkpoint,
 };
@@ -108,6 +110,8 @@
     pub struct LeaseAnswer {
         /// The epoch under which the lease is given.
         pub epoch: Epoch,
+        /// The worker drops command batches with a smaller fence under this epoch.
+        pub fence: Fence,
         /// How long from the sending of the announcement the worker may run its tasks;
         /// nothing if the instance can't give a lease.
         pub lease: Option<Duration>,
@@ -123,6 +127,8 @@
     pub struct CommandBatch {
         /// The holder's epoch.
         pub epoch: Epoch,
+        /// The fence of the worker's lease; a batch with a smaller one is dropped.
+        pub fence: Fence,
         /// What to do, in order.
         pub commands: Vec<WorkerCommand>,
     }
