--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod cluster;
 pub mod demo;
+pub mod experiment;
 pub mod journal;
 pub mod net;
 pub mod worker;
