--- /dev/null
+++ b/lib/src/council.rs
@@ -0,0 +1,353 @@
+//! The council's part of an instance: the agreed log, the ledger it adds up to, and the commands
+//! on their way into it.
+//!
+//! Every instance applies the log, so an instance learns the answer to its own command by
+//! applying it; no answer crosses the network.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+
+use crate::{
+    command::{Command, Envelope, Reply},
+    consensus::{
+        Consensus,
+        log::{Entry, Members, Payload, Recovered, Snapshot},
+        port as consensus,
+    },
+    council::{
+        counts::Counts,
+        hold::Hold,
+        members::Keeper,
+        port::{Asker, Event},
+        proposals::{Pending, Proposals},
+    },
+    directory::port::{self as directory, Facts, InstanceInfo, PeerMessage},
+    ids::{Index, InstanceId, RequestId, Ticket},
+    instance::port::{Answer, Edge, Note, Output},
+    ledger::{Ledger, Limits, change::Change},
+    router::port as router,
+    scheduler::port as scheduler,
+    time::{Time, WallTime, earliest},
+};
+
+mod answers;
+pub mod counts;
+pub mod hold;
+pub mod members;
+pub mod port;
+pub mod proposals;
+
+/// What the council's part is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The instance as it presents itself.
+    pub me: InstanceInfo,
+    /// Whether it founds the council if none exists.
+    pub founding: bool,
+    /// How many voters the council aims at.
+    pub voters: usize,
+    /// The wall clock at the monotonic clock's zero.
+    pub start: WallTime,
+    /// How often an unanswered command is sent again.
+    pub resend: Duration,
+    /// How long the router waits for a claim.
+    pub claim: Duration,
+    /// How often the holder of an epoch confirms it.
+    pub confirm: Duration,
+    /// How long a holder is silent before another instance takes the epoch.
+    pub takeover: Duration,
+    /// How many entries are applied between two snapshots.
+    pub compact: u64,
+    /// How many commands may wait for an answer.
+    pub pending: usize,
+    /// Settings of the agreement.
+    pub consensus: consensus::Config,
+    /// Bounds of the ledger.
+    pub ledger: Limits,
+    /// Seeds what is drawn at random.
+    pub seed: u64,
+}
+
+/// The council's part of an instance.
+#[derive(Clone, Debug)]
+pub struct Council {
+    config: Config,
+    consensus: Consensus,
+    ledger: Ledger,
+    proposals: Proposals,
+    counts: Counts,
+    hold: Hold,
+    keeper: Keeper,
+    alive: Vec<InstanceInfo>,
+    facts: Facts,
+    compacted: Index,
+    effects: Vec<consensus::Effect>,
+}
+
+impl Council {
+    /// Goes on from what storage found.
+    ///
+    /// # Errors
+    ///
+    /// The snapshot can't be decoded.
+    pub fn new(
+        config: Config,
+        recovered: Recovered,
+        now: Time,
+    ) -> Result<Self, crate::ledger::DecodeError> {
+        let (ledger, compacted) = match &recovered.snapshot {
+            Some(snapshot) => (Ledger::decode(&snapshot.state)?, snapshot.index),
+            None => (Ledger::new(config.ledger.clone()), Index(0)),
+        };
+        let settings = config.consensus.clone();
+        let consensus =
+            Consensus::new(settings, recovered, &Members::default(), now, config.seed);
+        Ok(Self {
+            proposals: Proposals::new(config.pending),
+            counts: Counts::new(config.start),
+            hold: Hold::new(&config, now),
+            keeper: Keeper::new(&config, now),
+            alive: vec![config.me.clone()],
+            facts: Facts::default(),
+            effects: Vec::new(),
+            compacted,
+            ledger,
+            consensus,
+            config,
+        })
+    }
+
+    /// What the log added up to so far.
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    /// How the agreement stands.
+    pub fn status(&self) -> consensus::Status {
+        self.consensus.status()
+    }
+
+    /// Tells the other parts what is known at the start.
+    pub fn start(&mut self, out: &mut Vec<Output>) {
+        self.tell_all(out);
+        self.tell_facts(out);
+    }
+
+    /// Takes in an event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        match event {
+            Event::Timer => self.tick(now, out),
+            Event::Consensus { from, message } => {
+                self.consensus(now, consensus::Event::Receive { from, message });
+            }
+            Event::Forwarded { origin, ticket, command } => {
+                self.propose(now, origin, ticket, &command);
+            }
+            Event::Stored { sequence } => {
+                self.consensus(now, consensus::Event::Stored { sequence });
+            }
+            Event::Instances(alive) => self.alive = alive,
+            Event::Found => self.found(now, out),
+            Event::Ask { asker, command } => self.ask(now, asker, *command, out),
+            Event::Count { request, customer } => self.counts.add(request, customer),
+            Event::Question { ticket, question } => {
+                let answer = Box::new(self.answer(&question));
+                out.push(Output::Edge(Edge::Answer { ticket, answer }));
+            }
+            Event::Draining => self.hold.drain(),
+        }
+        self.settle(now, out);
+    }
+
+    /// When [`Event::Timer`] is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        let own = earliest(self.proposals.next_deadline(), Some(self.hold.next_deadline()));
+        let own = earliest(own, Some(self.keeper.next_deadline()));
+        earliest(own, self.consensus.next_deadline())
+    }
+
+    fn consensus(&mut self, now: Time, event: consensus::Event) {
+        self.consensus.handle(now, event, &mut self.effects);
+    }
+
+    /// Carries out what the agreement asked for, until nothing is left to do.
+    fn settle(&mut self, now: Time, out: &mut Vec<Output>) {
+        if let Some(command) = self.counts.next_batch(self.config.me.instance) {
+            self.ask(now, Asker::Counts, command, out);
+        }
+        while !self.effects.is_empty() {
+            for effect in std::mem::take(&mut self.effects) {
+                self.carry_out(now, effect, out);
+            }
+        }
+        self.compact(now);
+        self.tell_facts(out);
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        if self.consensus.next_deadline().is_some_and(|at| at <= now) {
+            self.consensus(now, consensus::Event::Timer);
+        }
+        let status = self.consensus.status();
+        for change in self.keeper.tick(now, &status, &self.alive) {
+            if !matches!(change, consensus::Event::Standbys { .. }) {
+                let change = format!("{change:?}");
+                out.push(Output::Edge(Edge::Note(Note::Members { change })));
+            }
+            self.consensus(now, change);
+        }
+        if let Some(command) = self.hold.take(now, &self.ledger, &self.alive) {
+            self.ask(now, Asker::Hold, command, out);
+        }
+        if let Some(ticket) = self.hold.confirm(now, &self.ledger) {
+            self.consensus(now, consensus::Event::Read { ticket });
+        }
+        for ticket in self.proposals.due(now, self.config.resend) {
+            self.send(now, ticket, out);
+        }
+        for (asker, sent) in self.proposals.expire(now) {
+            self.give_up(&asker, sent, out);
+        }
+    }
+
+    fn found(&mut self, now: Time, out: &mut Vec<Output>) {
+        let status = self.consensus.status();
+        if !self.config.founding || status.term.0 > 0 || status.last.0 > 0 {
+            return;
+        }
+        let members =
+            Members { voters: vec![self.config.me.instance], learners: Vec::new() };
+        let settings = self.config.consensus.clone();
+        self.consensus =
+            Consensus::new(settings, Recovered::default(), &members, now, self.config.seed);
+        out.push(Output::Edge(Edge::Note(Note::Founding)));
+    }
+
+    fn ask(&mut self, now: Time, asker: Asker, command: Command, out: &mut Vec<Output>) {
+        let deadline = match &asker {
+            Asker::Front { wait, .. } => Some(now + *wait),
+            Asker::Claim { .. } => Some(now + self.config.claim),
+            Asker::Hold => Some(now + self.config.takeover),
+            Asker::Settle { .. }
+            | Asker::Start { .. }
+            | Asker::Yield { .. }
+            | Asker::End { .. }
+            | Asker::Counts => None,
+        };
+        match self.proposals.add(now, Pending::new(asker, command, deadline)) {
+            Ok(ticket) => self.send(now, ticket, out),
+            Err(asker) => self.give_up(&asker, false, out),
+        }
+    }
+
+    /// Sends a command to the leader, which may be this instance.
+    fn send(&mut self, now: Time, ticket: Ticket, out: &mut Vec<Output>) {
+        let me = self.config.me.instance;
+        let Some(leader) = self.consensus.status().leader else { return };
+        let Some(command) = self.proposals.sent(now, ticket) else { return };
+        if leader == me {
+            let command = command.clone();
+            self.propose(now, me, ticket, &command);
+        } else {
+            let command = Box::new(command.clone());
+            let message = PeerMessage::Forward { origin: me, ticket, command };
+            out.push(Output::directory(directory::Event::Post { to: leader, message }));
+        }
+    }
+
+    fn propose(&mut self, now: Time, origin: InstanceId, ticket: Ticket, command: &Command) {
+        let at = WallTime(self.config.start.0 + now.as_nanos() / 1_000_000);
+        let envelope = Envelope { origin, ticket, at, command: command.clone() };
+        let Ok(encoded) = postcard::to_allocvec(&envelope) else { return };
+        let command = Bytes::from(encoded);
+        self.consensus(now, consensus::Event::Propose { ticket, command });
+    }
+
+    fn carry_out(&mut self, now: Time, effect: consensus::Effect, out: &mut Vec<Output>) {
+        match effect {
+            consensus::Effect::Send { to, message } => {
+                let from = self.config.me.instance;
+                let message = PeerMessage::Consensus { from, message };
+                out.push(Output::directory(directory::Event::Post { to, message }));
+            }
+            consensus::Effect::Store(write) => out.push(Output::Edge(Edge::Store(write))),
+            consensus::Effect::Apply(entries) => {
+                for entry in entries {
+                    self.apply(now, &entry, out);
+                }
+            }
+            consensus::Effect::Restore(snapshot) => self.restore(&snapshot, out),
+            consensus::Effect::Accepted { .. } => {}
+            consensus::Effect::Rejected { ticket, .. } => self.proposals.rejected(ticket),
+            consensus::Effect::ReadReady { ticket, index } => {
+                if self.hold.confirmed(ticket, index, &self.ledger) {
+                    out.push(Output::scheduler(scheduler::Event::HoldConfirmed));
+                }
+            }
+            consensus::Effect::ReadFailed { ticket } => self.hold.failed(ticket),
+            consensus::Effect::Unhandled { role, trigger } => {
+                let reason = format!("{trigger} in role {role}");
+                out.push(Output::Edge(Edge::Note(Note::Unhandled { reason })));
+            }
+            consensus::Effect::RoleChanged { role, term, leader } => {
+                let role = role.to_string();
+                out.push(Output::Edge(Edge::Note(Note::Role { role, term, leader })));
+                self.proposals.retry_all();
+            }
+        }
+    }
+
+    fn apply(&mut self, now: Time, entry: &Entry, out: &mut Vec<Output>) {
+        let bytes = match &entry.payload {
+            Payload::Command(bytes) => bytes,
+            Payload::Empty | Payload::Members(_) => {
+                self.ledger.skip(entry.index);
+                return;
+            }
+        };
+        let envelope: Envelope = match postcard::from_bytes(bytes) {
+            Ok(envelope) => envelope,
+            Err(error) => {
+                let (index, reason) = (entry.index, error.to_string());
+                out.push(Output::Edge(Edge::Note(Note::Unreadable { index, reason })));
+                return;
+            }
+        };
+        let mut changes = Vec::new();
+        let reply = self.ledger.apply(entry.index, &envelope, &mut changes);
+        for change in changes {
+            self.tell(change, out);
+        }
+        if envelope.origin == self.config.me.instance
+            && let Some(pending) = self.proposals.answered(envelope.ticket)
+        {
+            self.reply(now, &pending, reply, out);
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot, out: &mut Vec<Output>) {
+        match Ledger::decode(&snapshot.state) {
+            Ok(ledger) => {
+                self.ledger = ledger;
+                self.compacted = snapshot.index;
+                out.push(Output::Edge(Edge::Note(Note::Restored { index: snapshot.index })));
+                self.tell_all(out);
+            }
+            Err(error) => {
+                let (index, reason) = (snapshot.index, error.to_string());
+                out.push(Output::Edge(Edge::Note(Note::Unreadable { index, reason })));
+            }
+        }
+    }
+
+    fn compact(&mut self, now: Time) {
+        let index = self.ledger.applied();
+        if index.0 < self.compacted.0 + self.config.compact {
+            return;
+        }
+        self.compacted = index;
+        let state = self.ledger.encode();
+        self.consensus(now, consensus::Event::Compacted { index, state });
+    }
+}
--- /dev/null
+++ b/lib/src/council/answers.rs
@@ -0,0 +1,262 @@
+//! What the council's part tells the other parts and those who asked it.
+
+use super::{
+    Answer, Asker, Change, Council, Edge, Facts, InstanceId, Note, Output, Pending, Reply,
+    RequestId, Time, directory, router, scheduler,
+};
+use crate::{
+    ids::{DataCentre, Epoch},
+    instance::port::{InstanceStatus, Question, TaskAnswer},
+    router::port::ClaimAnswer,
+    task::{OpenTask, TaskState},
+};
+
+impl Council {
+    /// Tells a part that its command was applied.
+    pub(super) fn reply(&mut self, now: Time, pending: &Pending, reply: Reply, out: &mut Vec<Output>) {
+        match &pending.asker {
+            Asker::Front { ticket, .. } => {
+                let answer = Box::new(Answer::Reply(reply));
+                out.push(Output::Edge(Edge::Answer { ticket: *ticket, answer }));
+            }
+            Asker::Claim { request } => {
+                let answer = claim_answer(reply);
+                let event = router::Event::ClaimAnswered { request: *request, answer };
+                out.push(Output::router(event));
+            }
+            Asker::Settle { request } => out.push(recorded(*request)),
+            Asker::Start { attempt } => {
+                let attempt = *attempt;
+                out.push(Output::scheduler(match reply {
+                    Reply::Done => scheduler::Event::StartRecorded { attempt },
+                    _ => scheduler::Event::StartRefused { attempt },
+                }));
+            }
+            Asker::Yield { attempt } => {
+                let attempt = *attempt;
+                out.push(Output::scheduler(scheduler::Event::YieldRecorded { attempt }));
+            }
+            Asker::End { attempt } => {
+                let attempt = *attempt;
+                out.push(Output::scheduler(scheduler::Event::EndRecorded { attempt }));
+            }
+            Asker::Counts => out.extend(self.counts.recorded().into_iter().map(recorded)),
+            Asker::Hold => self.hold.answered(now),
+        }
+    }
+
+    /// Tells a part that its command found no leader in time.
+    pub(super) fn give_up(&self, asker: &Asker, sent: bool, out: &mut Vec<Output>) {
+        match asker {
+            Asker::Front { ticket, .. } => {
+                let answer = Box::new(if sent { Answer::Unknown } else { Answer::NotTaken });
+                out.push(Output::Edge(Edge::Answer { ticket: *ticket, answer }));
+            }
+            Asker::Claim { request } => {
+                let (request, answer) = (*request, ClaimAnswer::Unavailable);
+                out.push(Output::router(router::Event::ClaimAnswered { request, answer }));
+            }
+            Asker::Hold
+            | Asker::Settle { .. }
+            | Asker::Start { .. }
+            | Asker::Yield { .. }
+            | Asker::End { .. }
+            | Asker::Counts => {}
+        }
+    }
+
+    /// Passes a change of the ledger on to the parts that act on it.
+    pub(super) fn tell(&self, change: Change, out: &mut Vec<Output>) {
+        match change {
+            Change::Policy(policy) => {
+                let (plans, usage) = (policy.plans_revision, policy.usage_revision);
+                out.push(Output::Edge(Edge::Note(Note::Policy { plans, usage })));
+                out.push(Output::scheduler(scheduler::Event::Policy(policy.clone())));
+                out.push(Output::router(router::Event::Policy(policy.clone())));
+                out.push(Output::Edge(Edge::Policy(policy)));
+            }
+            Change::Queued(task) => {
+                out.push(note_task(task.task, "queued".to_owned()));
+                if self.places_here(&task) {
+                    out.push(Output::scheduler(scheduler::Event::Open(task)));
+                }
+            }
+            Change::Started { attempt, centre, worker } => {
+                let event = format!("attempt {} recorded on {worker}", attempt.attempt);
+                out.push(note_task(attempt.task, event));
+                if centre != self.config.me.centre
+                    && let Some(task) = self.ledger.task(attempt.task)
+                {
+                    // A scheduler that waits to place the task learns that another one did.
+                    let open = Box::new(task.to_open());
+                    out.push(Output::scheduler(scheduler::Event::Open(open)));
+                }
+            }
+            Change::Yielded { attempt } => {
+                out.push(note_task(attempt.task, format!("attempt {} stopped", attempt.attempt)));
+            }
+            Change::Ended { attempt, outcome } => {
+                out.push(note_task(attempt.task, format!("ended: {}", outcome.name())));
+                out.push(Output::scheduler(scheduler::Event::EndRecorded { attempt }));
+            }
+            Change::CancelAsked { task } => {
+                out.push(Output::scheduler(scheduler::Event::Cancelled { task }));
+            }
+            Change::CentreGranted { centre, epoch, holder } => {
+                self.tell_epoch(centre, epoch, Some(holder), out);
+            }
+            Change::CentreReleased { centre, epoch } => self.tell_epoch(centre, epoch, None, out),
+        }
+    }
+
+    /// Tells the other parts everything, after a start or a snapshot.
+    pub(super) fn tell_all(&self, out: &mut Vec<Output>) {
+        self.tell(Change::Policy(self.ledger.policy().clone()), out);
+        let centre = self.config.me.centre.clone();
+        if let Some((epoch, holder)) = self.ledger.centre(&centre) {
+            self.tell_epoch(centre, epoch, Some(holder), out);
+        }
+    }
+
+    fn tell_epoch(
+        &self,
+        centre: DataCentre,
+        epoch: Epoch,
+        holder: Option<InstanceId>,
+        out: &mut Vec<Output>,
+    ) {
+        let note = Note::Epoch { centre: centre.clone(), epoch, holder };
+        out.push(Output::Edge(Edge::Note(note)));
+        if centre != self.config.me.centre {
+            return;
+        }
+        let mine = holder == Some(self.config.me.instance);
+        let epoch = mine.then_some(epoch);
+        if mine {
+            let open = self.ledger.open_tasks().map(|view| view.to_open());
+            let here = open.filter(|task| self.places_here(task));
+            out.extend(
+                here.map(|task| Output::scheduler(scheduler::Event::Open(Box::new(task)))),
+            );
+        }
+        out.push(Output::scheduler(scheduler::Event::Hold { centre, epoch }));
+    }
+
+    /// Whether this data centre's scheduler looks after the task.
+    ///
+    /// A task that may run anywhere has one data centre by its number, so that two schedulers
+    /// don't try to start it at once; the ledger would refuse the second.
+    fn places_here(&self, task: &OpenTask) -> bool {
+        let mine = &self.config.me.centre;
+        if let TaskState::Running { centre, .. } = &task.state {
+            return centre == mine;
+        }
+        match &task.spec.centre {
+            Some(centre) => centre == mine,
+            None => self.ledger.home_of(task.task) == Some(mine),
+        }
+    }
+
+    /// Tells the directory what is known now, if it changed.
+    pub(super) fn tell_facts(&mut self, out: &mut Vec<Output>) {
+        let status = self.consensus.status();
+        let policy = self.ledger.policy();
+        let me = self.config.me.instance;
+        let held = self
+            .ledger
+            .centres()
+            .filter(|(_, _, holder)| *holder == me)
+            .map(|(centre, epoch, _)| (centre.clone(), epoch))
+            .collect();
+        let facts = Facts {
+            member: status.last.0 > 0,
+            applied: self.ledger.applied(),
+            plans: policy.plans_revision,
+            usage: policy.usage_revision,
+            held,
+        };
+        if facts != self.facts {
+            self.facts = facts.clone();
+            out.push(Output::directory(directory::Event::Facts(Box::new(facts))));
+        }
+    }
+
+    /// Answers a question from the ledger.
+    pub(super) fn answer(&self, question: &Question) -> Answer {
+        match question {
+            Question::Status => Answer::Status(Box::new(self.instance_status())),
+            Question::Task { customer, task } => match self.ledger.task(*task) {
+                Some(view) if view.customer() == customer => {
+                    let open = view.to_open();
+                    Answer::Task(Box::new(TaskAnswer {
+                        task: open.task,
+                        state: open.state,
+                        evictions: open.evictions,
+                        failures: open.failures,
+                        cancelled: open.cancelled,
+                        checkpoint: open.checkpoint,
+                    }))
+                }
+                Some(_) | None => Answer::NotFound,
+            },
+            Question::List { list } => match self.ledger.list_text(*list) {
+                Some(standing) => Answer::List {
+                    revision: standing.revision,
+                    version: standing.version,
+                    author: standing.author.clone(),
+                    text: standing.text.to_string(),
+                },
+                None => Answer::NotFound,
+            },
+        }
+    }
+
+    fn instance_status(&self) -> InstanceStatus {
+        let status = self.consensus.status();
+        let policy = self.ledger.policy();
+        InstanceStatus {
+            instance: self.config.me.instance,
+            name: self.config.me.name.clone(),
+            centre: self.config.me.centre.clone(),
+            role: status.role.to_string(),
+            term: status.term,
+            leader: status.leader,
+            committed: status.commit,
+            applied: self.ledger.applied(),
+            voters: status.members.voters.clone(),
+            plans: policy.plans_revision,
+            usage: policy.usage_revision,
+            centres: self
+                .ledger
+                .centres()
+                .map(|(centre, epoch, holder)| (centre.clone(), epoch, holder))
+                .collect(),
+            alive: self.alive.iter().map(|info| info.name.clone()).collect(),
+            open_tasks: self.ledger.open_tasks().count() as u64,
+            counts: self.ledger.counts().map(|(name, count)| (name.clone(), count)).collect(),
+        }
+    }
+}
+
+fn recorded(request: RequestId) -> Output {
+    Output::router(router::Event::Recorded { request })
+}
+
+fn note_task(task: crate::ids::TaskId, event: String) -> Output {
+    Output::Edge(Edge::Note(Note::Task { task, event }))
+}
+
+fn claim_answer(reply: Reply) -> ClaimAnswer {
+    match reply {
+        Reply::Claimed => ClaimAnswer::Claimed,
+        Reply::AlreadyClaimed { result } => ClaimAnswer::Earlier(result),
+        Reply::Refused(crate::command::Refusal::KeyReused) => ClaimAnswer::KeyReused,
+        Reply::Refused(_)
+        | Reply::Edited { .. }
+        | Reply::Rejected(_)
+        | Reply::Conflict { .. }
+        | Reply::Submitted { .. }
+        | Reply::Done
+        | Reply::Granted { .. } => ClaimAnswer::Unavailable,
+    }
+}
--- /dev/null
+++ b/lib/src/council/hold.rs
@@ -0,0 +1,149 @@
+//! The right to place work in this instance's data centre: when to take it, and whether it still
+//! stands.
+
+use std::time::Duration;
+
+use crate::{
+    command::Command,
+    council::Config,
+    directory::port::InstanceInfo,
+    ids::{DataCentre, Index, InstanceId, Ticket},
+    ledger::Ledger,
+    time::Time,
+};
+
+/// How often it is weighed whether to take the right.
+const WEIGH: Duration = Duration::from_millis(250);
+
+/// Takes, confirms and gives back the right to place.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    me: InstanceId,
+    centre: DataCentre,
+    takeover: Duration,
+    every: Duration,
+    draining: bool,
+    /// The holder was alive, or there was nothing to take, at this time.
+    content: Time,
+    weigh: Time,
+    asked: bool,
+    confirm: Time,
+    reads: u64,
+    read: Option<(Ticket, Option<Index>)>,
+}
+
+impl Hold {
+    /// Starts without the right.
+    pub fn new(config: &Config, now: Time) -> Self {
+        Self {
+            me: config.me.instance,
+            centre: config.me.centre.clone(),
+            takeover: config.takeover,
+            every: config.confirm,
+            draining: false,
+            content: now,
+            weigh: now,
+            asked: false,
+            confirm: now,
+            reads: 0,
+            read: None,
+        }
+    }
+
+    /// Gives the right back and takes it no more.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// The command that takes or gives back the right, if that is due.
+    pub fn take(
+        &mut self,
+        now: Time,
+        ledger: &Ledger,
+        alive: &[InstanceInfo],
+    ) -> Option<Command> {
+        if now < self.weigh {
+            return None;
+        }
+        self.weigh = now + WEIGH;
+        if self.asked {
+            self.asked = false;
+            return None;
+        }
+        let standing = ledger.centre(&self.centre);
+        if self.draining {
+            let (epoch, _) = standing.filter(|(_, holder)| *holder == self.me)?;
+            self.asked = true;
+            return Some(Command::ReleaseCentre { centre: self.centre.clone(), epoch });
+        }
+        if standing.is_some_and(|(_, holder)| self.lives(holder, alive)) {
+            self.content = now;
+            return None;
+        }
+        if now.since(self.content) < self.patience(standing.is_some(), alive) {
+            return None;
+        }
+        self.asked = true;
+        let previous = ledger.last_epoch(&self.centre);
+        Some(Command::GrantCentre { centre: self.centre.clone(), holder: self.me, previous })
+    }
+
+    fn lives(&self, holder: InstanceId, alive: &[InstanceInfo]) -> bool {
+        holder == self.me || alive.iter().any(|info| info.instance == holder && !info.draining)
+    }
+
+    /// How long to wait before taking the right: the instances of the data centre do so one
+    /// after the other, by identity.
+    fn patience(&self, held: bool, alive: &[InstanceInfo]) -> Duration {
+        let earlier = alive
+            .iter()
+            .filter(|info| info.centre == self.centre && info.instance < self.me && !info.draining)
+            .count();
+        let turn = WEIGH * 2 * u32::try_from(earlier).unwrap_or(u32::MAX);
+        if held { self.takeover + turn } else { turn }
+    }
+
+    /// The command was answered; weigh anew.
+    pub fn answered(&mut self, now: Time) {
+        self.asked = false;
+        self.content = now;
+    }
+
+    /// A read to start, if the right is held and its confirmation is due.
+    pub fn confirm(&mut self, now: Time, ledger: &Ledger) -> Option<Ticket> {
+        if now < self.confirm {
+            return None;
+        }
+        self.confirm = now + self.every;
+        ledger.centre(&self.centre).filter(|(_, holder)| *holder == self.me)?;
+        self.reads += 1;
+        let ticket = Ticket(self.reads);
+        self.read = Some((ticket, None));
+        Some(ticket)
+    }
+
+    /// The read is current once `index` is applied; whether the right is confirmed by it.
+    pub fn confirmed(&mut self, ticket: Ticket, index: Index, ledger: &Ledger) -> bool {
+        if self.read.as_ref().is_none_or(|(asked, _)| *asked != ticket) {
+            return false;
+        }
+        if ledger.applied() < index {
+            self.read = Some((ticket, Some(index)));
+            return false;
+        }
+        self.read = None;
+        ledger.centre(&self.centre).is_some_and(|(_, holder)| holder == self.me)
+    }
+
+    /// The read found no leader.
+    pub fn failed(&mut self, ticket: Ticket) {
+        if self.read.as_ref().is_some_and(|(asked, _)| *asked == ticket) {
+            self.read = None;
+        }
+    }
+
+    /// When [`Self::take`] or [`Self::confirm`] is due.
+    pub fn next_deadline(&self) -> Time {
+        self.weigh.min(self.confirm)
+    }
+}
--- /dev/null
+++ b/lib/src/council/members.rs
@@ -0,0 +1,84 @@
+//! The leader's care for the council's members: who follows, who votes.
+//!
+//! The agreement itself drops members that fall silent and puts a standby in a lost voter's place;
+//! this part tells it who there is.
+
+use std::time::Duration;
+
+use crate::{
+    consensus::{
+        chart::Role,
+        port::{Event, Status},
+    },
+    council::Config,
+    directory::port::InstanceInfo,
+    ids::{DataCentre, InstanceId},
+    time::Time,
+};
+
+/// How often the leader looks after the members.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Looks after the members while this instance leads.
+#[derive(Clone, Debug)]
+pub struct Keeper {
+    voters: usize,
+    look: Time,
+    standbys: Vec<InstanceId>,
+}
+
+impl Keeper {
+    /// Aims at the number of voters in `config`.
+    pub fn new(config: &Config, now: Time) -> Self {
+        Self { voters: config.voters, look: now, standbys: Vec::new() }
+    }
+
+    /// When [`Self::tick`] is due.
+    pub fn next_deadline(&self) -> Time {
+        self.look
+    }
+
+    /// What to tell the agreement.
+    pub fn tick(&mut self, now: Time, status: &Status, alive: &[InstanceInfo]) -> Vec<Event> {
+        if now < self.look {
+            return Vec::new();
+        }
+        self.look = now + LOOK;
+        if status.role != Role::Leader {
+            self.standbys.clear();
+            return Vec::new();
+        }
+        let mut events = Vec::new();
+        let instances: Vec<_> =
+            alive.iter().filter(|i| i.disk && !i.draining).map(|i| i.instance).collect();
+        if instances != self.standbys {
+            self.standbys.clone_from(&instances);
+            events.push(Event::Standbys { instances });
+        }
+        let new = alive.iter().filter(|info| !status.members.contains(info.instance));
+        events.extend(new.map(|info| Event::AddLearner { instance: info.instance }));
+        if status.members.voters.len() < self.voters
+            && let Some(instance) = candidate(status, alive)
+        {
+            events.push(Event::Promote { instance });
+        }
+        events
+    }
+}
+
+/// A learner with a disk, in the data centre with the fewest voters.
+fn candidate(status: &Status, alive: &[InstanceInfo]) -> Option<InstanceId> {
+    let centre_of = |member: &InstanceId| {
+        alive.iter().find(|info| info.instance == *member).map(|info| &info.centre)
+    };
+    let voters_in = |centre: &DataCentre| {
+        let voters = status.members.voters.iter();
+        voters.filter_map(centre_of).filter(|there| *there == centre).count()
+    };
+    alive
+        .iter()
+        .filter(|info| info.disk && !info.draining)
+        .filter(|info| status.members.learners.contains(&info.instance))
+        .min_by_key(|info| (voters_in(&info.centre), info.instance))
+        .map(|info| info.instance)
+}
--- /dev/null
+++ b/lib/src/directory.rs
@@ -0,0 +1,245 @@
+//! Which instances are alive, which targets there are, and who holds a data centre's epoch.
+//!
+//! Instances tell each other of themselves in beats. An instance that hears a worker announce a
+//! target is an authority for it: it numbers its changes and sends each to all others, and every
+//! beat carries the newest number, so that one beat confirms the whole set and a gap shows at
+//! once. What an authority hasn't confirmed for [`Config::confirm`] is no longer routed to: an
+//! instance that is cut off stops sending to a target that may be leaving.
+
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+use crate::{
+    directory::{
+        instances::Instances,
+        port::{Beat, Event, Facts, InstanceInfo, PeerMessage, TargetsMessage},
+        targets::{Local, Merged, Remote},
+    },
+    ids::{Fence, InstanceId},
+    instance::port::{Edge, Output},
+    router::port as router,
+    scheduler::port as scheduler,
+    time::{Time, earliest},
+    worker::{Announcement, LeaseAnswer},
+};
+
+pub mod instances;
+pub mod port;
+pub mod targets;
+
+/// What the directory of one instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The instance as it presents itself.
+    pub me: InstanceInfo,
+    /// Instances to call first.
+    pub seeds: Vec<SocketAddr>,
+    /// How often a beat is sent.
+    pub beat: Duration,
+    /// How long after its last beat an instance counts as dead.
+    pub dead: Duration,
+    /// How long after its last beat an authority's targets are still routed to.
+    pub confirm: Duration,
+    /// How long after its last announcement a target is gone.
+    pub expire: Duration,
+    /// The time between two announcements of a worker.
+    pub announce: Duration,
+}
+
+/// The directory of one instance.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    config: Config,
+    facts: Facts,
+    instances: Instances,
+    local: Local,
+    remote: BTreeMap<InstanceId, Remote>,
+    merged: Merged,
+    next_beat: Time,
+    next_sweep: Time,
+}
+
+impl Directory {
+    /// A directory that knows its own instance only.
+    pub fn new(config: Config, now: Time) -> Self {
+        Self {
+            instances: Instances::new(&config.seeds),
+            config,
+            facts: Facts::default(),
+            local: Local::default(),
+            remote: BTreeMap::new(),
+            merged: Merged::default(),
+            next_beat: now,
+            next_sweep: now,
+        }
+    }
+
+    /// Takes in an event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Output>) {
+        match event {
+            Event::Timer => self.tick(now, out),
+            Event::Facts(facts) => self.facts = *facts,
+            Event::Draining => self.config.me.draining = true,
+            Event::Post { to, message } => self.post(to, message, out),
+            Event::Beat(beat) => self.take_beat(now, &beat, out),
+            Event::Targets(message) => self.take_targets(now, message, out),
+            Event::Announced { ticket, announcement } => {
+                self.announced(now, ticket, announcement, out);
+            }
+        }
+    }
+
+    /// When [`Event::Timer`] is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        earliest(Some(self.next_beat), Some(self.next_sweep))
+    }
+
+    /// The instances that are alive, this one included, sorted by identity.
+    pub fn alive(&self) -> Vec<InstanceInfo> {
+        let mut alive: Vec<_> = self.instances.alive().cloned().collect();
+        alive.push(self.config.me.clone());
+        alive.sort_by_key(|info| info.instance);
+        alive
+    }
+
+    /// Targets that may be routed to.
+    pub fn targets(&self) -> impl Iterator<Item = &router::Target> {
+        self.merged.targets()
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
+        if now >= self.next_beat {
+            self.next_beat = now + self.config.beat;
+            self.send_beats(out);
+        }
+        if now >= self.next_sweep {
+            self.next_sweep = now + self.config.beat;
+            self.sweep(now, out);
+        }
+    }
+
+    fn send_beats(&mut self, out: &mut Vec<Output>) {
+        let addresses = self.instances.to_call(self.config.me.peer);
+        let beat = Beat {
+            info: self.config.me.clone(),
+            facts: self.facts.clone(),
+            targets: self.local.version(),
+            known: self.instances.known(),
+        };
+        out.extend(addresses.into_iter().map(|to| {
+            Output::Edge(Edge::Send { to, message: PeerMessage::Beat(Box::new(beat.clone())) })
+        }));
+    }
+
+    fn sweep(&mut self, now: Time, out: &mut Vec<Output>) {
+        let me = self.config.me.peer;
+        if let Some(changes) = self.local.expire(now, self.config.expire) {
+            self.broadcast(changes, out);
+        }
+        if self.instances.expire(now, self.config.dead) {
+            self.tell_instances(out);
+        }
+        self.merge(now, out);
+        if self.config.seeds.iter().all(|seed| self.instances.outside_council(*seed, me)) {
+            out.push(Output::council(crate::council::port::Event::Found));
+        }
+        let forget = self.config.expire + self.config.confirm;
+        self.remote.retain(|_, remote| now.since(remote.heard) < forget);
+    }
+
+    fn take_beat(&mut self, now: Time, beat: &Beat, out: &mut Vec<Output>) {
+        let from = beat.info.instance;
+        if from == self.config.me.instance {
+            return;
+        }
+        self.instances.learn(&beat.known);
+        if self.instances.heard(now, &beat.info, &beat.facts) {
+            self.tell_instances(out);
+        }
+        let remote = self.remote.entry(from).or_insert_with(|| Remote::new(now));
+        if remote.version == beat.targets {
+            remote.heard = now;
+        } else {
+            let wanted = TargetsMessage::Wanted { from: self.config.me.instance };
+            self.post(from, PeerMessage::Targets(wanted), out);
+        }
+    }
+
+    fn take_targets(&mut self, now: Time, message: TargetsMessage, out: &mut Vec<Output>) {
+        match message {
+            TargetsMessage::Wanted { from } => {
+                let all = self.local.all(self.config.me.instance);
+                self.post(from, PeerMessage::Targets(all), out);
+            }
+            TargetsMessage::All { from, version, items } => {
+                if let Some(remote) = self.remote.get_mut(&from) {
+                    remote.replace(version, items);
+                }
+            }
+            TargetsMessage::Changes { from, version, changes } => {
+                if let Some(remote) = self.remote.get_mut(&from) {
+                    remote.apply(version, changes);
+                }
+            }
+        }
+        self.merge(now, out);
+    }
+
+    fn announced(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        announcement: Box<Announcement>,
+        out: &mut Vec<Output>,
+    ) {
+        if let Some(changes) = self.local.announced(now, &announcement) {
+            self.broadcast(changes, out);
+            self.merge(now, out);
+        }
+        if self.facts.held.contains_key(&announcement.centre) {
+            let event = scheduler::Event::Announced { ticket, announcement };
+            out.push(Output::scheduler(event));
+            return;
+        }
+        let holder = self.instances.holder_of(&announcement.centre);
+        let answer = LeaseAnswer {
+            epoch: holder.map(|(epoch, _)| epoch).unwrap_or_default(),
+            fence: Fence::default(),
+            lease: None,
+            holder: holder.map(|(_, address)| address.to_string()),
+            interval: self.config.announce,
+            acknowledged: Vec::new(),
+        };
+        out.push(Output::Edge(Edge::AnnounceAnswer { ticket, answer: Ok(answer) }));
+    }
+
+    fn merge(&mut self, now: Time, out: &mut Vec<Output>) {
+        let confirm = self.config.confirm;
+        let confirmed = |remote: &&Remote| now.since(remote.heard) < confirm;
+        self.merged.update(&self.local, self.remote.values().filter(confirmed), out);
+    }
+
+    fn broadcast(&self, changes: TargetsMessage, out: &mut Vec<Output>) {
+        let message = changes.sent_by(self.config.me.instance);
+        out.extend(self.instances.alive().map(|info| {
+            let message = PeerMessage::Targets(message.clone());
+            Output::Edge(Edge::Send { to: info.peer, message })
+        }));
+    }
+
+    fn post(&mut self, to: InstanceId, message: PeerMessage, out: &mut Vec<Output>) {
+        if let Some(to) = self.instances.address_of(to) {
+            out.push(Output::Edge(Edge::Send { to, message }));
+        }
+    }
+
+    fn tell_instances(&self, out: &mut Vec<Output>) {
+        let alive = self.alive();
+        let peers = alive
+            .iter()
+            .filter(|info| !info.draining)
+            .map(|info| router::Peer { instance: info.instance, centre: info.centre.clone() })
+            .collect();
+        out.push(Output::router(router::Event::Instances(peers)));
+        out.push(Output::council(crate::council::port::Event::Instances(alive)));
+    }
+}
--- /dev/null
+++ b/lib/src/directory/targets.rs
@@ -0,0 +1,198 @@
+//! The targets that this instance hears of itself, those it is told of, and the merged view.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    directory::port::{TargetChange, TargetRecord, TargetsMessage},
+    ids::InstanceId,
+    instance::port::Output,
+    router::port::{Event, Target},
+    time::Time,
+    worker::Announcement,
+};
+
+/// Targets that workers announced to this instance.
+#[derive(Clone, Debug, Default)]
+pub struct Local {
+    version: u64,
+    items: BTreeMap<String, Announced>,
+}
+
+#[derive(Clone, Debug)]
+struct Announced {
+    record: TargetRecord,
+    at: Time,
+}
+
+/// Targets of another authority.
+#[derive(Clone, Debug)]
+pub struct Remote {
+    /// The number of the newest change that arrived without a gap.
+    pub version: u64,
+    /// When a beat last confirmed that nothing is missing.
+    pub heard: Time,
+    items: BTreeMap<String, TargetRecord>,
+}
+
+/// What the router was told.
+#[derive(Clone, Debug, Default)]
+pub struct Merged {
+    told: BTreeMap<String, Target>,
+}
+
+impl Local {
+    /// The number of the newest change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes in an announcement; the changes it makes, if any.
+    pub fn announced(&mut self, now: Time, said: &Announcement) -> Option<TargetsMessage> {
+        let mut changes = Vec::new();
+        let gone: Vec<_> = self
+            .items
+            .iter()
+            .filter(|(address, item)| {
+                item.record.target.worker == said.worker
+                    && item.record.incarnation <= said.incarnation
+                    && !said.targets.iter().any(|report| report.address == **address)
+            })
+            .map(|(address, _)| address.clone())
+            .collect();
+        for address in gone {
+            self.items.remove(&address);
+            changes.push(TargetChange::Gone { address });
+        }
+        for record in records(said) {
+            let address = record.target.address.clone();
+            let old = self.items.get(&address).map(|item| &item.record);
+            if old.is_some_and(|old| old.incarnation > record.incarnation) {
+                continue;
+            }
+            if old != Some(&record) {
+                changes.push(TargetChange::Put(Box::new(record.clone())));
+            }
+            self.items.insert(address, Announced { record, at: now });
+        }
+        self.changed(changes)
+    }
+
+    /// Drops targets whose workers fell silent; the changes it makes, if any.
+    pub fn expire(&mut self, now: Time, after: Duration) -> Option<TargetsMessage> {
+        let mut changes = Vec::new();
+        self.items.retain(|address, item| {
+            let keep = now.since(item.at) < after;
+            if !keep {
+                changes.push(TargetChange::Gone { address: address.clone() });
+            }
+            keep
+        });
+        self.changed(changes)
+    }
+
+    /// All targets, for another instance.
+    pub fn all(&self, me: InstanceId) -> TargetsMessage {
+        let items = self.items.values().map(|item| item.record.clone()).collect();
+        TargetsMessage::All { from: me, version: self.version, items }
+    }
+
+    fn changed(&mut self, changes: Vec<TargetChange>) -> Option<TargetsMessage> {
+        if changes.is_empty() {
+            return None;
+        }
+        self.version += 1;
+        let from = InstanceId::default();
+        Some(TargetsMessage::Changes { from, version: self.version, changes })
+    }
+}
+
+fn records(said: &Announcement) -> impl Iterator<Item = TargetRecord> {
+    said.targets.iter().map(|report| TargetRecord {
+        incarnation: said.incarnation,
+        target: Target {
+            address: report.address.clone(),
+            worker: said.worker.clone(),
+            centre: said.centre.clone(),
+            service: report.service.clone(),
+            slots: report.slots,
+            connections: report.connections,
+            leaving: said.leaving,
+        },
+    })
+}
+
+impl Remote {
+    /// An authority of which nothing is known yet.
+    pub fn new(now: Time) -> Self {
+        Self { version: 0, heard: now, items: BTreeMap::new() }
+    }
+
+    /// Takes in all targets, unless newer ones are known.
+    pub fn replace(&mut self, version: u64, items: Vec<TargetRecord>) {
+        if version < self.version {
+            return;
+        }
+        self.version = version;
+        self.items =
+            items.into_iter().map(|item| (item.target.address.clone(), item)).collect();
+    }
+
+    /// Takes in a change if none is missing before it; a gap shows at the next beat.
+    pub fn apply(&mut self, version: u64, changes: Vec<TargetChange>) {
+        if version != self.version + 1 {
+            return;
+        }
+        self.version = version;
+        for change in changes {
+            match change {
+                TargetChange::Put(record) => {
+                    self.items.insert(record.target.address.clone(), *record);
+                }
+                TargetChange::Gone { address } => {
+                    self.items.remove(&address);
+                }
+            }
+        }
+    }
+}
+
+impl Merged {
+    /// Merges what the authorities say and tells the router what changed.
+    ///
+    /// Of two reports the one of the later boot counts; of the same boot, the one that says
+    /// that the target is leaving, since a leaving target doesn't come back in the same boot.
+    pub fn update<'r>(
+        &mut self,
+        local: &Local,
+        remote: impl Iterator<Item = &'r Remote>,
+        out: &mut Vec<Output>,
+    ) {
+        let mut newest: BTreeMap<&str, &TargetRecord> = BTreeMap::new();
+        let own = local.items.values().map(|item| &item.record);
+        for record in own.chain(remote.flat_map(|remote| remote.items.values())) {
+            let rank = |record: &TargetRecord| (record.incarnation, record.target.leaving);
+            let best = newest.entry(&record.target.address).or_insert(record);
+            if rank(record) > rank(best) {
+                *best = record;
+            }
+        }
+        self.told.retain(|address, _| {
+            let keep = newest.contains_key(address.as_str());
+            if !keep {
+                out.push(Output::router(Event::TargetGone { address: address.clone() }));
+            }
+            keep
+        });
+        for (address, record) in newest {
+            if self.told.get(address) != Some(&record.target) {
+                self.told.insert(address.to_owned(), record.target.clone());
+                out.push(Output::router(Event::Target(Box::new(record.target.clone()))));
+            }
+        }
+    }
+
+    /// Targets that the router knows.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.told.values()
+    }
+}
--- /dev/null
+++ b/lib/src/instance.rs
@@ -0,0 +1,126 @@
+//! A whole instance as one machine: its council, scheduler, router and directory.
+//!
+//! The daemon runs each part in a thread of its own; [`Instance`] runs them one after the other,
+//! for front ends without threads, property tests and model checks. Both use the same parts.
+
+use crate::{
+    consensus::log::Recovered,
+    council::{Config as CouncilConfig, Council},
+    directory::{Config as DirectoryConfig, Directory},
+    instance::{
+        parts::{RouterPart, SchedulerPart},
+        port::{Edge, Event, Output},
+    },
+    ledger::DecodeError,
+    router::Config as RouterConfig,
+    scheduler::config::Config as SchedulerConfig,
+    time::{Time, earliest},
+};
+
+pub mod parts;
+pub mod port;
+
+/// What an instance is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// For the council's part.
+    pub council: CouncilConfig,
+    /// For the directory.
+    pub directory: DirectoryConfig,
+    /// For the router.
+    pub router: RouterConfig,
+    /// For the scheduler.
+    pub scheduler: SchedulerConfig,
+    /// Seeds what is drawn at random.
+    pub seed: u64,
+}
+
+/// The parts of an instance.
+#[derive(Debug)]
+pub struct Instance {
+    /// The agreed log and the ledger.
+    pub council: Council,
+    /// Other instances and targets.
+    pub directory: Directory,
+    /// Requests.
+    pub router: RouterPart,
+    /// Placement.
+    pub scheduler: SchedulerPart,
+}
+
+impl Instance {
+    /// Goes on from what storage found; `edges` gets what is to be done at once.
+    ///
+    /// # Errors
+    ///
+    /// The snapshot can't be decoded.
+    pub fn new(
+        config: Config,
+        recovered: Recovered,
+        now: Time,
+        edges: &mut Vec<Edge>,
+    ) -> Result<Self, DecodeError> {
+        let me = config.council.me.clone();
+        let mut instance = Self {
+            council: Council::new(config.council, recovered, now)?,
+            directory: Directory::new(config.directory, now),
+            router: RouterPart::new(me.instance, config.router, now, config.seed),
+            scheduler: SchedulerPart::new(me.centre, config.scheduler, now, config.seed),
+        };
+        let mut out = Vec::new();
+        instance.council.start(&mut out);
+        instance.run(now, out, edges);
+        Ok(instance)
+    }
+
+    /// Takes in an event and adds what the edges are to do to `edges`.
+    pub fn handle(&mut self, now: Time, event: Event, edges: &mut Vec<Edge>) {
+        self.run(now, vec![Output::Part(event)], edges);
+    }
+
+    /// Lets every part whose deadline has come act.
+    pub fn tick(&mut self, now: Time, edges: &mut Vec<Edge>) {
+        let due = |deadline: Option<Time>| deadline.is_some_and(|at| at <= now);
+        let mut out = Vec::new();
+        if due(self.council.next_deadline()) {
+            out.push(Output::council(crate::council::port::Event::Timer));
+        }
+        if due(self.directory.next_deadline()) {
+            out.push(Output::directory(crate::directory::port::Event::Timer));
+        }
+        if due(self.router.next_deadline()) {
+            out.push(Output::router(crate::router::port::Event::Timer));
+        }
+        if due(self.scheduler.next_deadline()) {
+            out.push(Output::scheduler(crate::scheduler::port::Event::Timer));
+        }
+        self.run(now, out, edges);
+    }
+
+    /// When [`Self::tick`] is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        let council = earliest(self.council.next_deadline(), self.directory.next_deadline());
+        let router = earliest(self.router.next_deadline(), self.scheduler.next_deadline());
+        earliest(council, router)
+    }
+
+    /// Passes events between the parts, in order, until only the edges have something to do.
+    fn run(&mut self, now: Time, out: Vec<Output>, edges: &mut Vec<Edge>) {
+        let mut waiting = std::collections::VecDeque::from(out);
+        let mut made = Vec::new();
+        while let Some(output) = waiting.pop_front() {
+            match output {
+                Output::Edge(edge) => edges.push(edge),
+                Output::Part(Event::Council(event)) => self.council.handle(now, event, &mut made),
+                Output::Part(Event::Scheduler(event)) => {
+                    self.scheduler.handle(now, event, &mut made);
+                }
+                Output::Part(Event::Router(event)) => self.router.handle(now, event, &mut made),
+                Output::Part(Event::Directory(event)) => {
+                    self.directory.handle(now, event, &mut made);
+                }
+            }
+            waiting.extend(made.drain(..));
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/instance/parts.rs
@@ -0,0 +1,120 @@
+//! The router and the scheduler as parts of an instance: their effects become events for other
+//! parts or something for an edge to do.
+
+use crate::{
+    command::Command,
+    council::port::{Asker, Event as CouncilEvent},
+    ids::{DataCentre, InstanceId},
+    instance::port::{Edge, Output},
+    router::{Config as RouterConfig, Router, port as router},
+    scheduler::{Scheduler, config::Config as SchedulerConfig, port as scheduler},
+    time::Time,
+};
+
+/// The router as a part of an instance.
+#[derive(Debug)]
+pub struct RouterPart {
+    /// The machine.
+    pub router: Router,
+    me: InstanceId,
+    effects: Vec<router::Effect>,
+}
+
+/// The scheduler as a part of an instance.
+#[derive(Debug)]
+pub struct SchedulerPart {
+    /// The machine.
+    pub scheduler: Scheduler,
+    centre: DataCentre,
+    effects: Vec<scheduler::Effect>,
+}
+
+impl RouterPart {
+    /// A router that knows no target yet.
+    pub fn new(me: InstanceId, config: RouterConfig, now: Time, seed: u64) -> Self {
+        Self { router: Router::new(config, now, seed), me, effects: Vec::new() }
+    }
+
+    /// Takes in an event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: router::Event, out: &mut Vec<Output>) {
+        self.router.handle(now, event, &mut self.effects);
+        let me = self.me;
+        out.extend(self.effects.drain(..).map(|effect| router_output(me, now, effect)));
+    }
+
+    /// When [`router::Event::Timer`] is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.router.next_deadline()
+    }
+}
+
+fn router_output(me: InstanceId, now: Time, effect: router::Effect) -> Output {
+    match effect {
+        router::Effect::Claim(claim) => {
+            let asker = Asker::Claim { request: crate::ids::RequestId(claim.request) };
+            ask(asker, Command::Claim(claim))
+        }
+        router::Effect::Record { request, customer, key: Some(key), result } => {
+            let command = Command::Settle { customer, key, owner: me, request: request.0, result };
+            ask(Asker::Settle { request }, command)
+        }
+        router::Effect::Record { request, customer, key: None, .. } => {
+            Output::council(CouncilEvent::Count { request, customer })
+        }
+        router::Effect::Send { attempt, target, fresh, customer, path, body, deadline } => {
+            let timeout = now.until(deadline);
+            Output::Edge(Edge::Request { attempt, target, fresh, customer, path, body, timeout })
+        }
+        router::Effect::Abandon { attempt } => Output::Edge(Edge::Abandon { attempt }),
+        router::Effect::CloseIdle { target } => Output::Edge(Edge::CloseIdle { target }),
+        router::Effect::Answer { request, outcome } => {
+            Output::Edge(Edge::RequestAnswer { request, outcome })
+        }
+        router::Effect::Drained => Output::Edge(Edge::Drained),
+    }
+}
+
+impl SchedulerPart {
+    /// A scheduler of `centre` that doesn't hold its epoch yet.
+    pub fn new(centre: DataCentre, config: SchedulerConfig, now: Time, seed: u64) -> Self {
+        Self { scheduler: Scheduler::new(config, now, seed), centre, effects: Vec::new() }
+    }
+
+    /// Takes in an event and adds what is to be done to `out`.
+    pub fn handle(&mut self, now: Time, event: scheduler::Event, out: &mut Vec<Output>) {
+        self.scheduler.handle(now, event, &mut self.effects);
+        let centre = &self.centre;
+        out.extend(self.effects.drain(..).map(|effect| scheduler_output(centre, effect)));
+    }
+
+    /// When [`scheduler::Event::Timer`] is due.
+    pub fn next_deadline(&self) -> Option<Time> {
+        self.scheduler.next_deadline()
+    }
+}
+
+fn scheduler_output(centre: &DataCentre, effect: scheduler::Effect) -> Output {
+    let centre = centre.clone();
+    match effect {
+        scheduler::Effect::RecordStart { epoch, attempt, worker } => {
+            ask(Asker::Start { attempt }, Command::Start { centre, epoch, attempt, worker })
+        }
+        scheduler::Effect::RecordYield { epoch, attempt, checkpoint, cause } => {
+            let command = Command::Yield { centre, epoch, attempt, checkpoint, cause };
+            ask(Asker::Yield { attempt }, command)
+        }
+        scheduler::Effect::RecordEnd { epoch, attempt, outcome } => {
+            ask(Asker::End { attempt }, Command::End { centre, epoch, attempt, outcome })
+        }
+        scheduler::Effect::Command { worker, address, epoch, fence, commands } => {
+            Output::Edge(Edge::Command { worker, address, epoch, fence, commands })
+        }
+        scheduler::Effect::Answer { ticket, answer } => {
+            Output::Edge(Edge::AnnounceAnswer { ticket, answer })
+        }
+    }
+}
+
+fn ask(asker: Asker, command: Command) -> Output {
+    Output::council(CouncilEvent::Ask { asker, command: Box::new(command) })
+}
--- a/lib/src/task.rs
+++ b/lib/src/task.rs
@@ -148,3 +148,16 @@
         }
     }
 }
+
+impl TaskOutcome {
+    /// The outcome's name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Completed { .. } => "completed",
+            Self::Failed { .. } => "failed",
+            Self::Cancelled => "cancelled",
+            Self::Impossible { .. } => "impossible",
+            Self::Unknown { .. } => "unknown",
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/settings.rs
@@ -0,0 +1,101 @@
+//! Settings files: what is read, and everything that is wrong in one at once.
+
+use hickorylink_lib::settings::Settings;
+
+const GOOD: &str = r#"{
+    // An instance with a disk.
+    "name": "akl-a-1",
+    "centre": "akl-a",
+    "listen": "127.0.0.1:7001",
+    "peer_listen": "127.0.0.1:7101",
+    "peers": ["127.0.0.1:7102"],
+    "data": "data/akl-a-1",
+    "founding": true,
+    "peer_key": "0123456789abcdef",
+    "worker_key": "fedcba9876543210",
+    "operator": {
+        "name": "hana",
+        "credential": "blake3:f8a03630fcfd7f4033a2a2a34793b24d7bcd5ebe7078836ec3b81b0668159d7f",
+    },
+    "log": { "format": "terminal", "level": "debug" },
+    "limits": { "body_kib": 64 },
+}"#;
+
+#[test]
+fn a_whole_file_is_read() {
+    let settings = Settings::parse("s.jsonc", GOOD).expect("the file is whole");
+    assert_eq!(settings.name.as_str(), "akl-a-1");
+    assert_eq!(settings.council, 3, "the default");
+    assert_eq!(settings.limits.body, 64 * 1024);
+    assert!(settings.founding);
+}
+
+#[test]
+fn faults_are_found_with_their_places() {
+    struct Case {
+        name: &'static str,
+        change: (&'static str, &'static str),
+        want: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "an unknown field",
+            change: (r#""listen": "127"#, r#""listne": "127"#),
+            want: &[
+                r#"s.jsonc:1:1: field "listen" is missing"#,
+                r#"s.jsonc:5:5: unknown field "listne"; did you mean "listen"?"#,
+            ],
+        },
+        Case {
+            name: "two faults at once",
+            change: ("\"akl-a-1\",\n    \"centre\": \"akl-a\"", "\"A 1\",\n    \"centre\": 7"),
+            want: &[
+                "s.jsonc:3:13: a name has at most 64 of the characters a to z, 0 to 9 and -",
+                r#"s.jsonc:4:15: "centre" must be text that isn't empty"#,
+            ],
+        },
+        Case {
+            name: "an address without a port",
+            change: (r#"["127.0.0.1:7102"]"#, r#"["localhost"]"#),
+            want: &[r#"s.jsonc:7:15: "localhost" is not an IP address with a port"#],
+        },
+        Case {
+            name: "founding without a disk",
+            change: (r#""data": "data/akl-a-1","#, ""),
+            want: &[r#"s.jsonc:1:1: "founding" needs "data""#],
+        },
+        Case {
+            name: "a short key",
+            change: ("0123456789abcdef", "0123"),
+            want: &["s.jsonc:10:17: a key has at least 16 bytes"],
+        },
+        Case {
+            name: "a credential in plain text",
+            change: ("blake3:f8a0", "f8a0"),
+            want: &["s.jsonc:14:23: a credential is given as \"blake3:\""],
+        },
+        Case {
+            name: "an unknown level",
+            change: (r#""level": "debug""#, r#""level": "debgu""#),
+            want: &[r#"s.jsonc:16:45: unknown level "debgu"; did you mean "debug"?"#],
+        },
+        Case {
+            name: "a limit out of bounds",
+            change: (r#""body_kib": 64"#, r#""body_kib": 0"#),
+            want: &[r#"s.jsonc:17:29: "body_kib" must be a whole number from 1 to 16384"#],
+        },
+        Case {
+            name: "no JSON",
+            change: ("{\n    // An", "{{\n    // An"),
+            want: &["s.jsonc:1:2: "],
+        },
+    ];
+    for case in cases {
+        let text = GOOD.replace(case.change.0, case.change.1);
+        assert_ne!(text, GOOD, "{}: the change applies", case.name);
+        let findings = Settings::parse("s.jsonc", &text).expect_err(case.name).to_string();
+        for want in case.want {
+            assert!(findings.contains(want), "{}: wanted {want}, got\n{findings}", case.name);
+        }
+    }
+}
