ledger: apply commands to lists, tasks, claims, counts and epochs

Cause: the council agrees on commands; something must hold what they add up to, and answer each of them the same on every instance.

Ruled out: keys of submissions as text, which cost several times the memory of a digest; one table of answers by origin and ticket, since a resend by a customer comes with another ticket; ending a replica's task at a bound of failures.

Command::Settle gains the number of the request: without it a second copy of an old 'did not run' could free a key that the same owner had claimed anew, and the request could run twice.

--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -27,19 +27,20 @@
     }
 }
 
-data! {
-    /// A command on its way through the log.
-    pub struct Envelope {
-        /// The instance that waits for the answer.
-        pub origin: InstanceId,
-        /// What it knows the answer by.
-        pub ticket: Ticket,
-        /// The leader's wall clock when it took the command in.
-        pub at: WallTime,
-        /// The command.
-        pub command: Command,
-    }
+/// A command on its way through the log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// The instance that waits for the answer.
+    pub origin: InstanceId,
+    /// What it knows the answer by.
+    pub ticket: Ticket,
+    /// The leader's wall clock when it took the command in.
+    pub at: WallTime,
+    /// The command.
+    pub command: Command,
+}
 
+data! {
     /// A change of what must survive.
     pub enum Command {
         /// Replace a list.
@@ -98,6 +99,8 @@
             key: IdempotencyKey,
             /// The instance that holds the claim.
             owner: InstanceId,
+            /// The owner's number of the request, as in its claim.
+            request: u64,
             /// What became of it.
             result: ClaimResult,
         },
--- a/lib/src/finding.rs
+++ b/lib/src/finding.rs
@@ -6,6 +6,7 @@
 
 data! {
     /// A place in a text file; lines and columns count from 1.
+    #[derive(Default)]
     pub struct Place {
         /// The file's name as it was given.
         pub file: String,
--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -1,6 +1,6 @@
 //! The keys and names by which the parts speak of the same thing.
 
-use crate::{data, key, name};
+use crate::{key, name};
 
 key! {
     /// One process of the system: the identity in its data folder, or one drawn at its start.
@@ -48,15 +48,13 @@
     pub struct TaskKind;
 }
 
-data! {
-    /// A try at a task.
-    #[derive(Copy, PartialOrd, Ord, Hash)]
-    pub struct TaskAttempt {
-        /// The task.
-        pub task: TaskId,
-        /// The number of the try.
-        pub attempt: Attempt,
-    }
+/// A try at a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskAttempt {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the try.
+    pub attempt: Attempt,
 }
 
 impl std::fmt::Display for TaskAttempt {
--- /dev/null
+++ b/lib/src/ledger/claims.rs
@@ -0,0 +1,199 @@
+//! Claims on idempotency keys: a request that isn't idempotent leaves only with one.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bytes::Bytes;
+
+use crate::{
+    command::{Claim, ClaimResult, Refusal, Reply},
+    data,
+    ids::{CustomerName, IdempotencyKey, InstanceId},
+    ledger::{Limits, names::digest},
+    time::WallTime,
+};
+
+data! {
+    /// All claims that are kept.
+    #[derive(Default)]
+    pub(super) struct Claims {
+        by_key: BTreeMap<u128, Record>,
+        /// Keys in the order in which they were claimed, with the time.
+        order: VecDeque<(WallTime, u128)>,
+        /// Keys whose result has a body, in the order in which they were settled.
+        bodies: VecDeque<u128>,
+        /// The size of all bodies, in bytes.
+        size: usize,
+    }
+
+    struct Record {
+        digest: [u8; 32],
+        owner: InstanceId,
+        request: u64,
+        at: WallTime,
+        state: State,
+    }
+
+    enum State {
+        /// The owner may send the request.
+        Held,
+        /// The request did not run; the key is free.
+        Freed,
+        /// The request ran.
+        Ran { status: u16, body: Option<Bytes> },
+        /// The request may have run.
+        Unknown,
+    }
+}
+
+/// What is known of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClaimView<'a> {
+    /// The instance that holds or held it.
+    pub owner: InstanceId,
+    /// The owner's number of the request.
+    pub request: u64,
+    /// The status of the answer, if the request is known to have run.
+    pub status: Option<u16>,
+    /// The body of that answer, if it is kept.
+    pub body: Option<&'a Bytes>,
+}
+
+/// The key of a claim: two customers with the same key have separate claims.
+fn slot(customer: &CustomerName, key: &IdempotencyKey) -> u128 {
+    digest(&[customer.as_str().as_bytes(), key.as_str().as_bytes()])
+}
+
+impl Claims {
+    /// What is known of the key, unless it is free.
+    pub(super) fn get(
+        &self,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+    ) -> Option<ClaimView<'_>> {
+        let record = self.by_key.get(&slot(customer, key))?;
+        let (status, body) = match &record.state {
+            State::Freed => return None,
+            State::Held | State::Unknown => (None, None),
+            State::Ran { status, body } => (Some(*status), body.as_ref()),
+        };
+        Some(ClaimView { owner: record.owner, request: record.request, status, body })
+    }
+
+    /// Takes a key, or says what stands.
+    pub(super) fn claim(&mut self, claim: &Claim, at: WallTime) -> Reply {
+        let slot = slot(&claim.customer, &claim.key);
+        let Some(record) = self.by_key.get(&slot) else {
+            self.hold(slot, claim, at);
+            return Reply::Claimed;
+        };
+        let resent = record.owner == claim.owner && record.request == claim.request;
+        match &record.state {
+            // A claim that comes again after its own release must not hold the key again: its
+            // owner has given the request up.
+            State::Freed if resent => Reply::AlreadyClaimed { result: Some(ClaimResult::NotRun) },
+            State::Freed => {
+                self.hold(slot, claim, at);
+                Reply::Claimed
+            }
+            State::Held | State::Ran { .. } | State::Unknown if record.digest != claim.digest => {
+                Reply::Refused(Refusal::KeyReused)
+            }
+            State::Held if resent => Reply::Claimed,
+            State::Held => Reply::AlreadyClaimed { result: None },
+            State::Unknown => Reply::AlreadyClaimed { result: Some(ClaimResult::Unknown) },
+            State::Ran { status, body } => {
+                let result = ClaimResult::Ran { status: *status, body: body.clone() };
+                Reply::AlreadyClaimed { result: Some(result) }
+            }
+        }
+    }
+
+    fn hold(&mut self, slot: u128, claim: &Claim, at: WallTime) {
+        let record = Record {
+            digest: claim.digest,
+            owner: claim.owner,
+            request: claim.request,
+            at,
+            state: State::Held,
+        };
+        self.by_key.insert(slot, record);
+        self.order.push_back((at, slot));
+    }
+
+    /// Records what became of a claimed request; also gives whether it is to be counted now.
+    ///
+    /// The first result stands, except that a late answer replaces "may have run".
+    pub(super) fn settle(
+        &mut self,
+        customer: &CustomerName,
+        key: &IdempotencyKey,
+        (owner, request): (InstanceId, u64),
+        result: &ClaimResult,
+        limits: &Limits,
+    ) -> (Reply, bool) {
+        let slot = slot(customer, key);
+        let Some(record) = self.by_key.get_mut(&slot) else {
+            return (Reply::Refused(Refusal::NotOwner), false);
+        };
+        if (record.owner, record.request) != (owner, request) {
+            return (Reply::Refused(Refusal::NotOwner), false);
+        }
+        match (&record.state, result) {
+            (State::Held | State::Unknown, ClaimResult::Ran { status, body }) => {
+                let body = body.clone().filter(|body| body.len() <= limits.body_max);
+                if let Some(body) = &body {
+                    self.size += body.len();
+                    self.bodies.push_back(slot);
+                }
+                record.state = State::Ran { status: *status, body };
+                (Reply::Done, true)
+            }
+            (State::Held, ClaimResult::NotRun) => {
+                record.state = State::Freed;
+                (Reply::Done, false)
+            }
+            (State::Held, ClaimResult::Unknown) => {
+                record.state = State::Unknown;
+                (Reply::Done, false)
+            }
+            (State::Unknown, ClaimResult::NotRun | ClaimResult::Unknown)
+            | (State::Freed | State::Ran { .. }, _) => (Reply::Done, false),
+        }
+    }
+
+    /// Forgets what is older or more than the limits allow.
+    pub(super) fn forget(&mut self, now: WallTime, limits: &Limits) {
+        while self.size > limits.bodies_max {
+            let Some(slot) = self.bodies.pop_front() else { break };
+            self.drop_body(slot);
+        }
+        while let Some((at, slot)) = self.order.front().copied() {
+            let old = now.0.saturating_sub(at.0) >= limits.claims_kept.as_millis() as u64;
+            if !old && self.order.len() <= limits.claims_max {
+                break;
+            }
+            self.order.pop_front();
+            // A key that was freed and claimed again has a younger entry, too.
+            if self.by_key.get(&slot).is_some_and(|record| record.at == at) {
+                self.drop_body(slot);
+                self.by_key.remove(&slot);
+            }
+        }
+        while self.bodies.front().is_some_and(|slot| !self.has_body(*slot)) {
+            self.bodies.pop_front();
+        }
+    }
+
+    fn has_body(&self, slot: u128) -> bool {
+        let record = self.by_key.get(&slot);
+        record.is_some_and(|record| matches!(record.state, State::Ran { body: Some(_), .. }))
+    }
+
+    fn drop_body(&mut self, slot: u128) {
+        if let Some(Record { state: State::Ran { body, .. }, .. }) = self.by_key.get_mut(&slot)
+            && let Some(body) = body.take()
+        {
+            self.size -= body.len();
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/ledger/counts.rs
@@ -0,0 +1,65 @@
+//! Completed requests and tasks by customer.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    data,
+    ids::{CustomerName, InstanceId},
+    time::WallTime,
+};
+
+data! {
+    /// What was counted, and which batches were.
+    #[derive(Default)]
+    pub(super) struct Counts {
+        by_customer: BTreeMap<CustomerName, u64>,
+        batches: BTreeMap<InstanceId, Batch>,
+    }
+
+    #[derive(Copy)]
+    struct Batch {
+        newest: u64,
+        at: WallTime,
+    }
+}
+
+impl Counts {
+    /// What was counted for each customer.
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&CustomerName, u64)> {
+        self.by_customer.iter().map(|(name, count)| (name, *count))
+    }
+
+    /// Adds completed requests or tasks.
+    pub(super) fn add(&mut self, customer: &CustomerName, count: u64) {
+        match self.by_customer.get_mut(customer) {
+            Some(sum) => *sum = sum.saturating_add(count),
+            None => drop(self.by_customer.insert(customer.clone(), count)),
+        }
+    }
+
+    /// Adds a batch, unless the instance's batch with this or a newer number was added.
+    pub(super) fn batch(
+        &mut self,
+        instance: InstanceId,
+        sequence: u64,
+        counts: &[(CustomerName, u64)],
+        at: WallTime,
+    ) {
+        if self.batches.get(&instance).is_some_and(|batch| batch.newest >= sequence) {
+            return;
+        }
+        self.batches.insert(instance, Batch { newest: sequence, at });
+        for (customer, count) in counts {
+            self.add(customer, *count);
+        }
+    }
+
+    /// Forgets the instances that have been silent the longest, down to `most`.
+    pub(super) fn forget(&mut self, most: usize) {
+        while self.batches.len() > most {
+            let oldest = self.batches.iter().min_by_key(|(instance, batch)| (batch.at, **instance));
+            let Some(oldest) = oldest.map(|(instance, _)| *instance) else { return };
+            self.batches.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/ledger/life.rs
@@ -0,0 +1,357 @@
+//! The life of a task: the vocabulary of its chart, and what the chart's actions do.
+
+use std::sync::LazyLock;
+
+use crate::{
+    chart::{Chart, Vocabulary},
+    command::{Refusal, Reply, YieldCause},
+    ids::{CustomerName, DataCentre, TaskAttempt, TaskId},
+    ledger::{
+        Limits,
+        change::Change,
+        names::Names,
+        replicas::refresh,
+        tasks::{Placement, Record, Tasks},
+    },
+    policy::Policy,
+    symbols,
+    task::{Checkpoint, TaskOutcome},
+    time::WallTime,
+};
+
+symbols! {
+    /// Where a task stands.
+    pub enum Phase {
+        /// It waits for a place.
+        Queued = "queued",
+        /// A try was recorded; it may be running.
+        Running = "running",
+        /// It ended.
+        Ended = "ended",
+    }
+
+    /// What happens to a task.
+    pub enum Event {
+        /// A try is to start.
+        Start = "start",
+        /// A try has surely stopped.
+        Yield = "yield",
+        /// The task is over.
+        End = "end",
+        /// Its customer cancels it, or its replica is surplus.
+        Cancel = "cancel",
+    }
+
+    /// What decides between two transitions.
+    pub enum Guard {
+        /// The start is of the next try, in a data centre where the task may run.
+        NextAttempt = "next_attempt",
+        /// The start is the one that was recorded last.
+        SameStart = "same_start",
+        /// The event is about the last try, from the data centre that may speak for it.
+        CurrentAttempt = "current_attempt",
+        /// The event is about a try that is known to have stopped.
+        StoppedAttempt = "stopped_attempt",
+        /// The task was cancelled.
+        Cancelled = "cancelled",
+        /// The task may have no further try after this failure.
+        Spent = "spent",
+        /// The try may have run, and running it again would double its work.
+        Unsure = "unsure",
+        /// The task ended as one that may have run, and now it is known what became of it.
+        AnswersUnknown = "answers_unknown",
+    }
+
+    /// What a transition does.
+    pub enum Action {
+        /// Records the try.
+        RecordStart = "record_start",
+        /// Counts the eviction or the failure.
+        CountStop = "count_stop",
+        /// Keeps the checkpoint if it is the newest.
+        KeepCheckpoint = "keep_checkpoint",
+        /// Lets the task wait for a place again.
+        Requeue = "requeue",
+        /// Ends the task with the outcome that was reported.
+        EndGiven = "end_given",
+        /// Ends the task as cancelled.
+        EndCancelled = "end_cancelled",
+        /// Ends the task as failed.
+        EndFailed = "end_failed",
+        /// Ends the task as one that may have run.
+        EndUnknown = "end_unknown",
+        /// Remembers the cancellation and passes it on.
+        AskCancel = "ask_cancel",
+        /// Answers that the try isn't the one that may start or end now.
+        RefuseAttempt = "refuse_attempt",
+        /// Answers that the task has ended.
+        RefuseEnded = "refuse_ended",
+    }
+}
+
+/// The chart of a task.
+pub type TaskChart = Chart<Phase, Event, Guard, Action>;
+
+const VOCABULARY: Vocabulary<'_, Phase, Event, Guard, Action> = Vocabulary {
+    states: (Phase::ALL, Phase::NAMES),
+    events: (Event::ALL, Event::NAMES),
+    guards: (Guard::ALL, Guard::NAMES),
+    actions: (Action::ALL, Action::NAMES),
+};
+
+/// The chart that ships.
+///
+/// # Panics
+///
+/// On its first use, with the findings, if the file that was built in isn't whole.
+pub static CHART: LazyLock<TaskChart> = LazyLock::new(|| {
+    let text = include_str!("../../../charts/task.jsonc");
+    Chart::parse("charts/task.jsonc", text, &VOCABULARY)
+        .unwrap_or_else(|findings| panic!("{findings}"))
+});
+
+/// What a command says about a task.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Input<'a> {
+    /// See [`Event::Start`].
+    Start(&'a Placement),
+    /// See [`Event::Yield`].
+    Yield {
+        attempt: TaskAttempt,
+        centre: &'a DataCentre,
+        checkpoint: Option<&'a Checkpoint>,
+        cause: &'a YieldCause,
+    },
+    /// See [`Event::End`].
+    End { attempt: TaskAttempt, centre: &'a DataCentre, outcome: &'a TaskOutcome },
+    /// See [`Event::Cancel`].
+    Cancel,
+}
+
+impl Input<'_> {
+    fn event(&self) -> Event {
+        match self {
+            Self::Start(_) => Event::Start,
+            Self::Yield { .. } => Event::Yield,
+            Self::End { .. } => Event::End,
+            Self::Cancel => Event::Cancel,
+        }
+    }
+}
+
+/// What the actions need besides the task.
+pub(super) struct Scene<'a> {
+    pub(super) limits: &'a Limits,
+    pub(super) policy: &'a Policy,
+    pub(super) now: WallTime,
+    pub(super) names: &'a mut Names,
+    pub(super) changes: &'a mut Vec<Change>,
+}
+
+/// What became of a command about a task.
+pub(super) struct Stepped {
+    /// The answer.
+    pub(super) reply: Reply,
+    /// The customer for whom a completed task is to be counted.
+    pub(super) counted: Option<CustomerName>,
+}
+
+impl Tasks {
+    /// Does what the chart says about `input`.
+    pub(super) fn step(
+        &mut self,
+        task: TaskId,
+        input: Input<'_>,
+        scene: &mut Scene<'_>,
+    ) -> Stepped {
+        let found = self.open.get(&task).or_else(|| self.ended.get(&task));
+        let Some(record) = found else {
+            return Stepped { reply: Reply::Refused(Refusal::NoSuchTask), counted: None };
+        };
+        let step = CHART
+            .step(record.phase, input.event(), |guard| holds(guard, record, &input, scene.limits))
+            .expect("the chart handles every event in every state");
+        let mut stepped = Stepped { reply: Reply::Done, counted: None };
+        for action in step.actions {
+            self.act(*action, task, input, scene, &mut stepped);
+        }
+        if let Some(record) = self.open.get_mut(&task) {
+            record.phase = step.to;
+        }
+        stepped
+    }
+
+    fn act(
+        &mut self,
+        action: Action,
+        task: TaskId,
+        input: Input<'_>,
+        scene: &mut Scene<'_>,
+        stepped: &mut Stepped,
+    ) {
+        match action {
+            Action::RefuseAttempt => stepped.reply = Reply::Refused(Refusal::StaleAttempt),
+            Action::RefuseEnded => stepped.reply = Reply::Refused(Refusal::Ended),
+            Action::EndGiven => stepped.counted = self.end_given(task, input, scene),
+            Action::EndCancelled => {
+                self.end(task, TaskOutcome::Cancelled, scene.now, scene.changes);
+            }
+            Action::EndFailed => {
+                let reason = reason(input);
+                self.end(task, TaskOutcome::Failed { reason }, scene.now, scene.changes);
+            }
+            Action::EndUnknown => {
+                let reason = format!("it isn't idempotent and stopped: {}", reason(input));
+                self.end(task, TaskOutcome::Unknown { reason }, scene.now, scene.changes);
+            }
+            Action::RecordStart
+            | Action::CountStop
+            | Action::KeepCheckpoint
+            | Action::Requeue
+            | Action::AskCancel => {
+                if let Some(record) = self.open.get_mut(&task) {
+                    act_on(action, task, record, input, scene);
+                }
+            }
+        }
+    }
+
+    /// Ends the task as reported; gives the customer if that counts as a completed task.
+    fn end_given(
+        &mut self,
+        task: TaskId,
+        input: Input<'_>,
+        scene: &mut Scene<'_>,
+    ) -> Option<CustomerName> {
+        let Input::End { outcome, .. } = input else { return None };
+        let view = self.get(task)?;
+        let counts = matches!(outcome, TaskOutcome::Completed { .. });
+        let counted = (counts && view.spec().service.is_none()).then(|| view.customer().clone());
+        self.end(task, outcome.clone(), scene.now, scene.changes);
+        counted
+    }
+}
+
+/// Does an action that touches only an open task's record.
+fn act_on(
+    action: Action,
+    task: TaskId,
+    record: &mut Record,
+    input: Input<'_>,
+    scene: &mut Scene<'_>,
+) {
+    match (action, input) {
+        (Action::RecordStart, Input::Start(placement)) => {
+            let centre = scene.names.centre(&placement.centre);
+            let worker = scene.names.worker(&placement.worker);
+            let attempt = TaskAttempt { task, attempt: placement.attempt };
+            let (c, w) = (centre.clone(), worker.clone());
+            scene.changes.push(Change::Started { attempt, centre: c, worker: w });
+            record.last = Some(Placement { centre, worker, ..placement.clone() });
+        }
+        (Action::CountStop, Input::Yield { cause, .. }) => match cause {
+            YieldCause::Evicted(_) => record.evictions = record.evictions.saturating_add(1),
+            YieldCause::Failed { .. } => record.failures = record.failures.saturating_add(1),
+            YieldCause::NotStarted => {}
+        },
+        (Action::KeepCheckpoint, Input::Yield { checkpoint: Some(new), .. }) => {
+            let kept = record.checkpoint.as_deref();
+            if kept.is_none_or(|kept| kept.attempt <= new.attempt) {
+                record.checkpoint = Some(Box::new(new.clone()));
+            }
+        }
+        (Action::Requeue, Input::Yield { attempt, .. }) => {
+            record.phase = Phase::Queued;
+            refresh(record, scene.policy, scene.names);
+            scene.changes.push(Change::Yielded { attempt });
+            scene.changes.push(Change::Queued(Box::new(record.to_open(task))));
+        }
+        (Action::AskCancel, _) => {
+            record.cancelled = true;
+            scene.changes.push(Change::CancelAsked { task });
+        }
+        (_, Input::Start(_) | Input::Yield { .. } | Input::End { .. } | Input::Cancel) => {}
+    }
+}
+
+fn reason(input: Input<'_>) -> String {
+    match input {
+        Input::Yield { cause: YieldCause::Evicted(why), .. } => format!("evicted: {why}"),
+        Input::Yield { cause: YieldCause::Failed { reason }, .. } => reason.clone(),
+        Input::Yield { cause: YieldCause::NotStarted, .. }
+        | Input::Start(_)
+        | Input::End { .. }
+        | Input::Cancel => String::new(),
+    }
+}
+
+fn holds(guard: Guard, record: &Record, input: &Input<'_>, limits: &Limits) -> bool {
+    match guard {
+        Guard::NextAttempt => match input {
+            Input::Start(new) => new.attempt == record.next() && may_run_in(record, &new.centre),
+            Input::Yield { .. } | Input::End { .. } | Input::Cancel => false,
+        },
+        Guard::SameStart => match input {
+            Input::Start(new) => record.last.as_ref() == Some(*new),
+            Input::Yield { .. } | Input::End { .. } | Input::Cancel => false,
+        },
+        Guard::CurrentAttempt => about(input).is_some_and(|(attempt, centre)| {
+            attempt.attempt == record.attempt() && may_speak(record, centre)
+        }),
+        Guard::StoppedAttempt => about(input).is_some_and(|(attempt, _)| {
+            attempt.attempt.0 > 0
+                && (attempt.attempt < record.attempt()
+                    || attempt.attempt == record.attempt() && record.phase != Phase::Running)
+        }),
+        Guard::Cancelled => record.cancelled,
+        Guard::Spent => spent(record, input, limits),
+        Guard::Unsure => unsure(record, input),
+        Guard::AnswersUnknown => {
+            record.is_unknown()
+                && matches!(input, Input::End { outcome, .. }
+                    if !matches!(outcome, TaskOutcome::Unknown { .. }))
+        }
+    }
+}
+
+/// The try and the data centre that an event is about.
+fn about<'a>(input: &Input<'a>) -> Option<(TaskAttempt, &'a DataCentre)> {
+    match input {
+        Input::Yield { attempt, centre, .. } | Input::End { attempt, centre, .. } => {
+            Some((*attempt, centre))
+        }
+        Input::Start(_) | Input::Cancel => None,
+    }
+}
+
+fn may_run_in(record: &Record, centre: &DataCentre) -> bool {
+    record.spec.centre.as_ref().is_none_or(|pinned| pinned == centre)
+}
+
+/// Whether a data centre may say what became of the last try: the one where it ran.
+fn may_speak(record: &Record, centre: &DataCentre) -> bool {
+    match &record.last {
+        Some(last) if record.phase != Phase::Queued => last.centre == *centre,
+        Some(_) | None => may_run_in(record, centre),
+    }
+}
+
+/// Whether a failure was the last that is allowed: the bound is reached, or the try ran and must
+/// not run again. A replica of a service has no bound.
+fn spent(record: &Record, input: &Input<'_>, limits: &Limits) -> bool {
+    let Input::Yield { cause: YieldCause::Failed { .. }, .. } = input else { return false };
+    record.spec.service.is_none()
+        && (!record.spec.idempotent || record.failures + 1 >= limits.failures_max)
+}
+
+/// Whether a try may have run and left nothing to resume from, though running it again would
+/// double its work. Only a checkpoint of this very try says how far it came.
+fn unsure(record: &Record, input: &Input<'_>) -> bool {
+    let Input::Yield { attempt, checkpoint, cause, .. } = input else { return false };
+    let resumes = checkpoint.is_some_and(|checkpoint| checkpoint.attempt == attempt.attempt);
+    let ran = match cause {
+        YieldCause::Evicted(_) | YieldCause::Failed { .. } => true,
+        YieldCause::NotStarted => false,
+    };
+    ran && !resumes && !record.spec.idempotent
+}
--- /dev/null
+++ b/lib/src/ledger/replicas.rs
@@ -0,0 +1,106 @@
+//! Replicas of services as tasks: the policy says how many, the ledger keeps one task for each.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+
+use crate::{
+    ids::{DataCentre, ServiceName, TaskId, TaskKind},
+    ledger::{
+        change::Change,
+        life::{Input, Phase, Scene},
+        names::Names,
+        tasks::{Record, Tasks},
+    },
+    policy::{Policy, Service},
+    task::TaskSpec,
+};
+
+/// What a replica of a service is as a task: it has no declared run time and never ends.
+fn replica_spec(name: &ServiceName, service: &Service, centre: &DataCentre) -> TaskSpec {
+    TaskSpec {
+        kind: TaskKind::from(name.as_str()),
+        size: service.size,
+        run_time: Duration::ZERO,
+        urgent: false,
+        idempotent: true,
+        centre: Some(centre.clone()),
+        service: Some(name.clone()),
+        payload: Bytes::new(),
+    }
+}
+
+/// Gives a waiting replica the size and the owner that the policy names now.
+///
+/// A replica that runs keeps what it has until it next waits: replacing all replicas at once
+/// would leave the service without any.
+pub(super) fn refresh(record: &mut Record, policy: &Policy, names: &mut Names) -> bool {
+    let (Some(name), Some(centre)) = (&record.spec.service, &record.spec.centre) else {
+        return false;
+    };
+    let Some(service) = policy.services.get(name) else { return false };
+    let spec = replica_spec(name, service, centre);
+    if spec == *record.spec && service.owner == record.customer {
+        return false;
+    }
+    record.spec = names.spec(spec);
+    record.customer = names.customer(&service.owner);
+    true
+}
+
+impl Tasks {
+    /// Makes the replicas those of the policy: adds what is missing, cancels the youngest of
+    /// what is surplus, and refreshes those that wait.
+    pub(super) fn reconcile(&mut self, scene: &mut Scene<'_>) {
+        let wanted = wanted(scene.policy);
+        let slots: BTreeSet<_> =
+            wanted.keys().cloned().chain(self.replicas.keys().cloned()).collect();
+        for slot in slots {
+            let count = wanted.get(&slot).copied().unwrap_or(0);
+            self.reconcile_slot(&slot, count, scene);
+        }
+        self.replicas.retain(|_, tasks| !tasks.is_empty());
+    }
+
+    fn reconcile_slot(
+        &mut self,
+        slot: &(ServiceName, DataCentre),
+        count: usize,
+        scene: &mut Scene<'_>,
+    ) {
+        let tasks = self.replicas.get(slot).into_iter().flatten().copied();
+        let standing: Vec<TaskId> = tasks.filter(|task| !self.open[task].cancelled).collect();
+        for task in standing.iter().skip(count) {
+            self.step(*task, Input::Cancel, scene);
+        }
+        for task in standing.iter().take(count) {
+            self.refresh_waiting(*task, scene);
+        }
+        let (name, centre) = slot;
+        let Some(service) = scene.policy.services.get(name) else { return };
+        for _ in standing.len()..count {
+            let spec = replica_spec(name, service, centre);
+            self.add(&service.owner, None, spec, scene.names, scene.changes);
+        }
+    }
+
+    fn refresh_waiting(&mut self, task: TaskId, scene: &mut Scene<'_>) {
+        let Some(record) = self.open.get_mut(&task) else { return };
+        if record.phase == Phase::Queued && refresh(record, scene.policy, scene.names) {
+            scene.changes.push(Change::Queued(Box::new(record.to_open(task))));
+        }
+    }
+}
+
+fn wanted(policy: &Policy) -> BTreeMap<(ServiceName, DataCentre), usize> {
+    let services = policy.services.iter();
+    services
+        .flat_map(|(name, service)| {
+            let replicas = service.replicas.iter();
+            replicas.map(move |(centre, count)| ((name.clone(), centre.clone()), *count as usize))
+        })
+        .collect()
+}
--- /dev/null
+++ b/lib/src/ledger/standing.rs
@@ -0,0 +1,186 @@
+//! The lists that stand, and the answers to edits of them.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use crate::{
+    command::{ListEdit, ListKind, Reply},
+    data,
+    finding::{Finding, Findings, Place},
+    ids::{OperatorName, Revision},
+    lists::{
+        PlansList, UsageList, check_replicas, check_together, combine, parse_plans, parse_usage,
+    },
+    policy::Policy,
+};
+
+data! {
+    /// Both lists with what is known of their edits.
+    #[derive(Default)]
+    pub(super) struct Lists {
+        plans: Option<Standing>,
+        usage: Option<Standing>,
+        last: Revision,
+        /// Answers to the last edits, the oldest first.
+        answers: VecDeque<Answered>,
+    }
+
+    /// A list that stands.
+    pub struct Standing {
+        /// Its revision.
+        pub revision: Revision,
+        /// The version in its text.
+        pub version: u64,
+        /// Who edited it.
+        pub author: OperatorName,
+        /// Its text.
+        pub text: Arc<str>,
+    }
+
+    struct Answered {
+        list: ListKind,
+        edit: u128,
+        answer: Answer,
+    }
+
+    enum Answer {
+        Edited(Revision),
+        Rejected(Findings),
+        /// What stands is shown as it is when the edit comes again.
+        Conflict,
+    }
+}
+
+/// The lists of a pair as far as they stand.
+struct Pair {
+    plans: Option<PlansList>,
+    usage: Option<UsageList>,
+}
+
+impl Lists {
+    /// The list that stands.
+    pub(super) fn get(&self, list: ListKind) -> Option<&Standing> {
+        match list {
+            ListKind::Plans => self.plans.as_ref(),
+            ListKind::Usage => self.usage.as_ref(),
+        }
+    }
+
+    /// Answers an edit; also gives the new policy if the list is now in force.
+    pub(super) fn edit(&mut self, edit: &ListEdit, most: usize) -> (Reply, Option<Policy>) {
+        let mut known = self.answers.iter();
+        if let Some(known) = known.find(|known| (known.list, known.edit) == (edit.list, edit.edit))
+        {
+            return (self.reply(edit.list, &known.answer), None);
+        }
+        let (answer, policy) = match self.judge(edit) {
+            Ok(Some(pair)) => {
+                let revision = self.accept(edit, &pair);
+                (Answer::Edited(revision), Some(self.policy(&pair)))
+            }
+            Ok(None) => (Answer::Conflict, None),
+            Err(findings) => (Answer::Rejected(findings), None),
+        };
+        let reply = self.reply(edit.list, &answer);
+        self.answers.push_back(Answered { list: edit.list, edit: edit.edit, answer });
+        while self.answers.len() > most {
+            self.answers.pop_front();
+        }
+        (reply, policy)
+    }
+
+    fn reply(&self, list: ListKind, answer: &Answer) -> Reply {
+        match (answer, self.get(list)) {
+            (Answer::Edited(revision), _) => Reply::Edited { revision: *revision },
+            (Answer::Rejected(findings), _) => Reply::Rejected(findings.clone()),
+            (Answer::Conflict, Some(standing)) => Reply::Conflict {
+                version: standing.version,
+                author: standing.author.clone(),
+                text: standing.text.to_string(),
+            },
+            (Answer::Conflict, None) => unreachable!("an edit conflicts only with a list"),
+        }
+    }
+
+    /// Whether the list may stand; `None` if its version is taken.
+    fn judge(&self, edit: &ListEdit) -> Result<Option<Pair>, Findings> {
+        let pair = self.pair_with(edit)?;
+        let stands = self.get(edit.list).map_or(0, |standing| standing.version);
+        let Some((version, place)) = pair.version(edit.list) else { return Ok(None) };
+        if version <= stands {
+            return Ok(None);
+        }
+        if version != stands + 1 {
+            return Err(gap(version, stands, place));
+        }
+        pair.check(edit.list)?;
+        Ok(Some(pair))
+    }
+
+    /// The edited list with the other one that stands.
+    fn pair_with(&self, edit: &ListEdit) -> Result<Pair, Findings> {
+        let text = |list| match list == edit.list {
+            true => Some(edit.text.as_str()),
+            false => self.get(list).map(|standing| &*standing.text),
+        };
+        let plans = text(ListKind::Plans).map(|text| parse_plans("plans.jsonc", text));
+        let usage = text(ListKind::Usage).map(|text| parse_usage("usage.jsonc", text));
+        Ok(Pair { plans: plans.transpose()?, usage: usage.transpose()? })
+    }
+
+    fn accept(&mut self, edit: &ListEdit, pair: &Pair) -> Revision {
+        self.last.0 += 1;
+        let standing = Standing {
+            revision: self.last,
+            version: pair.version(edit.list).map_or(0, |(version, _)| version),
+            author: edit.author.clone(),
+            text: edit.text.as_str().into(),
+        };
+        match edit.list {
+            ListKind::Plans => self.plans = Some(standing),
+            ListKind::Usage => self.usage = Some(standing),
+        }
+        self.last
+    }
+
+    fn policy(&self, pair: &Pair) -> Policy {
+        let revision = |list| self.get(list).map_or(Revision(0), |standing| standing.revision);
+        Policy {
+            plans_revision: revision(ListKind::Plans),
+            usage_revision: revision(ListKind::Usage),
+            ..pair.policy()
+        }
+    }
+}
+
+impl Pair {
+    fn version(&self, list: ListKind) -> Option<(u64, &Place)> {
+        match list {
+            ListKind::Plans => self.plans.as_ref().map(|plans| (plans.version, &plans.place)),
+            ListKind::Usage => self.usage.as_ref().map(|usage| (usage.version, &usage.place)),
+        }
+    }
+
+    fn check(&self, edited: ListKind) -> Result<(), Findings> {
+        let (Some(plans), Some(usage)) = (&self.plans, &self.usage) else { return Ok(()) };
+        match edited {
+            ListKind::Plans => check_replicas(plans, usage),
+            ListKind::Usage => check_together(plans, usage),
+        }
+    }
+
+    fn policy(&self) -> Policy {
+        match (&self.plans, &self.usage) {
+            (Some(plans), Some(usage)) => combine(plans, usage),
+            (Some(plans), None) => combine(plans, &UsageList::default()),
+            (None, _) => Policy::default(),
+        }
+    }
+}
+
+fn gap(version: u64, stands: u64, place: &Place) -> Findings {
+    let message = match stands {
+        0 => format!("version {version} must be 1: no list stands yet"),
+        stands => format!("version {version} must be {}: version {stands} stands", stands + 1),
+    };
+    Findings { items: vec![Finding { place: place.clone(), message }] }
+}
--- /dev/null
+++ b/lib/src/ledger/tasks.rs
@@ -0,0 +1,328 @@
+//! The tasks that the ledger holds, open ones and ended ones, and the keys of their submissions.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    sync::Arc,
+};
+
+use bytes::Bytes;
+
+use crate::{
+    command::{Refusal, Reply},
+    data,
+    ids::{Attempt, CustomerName, DataCentre, Epoch, ServiceName, TaskAttempt, TaskId, WorkerName},
+    ledger::{
+        Limits,
+        change::Change,
+        life::Phase,
+        names::{Names, digest, spec_digest},
+    },
+    task::{Checkpoint, OpenTask, Submission, TaskOutcome, TaskSpec, TaskState},
+    time::WallTime,
+};
+
+data! {
+    /// All tasks.
+    #[derive(Default)]
+    pub(super) struct Tasks {
+        last: TaskId,
+        pub(super) open: BTreeMap<TaskId, Box<Record>>,
+        pub(super) ended: BTreeMap<TaskId, Box<Record>>,
+        /// Submissions by a digest of customer and key.
+        keys: BTreeMap<u128, KeyEntry>,
+        /// Ended tasks in the order of their ends, with the time.
+        order: VecDeque<(WallTime, TaskId)>,
+        /// Keys of tasks that are kept no more, with the time of the task's end.
+        loose: VecDeque<(WallTime, u128)>,
+        /// The size of all outcomes that are kept, in bytes.
+        size: usize,
+        /// Open replicas of services; made anew from the open tasks after decoding.
+        #[serde(skip)]
+        pub(super) replicas: BTreeMap<(ServiceName, DataCentre), BTreeSet<TaskId>>,
+    }
+
+    struct KeyEntry {
+        task: TaskId,
+        /// A digest of what was submitted.
+        spec: u64,
+    }
+
+    /// A task.
+    pub(super) struct Record {
+        pub(super) customer: CustomerName,
+        /// The digest of customer and key; nothing for a replica.
+        key: Option<u128>,
+        /// What to run, without the payload: tasks of a kind share it.
+        pub(super) spec: Arc<TaskSpec>,
+        payload: Bytes,
+        pub(super) phase: Phase,
+        /// The last try.
+        pub(super) last: Option<Placement>,
+        pub(super) checkpoint: Option<Box<Checkpoint>>,
+        pub(super) evictions: u32,
+        pub(super) failures: u32,
+        pub(super) cancelled: bool,
+        outcome: Option<Box<TaskOutcome>>,
+    }
+
+    /// Where a try runs or ran.
+    pub(super) struct Placement {
+        pub(super) attempt: Attempt,
+        pub(super) epoch: Epoch,
+        pub(super) centre: DataCentre,
+        pub(super) worker: WorkerName,
+    }
+}
+
+/// A task as the ledger holds it.
+#[derive(Clone, Copy, Debug)]
+pub struct TaskView<'a> {
+    task: TaskId,
+    record: &'a Record,
+}
+
+impl<'a> TaskView<'a> {
+    /// Its number.
+    pub fn task(&self) -> TaskId {
+        self.task
+    }
+
+    /// Whose it is.
+    pub fn customer(&self) -> &'a CustomerName {
+        &self.record.customer
+    }
+
+    /// What to run, without the payload.
+    pub fn spec(&self) -> &'a TaskSpec {
+        &self.record.spec
+    }
+
+    /// How it ended, if it did.
+    pub fn outcome(&self) -> Option<&'a TaskOutcome> {
+        self.record.outcome.as_deref()
+    }
+
+    /// Whether a try was recorded that may be running.
+    pub fn is_running(&self) -> bool {
+        self.record.phase == Phase::Running
+    }
+
+    /// All of it, as the scheduler takes it in; the payload is kept only while it is open.
+    pub fn to_open(&self) -> OpenTask {
+        self.record.to_open(self.task)
+    }
+}
+
+impl Record {
+    /// The number of the last try; 0 if there was none.
+    pub(super) fn attempt(&self) -> Attempt {
+        self.last.as_ref().map(|last| last.attempt).unwrap_or_default()
+    }
+
+    /// The number that the next try gets.
+    pub(super) fn next(&self) -> Attempt {
+        Attempt(self.attempt().0 + 1)
+    }
+
+    /// Whether it ended as one that may have run.
+    pub(super) fn is_unknown(&self) -> bool {
+        matches!(self.outcome.as_deref(), Some(TaskOutcome::Unknown { .. }))
+    }
+
+    /// The task as the scheduler takes it in.
+    pub(super) fn to_open(&self, task: TaskId) -> OpenTask {
+        OpenTask {
+            task,
+            customer: self.customer.clone(),
+            spec: TaskSpec { payload: self.payload.clone(), ..TaskSpec::clone(&self.spec) },
+            state: self.state(),
+            next: self.next(),
+            checkpoint: self.checkpoint.as_deref().cloned(),
+            evictions: self.evictions,
+            failures: self.failures,
+            cancelled: self.cancelled,
+        }
+    }
+
+    fn state(&self) -> TaskState {
+        match (self.phase, &self.last, &self.outcome) {
+            (Phase::Ended, _, Some(outcome)) => TaskState::Ended(TaskOutcome::clone(outcome)),
+            (Phase::Running, Some(last), _) => TaskState::Running {
+                attempt: last.attempt,
+                worker: last.worker.clone(),
+                centre: last.centre.clone(),
+            },
+            (Phase::Queued | Phase::Running | Phase::Ended, ..) => TaskState::Queued,
+        }
+    }
+}
+
+fn outcome_size(outcome: &TaskOutcome) -> usize {
+    match outcome {
+        TaskOutcome::Completed { output } => output.len(),
+        TaskOutcome::Failed { reason }
+        | TaskOutcome::Impossible { reason }
+        | TaskOutcome::Unknown { reason } => reason.len(),
+        TaskOutcome::Cancelled => 0,
+    }
+}
+
+impl Tasks {
+    /// A task that is kept.
+    pub(super) fn get(&self, task: TaskId) -> Option<TaskView<'_>> {
+        let record = self.open.get(&task).or_else(|| self.ended.get(&task))?;
+        Some(TaskView { task, record })
+    }
+
+    /// All tasks without an end, by number.
+    pub(super) fn open(&self) -> impl Iterator<Item = TaskView<'_>> {
+        self.open.iter().map(|(task, record)| TaskView { task: *task, record })
+    }
+
+    /// The answer to a submission that came before.
+    pub(super) fn resent(&self, submission: &Submission) -> Option<Reply> {
+        let entry = self.keys.get(&submission_key(submission))?;
+        Some(match entry.spec == submission_digest(&submission.spec) {
+            true => Reply::Submitted { task: entry.task },
+            false => Reply::Refused(Refusal::KeyReused),
+        })
+    }
+
+    /// Takes in a submission that didn't come before.
+    pub(super) fn submit(
+        &mut self,
+        submission: &Submission,
+        names: &mut Names,
+        changes: &mut Vec<Change>,
+    ) -> Reply {
+        let key = submission_key(submission);
+        let spec = TaskSpec { service: None, ..submission.spec.clone() };
+        let task = self.add(&submission.customer, Some(key), spec, names, changes);
+        let spec = submission_digest(&submission.spec);
+        self.keys.insert(key, KeyEntry { task, spec });
+        Reply::Submitted { task }
+    }
+
+    /// Adds a task.
+    pub(super) fn add(
+        &mut self,
+        customer: &CustomerName,
+        key: Option<u128>,
+        mut spec: TaskSpec,
+        names: &mut Names,
+        changes: &mut Vec<Change>,
+    ) -> TaskId {
+        self.last.0 += 1;
+        let task = self.last;
+        let payload = std::mem::take(&mut spec.payload);
+        let record = Box::new(Record {
+            customer: names.customer(customer),
+            key,
+            spec: names.spec(spec),
+            payload,
+            phase: Phase::Queued,
+            last: None,
+            checkpoint: None,
+            evictions: 0,
+            failures: 0,
+            cancelled: false,
+            outcome: None,
+        });
+        changes.push(Change::Queued(Box::new(record.to_open(task))));
+        self.index(task, &record);
+        self.open.insert(task, record);
+        task
+    }
+
+    fn index(&mut self, task: TaskId, record: &Record) {
+        if let Some(slot) = replica_slot(&record.spec) {
+            self.replicas.entry(slot).or_default().insert(task);
+        }
+    }
+
+    /// Ends a task, or replaces the outcome of an ended one.
+    pub(super) fn end(
+        &mut self,
+        task: TaskId,
+        outcome: TaskOutcome,
+        now: WallTime,
+        changes: &mut Vec<Change>,
+    ) {
+        let mut record = match self.open.remove(&task) {
+            Some(record) => {
+                self.order.push_back((now, task));
+                record
+            }
+            None => match self.ended.remove(&task) {
+                Some(record) => record,
+                None => return,
+            },
+        };
+        if let Some(slot) = replica_slot(&record.spec)
+            && let Some(open) = self.replicas.get_mut(&slot)
+        {
+            open.remove(&task);
+        }
+        self.size -= record.outcome.as_deref().map_or(0, outcome_size);
+        self.size += outcome_size(&outcome);
+        let attempt = TaskAttempt { task, attempt: record.attempt() };
+        changes.push(Change::Ended { attempt, outcome: outcome.clone() });
+        record.phase = Phase::Ended;
+        record.payload = Bytes::new();
+        record.checkpoint = None;
+        record.outcome = Some(Box::new(outcome));
+        self.ended.insert(task, record);
+    }
+
+    /// Forgets what is older or more than the limits allow.
+    pub(super) fn forget(&mut self, now: WallTime, limits: &Limits) {
+        let age = |at: WallTime| u128::from(now.0.saturating_sub(at.0));
+        while let Some((at, task)) = self.order.front().copied() {
+            let many = self.order.len() > limits.ended_max || self.size > limits.ended_bytes;
+            if !many && age(at) < limits.ended_kept.as_millis() {
+                break;
+            }
+            self.order.pop_front();
+            let Some(record) = self.ended.remove(&task) else { continue };
+            self.size -= record.outcome.as_deref().map_or(0, outcome_size);
+            self.loose.extend(record.key.map(|key| (at, key)));
+        }
+        while let Some((at, key)) = self.loose.front().copied() {
+            if self.loose.len() <= limits.keys_max && age(at) < limits.keys_kept.as_millis() {
+                break;
+            }
+            self.loose.pop_front();
+            self.keys.remove(&key);
+        }
+    }
+
+    /// Puts back what a snapshot leaves out: the index of replicas, and the sharing of names.
+    pub(super) fn restore(&mut self, names: &mut Names) {
+        for record in self.open.values_mut().chain(self.ended.values_mut()) {
+            record.customer = names.customer(&record.customer);
+            record.spec = names.spec(TaskSpec::clone(&record.spec));
+            if let Some(last) = &mut record.last {
+                last.centre = names.centre(&last.centre);
+                last.worker = names.worker(&last.worker);
+            }
+        }
+        let open = self.open.iter();
+        let slots: Vec<_> =
+            open.filter_map(|(task, record)| Some((replica_slot(&record.spec)?, *task))).collect();
+        for (slot, task) in slots {
+            self.replicas.entry(slot).or_default().insert(task);
+        }
+    }
+}
+
+fn replica_slot(spec: &TaskSpec) -> Option<(ServiceName, DataCentre)> {
+    Some((spec.service.clone()?, spec.centre.clone()?))
+}
+
+fn submission_key(submission: &Submission) -> u128 {
+    digest(&[submission.customer.as_str().as_bytes(), submission.key.as_str().as_bytes()])
+}
+
+fn submission_digest(spec: &TaskSpec) -> u64 {
+    spec_digest(spec) as u64
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 //! or a model check drive the same code.
 
 pub mod chart;
+pub mod codec;
 pub mod command;
 pub mod consensus;
 mod derives;
--- a/lib/src/lists.rs
+++ b/lib/src/lists.rs
@@ -66,6 +66,7 @@
     }
 
     /// What each plan may use, as an operator wrote it.
+    #[derive(Default)]
     pub struct UsageList {
         /// The version: one above that of the list it replaces.
         pub version: u64,
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -1,18 +1,14 @@
 //! Processors, memory and accelerators.
 
-use crate::data;
-
-data! {
-    /// An amount of what a worker has and a task asks for.
-    #[derive(Copy, Default, Hash)]
-    pub struct Resources {
-        /// Thousandths of a processor.
-        pub millicores: u64,
-        /// Mebibytes of memory.
-        pub memory_mib: u64,
-        /// Whole accelerators.
-        pub accelerators: u32,
-    }
+/// An amount of what a worker has and a task asks for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Resources {
+    /// Thousandths of a processor.
+    pub millicores: u64,
+    /// Mebibytes of memory.
+    pub memory_mib: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
 }
 
 impl Resources {
--- /dev/null
+++ b/lib/tests/ledger.rs
@@ -0,0 +1,12 @@
+//! The ledger: what it answers to commands, what it keeps, and what always holds.
+
+#[path = "ledger/bounds.rs"]
+mod bounds;
+#[path = "ledger/claims.rs"]
+mod claims;
+#[path = "ledger/lists.rs"]
+mod lists;
+#[path = "ledger/support.rs"]
+mod support;
+#[path = "ledger/tasks.rs"]
+mod tasks;
