--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod api;
 pub mod chart;
+pub mod codec;
 pub mod command;
 pub mod consensus;
 mod derives;
