--- /dev/null
+++ b/cli/src/client.rs
@@ -0,0 +1,191 @@
+//! The operator's and the customer's side of the front.
+
+use bytes::Bytes;
+use clap::Args;
+use hickorylink_lib::api::{ErrorBody, NOT_RUN, UNKNOWN};
+use http_body_util::Full;
+use hyper::{Method, Request, header};
+use serde_json::Value;
+
+use crate::{
+    exit::Exit,
+    http::{self, Answer},
+};
+
+/// Where an instance is and who asks.
+#[derive(Args, Clone, Debug)]
+pub struct Connection {
+    /// The address of an instance, as IP and port
+    #[arg(long, env = "HICKORYLINK_ADDRESS", default_value = "127.0.0.1:7001", global = true)]
+    pub address: String,
+
+    /// The credential of the operator or customer
+    #[arg(long, env = "HICKORYLINK_CREDENTIAL", hide_env_values = true, global = true)]
+    pub credential: Option<String>,
+
+    /// Print JSON
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+/// What a command prints and how it ends.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// How it ends.
+    pub exit: Exit,
+    /// For the standard output.
+    pub output: String,
+    /// For the standard error.
+    pub errors: String,
+}
+
+impl Outcome {
+    /// Something that was done.
+    pub fn done(output: impl Into<String>) -> Self {
+        Self { exit: Exit::Done, output: output.into(), errors: String::new() }
+    }
+
+    /// Something that went wrong.
+    pub fn problem(exit: Exit, errors: impl Into<String>) -> Self {
+        Self { exit, output: String::new(), errors: errors.into() }
+    }
+}
+
+/// A call of the front.
+#[derive(Debug)]
+pub struct Call<'c> {
+    /// The method.
+    pub method: Method,
+    /// The path.
+    pub path: &'c str,
+    /// Headers besides the credential.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl<'c> Call<'c> {
+    /// A call without a body.
+    pub fn new(method: Method, path: &'c str) -> Self {
+        Self { method, path, headers: Vec::new(), body: Bytes::new() }
+    }
+}
+
+/// Calls the front and waits for its answer, for ever if need be.
+///
+/// # Errors
+///
+/// An outcome that says whether the work may have run.
+pub fn call(connection: &Connection, call: Call<'_>) -> Result<Answer, Outcome> {
+    let request = request(connection, call)
+        .map_err(|error| Outcome::problem(Exit::Usage, error.to_string()))?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|error| Outcome::problem(Exit::Failed, error.to_string()))?;
+    runtime.block_on(http::send(&connection.address, request)).map_err(|error| match error {
+        http::CallError::Connect { .. }
+        | http::CallError::ConnectTime { .. }
+        | http::CallError::Request { .. }
+        | http::CallError::Encode { .. } => Outcome::problem(
+            Exit::NotRun,
+            format!("{error}\nnothing was sent; is an instance running there? see --address"),
+        ),
+        http::CallError::Broken { .. } | http::CallError::Body { .. } => Outcome::problem(
+            Exit::Unknown,
+            format!("{error}\nit may have been done; send the same again, with the same key"),
+        ),
+    })
+}
+
+fn request(
+    connection: &Connection,
+    call: Call<'_>,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(call.method)
+        .uri(call.path)
+        .header(header::HOST, &connection.address);
+    if let Some(credential) = &connection.credential {
+        request = request.header(header::AUTHORIZATION, format!("Bearer {credential}"));
+    }
+    for (name, value) in call.headers {
+        request = request.header(name, value);
+    }
+    request.body(Full::new(call.body))
+}
+
+/// Reads an answer in JSON.
+///
+/// # Errors
+///
+/// The outcome that the front's error says.
+pub fn read(answer: &Answer) -> Result<Value, Outcome> {
+    if answer.status < 300 {
+        return serde_json::from_slice(&answer.body)
+            .map_err(|error| Outcome::problem(Exit::Failed, error.to_string()));
+    }
+    Err(problem(answer))
+}
+
+/// The outcome that an error of the front says.
+pub fn problem(answer: &Answer) -> Outcome {
+    let body: Option<ErrorBody> = serde_json::from_slice(&answer.body).ok();
+    let message = body.as_ref().map_or_else(
+        || format!("status {}", answer.status),
+        |body| format!("{}: {}", body.outcome, body.message),
+    );
+    let exit = match (answer.status, answer.outcome.as_deref()) {
+        (401 | 403, _) => Exit::Denied,
+        (404, _) => Exit::NotFound,
+        (409, _) => Exit::Conflict,
+        (422, _) => Exit::Findings,
+        (400, _) => Exit::Usage,
+        (_, Some(NOT_RUN)) => Exit::NotRun,
+        (_, Some(UNKNOWN)) => Exit::Unknown,
+        (_, _) => Exit::Failed,
+    };
+    Outcome::problem(exit, message)
+}
+
+/// A value as the caller wants it: JSON, or a line for each field.
+pub fn show(connection: &Connection, value: &Value) -> String {
+    if connection.json {
+        return value.to_string();
+    }
+    let mut lines = Vec::new();
+    add_lines("", value, &mut lines);
+    lines.join("\n")
+}
+
+fn add_lines(path: &str, value: &Value, lines: &mut Vec<String>) {
+    let under = |key: &str| match path {
+        "" => key.to_owned(),
+        path => format!("{path}.{key}"),
+    };
+    match value {
+        Value::Object(fields) => {
+            for (key, value) in fields {
+                add_lines(&under(key), value, lines);
+            }
+        }
+        Value::Array(items) if items.iter().any(|item| item.is_object() || item.is_array()) => {
+            for (at, item) in items.iter().enumerate() {
+                add_lines(&under(&at.to_string()), item, lines);
+            }
+        }
+        Value::Array(items) => {
+            let items: Vec<_> = items.iter().map(plain).collect();
+            lines.push(format!("{path}: {}", items.join(", ")));
+        }
+        Value::Null | Value::Bool(_) | Value::Number(_) | Value::String(_) => {
+            lines.push(format!("{path}: {}", plain(value)));
+        }
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".to_owned(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/cli/src/commands.rs
@@ -0,0 +1,73 @@
+//! The commands, a file each.
+
+use clap::{Parser, Subcommand};
+
+use crate::client::{Connection, Outcome};
+
+pub mod call;
+pub mod completions;
+pub mod credential;
+pub mod list;
+pub mod serve;
+pub mod status;
+pub mod submit;
+pub mod task;
+pub mod worker;
+
+/// A scheduler for colocated latency-critical services and batch work.
+#[derive(Debug, Parser)]
+#[command(name = "hickorylink", version, after_help = EXIT_CODES)]
+pub struct Cli {
+    #[command(flatten)]
+    connection: Connection,
+
+    #[command(subcommand)]
+    command: Command,
+}
+
+const EXIT_CODES: &str = "\
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 findings in a file, 4 not run, 5 unknown whether \
+it ran, 6 conflict, 7 denied, 8 not found";
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run an instance
+    Serve(serve::Args),
+    /// Apply, check or show the customers' plans
+    Plans(list::Args),
+    /// Apply, check or show what each plan may use
+    Usage(list::Args),
+    /// Show how an instance and the council are
+    Status(status::Args),
+    /// Submit a batch task
+    Submit(submit::Args),
+    /// Show or cancel a batch task
+    Task(task::Args),
+    /// Show a worker as its scheduler sees it
+    Worker(worker::Args),
+    /// Call a service
+    Call(call::Args),
+    /// Make the hash of a credential, for the lists
+    Credential(credential::Args),
+    /// Print completions for a shell
+    Completions(completions::Args),
+}
+
+impl Cli {
+    /// Runs the command.
+    pub fn run(self) -> Outcome {
+        let connection = &self.connection;
+        match self.command {
+            Command::Serve(args) => serve::run(&args),
+            Command::Plans(args) => list::run(connection, "plans", &args),
+            Command::Usage(args) => list::run(connection, "usage", &args),
+            Command::Status(args) => status::run(connection, &args),
+            Command::Submit(args) => submit::run(connection, &args),
+            Command::Task(args) => task::run(connection, &args),
+            Command::Worker(args) => worker::run(connection, &args),
+            Command::Call(args) => call::run(connection, args),
+            Command::Credential(args) => credential::run(&args),
+            Command::Completions(args) => completions::run(&args),
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/commands/call.rs
@@ -0,0 +1,48 @@
+//! `hickorylink call`: call a service.
+
+use clap::Args as ClapArgs;
+use hickorylink_lib::api::{DEADLINE_HEADER, IDEMPOTENT_HEADER, KEY_HEADER, RAN};
+use hyper::Method;
+
+use crate::client::{Call, Connection, Outcome, call, problem};
+
+/// The request.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    /// The service
+    service: String,
+    /// The path at the service
+    #[arg(default_value = "")]
+    path: String,
+    /// The body
+    #[arg(long, default_value = "")]
+    body: String,
+    /// The request may run more than once
+    #[arg(long)]
+    idempotent: bool,
+    /// Tells a resend from a new request
+    #[arg(long, required_unless_present = "idempotent")]
+    key: Option<String>,
+    /// How long to wait, in milliseconds
+    #[arg(long, default_value_t = 10_000)]
+    deadline_ms: u64,
+}
+
+/// Runs the command.
+pub fn run(connection: &Connection, args: Args) -> Outcome {
+    let path = format!("/v1/services/{}/{}", args.service, args.path.trim_start_matches('/'));
+    let mut post = Call::new(Method::POST, &path);
+    post.headers.push((IDEMPOTENT_HEADER, args.idempotent.to_string()));
+    post.headers.push((DEADLINE_HEADER, args.deadline_ms.to_string()));
+    if let Some(key) = args.key {
+        post.headers.push((KEY_HEADER, key));
+    }
+    post.body = args.body.into();
+    match call(connection, post) {
+        Ok(answer) if answer.outcome.as_deref() == Some(RAN) && answer.status != 409 => {
+            Outcome::done(String::from_utf8_lossy(&answer.body))
+        }
+        Ok(answer) => problem(&answer),
+        Err(problem) => problem,
+    }
+}
--- /dev/null
+++ b/cli/src/commands/list.rs
@@ -0,0 +1,98 @@
+//! `hickorylink plans` and `hickorylink usage`: apply, check or show a list.
+
+use std::path::{Path, PathBuf};
+
+use clap::{Args as ClapArgs, Subcommand};
+use hickorylink_lib::{api::EDIT_HEADER, finding::Findings, lists};
+use hyper::Method;
+use serde_json::Value;
+
+use crate::{
+    client::{Call, Connection, Outcome, call, read, show},
+    exit::Exit,
+};
+
+/// What to do with the list.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Put a file in force; its version must be one above the version that stands
+    Apply {
+        /// The file
+        file: PathBuf,
+        /// The number of an edit whose answer was lost, to ask for it again
+        #[arg(long)]
+        edit: Option<String>,
+    },
+    /// Report everything that is wrong in a file, and change nothing
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Print the list that stands
+    Show,
+}
+
+/// Runs the command on the list called `list`.
+pub fn run(connection: &Connection, list: &str, args: &Args) -> Outcome {
+    let done = match &args.action {
+        Action::Apply { file, edit } => apply(connection, list, file, edit.as_deref()),
+        Action::Check { file } => read_checked(list, file).map(|_| Outcome::done("no findings")),
+        Action::Show => stands(connection, list),
+    };
+    done.unwrap_or_else(|problem| problem)
+}
+
+fn apply(
+    connection: &Connection,
+    list: &str,
+    file: &Path,
+    edit: Option<&str>,
+) -> Result<Outcome, Outcome> {
+    let text = read_checked(list, file)?;
+    let edit = edit.map_or_else(|| format!("{:032x}", rand::random::<u128>()), str::to_owned);
+    let path = format!("/v1/lists/{list}");
+    let mut put = Call::new(Method::PUT, &path);
+    put.headers.push((EDIT_HEADER, edit.clone()));
+    put.body = text.into();
+    let answer = call(connection, put).map_err(|problem| resend_hint(problem, &edit))?;
+    let value = read(&answer).map_err(|problem| resend_hint(problem, &edit))?;
+    Ok(Outcome::done(show(connection, &value)))
+}
+
+fn resend_hint(mut problem: Outcome, edit: &str) -> Outcome {
+    if problem.exit == Exit::Unknown {
+        problem.errors.push_str(&format!("\nto ask again for this edit: --edit {edit}"));
+    }
+    problem
+}
+
+/// Reads a file and checks it as far as that can be done without an instance.
+fn read_checked(list: &str, file: &Path) -> Result<String, Outcome> {
+    let name = file.display().to_string();
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| Outcome::problem(Exit::Failed, format!("{name}: {error}")))?;
+    let checked: Result<(), Findings> = match list {
+        "plans" => lists::parse_plans(&name, &text).map(drop),
+        _ => lists::parse_usage(&name, &text).map(drop),
+    };
+    match checked {
+        Ok(()) => Ok(text),
+        Err(findings) => Err(Outcome::problem(Exit::Findings, findings.to_string())),
+    }
+}
+
+fn stands(connection: &Connection, list: &str) -> Result<Outcome, Outcome> {
+    let path = format!("/v1/lists/{list}");
+    let value = read(&call(connection, Call::new(Method::GET, &path))?)?;
+    if connection.json {
+        return Ok(Outcome::done(value.to_string()));
+    }
+    let text = value.get("text").and_then(Value::as_str).unwrap_or_default();
+    Ok(Outcome::done(text))
+}
--- /dev/null
+++ b/cli/src/commands/serve.rs
@@ -0,0 +1,40 @@
+//! `hickorylink serve`: run an instance.
+
+use std::path::PathBuf;
+
+use clap::Args as ClapArgs;
+use hickorylink_lib::settings::Settings;
+
+use crate::{client::Outcome, daemon, exit::Exit};
+
+/// What an instance is told on the command line.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    /// The settings, in JSON with comments
+    #[arg(long)]
+    settings: PathBuf,
+
+    /// Report everything that is wrong in the settings, and don't run
+    #[arg(long)]
+    check: bool,
+}
+
+/// Runs the command until the instance is told to leave.
+pub fn run(args: &Args) -> Outcome {
+    let name = args.settings.display().to_string();
+    let text = match std::fs::read_to_string(&args.settings) {
+        Ok(text) => text,
+        Err(error) => return Outcome::problem(Exit::Failed, format!("{name}: {error}")),
+    };
+    let settings = match Settings::parse(&name, &text) {
+        Ok(settings) => settings,
+        Err(findings) => return Outcome::problem(Exit::Findings, findings.to_string()),
+    };
+    if args.check {
+        return Outcome::done("no findings");
+    }
+    match daemon::run(settings) {
+        Ok(()) => Outcome::done(String::new()),
+        Err(error) => Outcome::problem(Exit::Failed, error.to_string()),
+    }
+}
--- /dev/null
+++ b/cli/src/commands/submit.rs
@@ -0,0 +1,34 @@
+//! `hickorylink submit`: submit a batch task.
+
+use std::path::PathBuf;
+
+use clap::Args as ClapArgs;
+use hyper::Method;
+
+use crate::{
+    client::{Call, Connection, Outcome, call, read, show},
+    exit::Exit,
+};
+
+/// The task.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    /// A file with the submission in JSON, as for POST /v1/tasks
+    file: PathBuf,
+}
+
+/// Runs the command.
+pub fn run(connection: &Connection, args: &Args) -> Outcome {
+    let text = match std::fs::read(&args.file) {
+        Ok(text) => text,
+        Err(error) => {
+            let message = format!("{}: {error}", args.file.display());
+            return Outcome::problem(Exit::Failed, message);
+        }
+    };
+    let mut post = Call::new(Method::POST, "/v1/tasks");
+    post.body = text.into();
+    call(connection, post)
+        .and_then(|answer| read(&answer))
+        .map_or_else(|problem| problem, |value| Outcome::done(show(connection, &value)))
+}
--- /dev/null
+++ b/cli/src/commands/task.rs
@@ -0,0 +1,66 @@
+//! `hickorylink task`: show or cancel a batch task.
+
+use std::{thread::sleep, time::Duration};
+
+use clap::{Args as ClapArgs, Subcommand};
+use hyper::Method;
+use serde_json::Value;
+
+use crate::client::{Call, Connection, Outcome, call, read, show};
+
+/// How often a watched task is asked for.
+const WATCH: Duration = Duration::from_millis(500);
+
+/// What to do.
+#[derive(ClapArgs, Debug)]
+pub struct Args {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Show where a task stands, and why
+    Show {
+        /// The task's number
+        task: u64,
+        /// Print each change until the task ends
+        #[arg(long)]
+        watch: bool,
+    },
+    /// Cancel a task; cancelling it again changes nothing
+    Cancel {
+        /// The task's number
+        task: u64,
+    },
+}
+
+/// Runs the command.
+pub fn run(connection: &Connection, args: &Args) -> Outcome {
+    match args.action {
+        Action::Show { task, watch: false } => ask(connection, Method::GET, task),
+        Action::Show { task, watch: true } => watch(connection, task),
+        Action::Cancel { task } => ask(connection, Method::DELETE, task),
+    }
+    .map_or_else(|problem| problem, |value| Outcome::done(show(connection, &value)))
+}
+
+fn ask(connection: &Connection, method: Method, task: u64) -> Result<Value, Outcome> {
+    read(&call(connection, Call::new(method, &format!("/v1/tasks/{task}")))?)
+}
+
+fn watch(connection: &Connection, task: u64) -> Result<Value, Outcome> {
+    let mut last = Value::Null;
+    loop {
+        let value = ask(connection, Method::GET, task)?;
+        let state = value.pointer("/task/state").cloned().unwrap_or_default();
+        if state.get("Ended").is_some() {
+            return Ok(value);
+        }
+        if state != last {
+            println!("{}", show(connection, &state));
+            last = state;
+        }
+        sleep(WATCH);
+    }
+}
--- /dev/null
+++ b/cli/src/daemon.rs
@@ -0,0 +1,303 @@
+//! A whole instance: its duties, the rings between them, and how it starts and leaves.
+
+use std::{io, sync::Arc, time::Duration};
+
+use crossbeam_channel as ring;
+use hickorylink_lib::{
+    consensus::log::{Recovered, Write},
+    council::{Council, port as council},
+    directory::{Directory, port as directory},
+    ids::InstanceId,
+    instance::{
+        parts::{RouterPart, SchedulerPart},
+        port::Note,
+    },
+    router::port as router,
+    settings::Settings,
+};
+use slog::{Logger, error, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+};
+
+use crate::{
+    clock::Clock,
+    duty::{self, dispatch::Order, peers::Post, scheduler::Job, spawn, storage::Keep},
+    frame::PeerKey,
+    front::Desk,
+    log::logger,
+    mail::{FrontNews, Mail, Rings},
+    metrics::Metrics,
+    ring::{to_runtime, to_thread},
+    storage::{Store, StoreError, disk::FileDisk},
+};
+
+mod config;
+
+/// Room in a duty's ring.
+const RING: usize = 16_384;
+
+/// Room in storage's ring: it takes all it finds at once.
+const STORAGE_RING: usize = 4096;
+
+/// Room for lines to the log.
+const NOTES_RING: usize = 8192;
+
+/// How long the instance goes on beating and voting after its last request, so that others
+/// learn that it left.
+const FAREWELL: Duration = Duration::from_millis(600);
+
+/// Why an instance can't run.
+#[derive(Debug, Snafu)]
+pub enum DaemonError {
+    /// Its data folder can't be used.
+    #[snafu(display("{source}"))]
+    Data {
+        /// What is wrong.
+        source: StoreError,
+    },
+    /// The newest snapshot can't be read.
+    #[snafu(display("the newest snapshot can't be read: {message}"))]
+    Snapshot {
+        /// What is wrong.
+        message: String,
+    },
+    /// A thread or a runtime can't be started.
+    #[snafu(display("can't start a duty: {source}"))]
+    Start {
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// The disk failed while the instance ran.
+    #[snafu(display("the disk failed; see the log"))]
+    Disk,
+    /// An address can't be listened on.
+    #[snafu(display("an address can't be listened on; see the log"))]
+    Listen,
+}
+
+/// The receiving ends of all rings.
+struct Ends {
+    council: ring::Receiver<council::Event>,
+    storage: ring::Receiver<Write>,
+    scheduler: ring::Receiver<Job>,
+    router: ring::Receiver<router::Event>,
+    front: mpsc::Receiver<FrontNews>,
+    peers: mpsc::Receiver<Post>,
+    dispatch: mpsc::Receiver<Order>,
+    notes: ring::Receiver<Note>,
+}
+
+/// What stops the instance from outside its parts.
+#[derive(Debug)]
+enum Fault {
+    Disk,
+    Listen,
+}
+
+/// Runs an instance until it is told to leave.
+///
+/// # Errors
+///
+/// [`DaemonError`] if it can't start or its disk fails.
+pub fn run(settings: Settings) -> Result<(), DaemonError> {
+    let clock = Clock::start();
+    let log = logger(settings.log, settings.name.as_str());
+    let (me, keep, recovered) = open(&settings, &log)?;
+    let config = config::config(&settings, me, clock.wall());
+    let (rings, ends) = rings();
+    let metrics = Arc::new(Metrics::default());
+    let now = clock.now();
+    let council = Council::new(config.council, recovered, now)
+        .map_err(|error| DaemonError::Snapshot { message: error.to_string() })?;
+    let directory = Directory::new(config.directory, now);
+    let router = RouterPart::new(me, config.router, now, config.seed);
+    let scheduler = SchedulerPart::new(settings.centre.clone(), config.scheduler, now, config.seed);
+    let desk = Desk::new(settings.clone(), rings.clone(), clock, metrics.clone(), log.clone());
+    let parts = Parts { council, directory, router, scheduler, keep, desk: Arc::new(desk) };
+    info!(log, "the instance starts"; "id" => me.0, "listen" => %settings.listen);
+    let running = start(settings, rings, ends, parts, clock, &metrics, &log)?;
+    running.until_left(&log)
+}
+
+struct Parts {
+    council: Council,
+    directory: Directory,
+    router: RouterPart,
+    scheduler: SchedulerPart,
+    keep: Keep<FileDisk>,
+    desk: Arc<Desk>,
+}
+
+struct Running {
+    settings: Settings,
+    rings: Rings,
+    desk: Arc<Desk>,
+    stop_front: watch::Sender<bool>,
+    drained: mpsc::Receiver<()>,
+    faults: mpsc::Receiver<Fault>,
+    runtime: Runtime,
+}
+
+fn open(
+    settings: &Settings,
+    log: &Logger,
+) -> Result<(InstanceId, Keep<FileDisk>, Recovered), DaemonError> {
+    let fresh = InstanceId(rand::random());
+    let Some(folder) = &settings.data else {
+        return Ok((fresh, Keep::Nowhere, Recovered::default()));
+    };
+    let disk = FileDisk::open(folder.as_ref()).context(DataSnafu)?;
+    let opened = Store::open(disk, fresh).context(DataSnafu)?;
+    for cut in &opened.cuts {
+        warn!(log, "a torn end of the log was cut"; "cut" => %cut);
+    }
+    Ok((opened.identity, Keep::Disk(opened.store), opened.recovered))
+}
+
+fn rings() -> (Rings, Ends) {
+    let (council, council_end) = to_thread("council", RING);
+    let (storage, storage_end) = to_thread("storage", STORAGE_RING);
+    let (scheduler, scheduler_end) = to_thread("scheduler", RING);
+    let (router, router_end) = to_thread("router", RING);
+    let (front, front_end) = to_runtime("front", RING);
+    let (peers, peers_end) = to_runtime("peers", RING);
+    let (dispatch, dispatch_end) = to_runtime("dispatch", RING);
+    let (notes, notes_end) = to_thread("notes", NOTES_RING);
+    let rings = Rings { council, storage, scheduler, router, front, peers, dispatch, notes };
+    let ends = Ends {
+        council: council_end,
+        storage: storage_end,
+        scheduler: scheduler_end,
+        router: router_end,
+        front: front_end,
+        peers: peers_end,
+        dispatch: dispatch_end,
+        notes: notes_end,
+    };
+    (rings, ends)
+}
+
+fn runtime() -> Result<Runtime, DaemonError> {
+    Builder::new_current_thread().enable_all().build().context(StartSnafu)
+}
+
+fn start(
+    settings: Settings,
+    rings: Rings,
+    ends: Ends,
+    parts: Parts,
+    clock: Clock,
+    metrics: &Arc<Metrics>,
+    log: &Logger,
+) -> Result<Running, DaemonError> {
+    let (fault, faults) = mpsc::channel(4);
+    let (drained_sender, drained) = mpsc::channel(1);
+    let (stop_front, stop) = watch::channel(false);
+    let mail = |gauge: &Arc<crate::ring::Gauge>| Mail::new(&rings, gauge);
+
+    let (end, notes_log, notes_metrics) = (ends.notes, log.clone(), metrics.clone());
+    spawn("notes", move || duty::notes::notes(&end, &notes_metrics, &notes_log))
+        .context(StartSnafu)?;
+
+    let (end, post, keep) = (ends.storage, mail(rings.storage.gauge()), parts.keep);
+    let (disk_fault, storage_log) = (fault.clone(), log.clone());
+    spawn("storage", move || {
+        if duty::storage::storage(&end, post, keep, &storage_log) {
+            drop(disk_fault.blocking_send(Fault::Disk));
+        }
+    })
+    .context(StartSnafu)?;
+
+    let (end, post, council) = (ends.council, mail(rings.council.gauge()), parts.council);
+    spawn("council", move || duty::council::council(&end, clock, post, council))
+        .context(StartSnafu)?;
+
+    let (end, post, router) = (ends.router, mail(rings.router.gauge()), parts.router);
+    spawn("router", move || duty::router::router(&end, clock, post, router)).context(StartSnafu)?;
+
+    let (end, post, scheduler) = (ends.scheduler, mail(rings.scheduler.gauge()), parts.scheduler);
+    spawn("scheduler", move || duty::scheduler::scheduler(&end, clock, post, scheduler))
+        .context(StartSnafu)?;
+
+    let (end, post, directory) = (ends.peers, mail(rings.peers.gauge()), parts.directory);
+    let (peer_rings, peer_fault) = (rings.clone(), fault.clone());
+    let setup = duty::peers::Setup {
+        listen: settings.peer_listen,
+        key: PeerKey::new(&settings.peer_key),
+        clock,
+        log: log.clone(),
+        drained: drained_sender,
+    };
+    let (peer_runtime, peer_log) = (runtime()?, log.clone());
+    spawn("peers", move || {
+        let served =
+            peer_runtime.block_on(duty::peers::peers(end, peer_rings, post, directory, setup));
+        if let Err(problem) = served {
+            error!(peer_log, "the peers' duty ended"; "error" => %problem);
+            drop(peer_fault.blocking_send(Fault::Listen));
+        }
+    })
+    .context(StartSnafu)?;
+
+    let (end, post) = (ends.dispatch, mail(rings.dispatch.gauge()));
+    let (dispatch_rings, dispatch_log, dispatch_runtime) = (rings.clone(), log.clone(), runtime()?);
+    spawn("dispatch", move || {
+        dispatch_runtime.block_on(duty::dispatch::dispatch(
+            end,
+            dispatch_rings,
+            post,
+            dispatch_log,
+        ));
+    })
+    .context(StartSnafu)?;
+
+    let (end, desk, front_log, front_runtime) =
+        (ends.front, parts.desk.clone(), log.clone(), runtime()?);
+    let (listen, drain) = (settings.listen, settings.limits.drain);
+    spawn("front", move || {
+        front_runtime.block_on(duty::front::front(end, desk, listen, drain, stop, front_log));
+        drop(fault.blocking_send(Fault::Listen));
+    })
+    .context(StartSnafu)?;
+
+    let desk = parts.desk;
+    Ok(Running { settings, rings, desk, stop_front, drained, faults, runtime: runtime()? })
+}
+
+impl Running {
+    /// Waits until the instance is told to leave, and lets it leave.
+    fn until_left(self, log: &Logger) -> Result<(), DaemonError> {
+        let Self { settings, rings, desk, stop_front, mut drained, mut faults, runtime } = self;
+        runtime.block_on(async move {
+            let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
+            let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = interrupt.recv() => {}
+                fault = faults.recv() => {
+                    return match fault {
+                        Some(Fault::Disk) => DiskSnafu.fail(),
+                        Some(Fault::Listen) | None => ListenSnafu.fail(),
+                    };
+                }
+            }
+            info!(log, "the instance leaves once its requests have ended");
+            desk.drain();
+            drop(rings.peers.push(Post::Event(directory::Event::Draining)));
+            drop(rings.council.push(council::Event::Draining));
+            drop(rings.router.push(router::Event::Drain));
+            let waited = tokio::time::timeout(settings.limits.drain, drained.recv()).await;
+            if waited.is_err() {
+                warn!(log, "requests were still under way when the time to leave ran out");
+            }
+            stop_front.send_replace(true);
+            tokio::time::sleep(FAREWELL).await;
+            info!(log, "the instance has left");
+            Ok(())
+        })
+    }
+}
--- /dev/null
+++ b/cli/src/daemon/config.rs
@@ -0,0 +1,120 @@
+//! The numbers that the parts of an instance run with.
+
+use std::time::Duration;
+
+use hickorylink_lib::{
+    consensus::port as consensus,
+    council::Config as CouncilConfig,
+    directory::{Config as DirectoryConfig, port::InstanceInfo},
+    ids::InstanceId,
+    instance::Config,
+    ledger::Limits,
+    router::Config as RouterConfig,
+    scheduler::config::Config as SchedulerConfig,
+    settings::Settings,
+    time::WallTime,
+};
+
+/// Beats between instances, and the silence after which one counts as dead.
+const BEAT: Duration = Duration::from_millis(250);
+const DEAD: Duration = Duration::from_millis(1000);
+
+/// How long targets are routed to without word from their authority; a target that leaves must
+/// get no new work after two seconds.
+const CONFIRM: Duration = Duration::from_millis(1800);
+
+/// How long a worker may be silent before its targets are gone.
+const EXPIRE: Duration = Duration::from_secs(6);
+
+/// The time between two announcements of a worker, and the lease that one gives.
+const ANNOUNCE: Duration = Duration::from_secs(1);
+const LEASE: Duration = Duration::from_secs(6);
+
+/// The council's heartbeat and the least time without one before an election.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+const ELECTION: Duration = Duration::from_millis(500);
+
+/// How long a claim and how often an unanswered command.
+const CLAIM: Duration = Duration::from_secs(1);
+const RESEND: Duration = Duration::from_millis(300);
+
+/// How often an epoch is confirmed, and how long its holder may be silent.
+const HOLD: Duration = Duration::from_millis(500);
+const TAKEOVER: Duration = Duration::from_millis(200);
+
+/// How long a voter may be silent before another takes its place.
+const REPLACE: Duration = Duration::from_secs(30);
+
+/// Entries between two snapshots.
+const COMPACT: u64 = 10_000;
+
+/// Commands that may wait for the council.
+const PENDING: usize = 16_384;
+
+/// All numbers for the instance with these settings.
+pub(super) fn config(settings: &Settings, me: InstanceId, start: WallTime) -> Config {
+    let seed = rand::random();
+    let info = InstanceInfo {
+        instance: me,
+        name: settings.name.clone(),
+        centre: settings.centre.clone(),
+        peer: settings.peer_listen,
+        front: settings.listen,
+        disk: settings.data.is_some(),
+        draining: false,
+    };
+    Config {
+        council: CouncilConfig {
+            me: info.clone(),
+            founding: settings.founding,
+            voters: settings.council as usize,
+            start,
+            resend: RESEND,
+            claim: CLAIM,
+            confirm: HOLD,
+            takeover: TAKEOVER,
+            compact: COMPACT,
+            pending: PENDING,
+            consensus: consensus(me),
+            ledger: Limits::default(),
+            seed,
+        },
+        directory: DirectoryConfig {
+            me: info,
+            seeds: settings.peers.clone(),
+            beat: BEAT,
+            dead: DEAD,
+            confirm: CONFIRM,
+            expire: EXPIRE,
+            announce: ANNOUNCE,
+        },
+        router: router(settings, me),
+        scheduler: scheduler(settings),
+        seed,
+    }
+}
+
+fn consensus(me: InstanceId) -> consensus::Config {
+    consensus::Config {
+        me,
+        heartbeat: HEARTBEAT,
+        election: ELECTION,
+        max_batch_bytes: 1 << 20,
+        max_inflight: 64,
+        chunk_bytes: 256 << 10,
+        max_pending: 65_536,
+        catch_up_margin: 1000,
+        replace_after: REPLACE,
+    }
+}
+
+fn router(settings: &Settings, me: InstanceId) -> RouterConfig {
+    RouterConfig::new(me, settings.centre.clone())
+}
+
+fn scheduler(settings: &Settings) -> SchedulerConfig {
+    let mut config = SchedulerConfig::new(settings.centre.clone());
+    config.lease = LEASE;
+    config.announce = ANNOUNCE;
+    config
+}
--- /dev/null
+++ b/cli/src/duty/dispatch.rs
@@ -0,0 +1,174 @@
+//! Dispatch: requests to targets and commands to workers, over HTTP.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    ids::{CustomerName, Epoch, Fence, WorkerName},
+    router::port::{Event, TryEnd, TryId},
+    scheduler::port as scheduler,
+    worker::{CommandBatch, WorkerCommand},
+};
+use slog::{Logger, debug};
+use tokio::{sync::mpsc, task::AbortHandle, time::timeout};
+
+use crate::{
+    duty::{RETRY, scheduler::Job},
+    http::{self, Pool, TargetCall},
+    mail::{Mail, Rings},
+};
+
+/// How long a worker may take to accept commands.
+const COMMAND: Duration = Duration::from_secs(1);
+
+/// Ends of tries that wait for the router; as many as tries can be under way.
+const ENDS: usize = 65_536;
+
+/// How often the idle connections are swept.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What dispatch's ring carries.
+#[derive(Debug)]
+pub enum Order {
+    /// Send a try of a request to a target.
+    Request {
+        /// The try.
+        attempt: TryId,
+        /// The target.
+        target: String,
+        /// Whether to open a new connection.
+        fresh: bool,
+        /// The customer.
+        customer: CustomerName,
+        /// The path at the target.
+        path: String,
+        /// The body.
+        body: Bytes,
+        /// How long it may take.
+        timeout: Duration,
+    },
+    /// Give a try up and close its connection.
+    Abandon {
+        /// The try.
+        attempt: TryId,
+    },
+    /// Close the idle connections to a target.
+    CloseIdle {
+        /// The target.
+        target: String,
+    },
+    /// Send commands to a worker.
+    Command {
+        /// The worker.
+        worker: WorkerName,
+        /// Where it takes commands.
+        address: String,
+        /// The holder's epoch.
+        epoch: Epoch,
+        /// The fence of the worker's lease.
+        fence: Fence,
+        /// What to do, in order.
+        commands: Vec<WorkerCommand>,
+    },
+}
+
+/// What a task of this duty tells the duty.
+enum Done {
+    Ended(TryId, TryEnd),
+    Progress(TryId),
+    Unreachable(WorkerName),
+}
+
+/// Runs until the ring is closed.
+pub async fn dispatch(mut ring: mpsc::Receiver<Order>, rings: Rings, mut mail: Mail, log: Logger) {
+    let (done, mut ends) = mpsc::channel(ENDS);
+    let mut duty = Dispatch { pool: Pool::default(), under_way: HashMap::new(), done, log };
+    let mut sweep = tokio::time::interval(SWEEP);
+    loop {
+        let waiting = mail.flush();
+        tokio::select! {
+            order = ring.recv() => match order {
+                Some(order) => duty.take(order),
+                None => return,
+            },
+            Some(done) = ends.recv() => duty.ended(done, &rings, &mut mail),
+            _ = sweep.tick() => duty.pool.sweep(),
+            () = tokio::time::sleep(RETRY), if waiting > 0 => {}
+        }
+    }
+}
+
+struct Dispatch {
+    pool: Pool,
+    under_way: HashMap<TryId, AbortHandle>,
+    done: mpsc::Sender<Done>,
+    log: Logger,
+}
+
+impl Dispatch {
+    fn take(&mut self, order: Order) {
+        match order {
+            Order::Request { attempt, target, fresh, customer, path, body, timeout } => {
+                let call = TargetCall { attempt, target, customer, path, body };
+                self.request(call, fresh, timeout);
+            }
+            Order::Abandon { attempt } => {
+                if let Some(task) = self.under_way.remove(&attempt) {
+                    task.abort();
+                }
+            }
+            Order::CloseIdle { target } => self.pool.close_idle(&target),
+            Order::Command { worker, address, epoch, fence, commands } => {
+                self.command(worker, address, CommandBatch { epoch, fence, commands });
+            }
+        }
+    }
+
+    fn request(&mut self, call: TargetCall, fresh: bool, limit: Duration) {
+        let (done, pool) = (self.done.clone(), self.pool.clone());
+        let attempt = call.attempt;
+        let progress = {
+            let done = done.clone();
+            move || drop(done.try_send(Done::Progress(attempt)))
+        };
+        let task = tokio::spawn(async move {
+            let end = http::call_target(&pool, call, fresh, limit, progress).await;
+            drop(done.send(Done::Ended(attempt, end)).await);
+        });
+        self.under_way.insert(attempt, task.abort_handle());
+    }
+
+    fn command(&self, worker: WorkerName, address: String, batch: CommandBatch) {
+        let (done, log) = (self.done.clone(), self.log.clone());
+        let batch = Arc::new(batch);
+        tokio::spawn(async move {
+            let sent = timeout(COMMAND, http::post_json(&address, "/v1/commands", &*batch)).await;
+            let problem = match sent {
+                Ok(Ok(answer)) if answer.status == 200 => return,
+                Ok(Ok(answer)) => format!("status {}", answer.status),
+                Ok(Err(error)) => error.to_string(),
+                Err(_) => format!("no answer within {COMMAND:?}"),
+            };
+            debug!(log, "a worker took no commands"; "worker" => %worker, "error" => problem);
+            drop(done.send(Done::Unreachable(worker)).await);
+        });
+    }
+
+    fn ended(&mut self, done: Done, rings: &Rings, mail: &mut Mail) {
+        match done {
+            Done::Ended(attempt, end) => {
+                // An abandoned try's end isn't reported: its task may have ended just before.
+                if self.under_way.remove(&attempt).is_some() {
+                    mail.deliver(hickorylink_lib::instance::port::Output::router(
+                        Event::TryEnded { attempt, end },
+                    ));
+                }
+            }
+            Done::Progress(attempt) => drop(rings.router.offer(Event::Progress { attempt })),
+            Done::Unreachable(worker) => {
+                let event = scheduler::Event::Unreachable { worker };
+                drop(rings.scheduler.offer(Job::Event(event)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/duty/peers.rs
@@ -0,0 +1,258 @@
+//! The peers' duty: the directory, and messages to and from other instances by JSON-RPC.
+//!
+//! Messages are batched into frames that carry a keyed hash, and may be lost: whatever rests on
+//! them is sent again by the part that needs it.
+
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use hickorylink_lib::{
+    council::port as council,
+    directory::{
+        Directory,
+        port::{Event, PeerMessage},
+    },
+};
+use jsonrpsee::{
+    RpcModule,
+    core::client::ClientT,
+    rpc_params,
+    server::{PingConfig, Server, ServerHandle},
+    types::ErrorObjectOwned,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use slog::{Logger, debug, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{sync::mpsc, time::sleep};
+
+use crate::{
+    clock::Clock,
+    duty::deliver_all,
+    frame::{self, PeerKey},
+    mail::{Mail, Rings},
+    ring::Inlet,
+};
+
+/// Messages that wait for one peer; more are lost.
+const PEER_QUEUE: usize = 4096;
+
+/// Messages in one frame.
+const FRAME_MESSAGES: usize = 256;
+
+/// The largest frame, in bytes.
+const FRAME_BYTES: u32 = 16 * 1024 * 1024;
+
+/// How long a peer may take to answer a frame; one that takes longer gets a new connection.
+const ANSWER: Duration = Duration::from_secs(1);
+
+/// How long opening a connection may take, and the wait before the next try.
+const CONNECT: Duration = Duration::from_millis(500);
+const RECONNECT: Duration = Duration::from_millis(200);
+
+/// Connections from peers at most.
+const CONNECTIONS: u32 = 256;
+
+/// The wait for more work when nothing is due.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// What the peers' ring carries.
+#[derive(Debug)]
+pub enum Post {
+    /// Something happened that the directory keeps track of.
+    Event(Event),
+    /// A message for another instance.
+    Send {
+        /// Where it is.
+        to: SocketAddr,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Every request in flight has ended.
+    Drained,
+}
+
+/// The address for other instances can't be listened on.
+#[derive(Debug, Snafu)]
+#[snafu(display("can't listen on {address} for other instances: {source}"))]
+pub struct ListenError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// What the duty is given.
+#[derive(Debug)]
+pub struct Setup {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// The key by which instances know each other.
+    pub key: PeerKey,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The log.
+    pub log: Logger,
+    /// Told when every request in flight has ended.
+    pub drained: mpsc::Sender<()>,
+}
+
+/// Runs until the ring is closed.
+///
+/// # Errors
+///
+/// [`ListenError`] if the address can't be had.
+pub async fn peers(
+    mut ring: mpsc::Receiver<Post>,
+    rings: Rings,
+    mut mail: Mail,
+    mut directory: Directory,
+    setup: Setup,
+) -> Result<(), ListenError> {
+    let _server = listen(&rings, &setup).await?;
+    let mut links = Links { key: setup.key.clone(), log: setup.log.clone(), open: HashMap::new() };
+    let mut out = Vec::new();
+    loop {
+        let now = setup.clock.now();
+        if directory.next_deadline().is_some_and(|at| at <= now) {
+            directory.handle(now, Event::Timer, &mut out);
+        }
+        deliver_all(&mut out, &mut mail);
+        let wait = match mail.flush() {
+            0 => directory.next_deadline().map_or(IDLE, |at| now.until(at).min(IDLE)),
+            _ => super::RETRY,
+        };
+        tokio::select! {
+            post = ring.recv() => match post {
+                Some(Post::Event(event)) => directory.handle(setup.clock.now(), event, &mut out),
+                Some(Post::Send { to, message }) => links.send(to, message),
+                Some(Post::Drained) => drop(setup.drained.try_send(())),
+                None => return Ok(()),
+            },
+            () = sleep(wait) => {}
+        }
+    }
+}
+
+async fn listen(rings: &Rings, setup: &Setup) -> Result<ServerHandle, ListenError> {
+    let address = setup.listen;
+    let ping = PingConfig::new().ping_interval(ANSWER).inactive_limit(ANSWER * 4);
+    let config = jsonrpsee::server::ServerConfig::builder()
+        .max_connections(CONNECTIONS)
+        .max_request_body_size(FRAME_BYTES)
+        .enable_ws_ping(ping)
+        .ws_only()
+        .build();
+    let server = Server::builder().set_config(config).build(address).await;
+    let server = server.context(ListenSnafu { address })?;
+    let context = Inbound {
+        key: setup.key.clone(),
+        council: rings.council.clone(),
+        peers: rings.peers.clone(),
+        log: setup.log.clone(),
+    };
+    let mut module = RpcModule::new(context);
+    let registered = module.register_method("deliver", |params, inbound, _| {
+        let text: String = params.one()?;
+        inbound.take(&text)
+    });
+    debug_assert!(registered.is_ok(), "the method's name is free");
+    Ok(server.start(module))
+}
+
+/// Takes frames in from other instances.
+struct Inbound {
+    key: PeerKey,
+    council: Inlet<council::Event>,
+    peers: Inlet<Post>,
+    log: Logger,
+}
+
+impl Inbound {
+    fn take(&self, text: &str) -> Result<u32, ErrorObjectOwned> {
+        let messages: Vec<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
+            warn!(self.log, "a frame from a peer is refused"; "error" => %error);
+            ErrorObjectOwned::owned(1, error.to_string(), None::<()>)
+        })?;
+        let mut taken = 0;
+        for message in messages {
+            taken += u32::from(self.pass_on(message));
+        }
+        Ok(taken)
+    }
+
+    /// Passes a message on to its part; it is lost if the part has no room.
+    fn pass_on(&self, message: PeerMessage) -> bool {
+        match message {
+            PeerMessage::Beat(beat) => self.peers.push(Post::Event(Event::Beat(beat))).is_ok(),
+            PeerMessage::Targets(news) => {
+                self.peers.push(Post::Event(Event::Targets(news))).is_ok()
+            }
+            PeerMessage::Consensus { from, message } => {
+                self.council.push(council::Event::Consensus { from, message }).is_ok()
+            }
+            PeerMessage::Forward { origin, ticket, command } => {
+                self.council.offer(council::Event::Forwarded { origin, ticket, command }).is_ok()
+            }
+        }
+    }
+}
+
+/// Links to other instances, one task each.
+struct Links {
+    key: PeerKey,
+    log: Logger,
+    open: HashMap<SocketAddr, mpsc::Sender<Arc<PeerMessage>>>,
+}
+
+impl Links {
+    fn send(&mut self, to: SocketAddr, message: PeerMessage) {
+        let link = self.open.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(PEER_QUEUE);
+            tokio::spawn(link(to, receiver, self.key.clone(), self.log.clone()));
+            sender
+        });
+        // Messages to a peer that takes none are lost; their senders repeat them.
+        drop(link.try_send(Arc::new(message)));
+    }
+}
+
+/// Sends a peer what waits for it, a frame at a time, over a connection that is replaced as soon
+/// as an answer fails to come.
+async fn link(
+    to: SocketAddr,
+    mut queue: mpsc::Receiver<Arc<PeerMessage>>,
+    key: PeerKey,
+    log: Logger,
+) {
+    let mut client: Option<WsClient> = None;
+    let mut batch = Vec::new();
+    while queue.recv_many(&mut batch, FRAME_MESSAGES).await > 0 {
+        if client.is_none() {
+            client = connect(to, &log).await;
+        }
+        if let Some(open) = &client {
+            let messages: Vec<&PeerMessage> = batch.iter().map(AsRef::as_ref).collect();
+            let text = frame::seal(&key, &messages);
+            let sent: Result<u32, _> = open.request("deliver", rpc_params![text]).await;
+            if let Err(error) = sent {
+                debug!(log, "a peer doesn't answer"; "peer" => %to, "error" => %error);
+                client = None;
+            }
+        }
+        batch.clear();
+    }
+}
+
+async fn connect(to: SocketAddr, log: &Logger) -> Option<WsClient> {
+    let built = WsClientBuilder::default()
+        .request_timeout(ANSWER)
+        .connection_timeout(CONNECT)
+        .max_request_size(FRAME_BYTES)
+        .build(format!("ws://{to}"))
+        .await;
+    match built {
+        Ok(client) => Some(client),
+        Err(error) => {
+            debug!(log, "a peer can't be reached"; "peer" => %to, "error" => %error);
+            sleep(RECONNECT).await;
+            None
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/duty/storage.rs
@@ -0,0 +1,50 @@
+//! Storage's duty: the log and the snapshots on the instance's disk.
+
+use crossbeam_channel::Receiver;
+use hickorylink_lib::{consensus::log::Write, council::port::Event, instance::port::Output};
+use slog::{Logger, crit};
+
+use crate::{
+    mail::Mail,
+    storage::{Store, disk::Disk},
+};
+
+/// How many writes are synced at once.
+const BATCH: usize = 1024;
+
+/// Where an instance keeps its writes.
+#[derive(Debug)]
+pub enum Keep<D> {
+    /// On its disk.
+    Disk(Store<D>),
+    /// Nowhere: an instance without a disk follows the log and promises nothing.
+    Nowhere,
+}
+
+/// Runs until the ring is closed or the disk fails; whether it failed.
+pub fn storage<D: Disk>(
+    ring: &Receiver<Write>,
+    mut mail: Mail,
+    mut keep: Keep<D>,
+    log: &Logger,
+) -> bool {
+    while let Ok(first) = ring.recv() {
+        let mut writes = vec![first];
+        writes.extend(ring.try_iter().take(BATCH - 1));
+        let sequence = match &mut keep {
+            Keep::Disk(store) => match store.write(&writes) {
+                Ok(sequence) => sequence,
+                Err(error) => {
+                    crit!(log, "the disk failed; the instance stops"; "error" => %error);
+                    return true;
+                }
+            },
+            Keep::Nowhere => writes.last().map_or(0, |write| write.sequence),
+        };
+        mail.deliver(Output::council(Event::Stored { sequence }));
+        while mail.flush() > 0 {
+            std::thread::sleep(super::RETRY);
+        }
+    }
+    false
+}
--- /dev/null
+++ b/cli/src/front/services.rs
@@ -0,0 +1,206 @@
+//! Requests to latency-critical services.
+
+use std::{sync::Arc, time::Duration};
+
+use hickorylink_lib::{
+    api::{
+        DEADLINE_HEADER, IDEMPOTENT_HEADER, KEY_BYTES, KEY_HEADER, OUTCOME_HEADER, RAN,
+        REQUEST_HEADER, UNKNOWN,
+    },
+    ids::{CustomerName, IdempotencyKey, RequestId},
+    router::port::{Event, NotRun, Request as RouterRequest, RequestOutcome},
+};
+use poem::{
+    Body, Request, Response, handler,
+    http::StatusCode,
+    web::{Data, Path},
+};
+
+use crate::front::{CallerGuard, Desk, credential, reply::Problem, words};
+
+/// How long a caller waits if it doesn't say.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(10);
+
+/// The longest that a caller may wait, in milliseconds: a standing watcher's day.
+const DEADLINE_MOST: u64 = 24 * 3600 * 1000;
+
+/// How much longer than its deadline the front waits for the router's word on a request.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// Calls a service.
+#[handler]
+pub(crate) async fn call(
+    request: &Request,
+    body: Body,
+    Path((service, path)): Path<(String, String)>,
+    Data(desk): Data<&Arc<Desk>>,
+) -> Response {
+    match admit(desk, request, body, &service, &path).await {
+        Ok(request) => forward(desk, request).await,
+        Err(problem) => problem.into(),
+    }
+}
+
+async fn admit(
+    desk: &Desk,
+    request: &Request,
+    body: Body,
+    service: &str,
+    path: &str,
+) -> Result<RouterRequest, Problem> {
+    let customer = credential::customer(desk, request)?;
+    let wait = wait_of(request)?;
+    let idempotent = match request.header(IDEMPOTENT_HEADER) {
+        Some("true") => true,
+        Some("false") | None => false,
+        Some(_) => {
+            return Err(Problem::bad_request(format!("{IDEMPOTENT_HEADER} is true or false")));
+        }
+    };
+    let key = key_of(request)?;
+    let deadline = desk.clock.now() + wait;
+    let body = read_body(body, desk.settings.limits.body, wait).await?;
+    let path = match request.uri().query() {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    Ok(RouterRequest {
+        request: RequestId(desk.ticket()),
+        customer,
+        service: service.into(),
+        path,
+        idempotent,
+        key,
+        deadline,
+        body,
+    })
+}
+
+/// Reads a body of at most `most` bytes that comes within `wait`.
+///
+/// # Errors
+///
+/// What is wrong with the body; nothing ran.
+pub async fn read_body(body: Body, most: usize, wait: Duration) -> Result<bytes::Bytes, Problem> {
+    match tokio::time::timeout(wait, body.into_bytes_limit(most)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(poem::error::ReadBodyError::PayloadTooLarge)) => Err(Problem::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "too_large",
+            format!("the body is larger than {most} bytes"),
+        )),
+        Ok(Err(error)) => Err(Problem::bad_request(error.to_string())),
+        Err(_) => Err(Problem::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "slow_sender",
+            "the body didn't come in time",
+        )),
+    }
+}
+
+fn wait_of(request: &Request) -> Result<Duration, Problem> {
+    let Some(text) = request.header(DEADLINE_HEADER) else { return Ok(DEADLINE_DEFAULT) };
+    match text.parse() {
+        Ok(wait) if (1..=DEADLINE_MOST).contains(&wait) => Ok(Duration::from_millis(wait)),
+        Ok(_) | Err(_) => Err(Problem::bad_request(format!(
+            "{DEADLINE_HEADER} must be a whole number from 1 to {DEADLINE_MOST}"
+        ))),
+    }
+}
+
+fn key_of(request: &Request) -> Result<Option<IdempotencyKey>, Problem> {
+    match request.header(KEY_HEADER) {
+        Some(key) if key.is_empty() || key.len() > KEY_BYTES => {
+            Err(Problem::bad_request(format!("{KEY_HEADER} must have 1 to {KEY_BYTES} bytes")))
+        }
+        key => Ok(key.map(IdempotencyKey::from)),
+    }
+}
+
+async fn forward(desk: &Arc<Desk>, request: RouterRequest) -> Response {
+    let id = request.request;
+    let customer = request.customer.clone();
+    let service = request.service.clone();
+    let now = desk.clock.now();
+    let limit = now.until(request.deadline) + GRACE;
+    let answer = desk.requests.wait(id);
+    if desk.rings.router.offer(Event::Request(Box::new(request))).is_err() {
+        desk.requests.forget(&id);
+        desk.metrics.request(&customer, &service, "not_run");
+        return Problem::overloaded().into();
+    }
+    let guard = CallerGuard { desk, request: id };
+    let outcome = match tokio::time::timeout(limit, answer).await {
+        Ok(Ok(outcome)) => outcome,
+        Ok(Err(_)) | Err(_) => {
+            RequestOutcome::Unknown { reason: "the instance lost track of it".to_owned() }
+        }
+    };
+    drop(guard);
+    let took = now.until(desk.clock.now());
+    desk.metrics.request(&customer, &service, words::outcome(&outcome));
+    desk.metrics.latency(&service, took);
+    log_request(desk, id, &customer, &outcome, took);
+    let mut response = respond(outcome);
+    if let Ok(id) = id.to_string().parse() {
+        response.headers_mut().insert(REQUEST_HEADER, id);
+    }
+    response
+}
+
+fn log_request(
+    desk: &Desk,
+    id: RequestId,
+    customer: &CustomerName,
+    outcome: &RequestOutcome,
+    took: Duration,
+) {
+    slog::debug!(desk.log, "request";
+        "request" => id.0,
+        "customer" => customer.as_str(),
+        "outcome" => words::outcome(outcome),
+        "took_us" => u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+}
+
+fn respond(outcome: RequestOutcome) -> Response {
+    match outcome {
+        RequestOutcome::Ran(response) => {
+            let status = StatusCode::from_u16(response.status).unwrap_or(StatusCode::OK);
+            Response::builder().status(status).header(OUTCOME_HEADER, RAN).body(response.body)
+        }
+        RequestOutcome::RanEarlier { status } => Problem {
+            status: StatusCode::CONFLICT,
+            outcome: RAN,
+            error: "ran_earlier",
+            message: format!(
+                "a request with this key ran and was answered with status {status}; the answer \
+                 is no longer kept"
+            ),
+        }
+        .into(),
+        RequestOutcome::NotRun { reason } => refused(reason).into(),
+        RequestOutcome::Unknown { reason } => Problem {
+            status: StatusCode::GATEWAY_TIMEOUT,
+            outcome: UNKNOWN,
+            error: "unknown",
+            message: format!("the request may have run: {reason}"),
+        }
+        .into(),
+    }
+}
+
+fn refused(reason: NotRun) -> Problem {
+    let status = match reason {
+        NotRun::NotAllowed => StatusCode::FORBIDDEN,
+        NotRun::KeyReused | NotRun::InProgress => StatusCode::CONFLICT,
+        NotRun::MissingKey => StatusCode::BAD_REQUEST,
+        NotRun::NoTarget
+        | NotRun::Deadline
+        | NotRun::Overloaded
+        | NotRun::Draining
+        | NotRun::CouncilUnavailable
+        | NotRun::TargetsUnavailable
+        | NotRun::CallerGone => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    Problem::not_run(status, words::reason(reason), words::advice(reason))
+}
--- /dev/null
+++ b/cli/src/http.rs
@@ -0,0 +1,279 @@
+//! HTTP to targets, workers and other instances.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    api::{CUSTOMER_HEADER, NOT_RUN, OUTCOME_HEADER, REQUEST_HEADER},
+    ids::CustomerName,
+    router::port::{Response, TryEnd, TryId},
+};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Method, Request, body::Incoming, client::conn::http1};
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use snafu::{ResultExt, Snafu};
+use tokio::{net::TcpStream, time::timeout};
+
+/// How long opening a connection may take.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// How long a connection is kept idle.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// The largest answer, in bytes.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Idle connections to targets, by address.
+///
+/// One duty owns it; its own tasks share it.
+#[derive(Clone, Default)]
+pub struct Pool {
+    idle: Arc<Mutex<HashMap<String, Vec<Idle>>>>,
+}
+
+struct Idle {
+    sender: Sender,
+    since: Instant,
+}
+
+/// A try of a request.
+#[derive(Debug)]
+pub struct TargetCall {
+    /// The try.
+    pub attempt: TryId,
+    /// The target.
+    pub target: String,
+    /// The customer.
+    pub customer: CustomerName,
+    /// The path.
+    pub path: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// A call that didn't get a whole answer.
+#[derive(Debug, Snafu)]
+pub enum CallError {
+    /// No connection could be opened.
+    #[snafu(display("can't connect to {address}: {source}"))]
+    Connect {
+        /// Where.
+        address: String,
+        /// What went wrong.
+        source: std::io::Error,
+    },
+    /// Opening a connection took too long.
+    #[snafu(display("connecting to {address} took longer than {CONNECT:?}"))]
+    ConnectTime {
+        /// Where.
+        address: String,
+    },
+    /// The connection failed.
+    #[snafu(display("{source}"))]
+    Broken {
+        /// What went wrong.
+        source: hyper::Error,
+    },
+    /// The answer's body broke off or was too large.
+    #[snafu(display("the answer is not whole: {message}"))]
+    Body {
+        /// What went wrong.
+        message: String,
+    },
+    /// The request can't be made.
+    #[snafu(display("{source}"))]
+    Request {
+        /// What is wrong.
+        source: hyper::http::Error,
+    },
+    /// The body can't be encoded.
+    #[snafu(display("{source}"))]
+    Encode {
+        /// What is wrong.
+        source: serde_json::Error,
+    },
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The value of [`OUTCOME_HEADER`].
+    pub outcome: Option<String>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Pool {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, target: &str) -> Option<Sender> {
+        let mut idle = self.lock();
+        let waiting = idle.get_mut(target)?;
+        while let Some(Idle { sender, .. }) = waiting.pop() {
+            if sender.is_ready() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn put(&self, target: &str, sender: Sender) {
+        let idle = Idle { sender, since: Instant::now() };
+        self.lock().entry(target.to_owned()).or_default().push(idle);
+    }
+
+    /// Closes the idle connections to a target.
+    pub fn close_idle(&self, target: &str) {
+        self.lock().remove(target);
+    }
+
+    /// Closes connections that were idle for long.
+    pub fn sweep(&self) {
+        self.lock().retain(|_, waiting| {
+            waiting.retain(|idle| !idle.sender.is_closed() && idle.since.elapsed() < IDLE);
+            !waiting.is_empty()
+        });
+    }
+}
+
+async fn connect(address: &str) -> Result<Sender, CallError> {
+    let stream = timeout(CONNECT, TcpStream::connect(address)).await;
+    let stream = match stream {
+        Ok(stream) => stream.context(ConnectSnafu { address })?,
+        Err(_) => return ConnectTimeSnafu { address }.fail(),
+    };
+    stream.set_nodelay(true).context(ConnectSnafu { address })?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
+    tokio::spawn(async move { drop(connection.await) });
+    Ok(sender)
+}
+
+/// Sends a try to its target, within `limit`; `progress` is called when bytes of an answer come.
+pub async fn call_target(
+    pool: &Pool,
+    call: TargetCall,
+    fresh: bool,
+    limit: Duration,
+    progress: impl Fn() + Send,
+) -> TryEnd {
+    let idle = if fresh { None } else { pool.take(&call.target) };
+    let mut sender = match idle {
+        Some(sender) => sender,
+        None => match timeout(limit, connect(&call.target)).await {
+            Ok(Ok(sender)) => sender,
+            Ok(Err(error)) => return TryEnd::NotSent { reason: error.to_string() },
+            Err(_) => return TryEnd::NotSent { reason: "no connection in time".to_owned() },
+        },
+    };
+    let request = match target_request(&call) {
+        Ok(request) => request,
+        Err(error) => return TryEnd::NotSent { reason: error.to_string() },
+    };
+    match timeout(limit, exchange(&mut sender, request, &progress)).await {
+        Ok(end) => {
+            if matches!(end, TryEnd::Answered(_) | TryEnd::Refused) && sender.ready().await.is_ok()
+            {
+                pool.put(&call.target, sender);
+            }
+            end
+        }
+        Err(_) => TryEnd::Lost { reason: format!("no whole answer within {limit:?}") },
+    }
+}
+
+fn target_request(call: &TargetCall) -> Result<Request<Full<Bytes>>, CallError> {
+    Request::builder()
+        .method(Method::POST)
+        .uri(&call.path)
+        .header(hyper::header::HOST, &call.target)
+        .header(CUSTOMER_HEADER, call.customer.as_str())
+        .header(REQUEST_HEADER, call.attempt.request.to_string())
+        .body(Full::new(call.body.clone()))
+        .context(RequestSnafu)
+}
+
+async fn exchange(
+    sender: &mut Sender,
+    request: Request<Full<Bytes>>,
+    progress: &impl Fn(),
+) -> TryEnd {
+    let response = match sender.try_send_request(request).await {
+        Ok(response) => response,
+        Err(mut error) => {
+            // The request comes back whole only if no byte of it was written.
+            let unsent = error.take_message().is_some();
+            let reason = error.into_error().to_string();
+            return if unsent { TryEnd::NotSent { reason } } else { TryEnd::Lost { reason } };
+        }
+    };
+    progress();
+    match whole(response, progress).await {
+        Ok(answer) if answer.outcome.as_deref() == Some(NOT_RUN) => TryEnd::Refused,
+        Ok(answer) => TryEnd::Answered(Response { status: answer.status, body: answer.body }),
+        Err(error) => TryEnd::Lost { reason: error.to_string() },
+    }
+}
+
+async fn whole(
+    response: hyper::Response<Incoming>,
+    progress: &impl Fn(),
+) -> Result<Answer, CallError> {
+    let status = response.status().as_u16();
+    let outcome = response.headers().get(OUTCOME_HEADER);
+    let outcome = outcome.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let mut body = Limited::new(response.into_body(), ANSWER_BYTES);
+    let mut parts = Vec::new();
+    while let Some(part) = body.frame().await {
+        let part = match part {
+            Ok(part) => part,
+            Err(error) => return BodySnafu { message: error.to_string() }.fail(),
+        };
+        progress();
+        if let Ok(data) = part.into_data() {
+            parts.extend_from_slice(&data);
+        }
+    }
+    Ok(Answer { status, outcome, body: parts.into() })
+}
+
+/// Posts a body in JSON over a connection of its own.
+///
+/// # Errors
+///
+/// [`CallError`] if no whole answer came.
+pub async fn post_json(
+    address: &str,
+    path: &str,
+    body: &impl Serialize,
+) -> Result<Answer, CallError> {
+    let body = serde_json::to_vec(body).context(EncodeSnafu)?;
+    let request = Request::builder()
+        .method(Method::POST)
+        .uri(path)
+        .header(hyper::header::HOST, address)
+        .header(hyper::header::CONTENT_TYPE, "application/json");
+    let request = request.body(Full::new(body.into())).context(RequestSnafu)?;
+    send(address, request).await
+}
+
+/// Sends a request over a connection of its own.
+///
+/// # Errors
+///
+/// [`CallError`] if no whole answer came.
+pub async fn send(address: &str, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
+    let mut sender = connect(address).await?;
+    let response = sender.send_request(request).await.context(BrokenSnafu)?;
+    whole(response, &|| ()).await
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,1 +1,16 @@
 //! The daemon's duties and edges, and the operator's command line.
+
+pub mod client;
+pub mod clock;
+pub mod commands;
+pub mod daemon;
+pub mod duty;
+pub mod exit;
+pub mod frame;
+pub mod front;
+pub mod http;
+pub mod log;
+pub mod mail;
+pub mod metrics;
+pub mod ring;
+pub mod storage;
--- /dev/null
+++ b/cli/src/mail.rs
@@ -0,0 +1,164 @@
+//! Where the duties' outputs go: one ring for each duty.
+
+use std::sync::Arc;
+
+use hickorylink_lib::{
+    consensus::log::Write,
+    council::port as council,
+    ids::RequestId,
+    instance::port::{Answer, Edge, Event, Note, Output},
+    policy::Policy,
+    router::port as router,
+    worker::LeaseAnswer,
+};
+
+use crate::{
+    duty::{dispatch::Order, peers::Post, scheduler::Job},
+    ring::{Gauge, Inlet, Outbox, note_backlog},
+};
+
+/// What the front is told.
+#[derive(Debug)]
+pub enum FrontNews {
+    /// The answer to a command or a question.
+    Answer(u64, Box<Answer>),
+    /// What became of a request.
+    Request(RequestId, router::RequestOutcome),
+    /// The answer to an announcement.
+    Announce(u64, Result<LeaseAnswer, String>),
+    /// A policy is in force.
+    Policy(Arc<Policy>),
+    /// A worker or a task as the scheduler sees it.
+    Explained(u64, Option<serde_json::Value>),
+}
+
+/// The sending ends of all rings.
+#[derive(Clone, Debug)]
+pub struct Rings {
+    /// To the council's duty.
+    pub council: Inlet<council::Event>,
+    /// To storage.
+    pub storage: Inlet<Write>,
+    /// To the scheduler.
+    pub scheduler: Inlet<Job>,
+    /// To the router.
+    pub router: Inlet<router::Event>,
+    /// To the front.
+    pub front: Inlet<FrontNews>,
+    /// To the peers' duty.
+    pub peers: Inlet<Post>,
+    /// To dispatch.
+    pub dispatch: Inlet<Order>,
+    /// To the log and the metrics.
+    pub notes: Inlet<Note>,
+}
+
+impl Rings {
+    /// What is counted of every ring.
+    pub fn gauges(&self) -> Vec<(Arc<Gauge>, usize)> {
+        vec![
+            (self.council.gauge().clone(), self.council.len()),
+            (self.storage.gauge().clone(), self.storage.len()),
+            (self.scheduler.gauge().clone(), self.scheduler.len()),
+            (self.router.gauge().clone(), self.router.len()),
+            (self.front.gauge().clone(), self.front.len()),
+            (self.peers.gauge().clone(), self.peers.len()),
+            (self.dispatch.gauge().clone(), self.dispatch.len()),
+            (self.notes.gauge().clone(), self.notes.len()),
+        ]
+    }
+}
+
+/// What one duty passes on to all others.
+#[derive(Debug)]
+pub struct Mail {
+    own: Arc<Gauge>,
+    council: Outbox<council::Event>,
+    storage: Outbox<Write>,
+    scheduler: Outbox<Job>,
+    router: Outbox<router::Event>,
+    front: Outbox<FrontNews>,
+    peers: Outbox<Post>,
+    dispatch: Outbox<Order>,
+    notes: Inlet<Note>,
+}
+
+impl Mail {
+    /// Empty outboxes of the duty that takes from the ring `own` counts.
+    pub fn new(rings: &Rings, own: &Arc<Gauge>) -> Self {
+        Self {
+            own: own.clone(),
+            council: Outbox::new(&rings.council),
+            storage: Outbox::new(&rings.storage),
+            scheduler: Outbox::new(&rings.scheduler),
+            router: Outbox::new(&rings.router),
+            front: Outbox::new(&rings.front),
+            peers: Outbox::new(&rings.peers),
+            dispatch: Outbox::new(&rings.dispatch),
+            notes: rings.notes.clone(),
+        }
+    }
+
+    /// Passes an output on.
+    pub fn deliver(&mut self, output: Output) {
+        match output {
+            Output::Part(Event::Council(event)) => self.council.send(event),
+            Output::Part(Event::Scheduler(event)) => self.scheduler.send(Job::Event(event)),
+            Output::Part(Event::Router(event)) => self.router.send(event),
+            Output::Part(Event::Directory(event)) => self.peers.send(Post::Event(event)),
+            Output::Edge(edge) => self.edge(edge),
+        }
+    }
+
+    /// Passes on what waits; how many items still do.
+    pub fn flush(&mut self) -> usize {
+        let waiting = self.council.flush()
+            + self.storage.flush()
+            + self.scheduler.flush()
+            + self.router.flush()
+            + self.front.flush()
+            + self.peers.flush()
+            + self.dispatch.flush();
+        note_backlog(&self.own, waiting);
+        waiting
+    }
+
+    fn edge(&mut self, edge: Edge) {
+        match edge {
+            Edge::Store(write) => self.storage.send(write),
+            Edge::Send { to, message } => self.peers.send(Post::Send { to, message }),
+            Edge::Request { attempt, target, fresh, customer, path, body, timeout } => {
+                self.dispatch.send(Order::Request {
+                    attempt,
+                    target,
+                    fresh,
+                    customer,
+                    path,
+                    body,
+                    timeout,
+                });
+            }
+            Edge::Abandon { attempt } => self.dispatch.send(Order::Abandon { attempt }),
+            Edge::CloseIdle { target } => self.dispatch.send(Order::CloseIdle { target }),
+            Edge::Command { worker, address, epoch, fence, commands } => {
+                self.dispatch.send(Order::Command { worker, address, epoch, fence, commands });
+            }
+            Edge::AnnounceAnswer { ticket, answer } => {
+                self.front.send(FrontNews::Announce(ticket, answer));
+            }
+            Edge::RequestAnswer { request, outcome } => {
+                self.front.send(FrontNews::Request(request, outcome));
+            }
+            Edge::Answer { ticket, answer } => self.front.send(FrontNews::Answer(ticket, answer)),
+            Edge::Policy(policy) => self.front.send(FrontNews::Policy(policy)),
+            Edge::Drained => self.peers.send(Post::Drained),
+            // A line in the log may be lost; work may not wait for it.
+            Edge::Note(note) => drop(self.notes.push(note)),
+        }
+    }
+
+    /// Tells the front what the scheduler knows of a worker or a task.
+    pub fn explain(&mut self, ticket: u64, explained: Option<serde_json::Value>) {
+        self.front.send(FrontNews::Explained(ticket, explained));
+    }
+}
--- /dev/null
+++ b/cli/tests/real/death.rs
@@ -0,0 +1,156 @@
+//! Instances and workers that die, freeze, or lose their disks.
+
+use std::time::Duration;
+
+use hickorylink_standin::cluster::{Cluster, eventually};
+use nix::sys::signal::Signal;
+use serde_json::Value;
+
+use crate::world::{FIVE, PATIENCE, THREE, World};
+
+/// The instance that leads the council, by its own word.
+async fn leader(cluster: &Cluster, among: &[usize]) -> usize {
+    let found = eventually(PATIENCE, async || {
+        for at in among {
+            let status = cluster.status(*at).await;
+            if status.is_some_and(|status| status["role"] == Value::from("leader")) {
+                return Some(*at);
+            }
+        }
+        None
+    });
+    found.await.expect("an instance leads")
+}
+
+/// Waits until the council has as many voters.
+async fn wait_voters(world: &World, at: usize, voters: usize) {
+    let voted = eventually(PATIENCE, async || {
+        let status = world.cluster.status(at).await?;
+        (status["voters"].as_array()?.len() == voters).then_some(())
+    });
+    assert!(voted.await.is_some(), "there are {voters} voters\n{}", world.logs());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_instance_killed_in_the_middle_loses_and_doubles_nothing() {
+    let mut world = World::serving(FIVE).await;
+    wait_voters(&world, 0, 3).await;
+    let killed = leader(&world.cluster, &[0, 1, 2, 3]).await;
+    let others: Vec<usize> = (0..FIVE.len()).filter(|at| *at != killed).collect();
+    let mut tasks = Vec::new();
+    for number in 0..20 {
+        let at = others[number % others.len()];
+        tasks.push(world.submit(at, &format!("batch-{number}"), 1000).await);
+    }
+    let load = world.load(&[0, 1, 2, 3, 4], "killed", 100, false);
+    let calls = tokio::spawn(async move { hickorylink_standin::caller::run(&load).await });
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    world.cluster.kill(killed).expect("the instance is ended");
+    let report = calls.await.expect("the caller ends");
+    world.assert_once(&report);
+    for task in tasks {
+        let outcome = world.wait_end(others[0], task).await;
+        assert!(outcome.get("Completed").is_some(), "{task}: {outcome}\n{}", world.logs());
+    }
+    assert_eq!(world.journal.doubled(), Vec::<String>::new());
+    for at in others {
+        world.wait_served(at).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_frozen_leader_comes_back_and_reverts_nothing() {
+    let world = World::serving(THREE).await;
+    wait_voters(&world, 0, 3).await;
+    let frozen = leader(&world.cluster, &[0, 1, 2]).await;
+    let others: Vec<usize> = (0..THREE.len()).filter(|at| *at != frozen).collect();
+    world.cluster.signal(frozen, Signal::SIGSTOP).expect("the instance is frozen");
+    leader(&world.cluster, &others).await;
+    let text = crate::world::plans(2);
+    let applied = eventually(PATIENCE, async || {
+        let answer = world.cluster.apply_edit(others[0], "plans", &text, "b2").await.ok()?;
+        (answer.status == 200).then_some(())
+    });
+    assert!(applied.await.is_some(), "the second list is in force\n{}", world.logs());
+    world.cluster.signal(frozen, Signal::SIGCONT).expect("the instance goes on");
+    let caught_up = eventually(PATIENCE, async || {
+        let status = world.cluster.status(frozen).await?;
+        (status["plans"].as_u64()? >= 2).then_some(())
+    });
+    assert!(caught_up.await.is_some(), "the frozen instance learns it\n{}", world.logs());
+    for at in 0..THREE.len() {
+        let status = world.cluster.status(at).await.expect("it answers");
+        assert!(status["plans"].as_u64() >= Some(2), "nothing goes back: {status}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_was_acknowledged_survives_the_death_of_all() {
+    let mut world = World::serving(THREE).await;
+    wait_voters(&world, 0, 3).await;
+    let before = world.call(&[0, 1, 2], "before", 15, false).await;
+    assert_eq!(before.ran, 15, "{}", world.logs());
+    for at in 0..THREE.len() {
+        world.cluster.kill(at).expect("the instance is ended");
+    }
+    for at in 0..THREE.len() {
+        world.cluster.launch(at).expect("the instance starts again");
+    }
+    for at in 0..THREE.len() {
+        world.wait_served(at).await;
+    }
+    let again = world.call(&[2, 0, 1], "before", 15, false).await;
+    world.assert_once(&again);
+    assert_eq!(again.ran, 15, "the kept answers are given\n{}", world.logs());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lost_disk_makes_a_new_member() {
+    let mut world = World::serving(THREE).await;
+    wait_voters(&world, 0, 3).await;
+    let lost = 2;
+    let id = world.cluster.status(lost).await.expect("it answers")["instance"].clone();
+    world.cluster.kill(lost).expect("the instance is ended");
+    world.cluster.lose_disk(lost).expect("its disk is emptied");
+    world.cluster.launch(lost).expect("the instance starts again");
+    let joined = eventually(PATIENCE, async || {
+        let status = world.cluster.status(lost).await?;
+        let voters = status["voters"].as_array()?.clone();
+        let me = status["instance"].clone();
+        (me != id && voters.contains(&me) && !voters.contains(&id)).then_some(())
+    });
+    assert!(joined.await.is_some(), "a new member takes its place\n{}", world.logs());
+    world.wait_served(lost).await;
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_without_power_runs_nothing_twice() {
+    let mut world = World::serving(THREE).await;
+    let mut tasks = Vec::new();
+    for number in 0..12 {
+        tasks.push(world.submit(number % 3, &format!("power-{number}"), 1500).await);
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    world.workers.remove(0).cut_power();
+    for task in tasks {
+        let outcome = world.wait_end(0, task).await;
+        assert!(outcome.get("Completed").is_some(), "{task}: {outcome}\n{}", world.logs());
+    }
+    assert_eq!(world.journal.doubled(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_worker_that_is_cut_off_stops_before_its_tasks_run_elsewhere() {
+    let world = World::serving(THREE).await;
+    let mut tasks = Vec::new();
+    for number in 0..12 {
+        tasks.push(world.submit(number % 3, &format!("cut-{number}"), 1500).await);
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    world.workers[0].cut_off();
+    for task in tasks {
+        let outcome = world.wait_end(0, task).await;
+        assert!(outcome.get("Completed").is_some(), "{task}: {outcome}\n{}", world.logs());
+    }
+    assert_eq!(world.journal.doubled(), Vec::<String>::new());
+}
--- /dev/null
+++ b/cli/tests/real/world.rs
@@ -0,0 +1,224 @@
+//! A small world: instances as processes, workers as tasks of the test.
+
+use std::{path::Path, time::Duration};
+
+use hickorylink_lib::{
+    api::{SizeBody, SubmitBody},
+    ids::TaskId,
+};
+use hickorylink_standin::{
+    caller::{self, Load, Report},
+    cluster::{Cluster, OPERATOR, Spec, blake3_text, eventually},
+    demo::traits,
+    journal::Journal,
+    worker::{Traits, Worker},
+};
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+/// How long any condition may take; generous, so that a busy machine gives the same verdict.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// The customers' credentials.
+pub const STORE: &str = "store-demo";
+pub const RIVAL: &str = "rival-demo";
+
+/// The data centres.
+pub const CENTRES: [&str; 3] = ["akl-a", "akl-b", "hlz-c"];
+
+/// Three instances with disks, one in each data centre.
+pub const THREE: &[Spec<'_>] = &[
+    Spec { name: "akl-a-1", centre: "akl-a", disk: true },
+    Spec { name: "akl-b-1", centre: "akl-b", disk: true },
+    Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
+];
+
+/// Three with disks and one without.
+pub const FOUR: &[Spec<'_>] = &[
+    Spec { name: "akl-a-1", centre: "akl-a", disk: true },
+    Spec { name: "akl-b-1", centre: "akl-b", disk: true },
+    Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
+    Spec { name: "akl-a-2", centre: "akl-a", disk: false },
+];
+
+/// Four with disks, two of them in one data centre.
+pub const FIVE: &[Spec<'_>] = &[
+    Spec { name: "akl-a-1", centre: "akl-a", disk: true },
+    Spec { name: "akl-b-1", centre: "akl-b", disk: true },
+    Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
+    Spec { name: "akl-a-2", centre: "akl-a", disk: true },
+    Spec { name: "akl-b-2", centre: "akl-b", disk: false },
+];
+
+/// Instances, workers, and what really ran.
+pub struct World {
+    pub cluster: Cluster,
+    pub workers: Vec<Worker>,
+    pub journal: Journal,
+    pub folder: TempDir,
+}
+
+impl World {
+    /// Starts instances, and as many workers in each data centre.
+    pub async fn start(specs: &[Spec<'_>], workers: usize) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let program = Path::new(env!("CARGO_BIN_EXE_hickorylink"));
+        let cluster = Cluster::start(program, folder.path(), specs).expect("the instances start");
+        let mut world = Self { cluster, workers: Vec::new(), journal: Journal::default(), folder };
+        for centre in CENTRES {
+            for number in 0..workers {
+                world.add_worker(traits(centre, number)).await;
+            }
+        }
+        world
+    }
+
+    /// Starts instances and workers, puts lists in force and waits until requests are served.
+    pub async fn serving(specs: &[Spec<'_>]) -> Self {
+        let world = Self::start(specs, 2).await;
+        world.apply("plans", &plans(1)).await;
+        world.apply("usage", &usage(1)).await;
+        for at in 0..specs.len() {
+            world.wait_served(at).await;
+        }
+        world
+    }
+
+    /// Adds a worker.
+    pub async fn add_worker(&mut self, traits: Traits) {
+        let worker = Worker::start(traits, self.cluster.home(), self.journal.clone()).await;
+        self.workers.push(worker.expect("a worker starts"));
+    }
+
+    /// Puts a list in force, however long that takes.
+    pub async fn apply(&self, list: &str, text: &str) {
+        let edit = format!("{:x}", rand::random::<u128>());
+        let applied = eventually(PATIENCE, async || {
+            let answer = self.cluster.apply_edit(0, list, text, &edit).await.ok()?;
+            (answer.status == 200).then_some(())
+        });
+        assert!(applied.await.is_some(), "{list} came in force\n{}", self.logs());
+    }
+
+    /// Waits until an instance answers requests.
+    pub async fn wait_served(&self, at: usize) {
+        let served = eventually(PATIENCE, async || {
+            let label = format!("probe-{at}-{}", rand::random::<u32>());
+            let report = self.call(&[at], &label, 1, true).await;
+            (report.ran == 1).then_some(())
+        });
+        assert!(served.await.is_some(), "instance {at} serves\n{}", self.logs());
+    }
+
+    /// Sends requests through these instances, at 50 a second.
+    pub async fn call(&self, at: &[usize], label: &str, count: u32, idempotent: bool) -> Report {
+        caller::run(&self.load(at, label, count, idempotent)).await
+    }
+
+    /// Requests through these instances.
+    pub fn load(&self, at: &[usize], label: &str, count: u32, idempotent: bool) -> Load {
+        Load {
+            instances: at.iter().map(|at| self.cluster.instances[*at].front).collect(),
+            credential: STORE.to_owned(),
+            service: "folddesk".to_owned(),
+            path: "square".to_owned(),
+            rate: 50,
+            count,
+            idempotent,
+            deadline: Duration::from_secs(5),
+            label: label.to_owned(),
+        }
+    }
+
+    /// Submits a task, however often that takes.
+    pub async fn submit(&self, at: usize, key: &str, run_ms: u64) -> TaskId {
+        let body = submission(key, run_ms);
+        let taken =
+            eventually(PATIENCE, async || self.cluster.submit(at, STORE, &body).await).await;
+        taken.unwrap_or_else(|| panic!("{key} was taken\n{}", self.logs()))
+    }
+
+    /// Waits until a task has ended, and gives its outcome.
+    pub async fn wait_end(&self, at: usize, task: TaskId) -> Value {
+        let ended = eventually(PATIENCE, async || {
+            let value = self.cluster.task(at, STORE, task).await?;
+            value.pointer("/state/Ended").cloned()
+        });
+        ended.await.unwrap_or_else(|| panic!("task {task} ended\n{}", self.logs()))
+    }
+
+    /// Asserts that no task ran in two places and none of these requests ran twice.
+    pub fn assert_once(&self, report: &Report) {
+        assert_eq!(self.journal.doubled(), Vec::<String>::new(), "tasks run in one place");
+        for body in &report.answered {
+            assert_eq!(self.journal.served(body), 1, "{body} was answered and ran once");
+        }
+        for body in &report.refused {
+            assert_eq!(self.journal.served(body), 0, "{body} was refused and did not run");
+        }
+        assert_eq!(report.mixed_up, 0, "each answer belongs to its request");
+    }
+
+    /// The ends of the instances' logs, for a failure's message.
+    pub fn logs(&self) -> String {
+        let tail = |at: usize| {
+            let log = self.cluster.log(at);
+            let lines: Vec<_> = log.lines().rev().take(25).collect();
+            let lines: Vec<_> = lines.into_iter().rev().collect();
+            format!("--- {}\n{}", self.cluster.instances[at].name, lines.join("\n"))
+        };
+        (0..self.cluster.instances.len()).map(tail).collect::<Vec<_>>().join("\n")
+    }
+}
+
+/// A batch task that may run again and takes so long.
+pub fn submission(key: &str, run_ms: u64) -> SubmitBody {
+    SubmitBody {
+        key: key.to_owned(),
+        kind: "crease-study".to_owned(),
+        size: SizeBody::new(0.5, 0.5, 0),
+        run_time_ms: run_ms,
+        urgent: false,
+        idempotent: true,
+        centre: None,
+        payload: json!({ "run_ms": run_ms, "output": key }).to_string(),
+    }
+}
+
+/// A plans list of this version.
+pub fn plans(version: u64) -> String {
+    json!({
+        "version": version,
+        "operators": [{ "name": "first", "credential": blake3_text(OPERATOR) }],
+        "plans": [
+            { "name": "counter", "objective": "latency", "services": ["folddesk"] },
+            { "name": "batch", "objective": "throughput", "services": [] },
+        ],
+        "customers": [
+            { "name": "store", "plan": "counter", "credential": blake3_text(STORE) },
+            { "name": "rival", "plan": "batch", "credential": blake3_text(RIVAL) },
+        ],
+        "services": [{
+            "name": "folddesk",
+            "owner": "store",
+            "size": { "processors": 2, "memory_gib": 4 },
+            "replicas": { "akl-a": 2, "akl-b": 2, "hlz-c": 2 },
+            "latency_ms": 50,
+            "good_percent": 99.9,
+        }],
+    })
+    .to_string()
+}
+
+/// A usage list of this version.
+pub fn usage(version: u64) -> String {
+    let some = json!({ "processors": 40, "memory_gib": 160 });
+    json!({
+        "version": version,
+        "usage": [
+            { "plan": "counter", "guaranteed": some, "burst": some, "best_effort": some },
+            { "plan": "batch", "guaranteed": some },
+        ],
+    })
+    .to_string()
+}
--- a/lib/src/council.rs
+++ b/lib/src/council.rs
@@ -101,8 +101,7 @@
             None => (Ledger::new(config.ledger.clone()), Index(0)),
         };
         let settings = config.consensus.clone();
-        let consensus =
-            Consensus::new(settings, recovered, &Members::default(), now, config.seed);
+        let consensus = Consensus::new(settings, recovered, &Members::default(), now, config.seed);
         Ok(Self {
             proposals: Proposals::new(config.pending),
             counts: Counts::new(config.start),
@@ -213,11 +212,10 @@
 
     fn found(&mut self, now: Time, out: &mut Vec<Output>) {
         let status = self.consensus.status();
-        if !self.config.founding || status.term.0 > 0 || status.last.0 > 0 {
+        if !std::mem::take(&mut self.config.founding) || status.term.0 > 0 || status.last.0 > 0 {
             return;
         }
-        let members =
-            Members { voters: vec![self.config.me.instance], learners: Vec::new() };
+        let members = Members { voters: vec![self.config.me.instance], learners: Vec::new() };
         let settings = self.config.consensus.clone();
         self.consensus =
             Consensus::new(settings, Recovered::default(), &members, now, self.config.seed);
--- a/lib/src/council/answers.rs
+++ b/lib/src/council/answers.rs
@@ -13,7 +13,13 @@
 
 impl Council {
     /// Tells a part that its command was applied.
-    pub(super) fn reply(&mut self, now: Time, pending: &Pending, reply: Reply, out: &mut Vec<Output>) {
+    pub(super) fn reply(
+        &mut self,
+        now: Time,
+        pending: &Pending,
+        reply: Reply,
+        out: &mut Vec<Output>,
+    ) {
         match &pending.asker {
             Asker::Front { ticket, .. } => {
                 let answer = Box::new(Answer::Reply(reply));
@@ -135,9 +141,7 @@
         if mine {
             let open = self.ledger.open_tasks().map(|view| view.to_open());
             let here = open.filter(|task| self.places_here(task));
-            out.extend(
-                here.map(|task| Output::scheduler(scheduler::Event::Open(Box::new(task)))),
-            );
+            out.extend(here.map(|task| Output::scheduler(scheduler::Event::Open(Box::new(task)))));
         }
         out.push(Output::scheduler(scheduler::Event::Hold { centre, epoch }));
     }
@@ -223,7 +227,7 @@
             leader: status.leader,
             committed: status.commit,
             applied: self.ledger.applied(),
-            voters: status.members.voters.clone(),
+            voters: status.members.voters,
             plans: policy.plans_revision,
             usage: policy.usage_revision,
             centres: self
--- a/lib/src/council/hold.rs
+++ b/lib/src/council/hold.rs
@@ -56,12 +56,7 @@
     }
 
     /// The command that takes or gives back the right, if that is due.
-    pub fn take(
-        &mut self,
-        now: Time,
-        ledger: &Ledger,
-        alive: &[InstanceInfo],
-    ) -> Option<Command> {
+    pub fn take(&mut self, now: Time, ledger: &Ledger, alive: &[InstanceInfo]) -> Option<Command> {
         if now < self.weigh {
             return None;
         }
--- a/lib/src/directory/instances.rs
+++ b/lib/src/directory/instances.rs
@@ -99,8 +99,7 @@
     /// Whether the instance at `address` was heard and belongs to no council; this instance
     /// itself, at `mine`, asks only while it belongs to none.
     pub fn outside_council(&self, address: SocketAddr, mine: SocketAddr) -> bool {
-        address == mine
-            || self.facts().any(|(info, facts)| info.peer == address && !facts.member)
+        address == mine || self.facts().any(|(info, facts)| info.peer == address && !facts.member)
     }
 
     /// Where an instance is reached, alive or not.
@@ -111,8 +110,6 @@
     /// The newest epoch of a data centre that an instance alive claims, and where it takes
     /// announcements.
     pub fn holder_of(&self, centre: &DataCentre) -> Option<(Epoch, SocketAddr)> {
-        self.facts()
-            .filter_map(|(info, facts)| Some((*facts.held.get(centre)?, info.front)))
-            .max()
+        self.facts().filter_map(|(info, facts)| Some((*facts.held.get(centre)?, info.front))).max()
     }
 }
--- a/lib/src/directory/port.rs
+++ b/lib/src/directory/port.rs
@@ -6,9 +6,7 @@
     command::Command,
     consensus::message::Message,
     data,
-    ids::{
-        DataCentre, Epoch, Incarnation, Index, InstanceId, InstanceName, Revision, Ticket,
-    },
+    ids::{DataCentre, Epoch, Incarnation, Index, InstanceId, InstanceName, Revision, Ticket},
     router::port::Target,
     worker::Announcement,
 };
--- a/lib/src/directory/targets.rs
+++ b/lib/src/directory/targets.rs
@@ -133,8 +133,7 @@
             return;
         }
         self.version = version;
-        self.items =
-            items.into_iter().map(|item| (item.target.address.clone(), item)).collect();
+        self.items = items.into_iter().map(|item| (item.target.address.clone(), item)).collect();
     }
 
     /// Takes in a change if none is missing before it; a gap shows at the next beat.
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -11,8 +11,8 @@
     data,
     directory::port as directory,
     ids::{
-        CustomerName, DataCentre, Epoch, Fence, Index, InstanceId, InstanceName, OperatorName, RequestId,
-        Revision, TaskId, Term, WorkerName,
+        CustomerName, DataCentre, Epoch, Fence, Index, InstanceId, InstanceName, OperatorName,
+        RequestId, Revision, TaskId, Term, WorkerName,
     },
     policy::Policy,
     router::port as router,
--- a/standin/src/demo.rs
+++ b/standin/src/demo.rs
@@ -46,16 +46,16 @@
 const WORKERS: usize = 16;
 const RACK: usize = 8;
 
-/// Runs the demonstration; `program` is the system's binary, `samples` the user's lists.
+/// Runs the demonstration; `program` is the system's binary, `samples` the user's lists, `folder`
+/// where settings, logs and data go.
 ///
 /// # Errors
 ///
 /// A file or a process can't be had, or a step takes too long.
-pub async fn run(program: &Path, samples: &Path) -> io::Result<bool> {
-    let folder = tempfile::tempdir()?;
+pub async fn run(program: &Path, samples: &Path, folder: &Path) -> io::Result<bool> {
     let journal = Journal::default();
     println!("starting {} instances and {} workers", INSTANCES.len(), CENTRES.len() * WORKERS);
-    let cluster = Cluster::start(program, folder.path(), INSTANCES)?;
+    let cluster = Cluster::start(program, folder, INSTANCES)?;
     let workers = start_workers(&cluster.home(), &journal).await?;
     apply_lists(&cluster, samples).await?;
     wait_for_replicas(&workers).await?;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -19,14 +19,20 @@
         /// A user's lists
         #[arg(long, default_value = "samples/kowhai")]
         samples: PathBuf,
+        /// Where settings, logs and data go and stay; without it they are removed at the end
+        #[arg(long)]
+        folder: Option<PathBuf>,
     },
 }
 
 fn main() -> ExitCode {
-    let Command::Demo { samples } = Args::parse().command;
+    let Command::Demo { samples, folder } = Args::parse().command;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let shown = runtime.and_then(|runtime| {
-        runtime.block_on(async { demo::run(&demo::program_beside()?, &samples).await })
+        let temporary = tempfile::tempdir()?;
+        let folder = folder.as_deref().unwrap_or(temporary.path());
+        let program = demo::program_beside()?;
+        runtime.block_on(demo::run(&program, &samples, folder))
     });
     match shown {
         Ok(true) => ExitCode::SUCCESS,
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -9,7 +9,7 @@
 };
 
 use hickorylink_lib::{
-    ids::{DataCentre, Epoch, Incarnation, Rack, TaskAttempt, WorkerName},
+    ids::{DataCentre, Epoch, Fence, Incarnation, Rack, TaskAttempt, WorkerName},
     resources::Resources,
     task::Checkpoint,
     worker::{
@@ -97,6 +97,7 @@
 struct State {
     incarnation: Incarnation,
     epoch: Epoch,
+    fence: Fence,
     lease: Option<Instant>,
     leaving: bool,
     /// Tries that run, and ends that weren't acknowledged yet.
@@ -127,6 +128,7 @@
         let state = State {
             incarnation: Incarnation(net::wall_millis()),
             epoch: Epoch(0),
+            fence: Fence(0),
             lease: None,
             leaving: false,
             tries: BTreeMap::new(),
@@ -257,10 +259,9 @@
     fn leased(&self, sent: Instant, answer: &LeaseAnswer) {
         let mut state = self.lock();
         state.holder = answer.holder.as_ref().and_then(|text| text.parse().ok());
-        if answer.epoch < state.epoch {
+        if !state.admit(answer.epoch, answer.fence) {
             return;
         }
-        state.epoch = answer.epoch;
         if let Some(lease) = answer.lease {
             state.lease = Some(sent + lease);
         }
@@ -272,6 +273,15 @@
     }
 }
 
+impl State {
+    /// Whether words under this epoch and fence are obeyed; the newest are remembered.
+    fn admit(&mut self, epoch: Epoch, fence: Fence) -> bool {
+        let newest = (self.epoch, self.fence).max((epoch, fence));
+        (self.epoch, self.fence) = newest;
+        newest == (epoch, fence)
+    }
+}
+
 async fn announce(shared: Arc<Shared>, home: Home) {
     loop {
         let wait = announce_once(&shared, &home).await.unwrap_or(RETRY);
@@ -330,12 +340,8 @@
 
 #[handler]
 async fn commands(Json(batch): Json<CommandBatch>, Data(shared): Data<&Arc<Shared>>) -> StatusCode {
-    {
-        let mut state = shared.lock();
-        if batch.epoch < state.epoch {
-            return StatusCode::CONFLICT;
-        }
-        state.epoch = batch.epoch;
+    if !shared.lock().admit(batch.epoch, batch.fence) {
+        return StatusCode::CONFLICT;
     }
     for command in batch.commands {
         carry_out(shared, command).await;
