burn: count good and bad requests over four windows

Cause: the operators need a report on service-level burn. Ruled out: buckets on the wall clock (a clock that is set back would mix spans); histograms of latency (the promise is one limit a service, so two counts do). The router counts each answer once.

--- /dev/null
+++ b/lib/src/burn/report.rs
@@ -0,0 +1,192 @@
+//! What the burn of a service's error budget comes to, for one instance or several.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    burn::window::{Tally, Window},
+    data,
+    ids::{CustomerName, InstanceId, ServiceName},
+    symbols,
+};
+
+/// From this burn rate on, over five minutes and an hour, the budget burns fast: 14.4 uses up
+/// a fifth of the budget of three days within an hour.
+pub const FAST_BURN: f64 = 14.4;
+
+/// From this burn rate on, over six hours and three days, the budget burns slowly but is used up
+/// before its period ends.
+pub const SLOW_BURN: f64 = 1.0;
+
+const MILLION: f64 = 1e6;
+
+symbols! {
+    /// How fast an error budget burns.
+    pub enum Pace {
+        /// Within the budget.
+        Steady = "steady",
+        /// The budget is used up before its period ends.
+        Slow = "slow",
+        /// The budget is used up within hours.
+        Fast = "fast",
+    }
+}
+
+data! {
+    /// Good and bad requests by customer, service and window.
+    #[derive(Default)]
+    pub struct Report {
+        /// The instances whose requests are counted, with what they know.
+        pub sources: BTreeMap<InstanceId, Source>,
+        /// Live instances whose report didn't come.
+        pub missing: BTreeSet<InstanceId>,
+        /// The rows, by service and customer.
+        pub rows: BTreeMap<RowKey, Row>,
+    }
+
+    /// What one instance knows.
+    pub struct Source {
+        /// How much of each window it counted, in the order of [`Window::ALL`].
+        pub covered: Vec<Duration>,
+        /// Requests that it counted in no row, since there were too many rows.
+        pub untracked: u64,
+    }
+
+    /// Whose requests a row counts.
+    #[derive(PartialOrd, Ord)]
+    pub struct RowKey {
+        /// The service.
+        pub service: ServiceName,
+        /// The customer.
+        pub customer: CustomerName,
+    }
+
+    /// The counts of a customer's requests to a service.
+    pub struct Row {
+        /// Good requests aimed at, in millionths.
+        pub good_ppm: u32,
+        /// The latency within which a request counts as good.
+        pub latency: Duration,
+        /// The counts, in the order of [`Window::ALL`].
+        pub tallies: Vec<Tally>,
+    }
+}
+
+/// When an error budget is used up at the rate of the last hour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exhaustion {
+    /// It isn't being used.
+    Never,
+    /// After this long.
+    In(Duration),
+    /// It is used up.
+    Passed,
+}
+
+impl Report {
+    /// Adds what another report counts. An instance that both hold is counted once: rows can't be
+    /// told apart by instance, so a report that shares a source is left out and false returned.
+    pub fn merge(&mut self, other: &Self) -> bool {
+        if other.sources.keys().any(|instance| self.sources.contains_key(instance)) {
+            return false;
+        }
+        self.sources.extend(other.sources.iter().map(|(id, source)| (*id, source.clone())));
+        self.missing.extend(&other.missing);
+        self.missing.retain(|instance| !self.sources.contains_key(instance));
+        for (key, row) in &other.rows {
+            match self.rows.get_mut(key) {
+                Some(held) => held.merge(row),
+                None => {
+                    self.rows.insert(key.clone(), row.clone());
+                }
+            }
+        }
+        true
+    }
+
+    /// Notes which live instances aren't among the sources.
+    pub fn expect(&mut self, live: impl IntoIterator<Item = InstanceId>) {
+        let sources = &self.sources;
+        self.missing.extend(live.into_iter().filter(|id| !sources.contains_key(id)));
+    }
+
+    /// The part of a window that the best source covers, from 0 to 1.
+    pub fn coverage(&self, window: Window) -> f64 {
+        let covered = self.sources.values().filter_map(|s| s.covered.get(usize::from(window)));
+        let longest = covered.max().copied().unwrap_or_default();
+        (longest.as_secs_f64() / window.span().as_secs_f64()).min(1.0)
+    }
+
+    /// The instances that don't cover the whole of a window.
+    pub fn partial(&self, window: Window) -> impl Iterator<Item = InstanceId> {
+        let at = usize::from(window);
+        let partial = move |source: &Source| {
+            source.covered.get(at).is_none_or(|covered| *covered < window.span())
+        };
+        self.sources.iter().filter(move |(_, source)| partial(source)).map(|(id, _)| *id)
+    }
+
+    /// Requests that are counted in no row.
+    pub fn untracked(&self) -> u64 {
+        self.sources.values().map(|source| source.untracked).sum()
+    }
+
+    /// The part of a row's error budget of three days that is left, from 0 to 1.
+    pub fn budget_left(&self, row: &Row) -> f64 {
+        let used = row.burn(Window::ThreeDays) * self.coverage(Window::ThreeDays);
+        (1.0 - used).clamp(0.0, 1.0)
+    }
+
+    /// When a row's error budget is used up at the rate of the last hour.
+    pub fn exhaustion(&self, row: &Row) -> Exhaustion {
+        let left = self.budget_left(row);
+        let rate = row.burn(Window::Hour);
+        if left <= 0.0 {
+            return Exhaustion::Passed;
+        }
+        let seconds = Window::ThreeDays.span().as_secs_f64() * left / rate;
+        match Duration::try_from_secs_f64(seconds) {
+            Ok(span) => Exhaustion::In(span),
+            Err(_) => Exhaustion::Never,
+        }
+    }
+}
+
+impl Row {
+    /// The counts of a window.
+    pub fn tally(&self, window: Window) -> Tally {
+        self.tallies.get(usize::from(window)).copied().unwrap_or_default()
+    }
+
+    /// How many times faster than planned the error budget burned in a window: 1 uses it up
+    /// exactly at the end of its period.
+    pub fn burn(&self, window: Window) -> f64 {
+        let tally = self.tally(window);
+        if tally.bad == 0 {
+            return 0.0;
+        }
+        let bad = tally.bad as f64 / tally.total() as f64;
+        let planned = (MILLION - f64::from(self.good_ppm)).max(1.0) / MILLION;
+        bad / planned
+    }
+
+    /// How fast the error budget burns.
+    pub fn pace(&self) -> Pace {
+        let above = |windows: [Window; 2], limit| windows.iter().all(|w| self.burn(*w) >= limit);
+        if above([Window::FiveMinutes, Window::Hour], FAST_BURN) {
+            Pace::Fast
+        } else if above([Window::SixHours, Window::ThreeDays], SLOW_BURN) {
+            Pace::Slow
+        } else {
+            Pace::Steady
+        }
+    }
+
+    fn merge(&mut self, other: &Self) {
+        for (tally, more) in self.tallies.iter_mut().zip(&other.tallies) {
+            tally.add(*more);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/burn/window.rs
@@ -0,0 +1,111 @@
+//! The windows over which burn is read, and rings of buckets that cover them.
+
+use std::{collections::VecDeque, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::symbols;
+
+symbols! {
+    /// A window that ends now.
+    pub enum Window {
+        /// Five minutes: whether it still goes on.
+        FiveMinutes = "5m",
+        /// An hour: fast burn.
+        Hour = "1h",
+        /// Six hours: whether a slow burn still goes on.
+        SixHours = "6h",
+        /// Three days: slow burn, and the period of the error budget.
+        ThreeDays = "3d",
+    }
+}
+
+/// Buckets in a window; one more is being filled.
+const BUCKETS: u64 = 60;
+
+const SECOND: u64 = 1_000_000_000;
+
+impl Window {
+    /// How long it is.
+    pub const fn span(self) -> Duration {
+        Duration::from_nanos(self.bucket() * BUCKETS)
+    }
+
+    /// How long one of its buckets is, in nanoseconds.
+    const fn bucket(self) -> u64 {
+        match self {
+            Self::FiveMinutes => 5 * SECOND,
+            Self::Hour => 60 * SECOND,
+            Self::SixHours => 6 * 60 * SECOND,
+            Self::ThreeDays => 72 * 60 * SECOND,
+        }
+    }
+}
+
+/// Good and bad requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Requests that were served within the service's latency.
+    pub good: u64,
+    /// Requests that were served later, not at all, or perhaps.
+    pub bad: u64,
+}
+
+impl Tally {
+    /// Adds another tally.
+    pub fn add(&mut self, other: Self) {
+        self.good += other.good;
+        self.bad += other.bad;
+    }
+
+    /// All requests.
+    pub fn total(self) -> u64 {
+        self.good + self.bad
+    }
+}
+
+/// The buckets of one window, oldest first; the last is being filled.
+///
+/// Buckets that saw no request aren't kept.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct Ring {
+    buckets: VecDeque<(u64, Tally)>,
+}
+
+impl Ring {
+    pub(super) fn record(&mut self, at: u64, window: Window, good: bool) {
+        let number = at / window.bucket();
+        self.trim(number);
+        if self.buckets.back().is_none_or(|(newest, _)| *newest < number) {
+            self.buckets.push_back((number, Tally::default()));
+        }
+        if let Some((_, tally)) = self.buckets.back_mut() {
+            match good {
+                true => tally.good += 1,
+                false => tally.bad += 1,
+            }
+        }
+    }
+
+    pub(super) fn total(&self, at: u64, window: Window) -> Tally {
+        let newest = at / window.bucket();
+        let mut total = Tally::default();
+        for (number, tally) in &self.buckets {
+            if number + BUCKETS > newest {
+                total.add(*tally);
+            }
+        }
+        total
+    }
+
+    /// Whether nothing in it counts any more.
+    pub(super) fn is_past(&self, at: u64, window: Window) -> bool {
+        self.buckets.back().is_none_or(|(number, _)| number + BUCKETS <= at / window.bucket())
+    }
+
+    fn trim(&mut self, number: u64) {
+        while self.buckets.front().is_some_and(|(oldest, _)| oldest + BUCKETS <= number) {
+            self.buckets.pop_front();
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! event and the present time and fills a list of effects; the daemon's duties, a property test
 //! or a model check drive the same code.
 
+pub mod burn;
 pub mod chart;
 pub mod command;
 pub mod consensus;
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -36,6 +36,7 @@
     status::{Counters, Status, TargetStatus},
 };
 use crate::{
+    burn::{self, Burn},
     command::ClaimResult,
     ids::RequestId,
     policy::Policy,
@@ -51,7 +52,7 @@
         timers::{Alarm, Timers},
         tries::Try,
     },
-    time::Time,
+    time::{Time, WallTime},
 };
 
 /// Hashes alike in every run; the keys are this instance's own numbers.
@@ -72,6 +73,7 @@
     unsettled: Occupancy,
     /// Requests whose caller waits.
     open: usize,
+    burn: Burn,
     counters: Counters,
     draining: bool,
     drained: bool,
@@ -80,7 +82,7 @@
 
 impl Router {
     /// A router that knows no policy, instance or target yet; `seed` decides its random choices.
-    pub fn new(config: Config, _now: Time, seed: u64) -> Self {
+    pub fn new(config: Config, now: Time, seed: u64) -> Self {
         Self {
             policy: Arc::new(Policy::default()),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -92,6 +94,7 @@
             waiting: Occupancy::new(config.queue),
             unsettled: Occupancy::new(config.unsettled),
             open: 0,
+            burn: Burn::new(now),
             counters: Counters::default(),
             draining: false,
             drained: false,
@@ -163,6 +166,21 @@
         }
     }
 
+    /// The good and bad requests that this instance counted.
+    pub fn burn(&self, now: Time) -> burn::Report {
+        self.burn.report(now, self.config.me, &self.policy)
+    }
+
+    /// What the counts of good and bad requests need to go on after a restart.
+    pub fn burn_snapshot(&mut self, now: Time, wall: WallTime) -> burn::Snapshot {
+        self.burn.snapshot(now, wall)
+    }
+
+    /// Goes on with the counts of an earlier process; to be called before the first request.
+    pub fn restore_burn(&mut self, now: Time, wall: WallTime, snapshot: burn::Snapshot) {
+        self.burn = Burn::restore(now, wall, snapshot);
+    }
+
     fn ring(&mut self, now: Time, alarm: Alarm, effects: &mut Vec<Effect>) {
         match alarm {
             Alarm::Deadline(id) => {
--- a/lib/src/router/admission.rs
+++ b/lib/src/router/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::{
+    burn::Served,
     router::{
         Router,
         port::{Effect, NotRun, Request, RequestOutcome},
@@ -33,13 +34,22 @@
                 self.accounts.get_mut(account).request(now, self.config.budget_window);
                 self.open += 1;
                 self.timers.set(request.deadline, Alarm::Deadline(id));
-                self.requests.insert(id, Entry::new(request, (account, service), exact));
+                self.requests.insert(id, Entry::new(now, request, (account, service), exact));
                 self.step(now, id, Signal::new(RequestEvent::Start), effects);
                 self.pump(now, service, effects);
             }
             Err(reason) => {
                 let outcome = RequestOutcome::NotRun { reason };
                 self.counters.count(&outcome);
+                let served = Served {
+                    customer: &request.customer,
+                    service: &request.service,
+                    outcome: &outcome,
+                    took: Duration::ZERO,
+                    patience: now.until(request.deadline),
+                    withdrawn: false,
+                };
+                self.burn.record(now, &self.policy, served);
                 effects.push(Effect::Answer { request: id, outcome });
             }
         }
--- a/lib/src/router/request.rs
+++ b/lib/src/router/request.rs
@@ -181,6 +181,7 @@
     pub(super) account: usize,
     /// The index of its service.
     pub(super) service: usize,
+    pub(super) arrived: Time,
     pub(super) state: RequestState,
     /// Whether its plan wants the count committed before the answer.
     pub(super) exact: bool,
@@ -203,11 +204,17 @@
 }
 
 impl Entry {
-    pub(super) fn new(request: Request, (account, service): (usize, usize), exact: bool) -> Self {
+    pub(super) fn new(
+        now: Time,
+        request: Request,
+        (account, service): (usize, usize),
+        exact: bool,
+    ) -> Self {
         Self {
             request,
             account,
             service,
+            arrived: now,
             state: CHART.initial(),
             exact,
             claimed: false,
--- a/lib/src/router/steps.rs
+++ b/lib/src/router/steps.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 
 use crate::{
+    burn::Served,
     command::{Claim, ClaimResult},
     ids::{InstanceId, RequestId},
     router::{
@@ -98,6 +99,7 @@
         signal: &mut Signal,
         effects: &mut Vec<Effect>,
     ) {
+        let withdrawn = signal.event == RequestEvent::CallerGone;
         match action {
             RequestAction::Claim => {
                 let owner = self.config.me;
@@ -124,12 +126,13 @@
             RequestAction::Record => self.record(id, effects),
             RequestAction::Answer => {
                 if let Some(outcome) = self.entry(id).outcome.take() {
-                    self.answer(id, outcome, effects);
+                    self.answer(now, id, (outcome, withdrawn), effects);
                 }
             }
             RequestAction::AnswerUnrecorded => {
                 let reason = "it ran, but its record isn't confirmed".to_owned();
-                self.answer(id, RequestOutcome::Unknown { reason }, effects);
+                let outcome = RequestOutcome::Unknown { reason };
+                self.answer(now, id, (outcome, withdrawn), effects);
             }
         }
     }
@@ -280,8 +283,25 @@
         });
     }
 
-    fn answer(&mut self, id: RequestId, outcome: RequestOutcome, effects: &mut Vec<Effect>) {
+    fn answer(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        (outcome, withdrawn): (RequestOutcome, bool),
+        effects: &mut Vec<Effect>,
+    ) {
         self.counters.count(&outcome);
+        if let Some(entry) = self.requests.get(&id) {
+            let served = Served {
+                customer: &entry.request.customer,
+                service: &entry.request.service,
+                outcome: &outcome,
+                took: now.since(entry.arrived),
+                patience: entry.arrived.until(entry.request.deadline),
+                withdrawn,
+            };
+            self.burn.record(now, &self.policy, served);
+        }
         effects.push(Effect::Answer { request: id, outcome });
     }
 }
