--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -3,6 +3,7 @@
 //! Every request ends in exactly one of three ways: it ran and here is the whole answer; it did
 //! not run; or it is unknown whether it ran.
 
+mod accounts;
 mod admission;
 mod budget;
 mod choice;
@@ -21,7 +22,11 @@
 mod timers;
 mod tries;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    hash::{BuildHasherDefault, DefaultHasher},
+    sync::Arc,
+};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -31,11 +36,12 @@
     status::{Counters, Status, TargetStatus},
 };
 use crate::{
+    burn::{self, Burn},
     command::ClaimResult,
-    ids::{CustomerName, RequestId},
+    ids::RequestId,
     policy::Policy,
     router::{
-        budget::Budget,
+        accounts::Accounts,
         choice::{Wish, choose},
         fleet::Fleet,
         occupancy::Occupancy,
@@ -46,9 +52,12 @@
         timers::{Alarm, Timers},
         tries::Try,
     },
-    time::Time,
+    time::{Time, WallTime},
 };
 
+/// Hashes alike in every run; the keys are this instance's own numbers.
+type Hashing = BuildHasherDefault<DefaultHasher>;
+
 /// The router of one instance.
 #[derive(Debug)]
 pub struct Router {
@@ -57,11 +66,14 @@
     rng: ChaCha8Rng,
     timers: Timers,
     fleet: Fleet,
-    requests: BTreeMap<RequestId, Entry>,
-    tries: BTreeMap<TryId, Try>,
-    budgets: BTreeMap<CustomerName, Budget>,
+    requests: HashMap<RequestId, Entry, Hashing>,
+    tries: HashMap<TryId, Try, Hashing>,
+    accounts: Accounts,
     waiting: Occupancy,
     unsettled: Occupancy,
+    /// Requests whose caller waits.
+    open: usize,
+    burn: Burn,
     counters: Counters,
     draining: bool,
     drained: bool,
@@ -70,17 +82,19 @@
 
 impl Router {
     /// A router that knows no policy, instance or target yet; `seed` decides its random choices.
-    pub fn new(config: Config, _now: Time, seed: u64) -> Self {
+    pub fn new(config: Config, now: Time, seed: u64) -> Self {
         Self {
             policy: Arc::new(Policy::default()),
             rng: ChaCha8Rng::seed_from_u64(seed),
             timers: Timers::default(),
             fleet: Fleet::default(),
-            requests: BTreeMap::new(),
-            tries: BTreeMap::new(),
-            budgets: BTreeMap::new(),
+            requests: HashMap::default(),
+            tries: HashMap::default(),
+            accounts: Accounts::default(),
             waiting: Occupancy::new(config.queue),
             unsettled: Occupancy::new(config.unsettled),
+            open: 0,
+            burn: Burn::new(now),
             counters: Counters::default(),
             draining: false,
             drained: false,
@@ -139,11 +153,11 @@
             state: target.state,
             part: target.part,
             flying: target.flying,
-            latency: (target.average.seconds() * 1e6) as u64,
+            latency: (target.average.last_seconds() * 1e6) as u64,
         });
         Status {
             counters: self.counters.clone(),
-            open: self.requests.values().filter(|entry| entry.state.is_open()).count(),
+            open: self.open,
             waiting: self.waiting.total(),
             unsettled: self.unsettled.total(),
             flying: self.tries.len(),
@@ -152,6 +166,21 @@
         }
     }
 
+    /// The good and bad requests that this instance counted.
+    pub fn burn(&self, now: Time) -> burn::Report {
+        self.burn.report(now, self.config.me, &self.policy)
+    }
+
+    /// What the counts of good and bad requests need to go on after a restart.
+    pub fn burn_snapshot(&mut self, now: Time, wall: WallTime) -> burn::Snapshot {
+        self.burn.snapshot(now, wall)
+    }
+
+    /// Goes on with the counts of an earlier process; to be called before the first request.
+    pub fn restore_burn(&mut self, now: Time, wall: WallTime, snapshot: burn::Snapshot) {
+        self.burn = Burn::restore(now, wall, snapshot);
+    }
+
     fn ring(&mut self, now: Time, alarm: Alarm, effects: &mut Vec<Effect>) {
         match alarm {
             Alarm::Deadline(id) => {
@@ -188,11 +217,7 @@
     }
 
     fn set_policy(&mut self, policy: Arc<Policy>) {
-        let known = |customer: &CustomerName| policy.customers.contains_key(customer);
-        self.budgets.retain(|customer, _| known(customer));
-        for service in &mut self.fleet.services {
-            service.queue.retain(known);
-        }
+        self.accounts.follow(&policy);
         self.policy = policy;
     }
 
@@ -247,8 +272,7 @@
         if !self.draining || self.drained {
             return;
         }
-        let open = self.requests.values().any(|entry| entry.state.is_open());
-        if open {
+        if self.open > 0 {
             return;
         }
         if !self.requests.is_empty() {
--- a/lib/src/router/request.rs
+++ b/lib/src/router/request.rs
@@ -177,8 +177,11 @@
 #[derive(Debug)]
 pub(super) struct Entry {
     pub(super) request: Request,
+    /// The number of its customer.
+    pub(super) account: usize,
     /// The index of its service.
     pub(super) service: usize,
+    pub(super) arrived: Time,
     pub(super) state: RequestState,
     /// Whether its plan wants the count committed before the answer.
     pub(super) exact: bool,
@@ -201,10 +204,17 @@
 }
 
 impl Entry {
-    pub(super) fn new(request: Request, service: usize, exact: bool) -> Self {
+    pub(super) fn new(
+        now: Time,
+        request: Request,
+        (account, service): (usize, usize),
+        exact: bool,
+    ) -> Self {
         Self {
             request,
+            account,
             service,
+            arrived: now,
             state: CHART.initial(),
             exact,
             claimed: false,
