--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -162,7 +162,7 @@
         while let Some(timer) = self.timers.take(now) {
             match timer {
                 Timer::Worker(slot) => self.watch_worker(now, slot, effects),
-                Timer::Record(id) => self.retry_record(now, id, effects),
+                Timer::Record(id) => self.record_due(now, id, effects),
                 Timer::Requeue(id) => self.requeue(now, id, effects),
                 Timer::Cleared => self.expire_inherited(now, effects),
                 Timer::Census => self.census(now, effects),
--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -221,6 +221,9 @@
             }
         }
         let obeys = said.epoch == epoch;
+        if obeys {
+            self.confirm_surmises(slot);
+        }
         for id in self.tries_on(slot) {
             let Some((attempt, phase)) = self.phase_of(id) else { continue };
             if listed.get(&id) == Some(&attempt) {
--- a/lib/src/scheduler/attempt.rs
+++ b/lib/src/scheduler/attempt.rs
@@ -127,6 +127,7 @@
             PhaseAction::HoldRoom => self.hold_again(now, id),
             PhaseAction::Release => self.release(now, id, effects),
             PhaseAction::Requeue => self.delay(now, id),
+            PhaseAction::Close => self.close(now, id, TaskOutcome::Cancelled, effects),
             PhaseAction::YieldNotStarted => {
                 self.record_yield(now, id, None, YieldCause::NotStarted, effects);
             }
@@ -164,7 +165,7 @@
 
     /// Asks for the record of a task's current try, and for it again if there is no answer.
     pub(super) fn record_start(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
-        self.timers.set(now + self.config.retry, Timer::Record(id));
+        self.retry_later(now, id);
         let Some(epoch) = self.hold.records(now, &self.config) else { return };
         let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
         effects.push(Effect::RecordStart {
@@ -176,7 +177,7 @@
 
     /// Asks once more for the record of a try's end.
     fn record_again(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
-        self.timers.set(now + self.config.retry, Timer::Record(id));
+        self.retry_later(now, id);
         let Some(epoch) = self.hold.records(now, &self.config) else { return };
         let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
         let attempt = TaskAttempt { task: id, attempt: current.attempt };
--- a/lib/src/scheduler/charts.rs
+++ b/lib/src/scheduler/charts.rs
@@ -56,7 +56,7 @@
         Cancel = "cancel",
         /// It must run at another speed.
         Throttle = "throttle",
-        /// Another epoch began.
+        /// The data centre's epoch changed.
         Takeover = "takeover",
         /// A record got no answer in time.
         Retry = "retry",
@@ -104,6 +104,8 @@
         Release = "release",
         /// Put its task back into the queue.
         Requeue = "requeue",
+        /// Record that its task was cancelled before this try.
+        Close = "close",
         /// Record that it never started.
         YieldNotStarted = "yield_not_started",
         /// Record that it failed.
--- a/lib/src/scheduler/fleet.rs
+++ b/lib/src/scheduler/fleet.rs
@@ -35,6 +35,8 @@
     /// The part of `committed` that each tier holds.
     pub(super) tiers: [Resources; Tier::ALL.len()],
     pub(super) tries: BTreeSet<TaskId>,
+    /// Tasks whose tries on it were counted as stopped because its lease ran out.
+    pub(super) surmised: BTreeSet<TaskId>,
     /// When the last announcement was answered with a lease.
     pub(super) answered: Option<Time>,
     pub(super) heard: Time,
@@ -245,6 +247,7 @@
         expected: Resources::ZERO,
         tiers: [Resources::ZERO; Tier::ALL.len()],
         tries: BTreeSet::new(),
+        surmised: BTreeSet::new(),
         answered: None,
         heard: now,
         reserved: None,
--- a/lib/src/scheduler/health.rs
+++ b/lib/src/scheduler/health.rs
@@ -149,10 +149,24 @@
     fn surmise(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
         if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
             current.surmised = true;
+            let slot = current.worker;
+            self.fleet[slot].surmised.insert(id);
         }
         self.step_try(now, id, PhaseEvent::Gone, Cause::Plain, effects);
     }
 
+    /// A worker that has obeyed no later epoch had its leases from this holder alone: what was
+    /// concluded from them is a fact.
+    pub(super) fn confirm_surmises(&mut self, slot: WorkerSlot) {
+        for id in std::mem::take(&mut self.fleet[slot].surmised) {
+            if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut)
+                && current.worker == slot
+            {
+                current.surmised = false;
+            }
+        }
+    }
+
     /// Looks whether a worker is overdue, lapsed or out of quarantine.
     pub(super) fn watch_worker(&mut self, now: Time, slot: WorkerSlot, effects: &mut Vec<Effect>) {
         self.fleet[slot].watched = false;
--- a/lib/src/scheduler/ledger.rs
+++ b/lib/src/scheduler/ledger.rs
@@ -28,12 +28,14 @@
             TaskState::Ended(_) => self.forget(now, open.task, effects),
             TaskState::Queued => self.opened_queued(now, open, effects),
             TaskState::Running { attempt, worker, centre } => {
-                if self.phase_of(open.task).is_some_and(|(known, _)| known == *attempt) {
+                let here = *centre == self.config.centre;
+                let slot = here.then(|| self.fleet.slot(now, worker));
+                let current = TaskAttempt { task: open.task, attempt: *attempt };
+                if slot.is_some_and(|slot| self.is_current(current, slot)) {
                     return;
                 }
                 self.forget(now, open.task, effects);
-                if *centre == self.config.centre {
-                    let slot = self.fleet.slot(now, worker);
+                if let Some(slot) = slot {
                     self.inherit(now, open, *attempt, slot);
                 }
             }
@@ -76,6 +78,7 @@
             lane: self.lane(customer, open),
             since: now,
             stage,
+            retry: now,
             avoid: None,
             evicted: None,
         }
@@ -164,7 +167,7 @@
 
     /// Asks once more for the record of the end of a task that has no try.
     fn close_again(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
-        self.timers.set(now + self.config.retry, Timer::Record(id));
+        self.retry_later(now, id);
         let Some(epoch) = self.hold.records(now, &self.config) else { return };
         let Some(task) = self.tasks.get(id) else { return };
         if let Stage::Closing(outcome) = &task.stage {
@@ -173,8 +176,22 @@
         }
     }
 
+    /// Asks for a record again if there is no answer in time.
+    pub(super) fn retry_later(&mut self, now: Time, id: TaskId) {
+        let Some(task) = self.tasks.get_mut(id) else { return };
+        task.retry = now + self.config.retry;
+        self.timers.set(task.retry, Timer::Record(id));
+    }
+
+    /// The timer for a record has come; one that was set before the last request comes too early.
+    pub(super) fn record_due(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
+        if self.tasks.get(id).is_some_and(|task| task.retry <= now) {
+            self.retry_record(now, id, effects);
+        }
+    }
+
     /// A record may have got no answer.
-    pub(super) fn retry_record(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
+    fn retry_record(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) {
         let Some(task) = self.tasks.get(id) else { return };
         match &task.stage {
             Stage::Closing(_) => self.close_again(now, id, effects),
@@ -263,16 +280,21 @@
             self.step_worker(now, slot, HealthEvent::Reset, effects);
             self.fleet[slot].answered = None;
         }
+        for id in self.tasks.select(|task| task.current().is_some()) {
+            self.step_try(now, id, PhaseEvent::Takeover, Cause::Plain, effects);
+        }
         let Some(epoch) = epoch else {
             self.hold = Hold::none(now);
             return;
         };
         self.hold = Hold { epoch: Some(epoch), taken: now, confirmed: now };
-        for id in self.tasks.select(|task| task.current().is_some()) {
-            self.step_try(now, id, PhaseEvent::Takeover, Cause::Plain, effects);
-        }
-        for id in self.tasks.select(|task| matches!(task.stage, Stage::Closing(_))) {
-            self.close_again(now, id, effects);
+        let unrecorded = self.tasks.select(|task| match &task.stage {
+            Stage::Active(current) => current.record.is_some(),
+            Stage::Closing(_) => true,
+            Stage::Waiting | Stage::Delayed | Stage::Parked => false,
+        });
+        for id in unrecorded {
+            self.retry_record(now, id, effects);
         }
         self.timers.set(self.hold.cleared(&self.config), Timer::Cleared);
         self.timers.set(now + self.config.census, Timer::Census);
--- a/lib/src/scheduler/tasks.rs
+++ b/lib/src/scheduler/tasks.rs
@@ -26,6 +26,8 @@
     /// Since when it stands where it stands.
     pub(super) since: Time,
     pub(super) stage: Stage,
+    /// When a record that was asked for is asked for again.
+    pub(super) retry: Time,
     /// Where its last try failed.
     pub(super) avoid: Option<WorkerSlot>,
     /// Why its last try was evicted.
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -4,3 +4,11 @@
 mod basics;
 #[path = "scheduler/desk.rs"]
 mod desk;
+#[path = "scheduler/ledger.rs"]
+mod ledger;
+#[path = "scheduler/properties.rs"]
+mod properties;
+#[path = "scheduler/worker.rs"]
+mod worker;
+#[path = "scheduler/world.rs"]
+mod world;
