router: keep slots free of one customer's watchers

Cause: a watcher holds a slot for hours. One customer could take every slot of a service, and its rivals would wait until their deadlines; watchers were hedged, and their hours went into the latency that early refusals and hedges go by. Ruled out: holding back a part of the slots from every request of a customer (a customer that is alone would never use them). Change: a request whose caller waits longer than a minute is a standing one; those of one customer take no more slots of a service than they leave free; they aren't hedged or learned from, and burn counts their end in place of their latency. A target's part is dealt again only when a deal changes, no longer at each answer.

--- a/lib/src/burn.rs
+++ b/lib/src/burn.rs
@@ -45,6 +45,8 @@
     pub patience: Duration,
     /// Whether the caller went away.
     pub withdrawn: bool,
+    /// Whether it is a standing request, which has no latency.
+    pub standing: bool,
 }
 
 /// The good and bad requests of one instance over the last three days.
@@ -205,7 +207,7 @@
 
 /// Whether a request was good; nothing if it counts as neither.
 fn judge(served: &Served<'_>, latency: Duration) -> Option<bool> {
-    let within = served.took <= latency;
+    let within = served.standing || served.took <= latency;
     if served.withdrawn && within {
         return None;
     }
--- a/lib/src/router/admission.rs
+++ b/lib/src/router/admission.rs
@@ -7,20 +7,13 @@
     router::{
         Router,
         port::{Effect, NotRun, Request, RequestOutcome},
-        request::{Entry, RequestEvent},
+        request::{Admitted, Entry, RequestEvent},
         steps::Signal,
         timers::Alarm,
     },
     time::Time,
 };
 
-/// What is known of a request that is taken in.
-struct Admitted {
-    account: usize,
-    service: usize,
-    exact: bool,
-}
-
 impl Router {
     /// Takes a request in, or answers at once that it did not run.
     pub(super) fn admit(&mut self, now: Time, request: Request, effects: &mut Vec<Effect>) {
@@ -30,11 +23,15 @@
             return;
         }
         match self.check(now, &request) {
-            Ok(Admitted { account, service, exact }) => {
+            Ok(admitted) => {
+                let Admitted { account, service, .. } = admitted;
                 self.accounts.get_mut(account).request(now, self.config.budget_window);
                 self.open += 1;
+                if admitted.standing {
+                    self.fleet.services[service].standing.enter(account);
+                }
                 self.timers.set(request.deadline, Alarm::Deadline(id));
-                self.requests.insert(id, Entry::new(now, request, (account, service), exact));
+                self.requests.insert(id, Entry::new(now, request, admitted));
                 self.step(now, id, Signal::new(RequestEvent::Start), effects);
                 self.pump(now, service, effects);
             }
@@ -48,6 +45,7 @@
                     took: Duration::ZERO,
                     patience: now.until(request.deadline),
                     withdrawn: false,
+                    standing: false,
                 };
                 self.burn.record(now, &self.policy, served);
                 effects.push(Effect::Answer { request: id, outcome });
@@ -84,7 +82,11 @@
         {
             return Err(NotRun::Deadline);
         }
-        Ok(Admitted { account, service, exact: plan.exact_counts })
+        let standing = now.until(request.deadline) > self.config.standing;
+        if standing && !self.fleet.services[service].standing.admits(account) {
+            return Err(NotRun::Overloaded);
+        }
+        Ok(Admitted { account, service, standing, exact: plan.exact_counts })
     }
 
     /// How long the request is likely to wait and to run.
--- a/lib/src/router/config.rs
+++ b/lib/src/router/config.rs
@@ -28,6 +28,10 @@
         pub silence: Duration,
         /// How long a slot stays taken after its try was abandoned, unless the try ends earlier.
         pub linger: Duration,
+        /// A request whose caller waits longer than this is a standing one, like a watcher: it
+        /// isn't hedged, its latency isn't learned from, and such requests of one customer take
+        /// no more slots of a service than what they leave free.
+        pub standing: Duration,
         /// How long a claim is remembered whose answer didn't come in time.
         pub release_after: Duration,
         /// How long a new target gets less than its part.
@@ -65,6 +69,7 @@
             leave_after: Duration::from_secs(10),
             silence: Duration::from_secs(3),
             linger: Duration::from_secs(1),
+            standing: Duration::from_secs(60),
             release_after: Duration::from_secs(600),
             warm_up: Duration::from_secs(10),
             failures: 3,
--- a/lib/src/router/fleet.rs
+++ b/lib/src/router/fleet.rs
@@ -7,6 +7,7 @@
     router::{
         config::Config,
         latency::Quantiles,
+        occupancy::Occupancy,
         port::{self, Peer},
         queue::Queue,
         slots::{View, Views},
@@ -26,6 +27,8 @@
     pub(super) far: Vec<usize>,
     pub(super) queue: Queue,
     pub(super) quantiles: Quantiles,
+    /// Open requests that are standing.
+    pub(super) standing: Occupancy,
     /// Slots that this instance may use.
     pub(super) capacity: u64,
     /// Targets that aren't leaving, by data centre.
@@ -42,6 +45,7 @@
             far: Vec::new(),
             queue: Queue::default(),
             quantiles: Quantiles::new(),
+            standing: Occupancy::new(0),
             capacity: 0,
             present: BTreeMap::new(),
             ejected: 0,
@@ -120,6 +124,7 @@
         target.info = info;
         let service = target.service;
         self.step(now, key, event, config, timers);
+        self.deal_target(key, config);
         self.deal(now, service, config, timers);
         service
     }
@@ -204,7 +209,7 @@
         let expired = service.views.expire(now, config.settle);
         if replaced || expired {
             for key in service.members.clone() {
-                self.refresh(key, config);
+                self.deal_target(key, config);
             }
             self.set_settle(config, timers);
         }
@@ -257,7 +262,7 @@
             after.0.inspect(|at| timers.set(*at, Alarm::Target(key)));
         }
         self.note(key, (before.1, after.1), (before.2, after.2));
-        self.refresh(key, config);
+        self.update(key, config);
     }
 
     fn note(&mut self, key: usize, ejected: (bool, bool), present: (bool, bool)) {
@@ -275,15 +280,23 @@
         }
     }
 
-    /// Brings this instance's part of a target and its place in the index up to date.
-    pub(super) fn refresh(&mut self, key: usize, config: &Config) {
+    /// Deals this instance's part of a target again.
+    fn deal_target(&mut self, key: usize, config: &Config) {
         let target = self.targets[key].as_mut().expect("a member is there");
-        let service = &mut self.services[target.service];
+        let views = &self.services[target.service].views;
         let info = &target.info;
         let total = info.slots.min(info.connections);
-        target.part = service.views.part(config.me, &info.centre, target.rotation, total);
+        target.part = views.part(config.me, &info.centre, target.rotation, total);
+        self.update(key, config);
+    }
+
+    /// Brings what may be used of a target and its place in the index up to date.
+    fn update(&mut self, key: usize, config: &Config) {
+        let target = self.targets[key].as_mut().expect("a member is there");
+        let service = &mut self.services[target.service];
         let usable = target.allowed();
         service.capacity = service.capacity - u64::from(target.usable) + u64::from(usable);
+        service.standing.set_room(usize::try_from(service.capacity).unwrap_or(usize::MAX));
         target.usable = usable;
         self.index(key, config);
     }
--- a/lib/src/router/occupancy.rs
+++ b/lib/src/router/occupancy.rs
@@ -17,6 +17,10 @@
         Self { room, total: 0, held: Vec::new() }
     }
 
+    pub(super) fn set_room(&mut self, room: usize) {
+        self.room = room;
+    }
+
     pub(super) fn total(&self) -> usize {
         self.total
     }
--- a/lib/src/router/request.rs
+++ b/lib/src/router/request.rs
@@ -173,6 +173,17 @@
     }
 }
 
+/// What is found out about a request when it is taken in.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Admitted {
+    /// The number of its customer.
+    pub(super) account: usize,
+    /// The index of its service.
+    pub(super) service: usize,
+    pub(super) standing: bool,
+    pub(super) exact: bool,
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub(super) struct Entry {
@@ -183,6 +194,8 @@
     pub(super) service: usize,
     pub(super) arrived: Time,
     pub(super) state: RequestState,
+    /// Whether its caller waits so long that it counts as a watcher.
+    pub(super) standing: bool,
     /// Whether its plan wants the count committed before the answer.
     pub(super) exact: bool,
     pub(super) claimed: bool,
@@ -204,19 +217,15 @@
 }
 
 impl Entry {
-    pub(super) fn new(
-        now: Time,
-        request: Request,
-        (account, service): (usize, usize),
-        exact: bool,
-    ) -> Self {
+    pub(super) fn new(now: Time, request: Request, admitted: Admitted) -> Self {
         Self {
             request,
-            account,
-            service,
+            account: admitted.account,
+            service: admitted.service,
             arrived: now,
             state: CHART.initial(),
-            exact,
+            standing: admitted.standing,
+            exact: admitted.exact,
             claimed: false,
             left: false,
             tries: 0,
--- a/lib/src/router/steps.rs
+++ b/lib/src/router/steps.rs
@@ -160,7 +160,12 @@
         }
         entry.release.take().inspect(|at| self.timers.cancel(*at, Alarm::Release(id)));
         if !to.is_open() {
-            self.open -= usize::from(from.is_open());
+            if from.is_open() {
+                self.open -= 1;
+                if entry.standing {
+                    self.fleet.services[entry.service].standing.leave(entry.account);
+                }
+            }
             self.timers.cancel(entry.request.deadline, Alarm::Deadline(id));
             entry.request.body.clear();
             entry.outcome = None;
@@ -219,6 +224,7 @@
         let entry = self.requests.get_mut(&id).expect("the request is being stepped");
         let learned = &self.fleet.services[entry.service].quantiles;
         if !entry.request.idempotent
+            || entry.standing
             || entry.open.len() > 1
             || learned.total() < self.config.hedge_after
         {
@@ -299,6 +305,7 @@
                 took: now.since(entry.arrived),
                 patience: entry.arrived.until(entry.request.deadline),
                 withdrawn,
+                standing: entry.standing,
             };
             self.burn.record(now, &self.policy, served);
         }
--- a/lib/src/router/tries.rs
+++ b/lib/src/router/tries.rs
@@ -57,7 +57,7 @@
             self.counters.late += 1;
             self.timers.cancel(at, Alarm::Linger(attempt));
         } else {
-            self.learn(now, ended, &end);
+            self.learn(now, (attempt, ended), &end);
             self.close(attempt);
             let signal = self.signal_of(attempt.request, end);
             self.step(now, attempt.request, signal, effects);
@@ -67,16 +67,19 @@
     }
 
     /// Learns about the target from a try that ended by itself.
-    fn learn(&mut self, now: Time, ended: Try, end: &TryEnd) {
+    fn learn(&mut self, now: Time, (attempt, ended): (TryId, Try), end: &TryEnd) {
+        let standing = self.requests.get(&attempt.request).is_some_and(|entry| entry.standing);
         let failed = match end {
             TryEnd::Answered(response) => {
                 let target = self.fleet.target_mut(ended.target);
                 target.heard = now;
                 target.fresh &= !ended.fresh;
-                let took = now.since(ended.sent);
-                target.average.observe(now, took);
-                let service = target.service;
-                self.fleet.services[service].quantiles.observe(now, took);
+                if !standing {
+                    let took = now.since(ended.sent);
+                    target.average.observe(now, took);
+                    let service = target.service;
+                    self.fleet.services[service].quantiles.observe(now, took);
+                }
                 response.status >= SERVER_ERROR
             }
             TryEnd::Refused | TryEnd::NotSent { .. } | TryEnd::Lost { .. } => true,
@@ -124,7 +127,7 @@
         let Some(silent) = self.tries.get(&attempt).copied() else { return };
         let end = TryEnd::Lost { reason: "its connection went silent".to_owned() };
         self.abandon_try(now, attempt, effects);
-        self.learn(now, silent, &end);
+        self.learn(now, (attempt, silent), &end);
         self.close(attempt);
         let signal = self.signal_of(attempt.request, end);
         self.step(now, attempt.request, signal, effects);
--- a/lib/tests/burn.rs
+++ b/lib/tests/burn.rs
@@ -50,6 +50,7 @@
         took: Duration::ZERO,
         patience: LATENCY,
         withdrawn: false,
+        standing: false,
     };
     burn.record(now, &policy(), served);
 }
@@ -80,6 +81,7 @@
         took: Duration,
         patience: Duration,
         withdrawn: bool,
+        standing: bool,
         want: (u64, u64),
     }
     let case = |name, outcome, want| Case {
@@ -88,6 +90,7 @@
         took: Duration::ZERO,
         patience: LATENCY,
         withdrawn: false,
+        standing: false,
         want,
     };
     let late = LATENCY + Duration::from_nanos(1);
@@ -111,6 +114,14 @@
         },
         Case { withdrawn: true, ..case("withdrawn", not_run(NotRun::CallerGone), neither) },
         Case { withdrawn: true, took: late, ..case("withdrawn after the latency", unknown(), bad) },
+        Case { standing: true, took: hours(9), ..case("a watcher that ended", ran(), good) },
+        Case { standing: true, ..case("a watcher that was lost", unknown(), bad) },
+        Case {
+            standing: true,
+            withdrawn: true,
+            took: hours(9),
+            ..case("a watcher that was closed", unknown(), neither)
+        },
     ];
     for case in cases {
         let mut burn = Burn::new(START);
@@ -121,6 +132,7 @@
             took: case.took,
             patience: case.patience,
             withdrawn: case.withdrawn,
+            standing: case.standing,
         };
         burn.record(START, &policy(), served);
         let report = burn.report(START, ME, &policy());
--- a/lib/tests/router/admission.rs
+++ b/lib/tests/router/admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hickorylink_lib::{
+    ids::RequestId,
     router::port::{Event, NotRun, Request, RequestOutcome},
     time::Time,
 };
@@ -168,6 +169,26 @@
     assert_eq!(world.router.status().unsettled, 5);
 }
 
+#[test]
+fn watchers_of_one_customer_leave_slots_free() {
+    let mut world = World::new(2);
+    let hours = Duration::from_secs(9 * 3_600);
+    for id in 1..=20 {
+        world.ask(request(id, STORE.name, true, world.now + hours));
+    }
+    assert_eq!(world.sent().len(), 8, "half of the slots");
+    assert_eq!(world.outcomes(9), [&not_run(NotRun::Overloaded)]);
+    for id in 21..=30 {
+        world.ask(request(id, RIVAL.name, true, world.now + hours));
+    }
+    assert_eq!(world.sent().len(), 12, "half of the rest");
+    world.ask(request(31, RIVAL.name, true, world.now + PATIENCE));
+    assert_eq!(world.sent().len(), 13, "short requests find a slot at once");
+    world.handle(Event::CallerGone { request: RequestId(21) });
+    world.ask(request(32, RIVAL.name, true, world.now + hours));
+    assert!(world.outcomes(32).is_empty(), "a closed watcher makes room");
+}
+
 #[test]
 fn within_a_customer_the_earliest_deadline_goes_first() {
     let mut world = World::new(1);
