--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! The daemon's duties and edges, and the operator's command line.
 
+pub mod burn;
 pub mod client;
 pub mod clock;
 pub mod commands;
--- a/cli/tests/real/world.rs
+++ b/cli/tests/real/world.rs
@@ -17,24 +17,24 @@
 use tempfile::TempDir;
 
 /// How long any condition may take; generous, so that a busy machine gives the same verdict.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(60);
 
 /// The customers' credentials.
-pub const STORE: &str = "store-demo";
-pub const RIVAL: &str = "rival-demo";
+pub(crate) const STORE: &str = "store-demo";
+pub(crate) const RIVAL: &str = "rival-demo";
 
 /// The data centres.
-pub const CENTRES: [&str; 3] = ["akl-a", "akl-b", "hlz-c"];
+pub(crate) const CENTRES: [&str; 3] = ["akl-a", "akl-b", "hlz-c"];
 
 /// Three instances with disks, one in each data centre.
-pub const THREE: &[Spec<'_>] = &[
+pub(crate) const THREE: &[Spec<'_>] = &[
     Spec { name: "akl-a-1", centre: "akl-a", disk: true },
     Spec { name: "akl-b-1", centre: "akl-b", disk: true },
     Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
 ];
 
 /// Three with disks and one without.
-pub const FOUR: &[Spec<'_>] = &[
+pub(crate) const FOUR: &[Spec<'_>] = &[
     Spec { name: "akl-a-1", centre: "akl-a", disk: true },
     Spec { name: "akl-b-1", centre: "akl-b", disk: true },
     Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
@@ -42,7 +42,7 @@
 ];
 
 /// Four with disks, two of them in one data centre.
-pub const FIVE: &[Spec<'_>] = &[
+pub(crate) const FIVE: &[Spec<'_>] = &[
     Spec { name: "akl-a-1", centre: "akl-a", disk: true },
     Spec { name: "akl-b-1", centre: "akl-b", disk: true },
     Spec { name: "hlz-c-1", centre: "hlz-c", disk: true },
@@ -51,7 +51,7 @@
 ];
 
 /// Instances, workers, and what really ran.
-pub struct World {
+pub(crate) struct World {
     pub cluster: Cluster,
     pub workers: Vec<Worker>,
     pub journal: Journal,
@@ -60,7 +60,7 @@
 
 impl World {
     /// Starts instances, and as many workers in each data centre.
-    pub async fn start(specs: &[Spec<'_>], workers: usize) -> Self {
+    pub(crate) async fn start(specs: &[Spec<'_>], workers: usize) -> Self {
         let folder = tempfile::tempdir().expect("a temporary folder can be made");
         let program = Path::new(env!("CARGO_BIN_EXE_hickorylink"));
         let cluster = Cluster::start(program, folder.path(), specs).expect("the instances start");
@@ -74,7 +74,7 @@
     }
 
     /// Starts instances and workers, puts lists in force and waits until requests are served.
-    pub async fn serving(specs: &[Spec<'_>]) -> Self {
+    pub(crate) async fn serving(specs: &[Spec<'_>]) -> Self {
         let world = Self::start(specs, 2).await;
         world.apply("plans", &plans(1)).await;
         world.apply("usage", &usage(1)).await;
@@ -85,13 +85,13 @@
     }
 
     /// Adds a worker.
-    pub async fn add_worker(&mut self, traits: Traits) {
+    pub(crate) async fn add_worker(&mut self, traits: Traits) {
         let worker = Worker::start(traits, self.cluster.home(), self.journal.clone()).await;
         self.workers.push(worker.expect("a worker starts"));
     }
 
     /// Puts a list in force, however long that takes.
-    pub async fn apply(&self, list: &str, text: &str) {
+    pub(crate) async fn apply(&self, list: &str, text: &str) {
         let edit = format!("{:x}", rand::random::<u128>());
         let applied = eventually(PATIENCE, async || {
             let answer = self.cluster.apply_edit(0, list, text, &edit).await.ok()?;
@@ -101,7 +101,7 @@
     }
 
     /// Waits until an instance answers requests.
-    pub async fn wait_served(&self, at: usize) {
+    pub(crate) async fn wait_served(&self, at: usize) {
         let served = eventually(PATIENCE, async || {
             let label = format!("probe-{at}-{}", rand::random::<u32>());
             let report = self.call(&[at], &label, 1, true).await;
@@ -111,12 +111,18 @@
     }
 
     /// Sends requests through these instances, at 50 a second.
-    pub async fn call(&self, at: &[usize], label: &str, count: u32, idempotent: bool) -> Report {
+    pub(crate) async fn call(
+        &self,
+        at: &[usize],
+        label: &str,
+        count: u32,
+        idempotent: bool,
+    ) -> Report {
         caller::run(&self.load(at, label, count, idempotent)).await
     }
 
     /// Requests through these instances.
-    pub fn load(&self, at: &[usize], label: &str, count: u32, idempotent: bool) -> Load {
+    pub(crate) fn load(&self, at: &[usize], label: &str, count: u32, idempotent: bool) -> Load {
         Load {
             instances: at.iter().map(|at| self.cluster.instances[*at].front).collect(),
             credential: STORE.to_owned(),
@@ -131,7 +137,7 @@
     }
 
     /// Submits a task, however often that takes.
-    pub async fn submit(&self, at: usize, key: &str, run_ms: u64) -> TaskId {
+    pub(crate) async fn submit(&self, at: usize, key: &str, run_ms: u64) -> TaskId {
         let body = submission(key, run_ms);
         let taken =
             eventually(PATIENCE, async || self.cluster.submit(at, STORE, &body).await).await;
@@ -139,7 +145,7 @@
     }
 
     /// Waits until a task has ended, and gives its outcome.
-    pub async fn wait_end(&self, at: usize, task: TaskId) -> Value {
+    pub(crate) async fn wait_end(&self, at: usize, task: TaskId) -> Value {
         let ended = eventually(PATIENCE, async || {
             let value = self.cluster.task(at, STORE, task).await?;
             value.pointer("/state/Ended").cloned()
@@ -148,7 +154,7 @@
     }
 
     /// Asserts that no task ran in two places and none of these requests ran twice.
-    pub fn assert_once(&self, report: &Report) {
+    pub(crate) fn assert_once(&self, report: &Report) {
         assert_eq!(self.journal.doubled(), Vec::<String>::new(), "tasks run in one place");
         for body in &report.answered {
             assert_eq!(self.journal.served(body), 1, "{body} was answered and ran once");
@@ -160,7 +166,7 @@
     }
 
     /// The ends of the instances' logs, for a failure's message.
-    pub fn logs(&self) -> String {
+    pub(crate) fn logs(&self) -> String {
         let tail = |at: usize| {
             let log = self.cluster.log(at);
             let lines: Vec<_> = log.lines().rev().take(25).collect();
@@ -172,7 +178,7 @@
 }
 
 /// A batch task that may run again and takes so long.
-pub fn submission(key: &str, run_ms: u64) -> SubmitBody {
+pub(crate) fn submission(key: &str, run_ms: u64) -> SubmitBody {
     SubmitBody {
         key: key.to_owned(),
         kind: "crease-study".to_owned(),
@@ -186,7 +192,7 @@
 }
 
 /// A plans list of this version.
-pub fn plans(version: u64) -> String {
+pub(crate) fn plans(version: u64) -> String {
     json!({
         "version": version,
         "operators": [{ "name": "first", "credential": blake3_text(OPERATOR) }],
@@ -211,7 +217,7 @@
 }
 
 /// A usage list of this version.
-pub fn usage(version: u64) -> String {
+pub(crate) fn usage(version: u64) -> String {
     let some = json!({ "processors": 40, "memory_gib": 160 });
     json!({
         "version": version,
