instance: drive three whole instances event by event under faults

Cause: at-most-once, "not run", lists that never revert and one holder an epoch rest on council, router and directory together; tests of each part alone can't show them. Change: lib/tests/instances: four properties over fixed seeds with loss, duplicates, silent answers, death and restart.

--- /dev/null
+++ b/lib/tests/instances/main.rs
@@ -0,0 +1,203 @@
+//! Whole instances, driven event by event: the promises that rest on several parts together.
+
+mod net;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hickorylink_lib::{
+    command::{Command, ListEdit, ListKind, Reply},
+    council::port::{Asker, Event as CouncilEvent},
+    ids::RequestId,
+    instance::port::{Answer, Event},
+    router::port::{Event as RouterEvent, Request, RequestOutcome},
+};
+
+use crate::net::{Faults, Net};
+
+/// Every seed is one run; one that failed once stays here.
+const SEEDS: std::ops::Range<u64> = 0..12;
+
+/// How long everything may take to settle after the faults end.
+const SETTLE: Duration = Duration::from_secs(20);
+
+const PLANS: &str = r#"{
+    "version": VERSION,
+    "operators": [{ "name": "first", "credential":
+        "blake3:39ffafdfaa6b112eca02116d4591230447f157029c7bb5c2df54af3c1fc3c5b8" }],
+    "plans": [{ "name": "counter", "objective": "latency", "services": ["folddesk"] }],
+    "customers": [{ "name": "store", "plan": "counter", "credential":
+        "blake3:f8a03630fcfd7f4033a2a2a34793b24d7bcd5ebe7078836ec3b81b0668159d7f" }],
+    "services": [{ "name": "folddesk", "owner": "store",
+        "size": { "processors": 1, "memory_gib": 1 }, "replicas": { "akl-a": 1 },
+        "latency_ms": 50, "good_percent": 99 }],
+}"#;
+
+fn edit(version: u64, number: u128) -> Command {
+    Command::EditList(ListEdit {
+        list: ListKind::Plans,
+        edit: number,
+        author: "first".into(),
+        text: PLANS.replace("VERSION", &version.to_string()),
+    })
+}
+
+fn ask(net: &mut Net, at: usize, ticket: u64, command: Command) {
+    let asker = Asker::Front { ticket, wait: Duration::from_secs(5) };
+    let event = CouncilEvent::Ask { asker, command: Box::new(command) };
+    net.give(at, Event::Council(event));
+}
+
+fn request(net: &mut Net, at: usize, number: u64, body: &str) {
+    let request = Request {
+        request: RequestId(number),
+        customer: "store".into(),
+        service: "folddesk".into(),
+        path: "/square".to_owned(),
+        idempotent: false,
+        key: Some(body.into()),
+        deadline: net.now() + Duration::from_secs(3),
+        body: body.as_bytes().to_vec().into(),
+    };
+    net.give(at, Event::Router(RouterEvent::Request(Box::new(request))));
+}
+
+/// Instances with the first list in force.
+fn ready(seed: u64, faults: Faults) -> Net {
+    let mut net = Net::new(seed, 3);
+    net.run(Duration::from_secs(3));
+    ask(&mut net, 0, 1, edit(1, 1));
+    net.run(Duration::from_secs(3));
+    assert!(
+        matches!(net.answers.get(&1), Some(Answer::Reply(Reply::Edited { .. }))),
+        "seed {seed}: the first list is in force: {:?}",
+        net.answers
+    );
+    net.faults = faults;
+    net
+}
+
+#[test]
+fn a_key_sent_through_any_instance_runs_at_most_once() {
+    struct Case {
+        name: &'static str,
+        faults: Faults,
+        kill: bool,
+    }
+    let cases = [
+        Case { name: "no faults", faults: Faults::default(), kill: false },
+        Case { name: "loss", faults: Faults { lost: 0.1, doubled: 0.1, silent: 0.1 }, kill: false },
+        Case {
+            name: "death",
+            faults: Faults { lost: 0.02, doubled: 0.1, silent: 0.1 },
+            kill: true,
+        },
+    ];
+    for (case, seed) in cases.iter().flat_map(|case| SEEDS.map(move |seed| (case, seed))) {
+        let mut net = ready(seed, case.faults);
+        let mut bodies = BTreeMap::new();
+        for number in 0..60_u64 {
+            let body = format!("plan-{}", number / 3);
+            let at = net.below(3);
+            request(&mut net, at, 100 + number, &body);
+            bodies.insert(RequestId(100 + number), body);
+            net.run(Duration::from_millis(30));
+            if case.kill && number % 20 == 10 {
+                let victim = net.below(3);
+                net.kill(victim);
+                net.run(Duration::from_millis(400));
+                net.restart(victim);
+            }
+        }
+        net.faults = Faults::default();
+        net.run(SETTLE);
+        for (body, times) in &net.served {
+            assert!(*times <= 1, "{}, seed {seed}: {body} ran {times} times", case.name);
+        }
+        for (request, outcome) in &net.outcomes {
+            let ran = net.served.get(&bodies[request]).copied().unwrap_or_default();
+            check(case.name, seed, &bodies[request], outcome, ran);
+        }
+        if !case.kill {
+            assert_eq!(net.outcomes.len(), bodies.len(), "{}, seed {seed}: answers", case.name);
+        }
+    }
+}
+
+fn check(name: &str, seed: u64, body: &str, outcome: &RequestOutcome, ran: u32) {
+    match outcome {
+        RequestOutcome::Ran(response) => {
+            assert_eq!(ran, 1, "{name}, seed {seed}: {body} was answered and ran");
+            let own = format!("plan for {body}");
+            assert_eq!(response.body, own.as_bytes(), "{name}, seed {seed}: its own answer");
+        }
+        RequestOutcome::RanEarlier { .. } => {
+            assert_eq!(ran, 1, "{name}, seed {seed}: {body} ran earlier");
+        }
+        RequestOutcome::NotRun { .. } | RequestOutcome::Unknown { .. } => {}
+    }
+}
+
+#[test]
+fn a_refused_request_did_not_run() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults { lost: 0.2, doubled: 0.1, silent: 0.2 });
+        for number in 0..40_u64 {
+            let at = net.below(3);
+            request(&mut net, at, 100 + number, &format!("only-{number}"));
+            net.run(Duration::from_millis(20));
+        }
+        net.faults = Faults::default();
+        net.run(SETTLE);
+        for (request, outcome) in &net.outcomes {
+            let body = format!("only-{}", request.0 - 100);
+            if matches!(outcome, RequestOutcome::NotRun { .. }) {
+                assert_eq!(net.served.get(&body), None, "seed {seed}: {body} was refused and ran");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_accepted_list_never_reverts() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults { lost: 0.1, doubled: 0.1, silent: 0.0 });
+        for round in 0..8_u64 {
+            let version = net.newest_version() + 1;
+            for operator in 0..2_u64 {
+                let at = net.below(3);
+                let number = 100 + round * 2 + operator;
+                ask(&mut net, at, number, edit(version, number.into()));
+            }
+            net.run(Duration::from_millis(700));
+            let victim = net.below(3);
+            net.kill(victim);
+            net.run(Duration::from_millis(700));
+            net.restart(victim);
+            net.run(Duration::from_secs(2));
+        }
+        net.faults = Faults::default();
+        net.run(SETTLE);
+        assert_eq!(net.reverted, Vec::<String>::new(), "seed {seed}");
+        let revisions = net.revisions();
+        assert!(revisions.iter().all(|r| *r == revisions[0]), "seed {seed}: {revisions:?}");
+        let accepted =
+            net.answers.values().filter(|a| matches!(a, Answer::Reply(Reply::Edited { .. })));
+        assert!(accepted.count() as u64 <= revisions[0], "seed {seed}: one winner a version");
+    }
+}
+
+#[test]
+fn an_epoch_has_one_holder() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults { lost: 0.05, doubled: 0.1, silent: 0.0 });
+        for _ in 0..6 {
+            let victim = net.below(3);
+            net.kill(victim);
+            net.run(Duration::from_secs(2));
+            net.restart(victim);
+            net.run(Duration::from_secs(1));
+        }
+        assert_eq!(net.twice_held, Vec::<String>::new(), "seed {seed}");
+        assert!(net.holders.len() > 1, "seed {seed}: the epoch moved");
+    }
+}
