--- /dev/null
+++ b/cli/src/storage.rs
@@ -0,0 +1,202 @@
+//! The council's state on disk: a write-ahead log in segments, and snapshots.
+//!
+//! Everything lives in one folder. A batch of writes becomes one frame and is synced once; the
+//! next batch is appended only after that. So a crash can damage only the last frame of the last
+//! segment, and anything else that can't be read is damage of what was promised: an error, never
+//! a cut.
+
+use hickorylink_lib::{
+    consensus::log::{HardState, Recovered, Write},
+    ids::{Index, InstanceId},
+};
+use snafu::{ResultExt as _, ensure};
+
+use crate::storage::{
+    frame::{Frame, Logged, SnapshotId, Stamp},
+    recovery::Found,
+    segment::Base,
+};
+
+pub mod disk;
+mod error;
+mod frame;
+mod identity;
+mod recovery;
+mod segment;
+mod snapshot;
+
+use self::error::{LogSnafu, OrderSnafu, PoisonedSnafu};
+pub use self::{
+    disk::{Disk, Folder},
+    error::StoreError,
+    identity::Identity,
+    recovery::Cut,
+};
+
+/// The length at which a segment is followed by a new one, in bytes, unless a test asks for less.
+pub const SEGMENT_MAX: u64 = 16 << 20;
+
+/// The state of the council on a disk.
+#[derive(Debug)]
+pub struct Store<D> {
+    disk: D,
+    instance: InstanceId,
+    segment_max: u64,
+    hard: HardState,
+    snapshot: Option<SnapshotId>,
+    segments: Vec<Segment>,
+    /// The first entry that may come next; unknown before there is any.
+    next: Option<Index>,
+    sequence: u64,
+    poisoned: bool,
+}
+
+/// What is known of a segment without reading it.
+#[derive(Clone, Copy, Debug)]
+struct Segment {
+    number: u64,
+    size: u64,
+    /// The largest position of an entry in it.
+    last: Index,
+}
+
+/// A store with what it found.
+#[derive(Debug)]
+pub struct Opened<D> {
+    /// The store, ready for writes.
+    pub store: Store<D>,
+    /// The state that it holds.
+    pub recovered: Recovered,
+    /// Who the folder says that this instance is.
+    pub identity: Identity,
+    /// What a crash left half written, if anything.
+    pub cut: Option<Cut>,
+}
+
+impl<D: Disk> Store<D> {
+    /// Reads the folder and makes it ready for writes; an empty folder becomes `fresh`'s.
+    ///
+    /// A segment of more than `segment_max` bytes is followed by a new one.
+    ///
+    /// # Errors
+    ///
+    /// Another process has the folder, the disk fails, or what was synced can't be read; the
+    /// error names the file and the place.
+    pub fn open(mut disk: D, fresh: Identity, segment_max: u64) -> Result<Opened<D>, StoreError> {
+        let (identity, found) = recovery::open(&mut disk, fresh)?;
+        let Found { segments, recovered, snapshot, sequence, cut } = found;
+        let next = recovered.entries.last().map(|entry| entry.index);
+        let next = next.or(snapshot.map(|snapshot| snapshot.index));
+        let store = Self {
+            disk,
+            instance: identity.instance,
+            segment_max,
+            hard: recovered.hard,
+            snapshot,
+            segments,
+            next: next.map(|last| Index(last.0 + 1)),
+            sequence,
+            poisoned: false,
+        };
+        Ok(Opened { store, recovered, identity, cut })
+    }
+
+    /// Makes the writes durable with one sync of the log, and gives the last one's number.
+    ///
+    /// # Errors
+    ///
+    /// The disk failed, or the writes don't follow what is stored. After a failure of the disk
+    /// it isn't known what reached it, so every later write fails too; opening the folder again
+    /// finds out.
+    pub fn write(&mut self, writes: &[Write]) -> Result<u64, StoreError> {
+        ensure!(!self.poisoned, PoisonedSnafu);
+        let next = follow(self.next, writes)?;
+        let Some(last) = writes.last() else { return Ok(self.sequence) };
+        // Whatever goes wrong from here leaves the disk in a state that only a recovery knows.
+        self.poisoned = true;
+        let mut newest = None;
+        for snapshot in writes.iter().filter_map(|write| write.snapshot.as_ref()) {
+            newest = Some(snapshot::save(&mut self.disk, snapshot)?);
+        }
+        let hard = writes.iter().rev().find_map(|write| write.hard).unwrap_or(self.hard);
+        let logged = writes.iter().map(Logged::from).collect();
+        let mut frame = Frame { base: None, sequence: last.sequence, writes: logged };
+        let full = self.segments.last().is_none_or(|segment| segment.size > self.segment_max);
+        let previous = self.snapshot;
+        self.snapshot = newest.or(previous);
+        if newest.is_some() || full {
+            self.start_segment(&mut frame)?;
+        } else {
+            self.append(&frame)?;
+        }
+        (self.hard, self.next, self.sequence) = (hard, next, last.sequence);
+        if newest.is_some() {
+            self.remove_old(previous)?;
+        }
+        self.poisoned = false;
+        Ok(last.sequence)
+    }
+
+    fn append(&mut self, frame: &Frame) -> Result<(), StoreError> {
+        let segment = self.segments.last_mut().expect("an open store has a segment");
+        let name = segment::name(segment.number);
+        let stamp = Stamp { instance: self.instance, segment: segment.number };
+        let bytes = frame.encode(stamp, segment.size);
+        self.disk.append(&name, &bytes).context(LogSnafu { name: &name })?;
+        self.disk.sync(&name).context(LogSnafu { name: &name })?;
+        segment.size += bytes.len() as u64;
+        segment.last = segment.last.max(frame.last());
+        Ok(())
+    }
+
+    /// Starts a segment with `frame`, which says on what the segment builds.
+    fn start_segment(&mut self, frame: &mut Frame) -> Result<(), StoreError> {
+        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
+        let covered = self.snapshot.map_or(Index(0), |snapshot| snapshot.index);
+        let needed = self.segments.iter().find(|segment| segment.last > covered);
+        frame.base = Some(Base {
+            oldest: needed.map_or(number, |segment| segment.number),
+            hard: self.hard,
+            snapshot: self.snapshot,
+        });
+        let size = segment::create(&mut self.disk, self.instance, number, frame)?;
+        self.segments.push(Segment { number, size, last: frame.last() });
+        Ok(())
+    }
+
+    /// Removes segments and the snapshot that the newest segment needs no more.
+    fn remove_old(&mut self, previous: Option<SnapshotId>) -> Result<(), StoreError> {
+        let covered = self.snapshot.map_or(Index(0), |snapshot| snapshot.index);
+        let newest = self.segments.len() - 1;
+        let needed = self.segments.iter().position(|segment| segment.last > covered);
+        for segment in self.segments.drain(..needed.unwrap_or(newest).min(newest)) {
+            let name = segment::name(segment.number);
+            self.disk.remove(&name).context(LogSnafu { name })?;
+        }
+        if let Some(previous) = previous.filter(|previous| Some(*previous) != self.snapshot) {
+            let name = previous.name();
+            self.disk.remove(&name).context(LogSnafu { name })?;
+        }
+        Ok(())
+    }
+}
+
+/// The position that comes after the writes.
+fn follow(mut next: Option<Index>, writes: &[Write]) -> Result<Option<Index>, StoreError> {
+    for write in writes {
+        if let Some(snapshot) = &write.snapshot {
+            let after = Index(snapshot.index.0 + 1);
+            next = Some(next.map_or(after, |next| next.max(after)));
+        }
+        next = match (next, write.truncate) {
+            (Some(next), Some(from)) => Some(next.min(from)),
+            (next, _) => next,
+        };
+        for entry in &write.entries {
+            let wanted = next.unwrap_or(entry.index);
+            ensure!(entry.index == wanted, OrderSnafu { found: entry.index, wanted });
+            next = Some(Index(entry.index.0 + 1));
+        }
+    }
+    Ok(next)
+}
--- /dev/null
+++ b/cli/tests/storage.rs
@@ -0,0 +1,10 @@
+//! The store: what it recovers after crashes, and what it does when the disk fails.
+
+#[path = "storage/cases.rs"]
+mod cases;
+#[path = "storage/fake.rs"]
+mod fake;
+#[path = "storage/model.rs"]
+mod model;
+#[path = "storage/properties.rs"]
+mod properties;
