--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -14,6 +14,7 @@
     },
     router::port as router,
     settings::Settings,
+    time::WallTime,
 };
 use slog::{Logger, error, info, warn};
 use snafu::{ResultExt, Snafu};
@@ -32,7 +33,7 @@
     mail::{FrontNews, Mail, Rings},
     metrics::Metrics,
     ring::{to_runtime, to_thread},
-    storage::{Store, StoreError, disk::FileDisk},
+    storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
 };
 
 mod config;
@@ -106,7 +107,7 @@
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     let clock = Clock::start();
     let log = logger(settings.log, settings.name.as_str());
-    let (me, keep, recovered) = open(&settings, &log)?;
+    let (me, keep, recovered) = open(&settings, clock.wall(), &log)?;
     let config = config::config(&settings, me, clock.wall());
     let (rings, ends) = rings();
     let metrics = Arc::new(Metrics::default());
@@ -128,7 +129,7 @@
     directory: Directory,
     router: RouterPart,
     scheduler: SchedulerPart,
-    keep: Keep<FileDisk>,
+    keep: Keep<Folder>,
     desk: Arc<Desk>,
 }
 
@@ -144,18 +145,20 @@
 
 fn open(
     settings: &Settings,
+    wall: WallTime,
     log: &Logger,
-) -> Result<(InstanceId, Keep<FileDisk>, Recovered), DaemonError> {
+) -> Result<(InstanceId, Keep<Folder>, Recovered), DaemonError> {
     let fresh = InstanceId(rand::random());
     let Some(folder) = &settings.data else {
         return Ok((fresh, Keep::Nowhere, Recovered::default()));
     };
-    let disk = FileDisk::open(folder.as_ref()).context(DataSnafu)?;
-    let opened = Store::open(disk, fresh).context(DataSnafu)?;
-    for cut in &opened.cuts {
-        warn!(log, "a torn end of the log was cut"; "cut" => %cut);
+    let fresh = Identity { instance: fresh, created: wall };
+    let opened = Store::open(Folder::new(folder), fresh, SEGMENT_MAX).context(DataSnafu)?;
+    if let Some(cut) = &opened.cut {
+        warn!(log, "a torn end of the log was cut";
+            "file" => &cut.name, "offset" => cut.offset, "bytes" => cut.bytes);
     }
-    Ok((opened.identity, Keep::Disk(opened.store), opened.recovered))
+    Ok((opened.identity.instance, Keep::Disk(opened.store), opened.recovered))
 }
 
 fn rings() -> (Rings, Ends) {
