--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -106,7 +106,7 @@
 /// [`DaemonError`] if it can't start or its disk fails.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     let clock = Clock::start();
-    let log = logger(settings.log, settings.name.as_str());
+    let (log, _guard) = logger(settings.log, settings.name.as_str());
     let (me, keep, recovered) = open(&settings, clock.wall(), &log)?;
     let config = config::config(&settings, me, clock.wall());
     let (rings, ends) = rings();
--- a/cli/src/duty/peers.rs
+++ b/cli/src/duty/peers.rs
@@ -20,7 +20,7 @@
     types::ErrorObjectOwned,
     ws_client::{WsClient, WsClientBuilder},
 };
-use slog::{Logger, debug, warn};
+use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{sync::mpsc, time::sleep};
 
@@ -222,37 +222,51 @@
     log: Logger,
 ) {
     let mut client: Option<WsClient> = None;
+    let mut failures = 0_u64;
     let mut batch = Vec::new();
     while queue.recv_many(&mut batch, FRAME_MESSAGES).await > 0 {
-        if client.is_none() {
-            client = connect(to, &log).await;
-        }
-        if let Some(open) = &client {
-            let messages: Vec<&PeerMessage> = batch.iter().map(AsRef::as_ref).collect();
-            let text = frame::seal(&key, &messages);
-            let sent: Result<u32, _> = open.request("deliver", rpc_params![text]).await;
-            if let Err(error) = sent {
-                debug!(log, "a peer doesn't answer"; "peer" => %to, "error" => %error);
+        let messages: Vec<&PeerMessage> = batch.iter().map(AsRef::as_ref).collect();
+        match exchange(to, &mut client, &key, &messages).await {
+            Ok(()) if failures > 0 => {
+                info!(log, "a peer is reached again"; "peer" => %to, "failures" => failures);
+                failures = 0;
+            }
+            Ok(()) => {}
+            Err(error) => {
                 client = None;
+                if failures == 0 {
+                    warn!(log, "a peer can't be reached"; "peer" => %to, "error" => %error);
+                }
+                failures += 1;
+                sleep(RECONNECT).await;
             }
         }
         batch.clear();
     }
 }
 
-async fn connect(to: SocketAddr, log: &Logger) -> Option<WsClient> {
-    let built = WsClientBuilder::default()
+/// Sends a frame, over a new connection if there is none.
+async fn exchange(
+    to: SocketAddr,
+    client: &mut Option<WsClient>,
+    key: &PeerKey,
+    messages: &[&PeerMessage],
+) -> Result<(), jsonrpsee::core::ClientError> {
+    let open = match client.take() {
+        Some(open) => open,
+        None => connect(to).await?,
+    };
+    let text = frame::seal(key, &messages);
+    let _taken: u32 = open.request("deliver", rpc_params![text]).await?;
+    *client = Some(open);
+    Ok(())
+}
+
+async fn connect(to: SocketAddr) -> Result<WsClient, jsonrpsee::core::ClientError> {
+    WsClientBuilder::default()
         .request_timeout(ANSWER)
         .connection_timeout(CONNECT)
         .max_request_size(FRAME_BYTES)
         .build(format!("ws://{to}"))
-        .await;
-    match built {
-        Ok(client) => Some(client),
-        Err(error) => {
-            debug!(log, "a peer can't be reached"; "peer" => %to, "error" => %error);
-            sleep(RECONNECT).await;
-            None
-        }
-    }
+        .await
 }
