router: cheaper timers and hashes

Ruled out: a binary heap with late removal for all timers (a closed watcher would leave its deadline in it for hours). Change: timers for silence stand in a line of their own, since they are set in the order in which they come due; progress on a try is only noted, and the timer looks at it when it rings; maps by request and try use a multiplying hash, as no caller chooses their keys.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -9,6 +9,7 @@
 mod choice;
 mod config;
 mod fleet;
+mod hashing;
 mod latency;
 mod occupancy;
 pub mod port;
@@ -22,11 +23,7 @@
 mod timers;
 mod tries;
 
-use std::{
-    collections::HashMap,
-    hash::{BuildHasherDefault, DefaultHasher},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -44,6 +41,7 @@
         accounts::Accounts,
         choice::{Wish, choose},
         fleet::Fleet,
+        hashing::Hashing,
         occupancy::Occupancy,
         port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, Response, TryId},
         request::{Entry, RequestEvent},
@@ -55,9 +53,6 @@
     time::{Time, WallTime},
 };
 
-/// Hashes alike in every run; the keys are this instance's own numbers.
-type Hashing = BuildHasherDefault<DefaultHasher>;
-
 /// The router of one instance.
 #[derive(Debug)]
 pub struct Router {
@@ -137,6 +132,7 @@
             Event::Progress { attempt } => self.progress(now, attempt),
             Event::Drain => self.draining = true,
         }
+        self.prune_timers();
         self.check_drained(now, effects);
     }
 
--- /dev/null
+++ b/lib/src/router/hashing.rs
@@ -0,0 +1,39 @@
+//! A hash for this instance's own numbers, alike in every run.
+//!
+//! The keys come from no caller, so that nobody can choose keys that collide.
+
+use std::hash::{BuildHasherDefault, Hasher};
+
+/// Builds the hashers of the maps by request and by try.
+pub(super) type Hashing = BuildHasherDefault<NumberHasher>;
+
+/// An odd number close to 2^64 divided by the golden ratio: it spreads numbers that follow each
+/// other.
+const SPREAD: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Multiplies and folds each number that is written.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct NumberHasher {
+    state: u64,
+}
+
+impl Hasher for NumberHasher {
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(u64::from(*byte));
+        }
+    }
+
+    fn write_u32(&mut self, number: u32) {
+        self.write_u64(u64::from(number));
+    }
+
+    fn write_u64(&mut self, number: u64) {
+        let product = u128::from(self.state ^ number) * u128::from(SPREAD);
+        self.state = (product as u64) ^ ((product >> 64) as u64);
+    }
+
+    fn finish(&self) -> u64 {
+        self.state
+    }
+}
--- a/lib/src/router/silence.rs
+++ b/lib/src/router/silence.rs
@@ -5,7 +5,6 @@
         Router,
         port::{Effect, TryId},
         target::TargetEvent,
-        timers::Alarm,
     },
     time::Time,
 };
@@ -14,13 +13,19 @@
 const SILENT_SPANS: u32 = 3;
 
 impl Router {
-    /// No progress came on a try for the configured time.
+    /// Looks at a try on which no progress may have come for the configured time.
     ///
     /// If the target was heard on another connection since, something between the two ends has
     /// lost track of this one. Otherwise the target's idle connections are doubted, and the try
     /// gets a few more spans. Either way the next tries at the target open new connections.
     pub(super) fn silent(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
-        let Some(flying) = self.tries.get_mut(&attempt) else { return };
+        let Some(flying) = self.tries.get_mut(&attempt).filter(|t| t.is_due(now)) else { return };
+        let quiet = flying.heard + self.config.silence;
+        if now < quiet {
+            flying.check = quiet;
+            self.timers.set_silence(quiet, attempt);
+            return;
+        }
         flying.silences += 1;
         let (key, silences) = (flying.target, flying.silences);
         let target = self.fleet.target_mut(key);
@@ -33,7 +38,7 @@
             return;
         }
         flying.check = now + self.config.silence;
-        self.timers.set(flying.check, Alarm::Silence(attempt));
+        self.timers.set_silence(flying.check, attempt);
         self.fleet.step(now, key, TargetEvent::Failed, &self.config, &mut self.timers);
     }
 }
--- a/lib/src/router/steps.rs
+++ b/lib/src/router/steps.rs
@@ -215,7 +215,7 @@
         });
         let check = now + self.config.silence;
         self.tries.insert(attempt, Try::new(now, target, sent.fresh, check));
-        self.timers.set(check, Alarm::Silence(attempt));
+        self.timers.set_silence(check, attempt);
         self.set_hedge(now, id);
         self.fleet.take_slot(target, &self.config);
     }
--- a/lib/src/router/tries.rs
+++ b/lib/src/router/tries.rs
@@ -38,7 +38,25 @@
     }
 }
 
+impl Try {
+    /// Whether it is to be looked at for silence now.
+    pub(super) fn is_due(&self, now: Time) -> bool {
+        self.abandoned.is_none() && self.check <= now
+    }
+
+    /// Whether a timer for silence at `at` is its own.
+    fn awaits(&self, at: Time) -> bool {
+        self.abandoned.is_none() && self.check == at
+    }
+}
+
 impl Router {
+    /// Drops timers for silence whose tries are over.
+    pub(super) fn prune_timers(&mut self) {
+        let tries = &self.tries;
+        self.timers.prune(|at, attempt| tries.get(&attempt).is_some_and(|t| t.awaits(at)));
+    }
+
     /// A try ended; late and repeated ends are counted and dropped.
     pub(super) fn try_ended(
         &mut self,
@@ -52,7 +70,6 @@
             return;
         };
         let service = self.fleet.target(ended.target).service;
-        self.timers.cancel(ended.check, Alarm::Silence(attempt));
         if let Some(at) = ended.abandoned {
             self.counters.late += 1;
             self.timers.cancel(at, Alarm::Linger(attempt));
@@ -137,7 +154,6 @@
         let Some(given_up) = self.tries.get_mut(&attempt) else { return };
         let until = now + self.config.linger;
         given_up.abandoned = Some(until);
-        self.timers.cancel(given_up.check, Alarm::Silence(attempt));
         self.timers.set(until, Alarm::Linger(attempt));
         effects.push(Effect::Abandon { attempt });
     }
@@ -159,8 +175,5 @@
         self.fleet.target_mut(flying.target).heard = now;
         flying.heard = now;
         flying.silences = 0;
-        self.timers.cancel(flying.check, Alarm::Silence(attempt));
-        flying.check = now + self.config.silence;
-        self.timers.set(flying.check, Alarm::Silence(attempt));
     }
 }
