--- a/lib/tests/router/main.rs
+++ b/lib/tests/router/main.rs
@@ -4,6 +4,7 @@
 mod faults;
 mod limits;
 mod promises;
+mod records;
 mod retries;
 mod rules;
 mod script;
--- a/lib/tests/router/promises.rs
+++ b/lib/tests/router/promises.rs
@@ -4,13 +4,18 @@
 
 use bytes::Bytes;
 use hickorylink_lib::{
+    command::ClaimResult,
     ids::RequestId,
-    router::port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, TryEnd, TryId},
+    router::{
+        Counters,
+        port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, TryEnd, TryId},
+    },
 };
+use quickcheck::{Arbitrary, Gen};
 
 use crate::{
     script::{Op, Player, Seen, Verdict, check},
-    world::answer,
+    world::{MEMBER, answer},
 };
 
 #[test]
@@ -95,6 +100,102 @@
     });
 }
 
+#[test]
+fn each_request_that_ran_is_counted_once_for_its_customer() {
+    check(18, |ops: Vec<Op>| {
+        let player = Player::play(&ops);
+        let mut counted: BTreeMap<RequestId, usize> = BTreeMap::new();
+        let mut confirmed: BTreeSet<RequestId> = BTreeSet::new();
+        for (_, seen) in &player.trace {
+            match seen {
+                Seen::Effect(Effect::Record {
+                    request,
+                    customer,
+                    result: ClaimResult::Ran { .. },
+                    ..
+                }) => {
+                    *counted.entry(*request).or_default() += 1;
+                    let asked = &player.asked[request.0 as usize - 1];
+                    let own = asked.customer == *customer;
+                    ensure(own, || format!("request {request} is counted for {customer}"))?;
+                }
+                Seen::Event(Event::Recorded { request }) => {
+                    confirmed.insert(*request);
+                }
+                Seen::Effect(Effect::Answer { request, outcome: RequestOutcome::Ran(_) }) => {
+                    let count = counted.get(request).copied().unwrap_or(0);
+                    ensure(count == 1, || format!("request {request} is counted {count} times"))?;
+                    let exact = player.asked[request.0 as usize - 1].customer.as_str();
+                    let waits = exact == MEMBER.name && !confirmed.contains(request);
+                    ensure(!waits, || format!("request {request} is told before its count"))?;
+                }
+                Seen::Event(_) | Seen::Effect(_) => {}
+            }
+        }
+        let twice = counted.iter().find(|(_, count)| **count > 1);
+        ensure(twice.is_none(), || format!("counted twice: {twice:?}"))
+    });
+}
+
+#[test]
+fn each_claim_that_holds_is_settled_once() {
+    check(19, |ops: Vec<Op>| {
+        let player = Player::play(&ops);
+        let mut claimed: BTreeSet<RequestId> = BTreeSet::new();
+        let mut settled: BTreeMap<RequestId, usize> = BTreeMap::new();
+        for (_, seen) in &player.trace {
+            match seen {
+                Seen::Event(Event::ClaimAnswered { request, answer: ClaimAnswer::Claimed }) => {
+                    claimed.insert(*request);
+                }
+                Seen::Effect(Effect::Record { request, key: Some(_), .. }) => {
+                    let held = claimed.contains(request);
+                    ensure(held, || format!("request {request} settles a claim it lacks"))?;
+                    *settled.entry(*request).or_default() += 1;
+                }
+                Seen::Event(_) | Seen::Effect(_) => {}
+            }
+        }
+        let wrong = claimed.iter().find(|id| settled.get(id) != Some(&1));
+        ensure(wrong.is_none(), || format!("request {wrong:?}: {settled:?}"))
+    });
+}
+
+/// The scripts are of use only if they reach what the properties speak of.
+#[test]
+fn scripts_reach_every_kind_of_end() {
+    let mut total = Counters::default();
+    let mut rng = Gen::from_size_and_seed(120, 20);
+    for _ in 0..200 {
+        let player = Player::play(&Vec::arbitrary(&mut rng));
+        let counters = player.world.router.status().counters;
+        total.ran += counters.ran;
+        total.unknown += counters.unknown;
+        total.retries += counters.retries;
+        total.hedges += counters.hedges;
+        total.late += counters.late;
+        total.silent += counters.silent;
+        for (reason, count) in counters.not_run {
+            *total.not_run.entry(reason).or_default() += count;
+        }
+    }
+    let ends = [total.ran, total.unknown, total.retries, total.hedges, total.late, total.silent];
+    assert!(ends.iter().all(|count| *count >= 20), "{total:?}");
+    let reasons = [
+        NotRun::NoTarget,
+        NotRun::Deadline,
+        NotRun::Draining,
+        NotRun::CouncilUnavailable,
+        NotRun::KeyReused,
+        NotRun::InProgress,
+        NotRun::TargetsUnavailable,
+        NotRun::CallerGone,
+    ];
+    for reason in reasons {
+        assert!(total.not_run.contains_key(&reason), "{reason:?} in {total:?}");
+    }
+}
+
 #[test]
 fn a_leaving_target_gets_no_new_request() {
     check(14, |ops: Vec<Op>| {
--- /dev/null
+++ b/lib/tests/router/records.rs
@@ -0,0 +1,170 @@
+//! What claims, records and sends carry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    command::{Claim, ClaimResult},
+    ids::{IdempotencyKey, InstanceId, RequestId},
+    router::{
+        port::{ClaimAnswer, Effect, Request, Response, TryEnd},
+        request::{REQUEST_CHART, REQUEST_VOCABULARY, RequestChart, RequestState},
+        target::{TARGET_CHART, TARGET_VOCABULARY, TargetChart, TargetState},
+    },
+    time::Time,
+};
+
+use crate::world::{MEMBER, RIVAL, STORE, World, attempt, config, request};
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn claim(effect: &Effect) -> Option<&Claim> {
+    if let Effect::Claim(claim) = effect { Some(claim) } else { None }
+}
+
+/// The claims that two requests lead to; the second is changed.
+fn claims(change: fn(&mut Request)) -> Vec<Claim> {
+    let mut world = World::new(1);
+    let mut resent = request(1, STORE.name, false, world.now + PATIENCE);
+    world.ask(resent.clone());
+    resent.request = RequestId(2);
+    change(&mut resent);
+    world.ask(resent);
+    world.effects.iter().filter_map(claim).cloned().collect()
+}
+
+#[test]
+fn the_charts_are_whole() {
+    let request: RequestChart =
+        RequestChart::parse("request.jsonc", REQUEST_CHART, &REQUEST_VOCABULARY)
+            .expect("the chart of a request");
+    assert_eq!(request.initial(), RequestState::Admitted);
+    let target: TargetChart = TargetChart::parse("target.jsonc", TARGET_CHART, &TARGET_VOCABULARY)
+        .expect("the chart of a target");
+    assert_eq!(target.initial(), TargetState::Warming);
+}
+
+#[test]
+fn claims_tell_resends_from_other_requests() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Request),
+        same_key: bool,
+        same_digest: bool,
+    }
+    let case = |name, change, same_key, same_digest| Case { name, change, same_key, same_digest };
+    let cases = [
+        case("a resend", |_| {}, true, true),
+        case(
+            "a later deadline",
+            |request| request.deadline = Time::from_millis(1 << 40),
+            true,
+            true,
+        ),
+        case("another body", |request| request.body = Bytes::from_static(b"x"), true, false),
+        case("another path", |request| request.path = "/crease".to_owned(), true, false),
+        case("another customer", |request| request.customer = RIVAL.name.into(), false, true),
+        case("another key", |request| request.key = Some("other".into()), false, true),
+    ];
+    for case in cases {
+        let [first, second] = &claims(case.change)[..] else { panic!("{}", case.name) };
+        let key = |claim: &Claim| (claim.customer.clone(), claim.key.clone());
+        assert_eq!(key(first) == key(second), case.same_key, "{}", case.name);
+        assert_eq!(first.digest == second.digest, case.same_digest, "{}", case.name);
+        assert_eq!((first.owner, first.request), (InstanceId(1), 1), "{}", case.name);
+        assert_eq!(second.request, 2, "{}", case.name);
+    }
+}
+
+#[test]
+fn records_carry_the_key_of_a_claim_and_a_small_body() {
+    struct Case {
+        name: &'static str,
+        customer: &'static str,
+        idempotent: bool,
+        key: bool,
+        body: usize,
+        want: (bool, bool),
+    }
+    let limit = config().kept_body;
+    let store = STORE.name;
+    let member = MEMBER.name;
+    let cases = [
+        Case {
+            name: "not idempotent",
+            customer: store,
+            idempotent: false,
+            key: true,
+            body: limit,
+            want: (true, true),
+        },
+        Case {
+            name: "a large body",
+            customer: store,
+            idempotent: false,
+            key: true,
+            body: limit + 1,
+            want: (true, false),
+        },
+        Case {
+            name: "idempotent with a key",
+            customer: store,
+            idempotent: true,
+            key: true,
+            body: 1,
+            want: (false, false),
+        },
+        Case {
+            name: "idempotent with a key and exact counts",
+            customer: member,
+            idempotent: true,
+            key: true,
+            body: 1,
+            want: (true, true),
+        },
+        Case {
+            name: "exact counts without a key",
+            customer: member,
+            idempotent: true,
+            key: false,
+            body: 1,
+            want: (false, false),
+        },
+    ];
+    for case in cases {
+        let mut world = World::new(1);
+        let mut asked = request(1, case.customer, case.idempotent, world.now + PATIENCE);
+        asked.key = case.key.then(|| IdempotencyKey::from("key"));
+        world.ask(asked.clone());
+        if world.sent().is_empty() {
+            world.claim(1, ClaimAnswer::Claimed);
+        }
+        let body = Bytes::from(vec![7; case.body]);
+        world.end(attempt(1, 1), TryEnd::Answered(Response { status: 200, body: body.clone() }));
+        let (with_key, with_body) = case.want;
+        let want = Effect::Record {
+            request: RequestId(1),
+            customer: case.customer.into(),
+            key: asked.key.filter(|_| with_key),
+            result: ClaimResult::Ran { status: 200, body: with_body.then_some(body) },
+        };
+        assert!(world.effects.contains(&want), "{}: {:?}", case.name, world.effects.last());
+    }
+}
+
+#[test]
+fn a_send_carries_the_whole_request() {
+    let mut world = World::new(1);
+    let asked = request(1, STORE.name, true, world.now + PATIENCE);
+    world.ask(asked.clone());
+    let want = Effect::Send {
+        attempt: attempt(1, 1),
+        target: "10.0.0.0:80".to_owned(),
+        fresh: false,
+        customer: asked.customer,
+        path: asked.path,
+        body: asked.body,
+        deadline: asked.deadline,
+    };
+    assert_eq!(world.effects, [want]);
+}
--- a/lib/tests/router/script.rs
+++ b/lib/tests/router/script.rs
@@ -11,7 +11,7 @@
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult, Testable};
 
-use crate::world::{BUYERS, CENTRE, World, address, request, target};
+use crate::world::{BUYERS, CENTRE, World, address, config, request, target};
 
 /// Targets in a script.
 const TARGETS: u8 = 4;
@@ -22,6 +22,9 @@
 /// The longest script.
 const SCRIPT_SIZE: usize = 120;
 
+/// Answers after which requests in a script are hedged.
+const EAGER: u64 = 3;
+
 /// The longest patience of a caller, in milliseconds.
 const PATIENCE: u64 = 4_000;
 
@@ -86,8 +89,10 @@
 
 impl Player {
     pub(crate) fn new() -> Self {
+        let mut eager = config();
+        eager.hedge_after = EAGER;
         Self {
-            world: World::new(usize::from(TARGETS) - 1),
+            world: World::with(eager, usize::from(TARGETS) - 1),
             trace: Vec::new(),
             asked: Vec::new(),
             claims: Vec::new(),
