router: go on serving idempotent requests while the council is away

Cause: every request that ran stayed in the bounded room for unsettled ones until its record was confirmed. Ruled out: a larger room (memory grows with the length of the cut). Change: a request without a claim and without exact counts is over once it is answered; only requests that need a claim or a confirmed count need the room.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -126,7 +126,9 @@
                 self.claim_answered(now, request, answer, effects);
             }
             Event::Recorded { request } => {
-                self.step(now, request, Signal::new(RequestEvent::Recorded), effects);
+                if self.requests.contains_key(&request) {
+                    self.step(now, request, Signal::new(RequestEvent::Recorded), effects);
+                }
             }
             Event::TryEnded { attempt, end } => self.try_ended(now, attempt, end, effects),
             Event::Progress { attempt } => self.progress(now, attempt),
--- a/lib/src/router/admission.rs
+++ b/lib/src/router/admission.rs
@@ -74,7 +74,8 @@
         if !self.waiting.admits(account) {
             return Err(NotRun::Overloaded);
         }
-        if !self.unsettled.admits(account) {
+        let settles = exact || !request.idempotent;
+        if settles && !self.unsettled.admits(account) {
             return Err(NotRun::CouncilUnavailable);
         }
         if now >= request.deadline || now + self.estimate(now, service, account) > request.deadline
--- a/lib/src/router/port.rs
+++ b/lib/src/router/port.rs
@@ -45,7 +45,8 @@
             /// What it said.
             answer: ClaimAnswer,
         },
-        /// What became of a request was recorded and counted.
+        /// What became of a request was recorded and counted. Counts without a key and without
+        /// exact counts are waited for by nobody.
         Recorded {
             /// The request.
             request: RequestId,
@@ -257,7 +258,8 @@
             /// What became of it.
             outcome: RequestOutcome,
         },
-        /// Every request in flight has ended since [`Event::Drain`].
+        /// Every request in flight has ended since [`Event::Drain`]. Counts without a key that
+        /// were asked for by then may still have to be recorded.
         Drained,
     }
 }
