--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -95,15 +95,14 @@
         }
         let overdue = self.fleet[slot].health == Health::Suspect;
         self.update(now, slot, said);
-        self.step_worker(now, slot, HealthEvent::Announced, effects);
-        let worker = &mut self.fleet[slot];
-        worker.answered = Some(now);
+        self.fleet[slot].answered = Some(now);
         if overdue {
             // The timer that is set may be the one for the end of the lease.
             self.fleet[slot].watched = false;
         }
-        self.arm_worker(now, slot);
         let acknowledged = self.take_reports(now, slot, said, rebooted, epoch, effects);
+        self.step_worker(now, slot, HealthEvent::Announced, effects);
+        self.arm_worker(now, slot);
         for sample in said.samples.iter().take(MOST_SAMPLES) {
             self.sampled(now, slot, sample);
         }
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -8,6 +8,8 @@
 mod ledger;
 #[path = "scheduler/properties.rs"]
 mod properties;
+#[path = "scheduler/rules.rs"]
+mod rules;
 #[path = "scheduler/worker.rs"]
 mod worker;
 #[path = "scheduler/world.rs"]
