scheduler: show the choice of tier, worker and turn

Cause: quotas, preemption, packing, spreading and fairness had no tests.

Change: tables for each, a property that nobody waits long between starts among random customers, shares against weights, and two holders of which the older one is cut off.

Faults put in by hand, each then taken out: a cutoff that is ignored, leases to workers that saw a newer epoch, conclusions from leases kept over an epoch, rank without the share: each failed a test.

--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -2,8 +2,12 @@
 
 #[path = "scheduler/basics.rs"]
 mod basics;
+#[path = "scheduler/choice.rs"]
+mod choice;
 #[path = "scheduler/desk.rs"]
 mod desk;
+#[path = "scheduler/fairness.rs"]
+mod fairness;
 #[path = "scheduler/ledger.rs"]
 mod ledger;
 #[path = "scheduler/properties.rs"]
--- a/lib/tests/scheduler/properties.rs
+++ b/lib/tests/scheduler/properties.rs
@@ -82,6 +82,48 @@
     world
 }
 
+/// Both holders reach some workers; only the newer one reaches the council.
+fn two_holders(seconds: u64) -> Vec<(u64, Fault)> {
+    let wave = |tasks| Fault::Wave { tasks, cores: 1, idempotent: true, urgent: false };
+    let mut faults = vec![(3, wave(30)), (1, Fault::Cut { instance: 0, seconds })];
+    // The first two workers only reach the older holder, the others only the newer one.
+    faults.extend((0..WORKERS).map(|worker| {
+        let instance = usize::from(worker < 2);
+        (0, Fault::Part { worker, instance, seconds })
+    }));
+    faults.extend([(0, Fault::Grant), (5, wave(5)), (seconds - 10, wave(5))]);
+    faults
+}
+
+#[test]
+fn an_old_holder_that_is_cut_off_does_no_harm() {
+    struct Case {
+        name: &'static str,
+        faults: Vec<(u64, Fault)>,
+    }
+    let back = |mut faults: Vec<(u64, Fault)>| {
+        faults.extend([(0, Fault::Grant), (3, Fault::Grant), (1, Fault::Grant)]);
+        faults
+    };
+    let cases = [
+        Case { name: "shorter than its cutoff", faults: two_holders(12) },
+        Case { name: "longer than its cutoff", faults: two_holders(60) },
+        Case { name: "it takes the data centre back", faults: back(two_holders(20)) },
+        Case { name: "the same, after long", faults: back(two_holders(60)) },
+    ];
+    for case in cases {
+        for seed in 0..8 {
+            for loss in [0, 100] {
+                let world = world_after(&Scenario { seed, loss, faults: case.faults.clone() });
+                let mut findings = world.waits();
+                findings.extend(world.doubled());
+                findings.extend(world.findings);
+                assert_eq!(findings, [""; 0], "{}, seed {seed}, loss {loss}", case.name);
+            }
+        }
+    }
+}
+
 fn verdict(findings: &[String]) -> TestResult {
     match findings.first() {
         None => TestResult::passed(),
--- a/lib/tests/scheduler/world.rs
+++ b/lib/tests/scheduler/world.rs
@@ -156,7 +156,9 @@
             Fault::Wave { tasks, cores, idempotent, urgent } => {
                 for _ in 0..*tasks {
                     self.submit(|task| {
+                        // Uneven sizes, so that what is nearly enough room is not enough.
                         task.spec.size = room(*cores, 1);
+                        task.spec.size.millicores += task.task.0 % 3 * 70;
                         task.spec.idempotent = *idempotent;
                         task.spec.urgent = *urgent;
                     });
@@ -295,7 +297,11 @@
         if self.workers[at].down > self.now {
             return;
         }
-        let work = |id: TaskId| 2_000 + id.0 % 5 * 1_500;
+        // Most tasks are short, and some outlast every lease.
+        let work = |id: TaskId| match id.0 % 7 {
+            3 => 40_000,
+            _ => 2_000 + id.0 % 5 * 1_500,
+        };
         for start in self.workers[at].command(epoch, fence, commands, work) {
             self.check_start(&start);
         }
