--- a/lib/src/interference.rs
+++ b/lib/src/interference.rs
@@ -5,13 +5,16 @@
 //! arrive within an interval doesn't matter. What is done with a batch task follows the state
 //! chart in `charts/interference.jsonc`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
     ids::{CustomerName, ServiceName, TaskAttempt, TaskKind, WorkerName},
     interference::{
         control::{Outcome, State},
-        limits::{INTERVAL, MAX_KINDS, MAX_SERVICES, WORKERS_PER_MOVE, harm_weight},
+        limits::{
+            ALONE_RATIO, INTERVAL, MAX_KINDS, MAX_SERVICES, PLACES_LOOKED_AT, WORKERS_PER_MOVE,
+            harm_weight,
+        },
         model::{Exposure, Harm, Model},
         port::{Action, Counters, Footprint, Neighbour, Role},
         residents::{Lesson, Moves, Residents, present_harm},
@@ -43,6 +46,9 @@
     counters: Counters,
     moving: usize,
     due: Option<Time>,
+    passive: bool,
+    /// Which worker the next look for better places starts at.
+    turn: usize,
     beside: Vec<Exposure>,
 }
 
@@ -56,12 +62,19 @@
             counters: Counters::default(),
             moving: 0,
             due: None,
+            passive: false,
+            turn: 0,
             beside: Vec::new(),
         }
     }
 }
 
 impl Interference {
+    /// A policy that learns and gives penalties, and never asks for an action.
+    pub fn passive() -> Self {
+        Self { passive: true, ..Self::default() }
+    }
+
     /// A try was placed on a worker. A try that is there already stays as it is.
     pub fn placed(&mut self, now: Time, worker: &WorkerName, neighbour: &Neighbour) {
         if self.workers.get(worker).is_some_and(|known| known.find(neighbour.attempt).is_some()) {
@@ -86,10 +99,10 @@
 
     /// A worker delivered a sample that was taken [`Sample::age`] before `now`.
     ///
-    /// Only samples of a service's latency are learned from; they are looked at in the next
-    /// [`Self::decide`].
+    /// The next [`Self::decide`] learns from it: from a replica's sample how much the tasks beside
+    /// it slow its service, from a batch task's what it uses when nothing limits it.
     pub fn sampled(&mut self, now: Time, worker: &WorkerName, sample: &Sample) {
-        let Some(pending) = Pending::new(now, sample) else { return };
+        let pending = Pending::new(now, sample);
         match self.workers.get_mut(worker) {
             Some(residents) => {
                 let kept = residents.push(pending);
@@ -100,25 +113,21 @@
     }
 
     /// How much `neighbour` is expected to hurt, and be hurt by, what runs on the worker: the
-    /// expected rise of service latency as a fraction, weighed by objective; 0 if nothing is known.
-    pub fn penalty(&self, _now: Time, worker: &WorkerName, neighbour: &Neighbour) -> f64 {
+    /// expected rise of service latency as a fraction of the good latency, weighed by objective;
+    /// 0 if nothing is known.
+    pub fn penalty(&self, now: Time, worker: &WorkerName, neighbour: &Neighbour) -> f64 {
         let Some(residents) = self.workers.get(worker) else { return 0.0 };
         match &neighbour.role {
             Role::Service { service, latency: _ } => {
                 let Some(service) = self.services.find(service) else { return 0.0 };
                 let batches = residents.batches();
                 let harm = batches.map(|(_, batch)| present_harm(&self.model, service, batch));
-                harm_weight(neighbour.objective) * harm.sum::<f64>().exp_m1()
+                harm_weight(neighbour.objective) * ALONE_RATIO * harm.sum::<f64>().exp_m1()
             }
             Role::Batch { kind, evictions: _ } => {
                 let name = (neighbour.customer.clone(), kind.clone());
                 let Some(kind) = self.kinds.find(&name) else { return 0.0 };
-                let rise = |service| self.model.mean(service, kind).exp_m1();
-                let replicas = residents.replicas().map(|replica| {
-                    let rise = replica.service.map_or(0.0, rise);
-                    harm_weight(replica.objective) * replica.harm.exp() * rise
-                });
-                replicas.sum()
+                residents.rise(now, &self.model, kind, 0.0)
             }
         }
     }
@@ -130,7 +139,8 @@
         }
         self.due = Some(now + INTERVAL);
         let limit = (self.workers.len() / WORKERS_PER_MOVE).max(1);
-        let mut moves = Moves { running: self.moving, limit };
+        let least = self.least_rises(now);
+        let mut moves = Moves { running: self.moving, limit, places: self.workers.len(), least };
         let mut lesson = Lesson {
             model: &mut self.model,
             counters: &mut self.counters,
@@ -141,6 +151,9 @@
                 continue;
             }
             residents.learn(now, &mut lesson);
+            if self.passive {
+                continue;
+            }
             let decided = residents.decide(now, lesson.model, &mut moves);
             actions.extend(decided.and_then(|(attempt, outcome)| action(worker, attempt, outcome)));
         }
@@ -208,6 +221,20 @@
         }
     }
 
+    /// For each kind with a task at its floor, the least rise of latency that placing it elsewhere
+    /// is expected to cause, among some of the workers.
+    fn least_rises(&mut self, now: Time) -> BTreeMap<u32, f64> {
+        let floored: BTreeSet<u32> = self.workers.values().flat_map(Residents::floored).collect();
+        let stride = (self.workers.len() / PLACES_LOOKED_AT).max(1);
+        self.turn = (self.turn + 1) % stride;
+        let places: Vec<_> = self.workers.values().skip(self.turn).step_by(stride).collect();
+        let least = |kind: u32| {
+            let rises = places.iter().map(|place| place.rise(now, &self.model, kind, 0.0));
+            (kind, rises.fold(f64::INFINITY, f64::min))
+        };
+        floored.into_iter().map(least).collect()
+    }
+
     /// Forgets stays that ended too long ago, and workers that nothing is known of.
     fn expire(&mut self, now: Time) {
         for residents in self.workers.values_mut() {
--- a/lib/src/interference/control.rs
+++ b/lib/src/interference/control.rs
@@ -60,6 +60,8 @@
         Stuck = "stuck",
         /// The harm is large beyond doubt.
         Certain = "certain",
+        /// The task is expected to do far less harm elsewhere.
+        Better = "better",
         /// The task may be evicted, and few moves are under way.
         Movable = "movable",
         /// The state was marked long enough ago to be left.
@@ -109,6 +111,8 @@
     pub(crate) harmless: bool,
     /// See [`Guard::Certain`].
     pub(crate) certain: bool,
+    /// See [`Guard::Better`].
+    pub(crate) better: bool,
     /// See [`Guard::Movable`].
     pub(crate) movable: bool,
 }
@@ -147,12 +151,7 @@
         self.state
     }
 
-    /// The throttle in force, in thousandths.
-    pub(crate) fn permille(&self) -> u32 {
-        self.permille
-    }
-
-    /// The throttle after a step up, in thousandths.
+    /// The throttle after a step up, in thousandths of the task's natural use.
     pub(crate) fn raised(&self) -> u32 {
         (self.permille + STEP_UP).min(WHOLE)
     }
@@ -221,6 +220,7 @@
             Guard::Safe => facts.harmless || elapsed >= self.hold(),
             Guard::Stuck => elapsed >= floor_hold(self.objective),
             Guard::Certain => facts.certain,
+            Guard::Better => facts.better,
             Guard::Movable => facts.movable,
             Guard::Cooled => elapsed >= COOLING,
             Guard::Overdue => elapsed >= STOP_TIMEOUT,
--- a/lib/src/interference/limits.rs
+++ b/lib/src/interference/limits.rs
@@ -44,6 +44,10 @@
 pub(crate) const STEP_UP: u32 = 400;
 /// Moves that may be under way at once: one for each this many workers, and at least one.
 pub(crate) const WORKERS_PER_MOVE: usize = 24;
+/// Workers that are looked at for a better place, about.
+pub(crate) const PLACES_LOOKED_AT: usize = 64;
+/// A place is better if the rise of latency there is below this part of the rise here.
+pub(crate) const BETTER_PART: f64 = 0.25;
 
 /// Samples of a pair before its estimate may cause an action.
 pub(crate) const MIN_SAMPLES: u32 = 12;
@@ -52,23 +56,26 @@
 /// Standard deviations that an estimate must lie above [`CERTAIN_HARM`] to cause a move.
 pub(crate) const MOVE_SIGMA: f64 = 2.0;
 /// The least harm, as the logarithm of the slowdown, that can be blamed.
-pub(crate) const BLAMED_HARM: f64 = 0.03;
+pub(crate) const BLAMED_HARM: f64 = 0.15;
 /// The least harm, as the logarithm of the slowdown, that is worth an eviction.
 pub(crate) const CERTAIN_HARM: f64 = 0.25;
 
+/// The part of its good latency that a service without samples is taken to have when alone.
+pub(crate) const ALONE_RATIO: f64 = 0.5;
+
 /// A service is hurt when its latency is above this part of its good latency.
 pub(crate) fn hurt_ratio(objective: Objective) -> f64 {
     match objective {
-        Objective::Latency => 0.7,
-        Objective::Throughput => 1.0,
+        Objective::Latency => 1.0,
+        Objective::Throughput => 1.6,
     }
 }
 
 /// A throttle is eased when the latency is expected to stay below this part of the good latency.
 pub(crate) fn slack_ratio(objective: Objective) -> f64 {
     match objective {
-        Objective::Latency => 0.6,
-        Objective::Throughput => 0.85,
+        Objective::Latency => 0.85,
+        Objective::Throughput => 1.3,
     }
 }
 
@@ -91,8 +98,8 @@
 /// The lowest throttle of a batch task, in thousandths.
 pub(crate) fn floor(objective: Objective) -> u32 {
     match objective {
-        Objective::Latency => 150,
-        Objective::Throughput => 250,
+        Objective::Latency => 400,
+        Objective::Throughput => 500,
     }
 }
 
--- a/lib/src/interference/residents.rs
+++ b/lib/src/interference/residents.rs
@@ -1,13 +1,14 @@
 //! The tries on one worker, now and a short time ago, and the decisions about them.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::{
     ids::TaskAttempt,
     interference::{
         control::{Facts, Outcome, State, Verdict},
         limits::{
-            BLAMED_HARM, CERTAIN_HARM, HORIZON, MAX_ENDED, MAX_PENDING, MOVE_SIGMA, THROTTLE_SIGMA,
+            BETTER_PART, BLAMED_HARM, CERTAIN_HARM, HORIZON, MAX_ENDED, MAX_PENDING, MOVE_SIGMA,
+            THROTTLE_SIGMA, harm_weight,
         },
         model::{Exposure, Model, Observation},
         port::Counters,
@@ -30,12 +31,16 @@
 }
 
 /// How many moves are under way, and how many may be.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Moves {
     /// Moves under way.
     pub(crate) running: usize,
     /// Moves that may be under way at once.
     pub(crate) limit: usize,
+    /// Workers that are known.
+    pub(crate) places: usize,
+    /// The least rise of latency that is expected elsewhere, for kinds that may be moved.
+    pub(crate) least: BTreeMap<u32, f64>,
 }
 
 /// What learning from a worker's samples needs besides the worker.
@@ -111,6 +116,10 @@
             lesson.counters.old += 1;
             return;
         }
+        let Some(latency) = sample.latency else {
+            self.learn_use(sample, lesson.counters);
+            return;
+        };
         lesson.beside.clear();
         if !self.exposures(sample, lesson.beside) {
             lesson.counters.unknown += 1;
@@ -124,7 +133,7 @@
             lesson.counters.duplicate += 1;
             return;
         }
-        let latency = sample.latency.as_secs_f64().ln();
+        let latency = latency.as_secs_f64().ln();
         let load = replica.load(sample.millicores);
         let mut harm = 0.0;
         if let Some(service) = replica.service {
@@ -142,6 +151,20 @@
         lesson.counters.counted += 1;
     }
 
+    fn learn_use(&mut self, sample: &Pending, counters: &mut Counters) {
+        let stay = self.stays.iter_mut().find(|stay| stay.attempt == sample.attempt);
+        match stay {
+            Some(stay) => {
+                if let Some(batch) = stay.batch_mut() {
+                    batch.observe(sample.taken, sample.millicores);
+                }
+            }
+            None => {
+                counters.unknown += u64::from(self.stay_at(sample.attempt, sample.taken).is_none())
+            }
+        }
+    }
+
     /// Collects what the worker saw beside the replica, each kind once; false if it names a try
     /// that wasn't known to be there.
     ///
@@ -256,7 +279,10 @@
         let Some(batch) = self.stays[at].batch_mut() else { return Outcome::Nothing };
         let was_moving = batch.control.state() == State::Moving;
         let outcome = batch.control.step(now, verdict, &facts);
-        batch.note(now, outcome);
+        let outcome = match outcome {
+            Outcome::Throttle(permille) => Outcome::Throttle(batch.throttle(now, permille)),
+            Outcome::Nothing | Outcome::Move => outcome,
+        };
         match (was_moving, batch.control.state() == State::Moving) {
             (false, true) => {
                 moves.running += 1;
@@ -282,10 +308,36 @@
             budgeted: true,
             harmless: self.replicas().all(|replica| bears_raise(replica, now, batch, model)),
             certain: self.replicas().any(|replica| is_hurt(replica, now) && certain(replica)),
+            better: self.has_better(now, batch, model, moves),
             movable: batch.evictions > 0 && moves.running < moves.limit,
         }
     }
 
+    /// Whether a batch task is expected to do far less harm elsewhere; true if no other worker is
+    /// known.
+    fn has_better(&self, now: Time, batch: &Batch, model: &Model, moves: &Moves) -> bool {
+        let Some(kind) = batch.kind else { return false };
+        let Some(least) = moves.least.get(&kind) else { return false };
+        moves.places < 2 || *least < BETTER_PART * self.rise(now, model, kind, batch.amount())
+    }
+
+    /// The rise of service latency that a task of a kind would cause, weighed by objective, as a
+    /// sum of fractions of the good latencies; `present` is how much of it is there already.
+    pub(crate) fn rise(&self, now: Time, model: &Model, kind: u32, present: f64) -> f64 {
+        let rises = self.replicas().filter_map(|replica| {
+            let harm = model.mean(replica.service?, kind);
+            let without = replica.expected(now) * (-harm * present).exp();
+            Some(harm_weight(replica.objective) * without * harm.exp_m1())
+        });
+        rises.sum()
+    }
+
+    /// The kinds of the batch tasks at their floor.
+    pub(crate) fn floored(&self) -> impl Iterator<Item = u32> {
+        let floored = |batch: &&Batch| batch.control.state() == State::Floor;
+        self.stays.iter().filter_map(Stay::batch).filter(floored).filter_map(|batch| batch.kind)
+    }
+
     /// The replicas that are there.
     pub(crate) fn replicas(&self) -> impl Iterator<Item = &Replica> {
         self.stays.iter().filter_map(Stay::replica)
--- a/lib/src/interference/stay.rs
+++ b/lib/src/interference/stay.rs
@@ -5,9 +5,10 @@
 use crate::{
     ids::TaskAttempt,
     interference::{
-        control::{Control, Outcome},
+        control::Control,
         limits::{
-            MAX_RECENT, MAX_THROTTLES, SETTLE, SKEW, SPACING, STALE, WHOLE, hurt_ratio, slack_ratio,
+            ALONE_RATIO, MAX_RECENT, MAX_THROTTLES, SETTLE, SKEW, SPACING, STALE, WHOLE,
+            hurt_ratio, slack_ratio,
         },
         port::{Neighbour, Role},
     },
@@ -16,6 +17,8 @@
     worker::Sample,
 };
 
+/// The weight of a new sample in a batch task's running natural use.
+const USE_WEIGHT: f64 = 0.2;
 /// The weight of a new sample in a replica's running level.
 const LEVEL_WEIGHT: f64 = 0.4;
 
@@ -24,13 +27,13 @@
 pub(crate) struct Pending {
     /// When it was taken.
     pub(crate) taken: Time,
-    /// The replica's try.
+    /// The try.
     pub(crate) attempt: TaskAttempt,
-    /// Its 99th percentile.
-    pub(crate) latency: Duration,
+    /// The 99th percentile of a replica's latency; nothing for batch tasks.
+    pub(crate) latency: Option<Duration>,
     /// The processors it used, in thousandths.
     pub(crate) millicores: u64,
-    /// What the worker saw beside it, in order.
+    /// What the worker saw beside a replica, in order.
     pub(crate) beside: Vec<TaskAttempt>,
 }
 
@@ -87,25 +90,32 @@
     pub(crate) evictions: u32,
     /// What is done with it.
     pub(crate) control: Control,
-    /// Its throttles, each with the time it was asked for.
-    throttles: Vec<(Time, u32)>,
+    /// The processors it holds, in thousandths.
+    millicores: u64,
+    /// The processors it uses when nothing limits it, in thousandths; nothing if that isn't known.
+    natural: Option<f64>,
+    /// The part of its natural use that each throttle left it, with the time it was asked for.
+    throttles: Vec<(Time, f64)>,
 }
 
 impl Pending {
-    /// A sample that arrived at `now`, or `None` if it says nothing of latency.
-    pub(crate) fn new(now: Time, sample: &Sample) -> Option<Self> {
-        let latency = sample.latency.filter(|latency| !latency.is_zero())?;
+    /// A sample that arrived at `now`.
+    pub(crate) fn new(now: Time, sample: &Sample) -> Self {
+        let latency = sample.latency.filter(|latency| !latency.is_zero());
         let age = u64::try_from(sample.age.as_nanos()).unwrap_or(u64::MAX);
-        let mut beside = sample.beside.clone();
-        beside.sort_unstable();
-        beside.dedup();
-        Some(Self {
+        let mut beside = Vec::new();
+        if latency.is_some() {
+            beside.extend_from_slice(&sample.beside);
+            beside.sort_unstable();
+            beside.dedup();
+        }
+        Self {
             taken: Time::from_nanos(now.as_nanos().saturating_sub(age)),
             attempt: sample.attempt,
             latency,
             millicores: sample.used.millicores,
             beside,
-        })
+        }
     }
 
     /// Whether both are one sample that was delivered twice.
@@ -137,6 +147,8 @@
                 kind: number,
                 evictions: *evictions,
                 control: Control::new(now, objective),
+                millicores: neighbour.size.millicores,
+                natural: None,
                 throttles: Vec::new(),
             }),
         };
@@ -222,6 +234,11 @@
         Some(level + self.harm - self.good)
     }
 
+    /// The expected latency over the good latency, guessed if no sample is new enough.
+    pub(crate) fn expected(&self, now: Time) -> f64 {
+        self.ratio(now).map_or_else(|| ALONE_RATIO * self.harm.exp(), f64::exp)
+    }
+
     /// Whether a ratio, as [`Self::ratio`] gives it, means that the service is hurt.
     pub(crate) fn is_hurt(&self, ratio: f64) -> bool {
         ratio > hurt_ratio(self.objective).ln()
@@ -244,32 +261,48 @@
 }
 
 impl Batch {
-    /// The part of its processors that it used at `time`, at most.
+    /// Learns the natural use from a sample that was taken while nothing limited the task.
+    pub(crate) fn observe(&mut self, taken: Time, millicores: u64) {
+        if self.amount_at(taken) < 1.0 || millicores == 0 {
+            return;
+        }
+        let used = millicores as f64;
+        let natural = self.natural.unwrap_or(used);
+        self.natural = Some(natural + USE_WEIGHT * (used - natural));
+    }
+
+    /// The part of its natural use that it could use at `time`.
     pub(crate) fn amount_at(&self, time: Time) -> f64 {
-        let permille = self.throttles.iter().rev().find(|(since, _)| *since <= time);
-        f64::from(permille.map_or(WHOLE, |(_, permille)| *permille)) / f64::from(WHOLE)
+        let throttle = self.throttles.iter().rev().find(|(since, _)| *since <= time);
+        throttle.map_or(1.0, |(_, amount)| *amount)
     }
 
-    /// The part of its processors that it may use now.
+    /// The part of its natural use that it may use now.
     pub(crate) fn amount(&self) -> f64 {
-        f64::from(self.control.permille()) / f64::from(WHOLE)
+        self.throttles.last().map_or(1.0, |(_, amount)| *amount)
     }
 
     /// How much more it would use after a step up.
     pub(crate) fn raise(&self) -> f64 {
-        f64::from(self.control.raised()) / f64::from(WHOLE) - self.amount()
+        (f64::from(self.control.raised()) / f64::from(WHOLE) - self.amount()).max(0.0)
     }
 
-    /// Remembers what was asked for.
-    pub(crate) fn note(&mut self, now: Time, outcome: Outcome) {
-        match outcome {
-            Outcome::Nothing | Outcome::Move => {}
-            Outcome::Throttle(permille) => {
-                if self.throttles.len() >= MAX_THROTTLES {
-                    self.throttles.remove(0);
-                }
-                self.throttles.push((now, permille));
-            }
+    /// The throttle, in thousandths of its size, that leaves it `permille` thousandths of its
+    /// natural use; remembers what that leaves it.
+    pub(crate) fn throttle(&mut self, now: Time, permille: u32) -> u32 {
+        let size = self.millicores.max(1) as f64;
+        let natural = self.natural.unwrap_or(size);
+        let (permille, amount) = if permille >= WHOLE {
+            (WHOLE, 1.0)
+        } else {
+            let wanted = (f64::from(permille) * natural / size).round() as u32;
+            let permille = wanted.clamp(1, WHOLE - 1);
+            (permille, (f64::from(permille) / f64::from(WHOLE) * size / natural).min(1.0))
+        };
+        if self.throttles.len() >= MAX_THROTTLES {
+            self.throttles.remove(0);
         }
+        self.throttles.push((now, amount));
+        permille
     }
 }
