ledger: prove what always holds over random commands, and mend what that found

Change: what came of running a try is taken only from the data centre where it ran; an ended task acknowledges only the outcome it has. Nine properties over random commands, and the encodings by hand against derived ones.

--- a/lib/src/ledger/life.rs
+++ b/lib/src/ledger/life.rs
@@ -48,10 +48,12 @@
         NextAttempt = "next_attempt",
         /// The start is the one that was recorded last.
         SameStart = "same_start",
-        /// The event is about the last try, from the data centre that may speak for it.
+        /// The event is about the last try, and from a data centre that may speak of it.
         CurrentAttempt = "current_attempt",
         /// The event is about a try that is known to have stopped.
         StoppedAttempt = "stopped_attempt",
+        /// The task ended as the event says.
+        SameOutcome = "same_outcome",
         /// The task was cancelled.
         Cancelled = "cancelled",
         /// The task may have no further try after this failure.
@@ -296,13 +298,17 @@
             Input::Yield { .. } | Input::End { .. } | Input::Cancel => false,
         },
         Guard::CurrentAttempt => about(input).is_some_and(|(attempt, centre)| {
-            attempt.attempt == record.attempt() && may_speak(record, centre)
+            attempt.attempt == record.attempt() && may_speak(record, input, centre)
         }),
         Guard::StoppedAttempt => about(input).is_some_and(|(attempt, _)| {
             attempt.attempt.0 > 0
                 && (attempt.attempt < record.attempt()
                     || attempt.attempt == record.attempt() && record.phase != Phase::Running)
         }),
+        Guard::SameOutcome => match input {
+            Input::End { outcome, .. } => record.outcome() == Some(*outcome),
+            Input::Start(_) | Input::Yield { .. } | Input::Cancel => false,
+        },
         Guard::Cancelled => record.cancelled,
         Guard::Spent => spent(record, input, limits),
         Guard::Unsure => unsure(record, input),
@@ -328,11 +334,21 @@
     record.spec.centre.as_ref().is_none_or(|pinned| pinned == centre)
 }
 
-/// Whether a data centre may say what became of the last try: the one where it ran.
-fn may_speak(record: &Record, centre: &DataCentre) -> bool {
-    match &record.last {
-        Some(last) if record.phase != Phase::Queued => last.centre == *centre,
-        Some(_) | None => may_run_in(record, centre),
+/// Whether a data centre may say this of the last try: what came of running it, only the one
+/// where it ran; that the task is cancelled or can't run, also another one while it doesn't run.
+fn may_speak(record: &Record, input: &Input<'_>, centre: &DataCentre) -> bool {
+    let ran_here = record.last.as_ref().is_some_and(|last| last.centre == *centre);
+    match input {
+        Input::End { outcome: TaskOutcome::Cancelled | TaskOutcome::Impossible { .. }, .. } => {
+            ran_here || record.phase != Phase::Running && may_run_in(record, centre)
+        }
+        Input::End {
+            outcome:
+                TaskOutcome::Completed { .. } | TaskOutcome::Failed { .. } | TaskOutcome::Unknown { .. },
+            ..
+        }
+        | Input::Yield { .. } => ran_here,
+        Input::Start(_) | Input::Cancel => false,
     }
 }
 
--- a/lib/src/ledger/tasks.rs
+++ b/lib/src/ledger/tasks.rs
@@ -99,7 +99,7 @@
 
     /// How it ended, if it did.
     pub fn outcome(&self) -> Option<&'a TaskOutcome> {
-        self.record.outcome.as_deref()
+        self.record.outcome()
     }
 
     /// Whether a try was recorded that may be running.
@@ -124,9 +124,14 @@
         Attempt(self.attempt().0 + 1)
     }
 
+    /// How it ended, if it did.
+    pub(super) fn outcome(&self) -> Option<&TaskOutcome> {
+        self.outcome.as_deref()
+    }
+
     /// Whether it ended as one that may have run.
     pub(super) fn is_unknown(&self) -> bool {
-        matches!(self.outcome.as_deref(), Some(TaskOutcome::Unknown { .. }))
+        matches!(self.outcome(), Some(TaskOutcome::Unknown { .. }))
     }
 
     /// The task as the scheduler takes it in.
--- a/lib/tests/ledger.rs
+++ b/lib/tests/ledger.rs
@@ -4,8 +4,12 @@
 mod bounds;
 #[path = "ledger/claims.rs"]
 mod claims;
+#[path = "ledger/generate.rs"]
+mod generate;
 #[path = "ledger/lists.rs"]
 mod lists;
+#[path = "ledger/properties.rs"]
+mod properties;
 #[path = "ledger/support.rs"]
 mod support;
 #[path = "ledger/tasks.rs"]
--- a/lib/tests/ledger/tasks.rs
+++ b/lib/tests/ledger/tasks.rs
@@ -114,6 +114,22 @@
                 (start("akl-b", 1, (1, 2)), refused(Ended)),
             ],
         ),
+        (
+            "a result from a data centre where it didn't run",
+            vec![
+                (yields("akl-a", 1, (1, 1), None, lease_expired()), Reply::Done),
+                (end("akl-b", 1, (1, 1), completed()), refused(StaleAttempt)),
+                (end("akl-b", 1, (1, 1), TaskOutcome::Cancelled), Reply::Done),
+            ],
+        ),
+        (
+            "an end that says something else",
+            vec![
+                (end("akl-a", 1, (1, 1), completed()), Reply::Done),
+                (end("akl-a", 1, (1, 1), TaskOutcome::Cancelled), refused(Ended)),
+                (end("akl-a", 1, (1, 1), completed()), Reply::Done),
+            ],
+        ),
         (
             "a result that comes after the next try started",
             vec![
