--- a/lib/tests/codec.rs
+++ b/lib/tests/codec.rs
@@ -1,5 +1,7 @@
 //! The encoding by hand of hot types: what a derive would write, and nothing lost.
 
+#![expect(clippy::needless_pass_by_value, reason = "quickcheck hands its values over")]
+
 use std::time::Duration;
 
 use bytes::Bytes;
