council: don't take an answer to an earlier start for the answer to a new command

Cause: tickets of commands were numbered from 1 at each start. An instance with a disk keeps its identity, so when the log's tail was applied after a restart, the answer to an old claim was given to whichever new claim had the same ticket: the new request left without its own claim. Ruled out: the ledger's claims (the claim was refused there; the refusal never reached the request), request numbers (each is used once in the test). Change: tickets start from a number that each start draws at random, as do the front's request numbers, which had rested on the wall clock. The directory tells the other parts of the instances also when this one is alone: until now a single instance never learnt its share of a target's slots and served nothing. Test: an_answer_to_an_earlier_start_is_not_taken_for_a_new_one, seen red on the old numbering ("plan-10 ran 2 times"), green now; it needs an instance alone. Also seen red by hand, each in a_key_sent_through_any_instance_runs_at_most_once: a held claim given twice, a settled claim given again ("plan-0 ran 2 times"). Conclusion: at most once held in each part and not in the whole; whole-instance properties stay.

--- a/cli/src/front.rs
+++ b/cli/src/front.rs
@@ -121,7 +121,7 @@
         log: Logger,
     ) -> Self {
         Self {
-            next: AtomicU64::new(clock.wall().0 << 20),
+            next: AtomicU64::new(rand::random()),
             settings,
             rings,
             clock,
--- a/lib/src/council.rs
+++ b/lib/src/council.rs
@@ -106,7 +106,7 @@
         let settings = config.consensus.clone();
         let consensus = Consensus::new(settings, recovered, &Members::default(), now, config.seed);
         Ok(Self {
-            proposals: Proposals::new(config.pending),
+            proposals: Proposals::new(config.pending, config.seed),
             counts: Counts::new(config.start),
             hold: Hold::new(&config, now),
             keeper: Keeper::new(&config, now),
--- a/lib/src/council/proposals.rs
+++ b/lib/src/council/proposals.rs
@@ -45,8 +45,12 @@
 
 impl Proposals {
     /// Takes in at most `most` commands that may be shed.
-    pub fn new(most: usize) -> Self {
-        Self { most, last: Ticket(0), pending: BTreeMap::new(), resend: None }
+    ///
+    /// Tickets are numbered from `seed`, which each start draws anew: the log may still hold
+    /// commands of an earlier start of this instance, and an answer to one of those must not be
+    /// taken for the answer to a new one.
+    pub fn new(most: usize, seed: u64) -> Self {
+        Self { most, last: Ticket(seed), pending: BTreeMap::new(), resend: None }
     }
 
     /// Takes a command in and numbers it.
@@ -58,7 +62,7 @@
         if pending.sheddable() && self.pending.len() >= self.most {
             return Err(pending.asker);
         }
-        self.last.0 += 1;
+        self.last.0 = self.last.0.wrapping_add(1);
         self.pending.insert(self.last, pending);
         self.resend = earliest(self.resend, Some(now));
         Ok(self.last)
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -54,6 +54,8 @@
     local: Local,
     remote: BTreeMap<InstanceId, Remote>,
     merged: Merged,
+    /// Whether the other parts were told of the instances; one that is alone hears no beat.
+    told: bool,
     next_beat: Time,
     next_sweep: Time,
 }
@@ -68,6 +70,7 @@
             local: Local::default(),
             remote: BTreeMap::new(),
             merged: Merged::default(),
+            told: false,
             next_beat: now,
             next_sweep: now,
         }
@@ -135,7 +138,8 @@
         if let Some(changes) = self.local.expire(now, self.config.expire) {
             self.broadcast(changes, out);
         }
-        if self.instances.expire(now, self.config.dead) {
+        let told = std::mem::replace(&mut self.told, true);
+        if self.instances.expire(now, self.config.dead) || !told {
             self.tell_instances(out);
         }
         self.merge(now, out);
--- a/lib/tests/instances/main.rs
+++ b/lib/tests/instances/main.rs
@@ -62,8 +62,8 @@
 }
 
 /// Instances with the first list in force.
-fn ready(seed: u64, faults: Faults) -> Net {
-    let mut net = Net::new(seed, 3);
+fn ready(seed: u64, faults: Faults, instances: usize) -> Net {
+    let mut net = Net::new(seed, instances);
     net.run(Duration::from_secs(3));
     ask(&mut net, 0, 1, edit(1, 1));
     net.run(Duration::from_secs(3));
@@ -93,7 +93,7 @@
         },
     ];
     for (case, seed) in cases.iter().flat_map(|case| SEEDS.map(move |seed| (case, seed))) {
-        let mut net = ready(seed, case.faults);
+        let mut net = ready(seed, case.faults, 3);
         let mut bodies = BTreeMap::new();
         for number in 0..60_u64 {
             let body = format!("plan-{}", number / 3);
@@ -140,7 +140,7 @@
 #[test]
 fn a_refused_request_did_not_run() {
     for seed in SEEDS {
-        let mut net = ready(seed, Faults { lost: 0.2, doubled: 0.1, silent: 0.2 });
+        let mut net = ready(seed, Faults { lost: 0.2, doubled: 0.1, silent: 0.2 }, 3);
         for number in 0..40_u64 {
             let at = net.below(3);
             request(&mut net, at, 100 + number, &format!("only-{number}"));
@@ -160,7 +160,7 @@
 #[test]
 fn an_accepted_list_never_reverts() {
     for seed in SEEDS {
-        let mut net = ready(seed, Faults { lost: 0.1, doubled: 0.1, silent: 0.0 });
+        let mut net = ready(seed, Faults { lost: 0.1, doubled: 0.1, silent: 0.0 }, 3);
         for round in 0..8_u64 {
             let version = net.newest_version() + 1;
             for operator in 0..2_u64 {
@@ -189,7 +189,7 @@
 #[test]
 fn an_epoch_has_one_holder() {
     for seed in SEEDS {
-        let mut net = ready(seed, Faults { lost: 0.05, doubled: 0.1, silent: 0.0 });
+        let mut net = ready(seed, Faults { lost: 0.05, doubled: 0.1, silent: 0.0 }, 3);
         for _ in 0..6 {
             let victim = net.holder();
             net.kill(victim);
@@ -201,3 +201,28 @@
         assert!(net.holders.len() > 6, "seed {seed}: the epoch moved each time");
     }
 }
+
+#[test]
+fn an_answer_to_an_earlier_start_is_not_taken_for_a_new_one() {
+    let mut net = ready(0, Faults::default(), 1);
+    let send = |net: &mut Net, first: u64, bodies: &mut dyn Iterator<Item = u64>| {
+        for body in bodies {
+            request(net, 0, first + body, &format!("plan-{body}"));
+        }
+    };
+    // Enough entries for a snapshot, so that the lists are in force right after a restart.
+    send(&mut net, 100, &mut (0..4));
+    net.run(Duration::from_secs(1));
+    send(&mut net, 100, &mut (4..24));
+    net.run(Duration::from_micros(2500));
+    net.kill(0);
+    net.restart(0);
+    // A target announces itself; no leader is elected yet, so claims of the new start wait while
+    // those of the earlier one are still to be applied.
+    net.run(Duration::from_millis(400));
+    send(&mut net, 1000, &mut (4..24).rev());
+    net.run(SETTLE);
+    for (body, times) in &net.served {
+        assert_eq!(*times, 1, "{body} ran {times} times");
+    }
+}
--- a/lib/tests/instances/net.rs
+++ b/lib/tests/instances/net.rs
@@ -126,7 +126,7 @@
             claim: ms(1000),
             confirm: ms(500),
             takeover: ms(200),
-            compact: 50,
+            compact: 8,
             pending: 1000,
             consensus,
             ledger: Limits::default(),
@@ -197,6 +197,7 @@
         let node = &mut self.nodes[at];
         let mut edges = Vec::new();
         let recovered = node.disk.clone();
+        node.config.council.seed = self.rng.random();
         let started = Instance::new(node.config.clone(), recovered, self.now, &mut edges);
         node.instance = Some(started.expect("the snapshot is whole"));
         node.revision = 0;
