router: check every order of events on one request, and deal connections

Cause: random scripts say little about short orders that they happen not to draw; a target's 64 connections weren't dealt, only compared with the slots. Ruled out: a breadth-first search over distinct states (a router's random state makes all of them distinct; the orders are few enough to walk). Connections are dealt as slots are, for the daemon's pool: Router::connections. A test shows that the router counts burn once an answer.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -54,7 +54,7 @@
 };
 
 /// The router of one instance.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Router {
     config: Config,
     policy: Arc<Policy>,
@@ -150,6 +150,7 @@
             service: target.info.service.clone(),
             state: target.state,
             part: target.part,
+            connections: target.connections,
             flying: target.flying,
             latency: (target.average.last_seconds() * 1e6) as u64,
         });
@@ -179,6 +180,11 @@
         self.burn = Burn::restore(now, wall, snapshot);
     }
 
+    /// How many connections to a target this instance may hold, idle ones included.
+    pub fn connections(&self, address: &str) -> u32 {
+        self.fleet.find(address).map_or(0, |target| target.connections)
+    }
+
     fn ring(&mut self, now: Time, alarm: Alarm, effects: &mut Vec<Effect>) {
         match alarm {
             Alarm::Deadline(id) => {
--- a/lib/src/router/accounts.rs
+++ b/lib/src/router/accounts.rs
@@ -10,7 +10,7 @@
 };
 
 /// A customer with what its plan says about requests.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Account {
     pub(super) weight: u32,
     /// Services that it may call.
@@ -43,7 +43,7 @@
 }
 
 /// The customers that were seen, numbered from 0 so that the hot paths compare no names.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Accounts {
     names: BTreeMap<CustomerName, usize>,
     list: Vec<Account>,
--- a/lib/src/router/fleet.rs
+++ b/lib/src/router/fleet.rs
@@ -18,7 +18,7 @@
 };
 
 /// The targets of one service and the requests that wait for them.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Service {
     pub(super) members: Vec<usize>,
     /// Targets of this data centre with a free slot.
@@ -73,7 +73,7 @@
 }
 
 /// The targets of all services.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Fleet {
     pub(super) targets: Vec<Option<Target>>,
     pub(super) services: Vec<Service>,
@@ -90,6 +90,10 @@
         self.targets[key].as_ref().expect("a target stays while tries are at it")
     }
 
+    pub(super) fn find(&self, address: &str) -> Option<&Target> {
+        self.addresses.get(address).map(|key| self.target(*key))
+    }
+
     pub(super) fn target_mut(&mut self, key: usize) -> &mut Target {
         self.targets[key].as_mut().expect("a target stays while tries are at it")
     }
@@ -285,8 +289,9 @@
         let target = self.targets[key].as_mut().expect("a member is there");
         let views = &self.services[target.service].views;
         let info = &target.info;
-        let total = info.slots.min(info.connections);
-        target.part = views.part(config.me, &info.centre, target.rotation, total);
+        let part = |total| views.part(config.me, &info.centre, target.rotation, total);
+        target.connections = part(info.connections);
+        target.part = part(info.slots).min(target.connections);
         self.update(key, config);
     }
 
--- a/lib/src/router/occupancy.rs
+++ b/lib/src/router/occupancy.rs
@@ -4,7 +4,7 @@
 //! every other one still finds a place.
 
 /// Who holds how much of a bounded room.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Occupancy {
     room: usize,
     total: usize,
--- a/lib/src/router/queue.rs
+++ b/lib/src/router/queue.rs
@@ -11,7 +11,7 @@
 const STRIDE: u64 = 1 << 20;
 
 /// The waiting requests of one service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     /// By account.
     lanes: Vec<Lane>,
@@ -20,7 +20,7 @@
     len: usize,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Lane {
     tag: u64,
     stride: u64,
--- a/lib/src/router/request.rs
+++ b/lib/src/router/request.rs
@@ -217,7 +217,7 @@
 }
 
 /// A request under way.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Entry {
     pub(super) request: Box<Request>,
     /// The number of its customer.
--- a/lib/src/router/status.rs
+++ b/lib/src/router/status.rs
@@ -65,6 +65,8 @@
         pub state: TargetState,
         /// This instance's part of its slots.
         pub part: u32,
+        /// This instance's part of its connections, idle ones included.
+        pub connections: u32,
         /// Tries under way there.
         pub flying: u32,
         /// Its average latency, in microseconds.
--- a/lib/src/router/target.rs
+++ b/lib/src/router/target.rs
@@ -91,7 +91,7 @@
 const COLD: f64 = 8.0;
 
 /// A target, with what this instance learned of it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Target {
     pub(super) info: port::Target,
     /// The index of its service.
@@ -100,6 +100,8 @@
     pub(super) state: TargetState,
     /// This instance's part of its slots.
     pub(super) part: u32,
+    /// This instance's part of its connections.
+    pub(super) connections: u32,
     /// What of that the state lets it use.
     pub(super) usable: u32,
     pub(super) flying: u32,
@@ -125,6 +127,7 @@
             service,
             state: CHART.initial(),
             part: 0,
+            connections: 0,
             usable: 0,
             flying: 0,
             place: None,
--- a/lib/src/router/timers.rs
+++ b/lib/src/router/timers.rs
@@ -34,7 +34,7 @@
 /// Nearly every try sets a timer for silence that never rings. Those are set in the order in
 /// which they come due, so that they stand in a line of their own, and one that was taken back is
 /// dropped when it reaches the front.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct Timers {
     set: BTreeSet<(Time, Alarm)>,
     line: VecDeque<(Time, TryId)>,
--- a/lib/tests/router/limits.rs
+++ b/lib/tests/router/limits.rs
@@ -228,15 +228,21 @@
     }
 
     fn verify(&self) -> Verdict {
-        let slots = target("", "").slots;
-        let mut parts: BTreeMap<String, u32> = BTreeMap::new();
+        let limits = target("", "");
+        let slots = limits.slots;
+        let mut dealt: BTreeMap<String, (u32, u32)> = BTreeMap::new();
         for router in self.instances.values() {
             for target in router.status().targets {
-                *parts.entry(target.address).or_default() += target.part;
+                let connections = router.connections(&target.address);
+                let sum = dealt.entry(target.address).or_default();
+                sum.0 += target.part;
+                sum.1 += connections;
             }
         }
-        for (address, parts) in parts {
-            ensure(parts <= slots, || format!("{address}: parts add up to {parts}"))?;
+        for (address, (parts, connections)) in dealt {
+            let fits = parts <= slots && connections <= limits.connections;
+            let found = || format!("{address}: {parts} slots, {connections} connections are dealt");
+            ensure(fits, found)?;
         }
         for (address, count) in &self.working {
             let fits = *count <= i64::from(slots);
--- a/lib/tests/router/main.rs
+++ b/lib/tests/router/main.rs
@@ -1,6 +1,7 @@
 //! The router: what becomes of requests, and which targets they go to.
 
 mod admission;
+mod exhaustive;
 mod faults;
 mod limits;
 mod promises;
--- a/lib/tests/router/promises.rs
+++ b/lib/tests/router/promises.rs
@@ -20,145 +20,155 @@
 
 #[test]
 fn each_request_gets_exactly_one_outcome() {
-    check(11, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut answers: BTreeMap<RequestId, usize> = BTreeMap::new();
-        for (id, _) in player.world.effects.iter().filter_map(answer) {
-            *answers.entry(id).or_default() += 1;
-        }
-        for request in &player.asked {
-            let count = answers.remove(&request.request).unwrap_or(0);
-            ensure(count == 1, || format!("request {} got {count} outcomes", request.request))?;
-        }
-        ensure(answers.is_empty(), || format!("answers to nobody: {answers:?}"))?;
-        let status = player.world.router.status();
-        ensure(status.open == 0 && status.waiting == 0, || format!("left over: {status:?}"))
-    });
+    check(11, |ops: Vec<Op>| one_outcome(&Player::play(&ops)));
+}
+
+/// Every request that was asked got one outcome, and nothing is left over.
+pub(crate) fn one_outcome(player: &Player) -> Verdict {
+    let mut answers: BTreeMap<RequestId, usize> = BTreeMap::new();
+    for (id, _) in player.world.effects.iter().filter_map(answer) {
+        *answers.entry(id).or_default() += 1;
+    }
+    for request in &player.asked {
+        let count = answers.remove(&request.request).unwrap_or(0);
+        ensure(count == 1, || format!("request {} got {count} outcomes", request.request))?;
+    }
+    ensure(answers.is_empty(), || format!("answers to nobody: {answers:?}"))?;
+    let status = player.world.router.status();
+    ensure(status.open == 0 && status.waiting == 0, || format!("left over: {status:?}"))
 }
 
 #[test]
 fn not_run_means_no_byte_left_or_refused() {
-    check(12, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut left: BTreeSet<TryId> = BTreeSet::new();
-        let mut answered: BTreeSet<RequestId> = BTreeSet::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Effect(Effect::Send { attempt, .. }) => {
-                    left.insert(*attempt);
-                    let late = answered.contains(&attempt.request);
-                    ensure(!late, || format!("{attempt:?} left after the answer"))?;
-                }
-                Seen::Event(Event::TryEnded {
-                    attempt,
-                    end: TryEnd::Refused | TryEnd::NotSent { .. },
-                }) => {
-                    left.remove(attempt);
-                }
-                Seen::Effect(Effect::Answer { request, outcome }) => {
-                    answered.insert(*request);
-                    let ran = left.iter().any(|attempt| attempt.request == *request);
-                    let not_run = matches!(outcome, RequestOutcome::NotRun { .. });
-                    ensure(!(ran && not_run), || format!("request {request} may have run"))?;
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(12, |ops: Vec<Op>| not_run_is_true(&Player::play(&ops)));
+}
+
+/// "Not run" was told only while no byte had left, and nothing left afterwards.
+pub(crate) fn not_run_is_true(player: &Player) -> Verdict {
+    let mut left: BTreeSet<TryId> = BTreeSet::new();
+    let mut answered: BTreeSet<RequestId> = BTreeSet::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Effect(Effect::Send { attempt, .. }) => {
+                left.insert(*attempt);
+                let late = answered.contains(&attempt.request);
+                ensure(!late, || format!("{attempt:?} left after the answer"))?;
             }
+            Seen::Event(Event::TryEnded {
+                attempt,
+                end: TryEnd::Refused | TryEnd::NotSent { .. },
+            }) => {
+                left.remove(attempt);
+            }
+            Seen::Effect(Effect::Answer { request, outcome }) => {
+                answered.insert(*request);
+                let ran = left.iter().any(|attempt| attempt.request == *request);
+                let not_run = matches!(outcome, RequestOutcome::NotRun { .. });
+                ensure(!(ran && not_run), || format!("request {request} may have run"))?;
+            }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        Ok(())
-    });
+    }
+    Ok(())
 }
 
 #[test]
 fn non_idempotent_leaves_at_most_once() {
-    check(13, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let careful = |id: RequestId| !player.asked[id.0 as usize - 1].idempotent;
-        let mut claimed: BTreeSet<RequestId> = BTreeSet::new();
-        let mut out: BTreeMap<RequestId, usize> = BTreeMap::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Event(Event::ClaimAnswered { request, answer: ClaimAnswer::Claimed }) => {
-                    claimed.insert(*request);
-                }
-                Seen::Effect(Effect::Send { attempt, .. }) if careful(attempt.request) => {
-                    let id = attempt.request;
-                    ensure(claimed.contains(&id), || format!("request {id} left unclaimed"))?;
-                    let count = out.entry(id).or_default();
-                    *count += 1;
-                    ensure(*count == 1, || format!("request {id} left twice"))?;
-                }
-                Seen::Event(Event::TryEnded {
-                    attempt,
-                    end: TryEnd::Refused | TryEnd::NotSent { .. },
-                }) => {
-                    out.entry(attempt.request).and_modify(|count| *count -= 1);
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(13, |ops: Vec<Op>| leaves_once(&Player::play(&ops)));
+}
+
+/// A request that is not idempotent left once, with its key claimed.
+pub(crate) fn leaves_once(player: &Player) -> Verdict {
+    let careful = |id: RequestId| !player.asked[id.0 as usize - 1].idempotent;
+    let mut claimed: BTreeSet<RequestId> = BTreeSet::new();
+    let mut out: BTreeMap<RequestId, usize> = BTreeMap::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Event(Event::ClaimAnswered { request, answer: ClaimAnswer::Claimed }) => {
+                claimed.insert(*request);
+            }
+            Seen::Effect(Effect::Send { attempt, .. }) if careful(attempt.request) => {
+                let id = attempt.request;
+                ensure(claimed.contains(&id), || format!("request {id} left unclaimed"))?;
+                let count = out.entry(id).or_default();
+                *count += 1;
+                ensure(*count == 1, || format!("request {id} left twice"))?;
+            }
+            Seen::Event(Event::TryEnded {
+                attempt,
+                end: TryEnd::Refused | TryEnd::NotSent { .. },
+            }) => {
+                out.entry(attempt.request).and_modify(|count| *count -= 1);
             }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        Ok(())
-    });
+    }
+    Ok(())
 }
 
 #[test]
 fn each_request_that_ran_is_counted_once_for_its_customer() {
-    check(18, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut counted: BTreeMap<RequestId, usize> = BTreeMap::new();
-        let mut confirmed: BTreeSet<RequestId> = BTreeSet::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Effect(Effect::Record {
-                    request,
-                    customer,
-                    result: ClaimResult::Ran { .. },
-                    ..
-                }) => {
-                    *counted.entry(*request).or_default() += 1;
-                    let asked = &player.asked[request.0 as usize - 1];
-                    let own = asked.customer == *customer;
-                    ensure(own, || format!("request {request} is counted for {customer}"))?;
-                }
-                Seen::Event(Event::Recorded { request }) => {
-                    confirmed.insert(*request);
-                }
-                Seen::Effect(Effect::Answer { request, outcome: RequestOutcome::Ran(_) }) => {
-                    let count = counted.get(request).copied().unwrap_or(0);
-                    ensure(count == 1, || format!("request {request} is counted {count} times"))?;
-                    let exact = player.asked[request.0 as usize - 1].customer.as_str();
-                    let waits = exact == MEMBER.name && !confirmed.contains(request);
-                    ensure(!waits, || format!("request {request} is told before its count"))?;
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(18, |ops: Vec<Op>| counted_once(&Player::play(&ops)));
+}
+
+/// Each request that ran was counted once, before it was told if its plan says so.
+pub(crate) fn counted_once(player: &Player) -> Verdict {
+    let mut counted: BTreeMap<RequestId, usize> = BTreeMap::new();
+    let mut confirmed: BTreeSet<RequestId> = BTreeSet::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Effect(Effect::Record {
+                request,
+                customer,
+                result: ClaimResult::Ran { .. },
+                ..
+            }) => {
+                *counted.entry(*request).or_default() += 1;
+                let asked = &player.asked[request.0 as usize - 1];
+                let own = asked.customer == *customer;
+                ensure(own, || format!("request {request} is counted for {customer}"))?;
             }
+            Seen::Event(Event::Recorded { request }) => {
+                confirmed.insert(*request);
+            }
+            Seen::Effect(Effect::Answer { request, outcome: RequestOutcome::Ran(_) }) => {
+                let count = counted.get(request).copied().unwrap_or(0);
+                ensure(count == 1, || format!("request {request} is counted {count} times"))?;
+                let exact = player.asked[request.0 as usize - 1].customer.as_str();
+                let waits = exact == MEMBER.name && !confirmed.contains(request);
+                ensure(!waits, || format!("request {request} is told before its count"))?;
+            }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        let twice = counted.iter().find(|(_, count)| **count > 1);
-        ensure(twice.is_none(), || format!("counted twice: {twice:?}"))
-    });
+    }
+    let twice = counted.iter().find(|(_, count)| **count > 1);
+    ensure(twice.is_none(), || format!("counted twice: {twice:?}"))
 }
 
 #[test]
 fn each_claim_that_holds_is_settled_once() {
-    check(19, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut claimed: BTreeSet<RequestId> = BTreeSet::new();
-        let mut settled: BTreeMap<RequestId, usize> = BTreeMap::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Event(Event::ClaimAnswered { request, answer: ClaimAnswer::Claimed }) => {
-                    claimed.insert(*request);
-                }
-                Seen::Effect(Effect::Record { request, key: Some(_), .. }) => {
-                    let held = claimed.contains(request);
-                    ensure(held, || format!("request {request} settles a claim it lacks"))?;
-                    *settled.entry(*request).or_default() += 1;
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(19, |ops: Vec<Op>| settled_once(&Player::play(&ops)));
+}
+
+/// Each claim that was held was settled once, and no other was.
+pub(crate) fn settled_once(player: &Player) -> Verdict {
+    let mut claimed: BTreeSet<RequestId> = BTreeSet::new();
+    let mut settled: BTreeMap<RequestId, usize> = BTreeMap::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Event(Event::ClaimAnswered { request, answer: ClaimAnswer::Claimed }) => {
+                claimed.insert(*request);
             }
+            Seen::Effect(Effect::Record { request, key: Some(_), .. }) => {
+                let held = claimed.contains(request);
+                ensure(held, || format!("request {request} settles a claim it lacks"))?;
+                *settled.entry(*request).or_default() += 1;
+            }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        let wrong = claimed.iter().find(|id| settled.get(id) != Some(&1));
-        ensure(wrong.is_none(), || format!("request {wrong:?}: {settled:?}"))
-    });
+    }
+    let wrong = claimed.iter().find(|id| settled.get(id) != Some(&1));
+    ensure(wrong.is_none(), || format!("request {wrong:?}: {settled:?}"))
 }
 
 /// The scripts are of use only if they reach what the properties speak of.
@@ -198,57 +208,58 @@
 
 #[test]
 fn a_leaving_target_gets_no_new_request() {
-    check(14, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut leaving: BTreeSet<&str> = BTreeSet::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Event(Event::Target(target)) => match target.leaving {
-                    true => {
-                        leaving.insert(&target.address);
-                    }
-                    false => {
-                        leaving.remove(target.address.as_str());
-                    }
-                },
-                Seen::Event(Event::TargetGone { address }) => {
-                    leaving.insert(address);
+    check(14, |ops: Vec<Op>| leaving_is_left_alone(&Player::play(&ops)));
+}
+
+/// Nothing was sent to a target that was leaving or gone.
+pub(crate) fn leaving_is_left_alone(player: &Player) -> Verdict {
+    let mut leaving: BTreeSet<&str> = BTreeSet::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Event(Event::Target(target)) => match target.leaving {
+                true => {
+                    leaving.insert(&target.address);
                 }
-                Seen::Effect(Effect::Send { target, .. }) => {
-                    let sent = leaving.contains(target.as_str());
-                    ensure(!sent, || format!("{target} is leaving and got a request"))?;
+                false => {
+                    leaving.remove(target.address.as_str());
                 }
-                Seen::Event(_) | Seen::Effect(_) => {}
+            },
+            Seen::Event(Event::TargetGone { address }) => {
+                leaving.insert(address);
+            }
+            Seen::Effect(Effect::Send { target, .. }) => {
+                let sent = leaving.contains(target.as_str());
+                ensure(!sent, || format!("{target} is leaving and got a request"))?;
             }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        Ok(())
-    });
+    }
+    Ok(())
 }
 
 #[test]
 fn answers_go_to_their_own_request() {
-    check(15, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut bodies: BTreeMap<RequestId, BTreeSet<Bytes>> = BTreeMap::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Event(Event::TryEnded { attempt, end: TryEnd::Answered(response) })
-                    if *response.body != *b"a second answer" =>
-                {
-                    bodies.entry(attempt.request).or_default().insert(response.body.clone());
-                }
-                Seen::Effect(Effect::Answer {
-                    request,
-                    outcome: RequestOutcome::Ran(response),
-                }) => {
-                    let own = bodies.get(request).is_some_and(|own| own.contains(&response.body));
-                    ensure(own, || format!("request {request} got {:?}", response.body))?;
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(15, |ops: Vec<Op>| own_answers(&Player::play(&ops)));
+}
+
+/// Each answer came from a try at the same request.
+pub(crate) fn own_answers(player: &Player) -> Verdict {
+    let mut bodies: BTreeMap<RequestId, BTreeSet<Bytes>> = BTreeMap::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Event(Event::TryEnded { attempt, end: TryEnd::Answered(response) })
+                if *response.body != *b"a second answer" =>
+            {
+                bodies.entry(attempt.request).or_default().insert(response.body.clone());
+            }
+            Seen::Effect(Effect::Answer { request, outcome: RequestOutcome::Ran(response) }) => {
+                let own = bodies.get(request).is_some_and(|own| own.contains(&response.body));
+                ensure(own, || format!("request {request} got {:?}", response.body))?;
             }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        Ok(())
-    });
+    }
+    Ok(())
 }
 
 #[test]
@@ -288,25 +299,27 @@
 
 #[test]
 fn a_draining_instance_refuses_new_requests() {
-    check(17, |ops: Vec<Op>| {
-        let player = Player::play(&ops);
-        let mut draining = false;
-        let mut late: BTreeSet<RequestId> = BTreeSet::new();
-        for (_, seen) in &player.trace {
-            match seen {
-                Seen::Event(Event::Drain) => draining = true,
-                Seen::Event(Event::Request(request)) if draining => {
-                    late.insert(request.request);
-                }
-                Seen::Effect(Effect::Answer { request, outcome }) if late.contains(request) => {
-                    let want = RequestOutcome::NotRun { reason: NotRun::Draining };
-                    ensure(*outcome == want, || format!("request {request}: {outcome:?}"))?;
-                }
-                Seen::Event(_) | Seen::Effect(_) => {}
+    check(17, |ops: Vec<Op>| drain_refuses(&Player::play(&ops)));
+}
+
+/// Requests that came after the drain began were refused.
+pub(crate) fn drain_refuses(player: &Player) -> Verdict {
+    let mut draining = false;
+    let mut late: BTreeSet<RequestId> = BTreeSet::new();
+    for (_, seen) in &player.trace {
+        match seen {
+            Seen::Event(Event::Drain) => draining = true,
+            Seen::Event(Event::Request(request)) if draining => {
+                late.insert(request.request);
             }
+            Seen::Effect(Effect::Answer { request, outcome }) if late.contains(request) => {
+                let want = RequestOutcome::NotRun { reason: NotRun::Draining };
+                ensure(*outcome == want, || format!("request {request}: {outcome:?}"))?;
+            }
+            Seen::Event(_) | Seen::Effect(_) => {}
         }
-        Ok(())
-    });
+    }
+    Ok(())
 }
 
 pub(crate) fn ensure(holds: bool, finding: impl FnOnce() -> String) -> Verdict {
--- a/lib/tests/router/records.rs
+++ b/lib/tests/router/records.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use hickorylink_lib::{
+    burn::Window,
     command::{Claim, ClaimResult},
     ids::{IdempotencyKey, InstanceId, RequestId},
     router::{
@@ -11,10 +12,10 @@
         request::{REQUEST_CHART, REQUEST_VOCABULARY, RequestChart, RequestState},
         target::{TARGET_CHART, TARGET_VOCABULARY, TargetChart, TargetState},
     },
-    time::Time,
+    time::{Time, WallTime},
 };
 
-use crate::world::{MEMBER, RIVAL, STORE, World, attempt, config, request};
+use crate::world::{FRUGAL, MEMBER, RIVAL, STORE, World, answered, attempt, config, request};
 
 const PATIENCE: Duration = Duration::from_secs(30);
 
@@ -152,6 +153,36 @@
     }
 }
 
+#[test]
+fn burn_counts_each_answer_once() {
+    struct Case {
+        name: &'static str,
+        id: u64,
+        took: u64,
+        want: (u64, u64),
+    }
+    let cases = [
+        Case { name: "within the latency", id: 1, took: 50, want: (1, 0) },
+        Case { name: "too late", id: 2, took: 51, want: (1, 1) },
+        Case { name: "lost in the end", id: 3, took: 40_000, want: (1, 2) },
+    ];
+    let mut world = World::new(1);
+    for case in cases {
+        world.ask(request(case.id, FRUGAL.name, true, world.now + PATIENCE));
+        world.pass(Duration::from_millis(case.took));
+        world.end(attempt(case.id, 1), answered(case.id));
+        world.recorded(case.id);
+        let report = world.router.burn(world.now);
+        let tallies = report.rows.values().map(|row| row.tally(Window::ThreeDays));
+        let counts: Vec<_> = tallies.map(|tally| (tally.good, tally.bad)).collect();
+        assert_eq!(counts, [case.want], "{}", case.name);
+    }
+    let snapshot = world.router.burn_snapshot(world.now, WallTime(1));
+    let mut next = World::new(1);
+    next.router.restore_burn(next.now, WallTime(1), snapshot);
+    assert_eq!(next.router.burn(next.now).rows, world.router.burn(world.now).rows);
+}
+
 #[test]
 fn a_send_carries_the_whole_request() {
     let mut world = World::new(1);
--- a/lib/tests/router/script.rs
+++ b/lib/tests/router/script.rs
@@ -77,6 +77,7 @@
 }
 
 /// Plays a script and keeps what is outstanding outside the router.
+#[derive(Clone)]
 pub(crate) struct Player {
     pub(crate) world: World,
     pub(crate) trace: Vec<(Time, Seen)>,
@@ -129,7 +130,7 @@
         }
     }
 
-    fn op(&mut self, op: &Op) {
+    pub(crate) fn op(&mut self, op: &Op) {
         match op {
             Op::Ask { buyer, idempotent, patience } => self.ask(*buyer, *idempotent, *patience),
             Op::Claim { pick, answer } => self.claim(*pick, *answer),
--- a/lib/tests/router/world.rs
+++ b/lib/tests/router/world.rs
@@ -113,6 +113,7 @@
 }
 
 /// A router and everything that it asked for.
+#[derive(Clone)]
 pub(crate) struct World {
     pub(crate) router: Router,
     pub(crate) now: Time,
