router: touch less memory in a decision

Change: what a target announced stands apart from what it is compared by, whether it is near is noted once, and requests stand in boxes in their map.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -61,7 +61,7 @@
     rng: ChaCha8Rng,
     timers: Timers,
     fleet: Fleet,
-    requests: HashMap<RequestId, Entry, Hashing>,
+    requests: HashMap<RequestId, Box<Entry>, Hashing>,
     tries: HashMap<TryId, Try, Hashing>,
     accounts: Accounts,
     waiting: Occupancy,
@@ -111,7 +111,7 @@
                 self.pump_all(now, effects);
             }
             Event::Target(target) => {
-                let service = self.fleet.announce(now, *target, &self.config, &mut self.timers);
+                let service = self.fleet.announce(now, target, &self.config, &mut self.timers);
                 self.pump(now, service, effects);
             }
             Event::TargetGone { address } => {
--- a/lib/src/router/admission.rs
+++ b/lib/src/router/admission.rs
@@ -31,7 +31,7 @@
                     self.fleet.services[service].standing.enter(account);
                 }
                 self.timers.set(request.deadline, Alarm::Deadline(id));
-                self.requests.insert(id, Entry::new(now, request, admitted));
+                self.requests.insert(id, Box::new(Entry::new(now, request, admitted)));
                 self.step(now, id, Signal::new(RequestEvent::Start), effects);
                 self.pump(now, service, effects);
             }
--- a/lib/src/router/fleet.rs
+++ b/lib/src/router/fleet.rs
@@ -106,7 +106,7 @@
     pub(super) fn announce(
         &mut self,
         now: Time,
-        info: port::Target,
+        info: Box<port::Target>,
         config: &Config,
         timers: &mut Timers,
     ) -> usize {
@@ -136,7 +136,7 @@
     fn insert(
         &mut self,
         now: Time,
-        info: port::Target,
+        info: Box<port::Target>,
         config: &Config,
         timers: &mut Timers,
     ) -> usize {
@@ -266,7 +266,7 @@
             after.0.inspect(|at| timers.set(*at, Alarm::Target(key)));
         }
         self.note(key, (before.1, after.1), (before.2, after.2));
-        self.update(key, config);
+        self.update(key);
     }
 
     fn note(&mut self, key: usize, ejected: (bool, bool), present: (bool, bool)) {
@@ -292,25 +292,25 @@
         let part = |total| views.part(config.me, &info.centre, target.rotation, total);
         target.connections = part(info.connections);
         target.part = part(info.slots).min(target.connections);
-        self.update(key, config);
+        self.update(key);
     }
 
     /// Brings what may be used of a target and its place in the index up to date.
-    fn update(&mut self, key: usize, config: &Config) {
+    fn update(&mut self, key: usize) {
         let target = self.targets[key].as_mut().expect("a member is there");
         let service = &mut self.services[target.service];
         let usable = target.allowed();
         service.capacity = service.capacity - u64::from(target.usable) + u64::from(usable);
         service.standing.set_room(usize::try_from(service.capacity).unwrap_or(usize::MAX));
         target.usable = usable;
-        self.index(key, config);
+        self.index(key);
     }
 
     /// Puts a target into the index of those with a free slot, or takes it off.
-    fn index(&mut self, key: usize, config: &Config) {
+    fn index(&mut self, key: usize) {
         let target = self.targets[key].as_mut().expect("a member is there");
         let service = &mut self.services[target.service];
-        let list = match target.info.centre == config.centre {
+        let list = match target.near {
             true => &mut service.near,
             false => &mut service.far,
         };
@@ -331,15 +331,15 @@
     }
 
     /// A try takes a slot.
-    pub(super) fn take_slot(&mut self, key: usize, config: &Config) {
+    pub(super) fn take_slot(&mut self, key: usize) {
         self.target_mut(key).flying += 1;
-        self.index(key, config);
+        self.index(key);
     }
 
     /// A try gives its slot back.
-    pub(super) fn free_slot(&mut self, key: usize, config: &Config) {
+    pub(super) fn free_slot(&mut self, key: usize) {
         self.target_mut(key).flying -= 1;
-        self.index(key, config);
+        self.index(key);
         self.forget_if_gone(key);
     }
 
--- a/lib/src/router/steps.rs
+++ b/lib/src/router/steps.rs
@@ -217,7 +217,7 @@
         self.tries.insert(attempt, Try::new(now, target, sent.fresh, check));
         self.timers.set_silence(check, attempt);
         self.set_hedge(now, id);
-        self.fleet.take_slot(target, &self.config);
+        self.fleet.take_slot(target);
     }
 
     fn set_hedge(&mut self, now: Time, id: RequestId) {
--- a/lib/src/router/target.rs
+++ b/lib/src/router/target.rs
@@ -93,7 +93,10 @@
 /// A target, with what this instance learned of it.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
-    pub(super) info: port::Target,
+    /// Apart, so that comparing targets touches little memory.
+    pub(super) info: Box<port::Target>,
+    /// Whether it is in this instance's data centre.
+    pub(super) near: bool,
     /// The index of its service.
     pub(super) service: usize,
     pub(super) rotation: u64,
@@ -120,9 +123,10 @@
 }
 
 impl Target {
-    pub(super) fn new(now: Time, info: port::Target, service: usize, config: &Config) -> Self {
+    pub(super) fn new(now: Time, info: Box<port::Target>, service: usize, config: &Config) -> Self {
         Self {
             rotation: slots::rotation(&info.address),
+            near: info.centre == config.centre,
             info,
             service,
             state: CHART.initial(),
--- a/lib/src/router/tries.rs
+++ b/lib/src/router/tries.rs
@@ -79,7 +79,7 @@
             let signal = self.signal_of(attempt.request, end);
             self.step(now, attempt.request, signal, effects);
         }
-        self.fleet.free_slot(ended.target, &self.config);
+        self.fleet.free_slot(ended.target);
         self.pump(now, service, effects);
     }
 
@@ -162,7 +162,7 @@
     pub(super) fn lingered(&mut self, now: Time, attempt: TryId, effects: &mut Vec<Effect>) {
         let Some(over) = self.tries.remove(&attempt) else { return };
         let service = self.fleet.target(over.target).service;
-        self.fleet.free_slot(over.target, &self.config);
+        self.fleet.free_slot(over.target);
         self.pump(now, service, effects);
     }
 
