router: part sending and answering from the chart's steps

Cause: steps.rs held the chart's steps, the sending and the answering. Ruled out: nothing. Change: dispatch.rs and answers.rs take the two; the bounds of a state are kept by a function of their own. No behaviour changes.

--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -5,9 +5,11 @@
 
 mod accounts;
 mod admission;
+mod answers;
 mod budget;
 mod choice;
 mod config;
+mod dispatch;
 mod fleet;
 mod hashing;
 mod latency;
@@ -34,16 +36,15 @@
 };
 use crate::{
     burn::{self, Burn},
-    command::ClaimResult,
     ids::RequestId,
     policy::Policy,
     router::{
         accounts::Accounts,
-        choice::{Wish, choose},
+        answers::earlier,
         fleet::Fleet,
         hashing::Hashing,
         occupancy::Occupancy,
-        port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, Response, TryId},
+        port::{ClaimAnswer, Effect, Event, NotRun, RequestOutcome, TryId},
         request::{Entry, RequestEvent},
         steps::Signal,
         target::TargetEvent,
@@ -250,28 +251,6 @@
         }
     }
 
-    fn pump_all(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        for service in 0..self.fleet.services.len() {
-            self.pump(now, service, effects);
-        }
-    }
-
-    /// Sends waiting requests while targets have free slots.
-    fn pump(&mut self, now: Time, service: usize, effects: &mut Vec<Effect>) {
-        while let Some(id) = self.fleet.services[service].queue.peek() {
-            let entry = &self.requests[&id];
-            let wish = Wish { avoid: entry.last, idempotent: entry.request.idempotent };
-            let found = choose(&self.fleet, service, wish, now, &self.config, &mut self.rng);
-            let Some(target) = found else { return };
-            let median = self.fleet.services[service].quantiles.median(now);
-            let signal = match now + median > entry.request.deadline {
-                true => Signal::because(RequestEvent::Unservable, NotRun::Deadline),
-                false => Signal::to(target),
-            };
-            self.step(now, id, signal, effects);
-        }
-    }
-
     fn check_drained(&mut self, now: Time, effects: &mut Vec<Effect>) {
         if !self.draining || self.drained {
             return;
@@ -295,17 +274,3 @@
         effects.push(Effect::Drained);
     }
 }
-
-/// What a resend is told of the request that claimed the key before.
-fn earlier(result: Option<ClaimResult>) -> RequestOutcome {
-    match result {
-        Some(ClaimResult::Ran { status, body: Some(body) }) => {
-            RequestOutcome::Ran(Response { status, body })
-        }
-        Some(ClaimResult::Ran { status, body: None }) => RequestOutcome::RanEarlier { status },
-        Some(ClaimResult::Unknown) => RequestOutcome::Unknown {
-            reason: "an earlier request with this key may have run".to_owned(),
-        },
-        Some(ClaimResult::NotRun) | None => RequestOutcome::NotRun { reason: NotRun::InProgress },
-    }
-}
--- /dev/null
+++ b/lib/src/router/answers.rs
@@ -0,0 +1,94 @@
+//! What the council is asked to claim and record, and what callers are told.
+
+use crate::{
+    burn::Served,
+    command::{Claim, ClaimResult},
+    ids::{InstanceId, RequestId},
+    router::{
+        Router,
+        port::{Effect, NotRun, Request, RequestOutcome, Response},
+    },
+    time::Time,
+};
+
+impl Router {
+    pub(super) fn record(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
+        let limit = self.config.kept_body;
+        let entry = self.entry(id);
+        let claimed = entry.claimed;
+        let result = match &entry.outcome {
+            Some(RequestOutcome::Ran(response)) => ClaimResult::Ran {
+                status: response.status,
+                body: (claimed && response.body.len() <= limit).then(|| response.body.clone()),
+            },
+            Some(RequestOutcome::Unknown { .. }) => ClaimResult::Unknown,
+            Some(RequestOutcome::NotRun { .. } | RequestOutcome::RanEarlier { .. }) | None => {
+                ClaimResult::NotRun
+            }
+        };
+        effects.push(Effect::Record {
+            request: id,
+            customer: entry.request.customer.clone(),
+            key: entry.request.key.clone().filter(|_| claimed),
+            result,
+        });
+    }
+
+    pub(super) fn answer(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        (outcome, withdrawn): (RequestOutcome, bool),
+        effects: &mut Vec<Effect>,
+    ) {
+        self.counters.count(&outcome);
+        if let Some(entry) = self.requests.get(&id) {
+            let served = Served {
+                customer: &entry.request.customer,
+                service: &entry.request.service,
+                outcome: &outcome,
+                took: now.since(entry.arrived),
+                patience: entry.arrived.until(entry.request.deadline),
+                withdrawn,
+                standing: entry.standing,
+            };
+            self.burn.record(now, &self.policy, served);
+        }
+        effects.push(Effect::Answer { request: id, outcome });
+    }
+}
+
+/// The claim on the key of a request; nothing if it has none.
+pub(super) fn claim_of(request: &Request, owner: InstanceId) -> Option<Claim> {
+    Some(Claim {
+        customer: request.customer.clone(),
+        key: request.key.clone()?,
+        digest: digest(request),
+        owner,
+        request: request.request.0,
+    })
+}
+
+/// A digest of what makes two requests the same.
+fn digest(request: &Request) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    for part in [request.service.as_str().as_bytes(), request.path.as_bytes(), &request.body] {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+/// What a resend is told of the request that claimed the key before.
+pub(super) fn earlier(result: Option<ClaimResult>) -> RequestOutcome {
+    match result {
+        Some(ClaimResult::Ran { status, body: Some(body) }) => {
+            RequestOutcome::Ran(Response { status, body })
+        }
+        Some(ClaimResult::Ran { status, body: None }) => RequestOutcome::RanEarlier { status },
+        Some(ClaimResult::Unknown) => RequestOutcome::Unknown {
+            reason: "an earlier request with this key may have run".to_owned(),
+        },
+        Some(ClaimResult::NotRun) | None => RequestOutcome::NotRun { reason: NotRun::InProgress },
+    }
+}
--- a/lib/src/router/steps.rs
+++ b/lib/src/router/steps.rs
@@ -1,19 +1,13 @@
 //! Carries out what the chart of a request says.
 
-use rand::Rng;
-
 use crate::{
-    burn::Served,
-    command::{Claim, ClaimResult},
-    ids::{InstanceId, RequestId},
+    ids::RequestId,
     router::{
         Router,
-        choice::{Wish, choose},
-        port::{Effect, NotRun, Request, RequestOutcome, TryId},
+        answers::claim_of,
+        port::{Effect, NotRun, RequestOutcome},
         request::{CHART, Entry, RequestAction, RequestEvent, RequestGuard, RequestState, Room},
-        target::doubled,
         timers::Alarm,
-        tries::Try,
     },
     time::Time,
 };
@@ -144,191 +138,52 @@
         }
         let Some(entry) = self.requests.get_mut(&id) else { return };
         entry.state = to;
-        for (room, enters) in [(from.room(), false), (to.room(), true)] {
-            let occupancy = match room {
-                Room::Waiting => &mut self.waiting,
-                Room::Unsettled => &mut self.unsettled,
-                Room::Free => continue,
-            };
-            match enters {
-                true => occupancy.enter(entry.account),
-                false => occupancy.leave(entry.account),
-            }
-        }
         if to != RequestState::Sending && to != RequestState::BackingOff {
             entry.wake.take().inspect(|at| self.timers.cancel(*at, Alarm::Request(id)));
         }
         entry.release.take().inspect(|at| self.timers.cancel(*at, Alarm::Release(id)));
-        if !to.is_open() {
-            if from.is_open() {
-                self.open -= 1;
-                if entry.standing {
-                    self.fleet.services[entry.service].standing.leave(entry.account);
-                }
-            }
-            self.timers.cancel(entry.request.deadline, Alarm::Deadline(id));
-            entry.request.body.clear();
-            entry.outcome = None;
-        }
         if to == RequestState::Releasing {
             let at = now + self.config.release_after;
             entry.release = Some(at);
             self.timers.set(at, Alarm::Release(id));
         }
+        let account = entry.account;
+        self.occupy(account, from.room(), to.room());
+        if from.is_open() && !to.is_open() {
+            self.end(id);
+        }
         if to == RequestState::Done {
             self.requests.remove(&id);
         }
     }
 
-    fn entry(&mut self, id: RequestId) -> &mut Entry {
-        self.requests.get_mut(&id).expect("the request is being stepped")
-    }
-
-    fn enqueue(&mut self, id: RequestId) {
-        let Some(entry) = self.requests.get(&id) else { return };
-        let weight = self.accounts.get(entry.account).weight;
-        let queue = &mut self.fleet.services[entry.service].queue;
-        queue.push(entry.account, weight, (entry.request.deadline, id));
-    }
-
-    fn dequeue(&mut self, id: RequestId, leaves: bool) {
-        let Some(entry) = self.requests.get(&id) else { return };
-        let queue = &mut self.fleet.services[entry.service].queue;
-        queue.take(entry.account, (entry.request.deadline, id), leaves);
-    }
-
-    fn send(&mut self, now: Time, id: RequestId, target: usize, effects: &mut Vec<Effect>) {
-        let entry = self.requests.get_mut(&id).expect("the request is being stepped");
-        entry.tries += 1;
-        entry.last = Some(target);
-        entry.open.add(entry.tries);
-        let attempt = TryId { request: id, number: entry.tries };
-        let sent = self.fleet.target(target);
-        effects.push(Effect::Send {
-            attempt,
-            target: sent.info.address.clone(),
-            fresh: sent.fresh,
-            customer: entry.request.customer.clone(),
-            path: entry.request.path.clone(),
-            body: entry.request.body.clone(),
-            deadline: entry.request.deadline,
-        });
-        let check = now + self.config.silence;
-        self.tries.insert(attempt, Try::new(now, target, sent.fresh, check));
-        self.timers.set_silence(check, attempt);
-        self.set_hedge(now, id);
-        self.fleet.take_slot(target);
-    }
-
-    fn set_hedge(&mut self, now: Time, id: RequestId) {
-        let entry = self.requests.get_mut(&id).expect("the request is being stepped");
-        let learned = &self.fleet.services[entry.service].quantiles;
-        if !entry.request.idempotent
-            || entry.standing
-            || entry.open.len() > 1
-            || learned.total() < self.config.hedge_after
-        {
-            return;
+    /// Moves a request from one bounded room to another.
+    fn occupy(&mut self, account: usize, from: Room, to: Room) {
+        match from {
+            Room::Waiting => self.waiting.leave(account),
+            Room::Unsettled => self.unsettled.leave(account),
+            Room::Free => {}
         }
-        let at = now + learned.tail();
-        if at < entry.request.deadline {
-            entry.wake = Some(at);
-            self.timers.set(at, Alarm::Request(id));
+        match to {
+            Room::Waiting => self.waiting.enter(account),
+            Room::Unsettled => self.unsettled.enter(account),
+            Room::Free => {}
         }
     }
 
-    fn hedge(&mut self, now: Time, id: RequestId, effects: &mut Vec<Effect>) {
-        let entry = self.requests.get(&id).expect("the request is being stepped");
-        let wish = Wish { avoid: entry.last, idempotent: true };
-        let found = choose(&self.fleet, entry.service, wish, now, &self.config, &mut self.rng);
-        let Some(target) = found.filter(|target| Some(*target) != entry.last) else { return };
-        if !self.fleet.services[entry.service].queue.is_empty() {
-            return;
-        }
-        self.spend(now, id);
-        self.counters.hedges += 1;
-        self.send(now, id, target, effects);
-    }
-
-    fn spend(&mut self, now: Time, id: RequestId) {
-        let account = self.requests[&id].account;
-        self.accounts.get_mut(account).retry(now, self.config.budget_window);
-    }
-
-    fn back_off(&mut self, now: Time, id: RequestId) {
-        self.spend(now, id);
-        self.counters.retries += 1;
-        let entry = self.requests.get_mut(&id).expect("the request is being stepped");
-        let longest = doubled(self.config.back_off, entry.tries.saturating_sub(1))
-            .min(self.config.back_off_cap);
-        let pause = longest.mul_f64(self.rng.random::<f64>());
-        entry.wake.take().inspect(|at| self.timers.cancel(*at, Alarm::Request(id)));
-        entry.wake = Some(now + pause);
-        self.timers.set(now + pause, Alarm::Request(id));
-    }
-
-    fn record(&mut self, id: RequestId, effects: &mut Vec<Effect>) {
-        let limit = self.config.kept_body;
-        let entry = self.entry(id);
-        let claimed = entry.claimed;
-        let result = match &entry.outcome {
-            Some(RequestOutcome::Ran(response)) => ClaimResult::Ran {
-                status: response.status,
-                body: (claimed && response.body.len() <= limit).then(|| response.body.clone()),
-            },
-            Some(RequestOutcome::Unknown { .. }) => ClaimResult::Unknown,
-            Some(RequestOutcome::NotRun { .. } | RequestOutcome::RanEarlier { .. }) | None => {
-                ClaimResult::NotRun
-            }
-        };
-        effects.push(Effect::Record {
-            request: id,
-            customer: entry.request.customer.clone(),
-            key: entry.request.key.clone().filter(|_| claimed),
-            result,
-        });
-    }
-
-    fn answer(
-        &mut self,
-        now: Time,
-        id: RequestId,
-        (outcome, withdrawn): (RequestOutcome, bool),
-        effects: &mut Vec<Effect>,
-    ) {
-        self.counters.count(&outcome);
-        if let Some(entry) = self.requests.get(&id) {
-            let served = Served {
-                customer: &entry.request.customer,
-                service: &entry.request.service,
-                outcome: &outcome,
-                took: now.since(entry.arrived),
-                patience: entry.arrived.until(entry.request.deadline),
-                withdrawn,
-                standing: entry.standing,
-            };
-            self.burn.record(now, &self.policy, served);
+    /// The caller of a request was answered: what only the answer needed is let go.
+    fn end(&mut self, id: RequestId) {
+        let Some(entry) = self.requests.get_mut(&id) else { return };
+        self.open -= 1;
+        if entry.standing {
+            self.fleet.services[entry.service].standing.leave(entry.account);
         }
-        effects.push(Effect::Answer { request: id, outcome });
+        self.timers.cancel(entry.request.deadline, Alarm::Deadline(id));
+        entry.request.body.clear();
+        entry.outcome = None;
     }
-}
-
-fn claim_of(request: &Request, owner: InstanceId) -> Option<Claim> {
-    Some(Claim {
-        customer: request.customer.clone(),
-        key: request.key.clone()?,
-        digest: digest(request),
-        owner,
-        request: request.request.0,
-    })
-}
 
-/// A digest of what makes two requests the same.
-fn digest(request: &Request) -> [u8; 32] {
-    let mut hasher = blake3::Hasher::new();
-    for part in [request.service.as_str().as_bytes(), request.path.as_bytes(), &request.body] {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
+    pub(super) fn entry(&mut self, id: RequestId) -> &mut Entry {
+        self.requests.get_mut(&id).expect("the request is being stepped")
     }
-    *hasher.finalize().as_bytes()
 }
