--- a/lib/src/router/target.rs
+++ b/lib/src/router/target.rs
@@ -91,15 +91,20 @@
 const COLD: f64 = 8.0;
 
 /// A target, with what this instance learned of it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Target {
-    pub(super) info: port::Target,
+    /// Apart, so that comparing targets touches little memory.
+    pub(super) info: Box<port::Target>,
+    /// Whether it is in this instance's data centre.
+    pub(super) near: bool,
     /// The index of its service.
     pub(super) service: usize,
     pub(super) rotation: u64,
     pub(super) state: TargetState,
     /// This instance's part of its slots.
     pub(super) part: u32,
+    /// This instance's part of its connections.
+    pub(super) connections: u32,
     /// What of that the state lets it use.
     pub(super) usable: u32,
     pub(super) flying: u32,
@@ -118,13 +123,15 @@
 }
 
 impl Target {
-    pub(super) fn new(now: Time, info: port::Target, service: usize, config: &Config) -> Self {
+    pub(super) fn new(now: Time, info: Box<port::Target>, service: usize, config: &Config) -> Self {
         Self {
             rotation: slots::rotation(&info.address),
+            near: info.centre == config.centre,
             info,
             service,
             state: CHART.initial(),
             part: 0,
+            connections: 0,
             usable: 0,
             flying: 0,
             place: None,
