scheduler: show that a large share delays and doesn't starve

Cause: rank by share alone passed every test; a customer whose share is held by endless tasks then never gets a start.

Change: a case for that.

--- a/lib/tests/scheduler/fairness.rs
+++ b/lib/tests/scheduler/fairness.rs
@@ -50,6 +50,8 @@
     /// Processor seconds by customer.
     used: Vec<u64>,
     cores: Vec<u64>,
+    /// Tasks up to this number never end.
+    endless: u64,
     waiting: Vec<u64>,
     /// Seconds since the customer's last start, while it has tasks that wait.
     hungry: Vec<u64>,
@@ -73,6 +75,7 @@
             running: BTreeMap::new(),
             used: vec![0; customers.len()],
             cores: customers.iter().map(|customer| customer.cores).collect(),
+            endless: 0,
             waiting: vec![0; customers.len()],
             hungry: vec![0; customers.len()],
             worst: 0,
@@ -95,12 +98,15 @@
 
     fn announce(&mut self) {
         let now = self.desk.now;
-        let done = |since: &Time| now.since(*since) >= Duration::from_secs(RUN);
+        let endless = self.endless;
+        let done = |attempt: &TaskAttempt, since: &Time| {
+            attempt.task.0 > endless && now.since(*since) >= Duration::from_secs(RUN)
+        };
         for worker in (0..WORKERS).map(|at| format!("w{at}")) {
             let mut said = announcement(&worker, room(4, 64));
             let mine = self.running.iter().filter(|(_, (place, _))| *place == worker);
             said.tasks = mine
-                .map(|(attempt, (_, since))| match done(since) {
+                .map(|(attempt, (_, since))| match done(attempt, since) {
                     true => report(*attempt, AttemptState::Completed { output: Vec::new().into() }),
                     false => report(*attempt, AttemptState::Running),
                 })
@@ -110,7 +116,7 @@
         let ended: Vec<_> = self
             .running
             .iter()
-            .filter(|(_, (_, since))| done(since))
+            .filter(|(attempt, (_, since))| done(attempt, since))
             .map(|(attempt, _)| *attempt)
             .collect();
         for attempt in ended {
@@ -162,6 +168,24 @@
     }
 }
 
+#[test]
+fn a_large_share_delays_a_customer_and_does_not_starve_it() {
+    let customers = [(12, 1), (0, 5)].map(|(backlog, stream)| Customer {
+        weight: 1,
+        backlog,
+        stream,
+        cores: 1,
+    });
+    let mut contest = Contest::new(&customers);
+    // Ann holds three quarters of the data centre for good, and bob wants more than the rest.
+    contest.endless = 12;
+    for _ in 0..150 {
+        contest.second(&customers);
+    }
+    assert!(contest.worst <= PATIENCE, "a customer waited {} s", contest.worst);
+    assert!(contest.worst > RUN, "bob, who has less, goes first");
+}
+
 #[test]
 fn shares_follow_weights() {
     struct Case {
