scheduler: take steady reports without a look at their tasks

Change: a worker's table keeps the try's number and whether a report of it changes anything; only other reports look at the task.

--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -1,9 +1,7 @@
 //! What workers say of themselves and of the tries on them.
 
-use std::collections::BTreeMap;
-
 use crate::{
-    ids::{Attempt, Epoch, Fence, TaskAttempt, TaskId},
+    ids::{Epoch, Fence, TaskAttempt, TaskId},
     resources::Resources,
     scheduler::{
         Scheduler,
@@ -209,10 +207,12 @@
         effects: &mut Vec<Effect>,
     ) -> Vec<TaskAttempt> {
         let mut acknowledged = Vec::new();
-        let mut listed: BTreeMap<TaskId, Attempt> = BTreeMap::new();
+        self.fleet[slot].round += 1;
         for report in &said.tasks {
-            let newest = listed.entry(report.attempt.task).or_insert(report.attempt.attempt);
-            *newest = report.attempt.attempt.max(*newest);
+            let seat = self.fleet[slot].list(report.attempt);
+            if report.state == AttemptState::Running && seat.is_some_and(|seat| seat.steady) {
+                continue;
+            }
             if self.is_current(report.attempt, slot) {
                 self.take_report(now, slot, report.attempt, &report.state, effects);
             } else {
@@ -223,11 +223,8 @@
         if obeys {
             self.confirm_surmises(slot);
         }
-        for id in self.tries_on(slot) {
-            let Some((attempt, phase)) = self.phase_of(id) else { continue };
-            if listed.get(&id) == Some(&attempt) {
-                continue;
-            }
+        for id in self.fleet[slot].unlisted() {
+            let Some((_, phase)) = self.phase_of(id) else { continue };
             // A worker that obeys this epoch can't get a start from an earlier one any more.
             let event = match phase == Phase::Inherited {
                 true if obeys => PhaseEvent::Gone,
--- a/lib/src/scheduler/attempt.rs
+++ b/lib/src/scheduler/attempt.rs
@@ -79,6 +79,10 @@
             Ok(step) => {
                 if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
                     current.phase = step.to;
+                    let steady = matches!(step.to, Phase::Running | Phase::Throttled);
+                    if let Some(seat) = self.fleet[current.worker].tries.get_mut(&id) {
+                        seat.steady = steady;
+                    }
                 }
                 for action in step.actions {
                     self.act_on_try(now, id, *action, cause, effects);
--- a/lib/src/scheduler/explain.rs
+++ b/lib/src/scheduler/explain.rs
@@ -155,10 +155,8 @@
     pub fn explain_worker(&self, now: Time, name: &WorkerName) -> Option<WorkerExplanation> {
         let slot = self.fleet.find(name)?;
         let worker = &self.fleet[slot];
-        let tries = worker.tries.iter().filter_map(|id| {
-            let (attempt, _) = self.phase_of(*id)?;
-            Some(TaskAttempt { task: *id, attempt })
-        });
+        let tries = worker.tries.iter();
+        let tries = tries.map(|(id, seat)| TaskAttempt { task: *id, attempt: seat.attempt });
         Some(WorkerExplanation {
             worker: name.clone(),
             rack: self.fleet.rack_of(slot).cloned(),
--- a/lib/src/scheduler/fleet.rs
+++ b/lib/src/scheduler/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    ids::{Epoch, Fence, Incarnation, Rack, TaskId, WorkerName},
+    ids::{Attempt, Epoch, Fence, Incarnation, Rack, TaskAttempt, TaskId, WorkerName},
     policy::Tier,
     resources::Resources,
     scheduler::{
@@ -34,7 +34,10 @@
     pub(super) expected: Resources,
     /// The part of `committed` that each tier holds.
     pub(super) tiers: [Resources; Tier::ALL.len()],
-    pub(super) tries: BTreeSet<TaskId>,
+    /// The tries that hold room on it.
+    pub(super) tries: BTreeMap<TaskId, Seat>,
+    /// The number of its announcements.
+    pub(super) round: u64,
     /// Tasks whose tries on it were counted as stopped because its lease ran out.
     pub(super) surmised: BTreeSet<TaskId>,
     /// When the last announcement was answered with a lease.
@@ -49,7 +52,34 @@
     pub(super) watched: bool,
 }
 
+/// What is kept of a try beside its worker, so that most reports need no look at its task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seat {
+    pub(super) attempt: Attempt,
+    /// Whether a report that it runs changes nothing.
+    pub(super) steady: bool,
+    /// The last announcement that listed it.
+    pub(super) round: u64,
+}
+
 impl Worker {
+    /// Takes in that the current announcement lists a try, and gives whether it is known here.
+    pub(super) fn list(&mut self, attempt: TaskAttempt) -> Option<Seat> {
+        let round = self.round;
+        let seat = self.tries.get_mut(&attempt.task)?;
+        if seat.attempt != attempt.attempt {
+            return None;
+        }
+        seat.round = round;
+        Some(*seat)
+    }
+
+    /// The tries that the current announcement doesn't list.
+    pub(super) fn unlisted(&self) -> Vec<TaskId> {
+        let unlisted = self.tries.iter().filter(|(_, seat)| seat.round != self.round);
+        unlisted.map(|(id, _)| *id).collect()
+    }
+
     /// The room that nothing holds.
     pub(super) fn free(&self) -> Resources {
         self.capacity.saturating_sub(&self.committed)
@@ -193,11 +223,18 @@
     }
 
     /// Holds room on a worker for a try.
-    pub(super) fn commit(&mut self, slot: WorkerSlot, task: TaskId, size: &Resources, tier: Tier) {
+    pub(super) fn commit(
+        &mut self,
+        slot: WorkerSlot,
+        attempt: TaskAttempt,
+        size: &Resources,
+        tier: Tier,
+    ) {
         let worker = &mut self[slot];
         worker.committed = worker.committed.saturating_add(size);
         worker.tiers[tier as usize] = worker.tiers[tier as usize].saturating_add(size);
-        worker.tries.insert(task);
+        let seat = Seat { attempt: attempt.attempt, steady: false, round: 0 };
+        worker.tries.insert(attempt.task, seat);
         self.refresh(slot);
     }
 
@@ -246,7 +283,8 @@
         committed: Resources::ZERO,
         expected: Resources::ZERO,
         tiers: [Resources::ZERO; Tier::ALL.len()],
-        tries: BTreeSet::new(),
+        tries: BTreeMap::new(),
+        round: 0,
         surmised: BTreeSet::new(),
         answered: None,
         heard: now,
--- a/lib/src/scheduler/health.rs
+++ b/lib/src/scheduler/health.rs
@@ -207,6 +207,6 @@
 
     /// The tasks whose tries hold room on a worker.
     pub(super) fn tries_on(&self, slot: WorkerSlot) -> Vec<TaskId> {
-        self.fleet[slot].tries.iter().copied().collect()
+        self.fleet[slot].tries.keys().copied().collect()
     }
 }
--- a/lib/src/scheduler/place.rs
+++ b/lib/src/scheduler/place.rs
@@ -220,13 +220,14 @@
         let Some(current) = task.current_mut() else { return };
         current.expected = expected;
         let (slot, tier) = (current.worker, current.tier);
+        let attempt = TaskAttempt { task: id, attempt: current.attempt };
         let worker = &mut self.fleet[slot];
         worker.expected = worker.expected.saturating_add(&expected);
         if let Some(service) = &task.open.spec.service {
             self.spread.add(service, self.fleet[slot].rack);
         }
         self.tasks.insert(id, task);
-        self.fleet.commit(slot, id, &size, tier);
+        self.fleet.commit(slot, attempt, &size, tier);
         self.quota.charge(customer, tier, &size);
         if let Some(neighbour) = self.neighbour(id) {
             self.interference.placed(now, &self.fleet[slot].name, &neighbour);
--- a/lib/src/scheduler/preempt.rs
+++ b/lib/src/scheduler/preempt.rs
@@ -109,7 +109,7 @@
 
     /// How long until a worker has room for `size`, by the expected run times of its tries.
     fn frees_in(&self, now: Time, slot: WorkerSlot, size: &Resources) -> Duration {
-        let tries = self.fleet[slot].tries.iter().filter_map(|id| {
+        let tries = self.fleet[slot].tries.keys().filter_map(|id| {
             let task = self.tasks.get(*id)?;
             let current = task.current()?;
             let expected = match task.batch() {
@@ -173,7 +173,7 @@
     /// Tries that could be evicted: the weakest first, then those within the budgets of their
     /// customers, then those that would lose the least work.
     fn evictable_tries(&self, now: Time, slot: WorkerSlot) -> Vec<Victim> {
-        let tries = self.fleet[slot].tries.iter().filter_map(|id| {
+        let tries = self.fleet[slot].tries.keys().filter_map(|id| {
             let task = self.tasks.get(*id)?;
             let current = task.current()?;
             may_stop(task, current).then(|| Victim {
@@ -193,7 +193,7 @@
 
     /// The room of tries on a worker that were told to stop.
     fn stopping(&self, slot: WorkerSlot) -> Resources {
-        let tries = self.fleet[slot].tries.iter().filter_map(|id| self.tasks.get(*id));
+        let tries = self.fleet[slot].tries.keys().filter_map(|id| self.tasks.get(*id));
         let tries = tries
             .filter(|task| task.current().is_some_and(|current| current.phase == Phase::Stopping));
         tries.fold(Resources::ZERO, |sum, task| sum.saturating_add(&task.size()))
