scheduler: move work to firmer tiers, place small tasks past a blocked one

Cause: a task charged to a weak tier stayed evictable after its customer's guarantee had room again; one large task held up all of its customer's small ones; workers that never came back stayed in the table.

Change: tries are charged again when a firmer tier has room; up to four tasks behind one that finds no room are placed; a worker is forgotten after an hour without a lease and tries, and fences come from one counter so that it may come back. Test files are split by subject.

--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -20,6 +20,8 @@
     Resources { millicores: 100_000_000, memory_mib: 1 << 30, accelerators: 4_096 };
 /// No worker runs more tries at a time than this.
 const MOST_TRIES: usize = 10_000;
+/// No data centre has more workers than this.
+const MOST_WORKERS: usize = 65_536;
 /// Samples that are taken from one announcement.
 const MOST_SAMPLES: usize = 4_096;
 
@@ -63,6 +65,9 @@
         if said.tasks.len() > MOST_TRIES {
             return Err(format!("more than {MOST_TRIES} tasks are reported"));
         }
+        if known.is_none() && self.fleet.len() >= MOST_WORKERS {
+            return Err(format!("{MOST_WORKERS} workers are known already"));
+        }
         if let Some(worker) = known
             && let Some(newest) = worker.incarnation
             && said.incarnation < newest
@@ -129,8 +134,8 @@
     /// A worker was restarted: what was sent to its earlier boot must not reach this one.
     fn restart(&mut self, now: Time, slot: WorkerSlot, effects: &mut Vec<Effect>) {
         self.step_worker(now, slot, HealthEvent::Reset, effects);
+        self.fleet.raise_fence(slot);
         let worker = &mut self.fleet[slot];
-        worker.fence = Fence(worker.fence.0 + 1);
         worker.leaving = false;
         worker.growing = None;
     }
--- a/lib/src/scheduler/attempt.rs
+++ b/lib/src/scheduler/attempt.rs
@@ -3,11 +3,13 @@
 use crate::{
     command::YieldCause,
     ids::{Attempt, TaskAttempt, TaskId},
+    policy::Tier,
     scheduler::{
         Scheduler,
         charts::{ATTEMPT, HealthEvent, Phase, PhaseAction, PhaseEvent, PhaseGuard},
         index::WorkerSlot,
         port::Effect,
+        queue::CustomerSlot,
         tasks::{Record, Stage, Task, Try},
         timers::Timer,
     },
@@ -318,7 +320,8 @@
         let expected = current.expected;
         self.fleet.release(worker, id, &size, tier);
         self.fleet[worker].expected = self.fleet[worker].expected.saturating_sub(&expected);
-        self.quota.refund(customer, tier, &size);
+        self.quota.refund(customer, id, tier, &size);
+        self.promote(customer, tier);
         if let Some(service) = service {
             self.spread.remove(&service, self.fleet[worker].rack);
         }
@@ -328,6 +331,25 @@
         self.step_worker(now, worker, HealthEvent::Vacated, effects);
     }
 
+    /// Charges tries of a customer to a firmer tier that has room again.
+    fn promote(&mut self, customer: CustomerSlot, tier: Tier) {
+        for id in self.quota.weaker(customer, tier) {
+            let Some(task) = self.tasks.get_mut(id) else { continue };
+            let size = task.size();
+            let Some(current) = task.current_mut().filter(|current| current.holds_room()) else {
+                continue;
+            };
+            let Some(firmer) = self.quota.tier(customer, &size) else { continue };
+            if firmer >= current.tier {
+                continue;
+            }
+            let weaker = std::mem::replace(&mut current.tier, firmer);
+            self.fleet[current.worker].charge_again(weaker, firmer, &size);
+            self.quota.refund(customer, id, weaker, &size);
+            self.quota.charge(customer, id, firmer, &size);
+        }
+    }
+
     /// Holds the room of a task's current try again, about which another holder may know more.
     fn hold_again(&mut self, now: Time, id: TaskId) {
         let Some(mut task) = self.tasks.remove(id) else { return };
--- a/lib/src/scheduler/explain.rs
+++ b/lib/src/scheduler/explain.rs
@@ -172,9 +172,9 @@
 
     /// The data centre at a glance. It looks at every worker and task.
     pub fn status(&self) -> Status {
-        let workers = self.fleet.workers();
-        let count = |health| workers.iter().filter(|worker| worker.health == health).count();
-        let leased = workers.iter().filter(|worker| worker.leased());
+        let workers = || self.fleet.known();
+        let count = |health| workers().filter(|worker| worker.health == health).count();
+        let leased = workers().filter(|worker| worker.leased());
         let stranded = self.tasks.iter().filter(|(_, task)| {
             let away = |current: &Try| current.holds_room() && !self.fleet[current.worker].leased();
             !task.batch() && task.current().is_some_and(away)
@@ -182,7 +182,7 @@
         Status {
             epoch: self.hold.epoch,
             waiting: self.queue.len(),
-            placed: workers.iter().map(|worker| worker.tries.len()).sum(),
+            placed: workers().map(|worker| worker.tries.len()).sum(),
             workers: Health::ALL.iter().map(|health| count(*health)).collect(),
             stranded: stranded.count(),
             capacity: self.fleet.total,
--- a/lib/src/scheduler/fleet.rs
+++ b/lib/src/scheduler/fleet.rs
@@ -98,6 +98,14 @@
             .fold(Resources::ZERO, |sum, other| sum.saturating_add(&self.tiers[*other as usize]))
     }
 
+    /// Moves room of a try from one tier to another.
+    pub(super) fn charge_again(&mut self, from: Tier, to: Tier, size: &Resources) {
+        let left = &mut self.tiers[from as usize];
+        *left = left.saturating_sub(size);
+        let right = &mut self.tiers[to as usize];
+        *right = right.saturating_add(size);
+    }
+
     /// Whether a lease was given whose time hasn't surely run out.
     pub(super) fn leased(&self) -> bool {
         self.health != Health::Silent
@@ -109,6 +117,11 @@
 pub(super) struct Fleet {
     workers: Vec<Worker>,
     names: BTreeMap<WorkerName, WorkerSlot>,
+    /// Slots of workers that were forgotten.
+    vacant: Vec<WorkerSlot>,
+    /// The largest fence that was given. A worker that was forgotten and comes back gets no
+    /// smaller one.
+    fence: u64,
     racks: BTreeMap<Rack, usize>,
     /// The workers of each rack.
     pub(super) members: Vec<Vec<WorkerSlot>>,
@@ -145,12 +158,53 @@
         if let Some(slot) = self.find(name) {
             return slot;
         }
-        let slot = WorkerSlot(u32::try_from(self.workers.len()).expect("fewer than 2^32 workers"));
-        self.workers.push(unknown(now, name));
+        let worker = unknown(now, name, Fence(self.fence));
+        let slot = match self.vacant.pop() {
+            Some(slot) => {
+                self[slot] = worker;
+                slot
+            }
+            None => {
+                let count = u32::try_from(self.workers.len());
+                self.workers.push(worker);
+                WorkerSlot(count.expect("fewer than 2^32 workers"))
+            }
+        };
         self.names.insert(name.clone(), slot);
         slot
     }
 
+    /// Forgets a worker that has no lease and holds no try.
+    pub(super) fn forget(&mut self, slot: WorkerSlot) {
+        let name = self[slot].name.clone();
+        if self.names.get(&name) != Some(&slot) {
+            return;
+        }
+        self.names.remove(&name);
+        self.vacant.push(slot);
+        self.resize(slot, &Resources::ZERO);
+        let rack = std::mem::replace(&mut self[slot].rack, usize::MAX);
+        if let Some(members) = self.members.get_mut(rack) {
+            members.retain(|member| *member != slot);
+        }
+    }
+
+    /// Makes commands that were sent to a worker until now void.
+    pub(super) fn raise_fence(&mut self, slot: WorkerSlot) {
+        self.fence += 1;
+        self[slot].fence = Fence(self.fence);
+    }
+
+    /// How many workers are known.
+    pub(super) fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Every worker that is known.
+    pub(super) fn known(&self) -> impl Iterator<Item = &Worker> {
+        self.names.values().map(|slot| &self[*slot])
+    }
+
     /// Every slot.
     pub(super) fn slots(&self) -> impl Iterator<Item = WorkerSlot> + use<> {
         (0..self.workers.len()).map(|at| WorkerSlot(at as u32))
@@ -206,7 +260,9 @@
                 self.shapes.remove(&shape(&old));
             }
         }
-        *self.shapes.entry(shape(capacity)).or_default() += 1;
+        if *capacity != Resources::ZERO {
+            *self.shapes.entry(shape(capacity)).or_default() += 1;
+        }
         if counted {
             self.count_in(slot);
         }
@@ -268,14 +324,14 @@
     (capacity.millicores, capacity.memory_mib, capacity.accelerators)
 }
 
-fn unknown(now: Time, name: &WorkerName) -> Worker {
+fn unknown(now: Time, name: &WorkerName, fence: Fence) -> Worker {
     Worker {
         name: name.clone(),
         rack: usize::MAX,
         address: String::new(),
         incarnation: None,
         epoch: None,
-        fence: Fence(0),
+        fence,
         health: WORKER.initial(),
         leaving: false,
         capacity: Resources::ZERO,
--- a/lib/src/scheduler/health.rs
+++ b/lib/src/scheduler/health.rs
@@ -1,7 +1,9 @@
 //! A worker's way through its chart.
 
+use std::time::Duration;
+
 use crate::{
-    ids::{Fence, TaskId},
+    ids::TaskId,
     scheduler::{
         Scheduler,
         attempt::Cause,
@@ -15,6 +17,9 @@
     time::Time,
 };
 
+/// How long a worker without a lease is remembered.
+pub(super) const FORGET: Duration = Duration::from_secs(3_600);
+
 impl Scheduler {
     /// Takes an event to a worker.
     pub(super) fn step_worker(
@@ -114,10 +119,10 @@
 
     /// The worker's lease has surely run out, and with it its batch tries.
     fn expire(&mut self, now: Time, slot: WorkerSlot, effects: &mut Vec<Effect>) {
-        let worker = &mut self.fleet[slot];
         // What was sent under the lease that ran out must not start anything under a later one.
-        worker.fence = Fence(worker.fence.0 + 1);
-        worker.answered = None;
+        self.fleet.raise_fence(slot);
+        self.fleet[slot].answered = None;
+        self.timers.set(now + FORGET, Timer::Worker(slot));
         let cleared = now >= self.hold.cleared(&self.config);
         for id in self.tries_on(slot) {
             let batch = self.tasks.get(id).is_some_and(|task| task.batch());
@@ -171,6 +176,10 @@
     pub(super) fn watch_worker(&mut self, now: Time, slot: WorkerSlot, effects: &mut Vec<Effect>) {
         self.fleet[slot].watched = false;
         if !self.fleet[slot].leased() {
+            let worker = &self.fleet[slot];
+            if now.since(worker.heard) >= FORGET && worker.tries.is_empty() {
+                self.fleet.forget(slot);
+            }
             return;
         }
         let lapse = self.lapse_of(slot);
--- a/lib/src/scheduler/ledger.rs
+++ b/lib/src/scheduler/ledger.rs
@@ -7,6 +7,7 @@
         Scheduler,
         attempt::Cause,
         charts::{HealthEvent, Phase, PhaseEvent},
+        health::FORGET,
         hold::Hold,
         index::WorkerSlot,
         port::Effect,
@@ -279,6 +280,7 @@
         for slot in self.fleet.slots() {
             self.step_worker(now, slot, HealthEvent::Reset, effects);
             self.fleet[slot].answered = None;
+            self.timers.set(now + FORGET, Timer::Worker(slot));
         }
         for id in self.tasks.select(|task| task.current().is_some()) {
             self.step_try(now, id, PhaseEvent::Takeover, Cause::Plain, effects);
--- a/lib/src/scheduler/place.rs
+++ b/lib/src/scheduler/place.rs
@@ -67,6 +67,7 @@
                     Placing::Done => {}
                     Placing::Wait(reason) => {
                         self.queue.block(lane, customer, reason);
+                        self.backfill(now, lane, customer, effects);
                         self.sweep_at(now + SWEEP);
                     }
                 }
@@ -74,6 +75,31 @@
         }
     }
 
+    /// Places smaller tasks behind one that finds no room. That one isn't starved by them: a
+    /// worker is kept free for it after a while.
+    fn backfill(
+        &mut self,
+        now: Time,
+        lane: Lane,
+        customer: CustomerSlot,
+        effects: &mut Vec<Effect>,
+    ) {
+        match self.queue.reason(lane, customer) {
+            Some(WaitReason::Room | WaitReason::Clearing { .. }) => {}
+            Some(_) | None => return,
+        }
+        let followers: Vec<_> = self.queue.followers(lane, customer).collect();
+        for id in followers {
+            let Some(task) = self.tasks.get(id) else { continue };
+            let size = task.size();
+            if let Some(tier) = self.quota.tier(customer, &size)
+                && let Some(slot) = self.choose(now, id)
+            {
+                self.start(now, id, slot, tier, effects);
+            }
+        }
+    }
+
     fn place(&mut self, now: Time, id: TaskId, effects: &mut Vec<Effect>) -> Placing {
         let Some(task) = self.tasks.get(id) else { return Placing::Wait(WaitReason::Ledger) };
         let (customer, size, lane) = (task.customer, task.size(), task.lane);
@@ -228,7 +254,7 @@
         }
         self.tasks.insert(id, task);
         self.fleet.commit(slot, attempt, &size, tier);
-        self.quota.charge(customer, tier, &size);
+        self.quota.charge(customer, id, tier, &size);
         if let Some(neighbour) = self.neighbour(id) {
             self.interference.placed(now, &self.fleet[slot].name, &neighbour);
         }
--- a/lib/src/scheduler/preempt.rs
+++ b/lib/src/scheduler/preempt.rs
@@ -240,7 +240,11 @@
                 .queue
                 .short(lane)
                 .take(OFFERS)
-                .filter(|(_, id)| self.tasks.get(*id).is_some_and(|task| free.fits(&task.size())))
+                .filter(|(customer, id)| {
+                    let mut line =
+                        std::iter::once(*id).chain(self.queue.followers(lane, *customer));
+                    line.any(|id| self.tasks.get(id).is_some_and(|task| free.fits(&task.size())))
+                })
                 .map(|(customer, _)| customer)
                 .collect();
             for customer in fitting {
--- a/lib/src/scheduler/queue.rs
+++ b/lib/src/scheduler/queue.rs
@@ -76,6 +76,9 @@
 /// The weight of a whole data centre's share against a wait, in milliseconds.
 const SHARE_MILLIS: f64 = 60_000.0;
 
+/// Tasks behind a customer's first that may be placed while no worker has room for that one.
+const FOLLOWERS: usize = 4;
+
 #[derive(Clone, Debug, Default)]
 enum Standing {
     #[default]
@@ -172,6 +175,16 @@
         line.tasks.first().copied()
     }
 
+    /// The tasks of a customer right behind its first.
+    pub(super) fn followers(
+        &self,
+        lane: Lane,
+        customer: CustomerSlot,
+    ) -> impl Iterator<Item = TaskId> + '_ {
+        let line = self.lines[lane as usize].get(customer.at());
+        line.into_iter().flat_map(|line| line.tasks.iter().skip(1).take(FOLLOWERS).copied())
+    }
+
     /// Customers that wait for room, by rank.
     pub(super) fn short(&self, lane: Lane) -> impl Iterator<Item = (CustomerSlot, TaskId)> + '_ {
         self.blocked[lane as usize]
--- a/lib/src/scheduler/quota.rs
+++ b/lib/src/scheduler/quota.rs
@@ -1,12 +1,12 @@
 //! What each customer may use, and what it uses in each tier.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     time::Duration,
 };
 
 use crate::{
-    ids::CustomerName,
+    ids::{CustomerName, TaskId},
     policy::{Allowance, Objective, Policy, Tier},
     resources::Resources,
     scheduler::queue::CustomerSlot,
@@ -16,6 +16,9 @@
 /// How far back evictions of a customer are counted.
 const EVICTION_WINDOW: Duration = Duration::from_secs(3_600);
 
+/// Tries that are looked at when a firmer tier has room again.
+const PROMOTIONS: usize = 4;
+
 /// What a customer's plan says.
 #[derive(Clone, Debug)]
 pub(super) struct Terms {
@@ -41,6 +44,8 @@
     /// What its tries hold in each tier.
     pub(super) used: [Resources; Tier::ALL.len()],
     evicted: VecDeque<Time>,
+    /// Its tries in tiers below the firmest.
+    weak: BTreeSet<(Tier, TaskId)>,
 }
 
 /// All customers.
@@ -75,6 +80,7 @@
             share: self.shares.get(name).copied(),
             used: [Resources::ZERO; Tier::ALL.len()],
             evicted: VecDeque::new(),
+            weak: BTreeSet::new(),
         });
         self.names.insert(name.clone(), slot);
         slot
@@ -124,15 +130,42 @@
     }
 
     /// Charges a try.
-    pub(super) fn charge(&mut self, customer: CustomerSlot, tier: Tier, size: &Resources) {
-        let used = &mut self.accounts[customer.at()].used[tier as usize];
+    pub(super) fn charge(
+        &mut self,
+        customer: CustomerSlot,
+        task: TaskId,
+        tier: Tier,
+        size: &Resources,
+    ) {
+        let account = &mut self.accounts[customer.at()];
+        let used = &mut account.used[tier as usize];
         *used = used.saturating_add(size);
+        match tier {
+            Tier::Guaranteed => {}
+            Tier::Burst | Tier::BestEffort => {
+                account.weak.insert((tier, task));
+            }
+        }
     }
 
     /// Gives back what a try was charged.
-    pub(super) fn refund(&mut self, customer: CustomerSlot, tier: Tier, size: &Resources) {
-        let used = &mut self.accounts[customer.at()].used[tier as usize];
+    pub(super) fn refund(
+        &mut self,
+        customer: CustomerSlot,
+        task: TaskId,
+        tier: Tier,
+        size: &Resources,
+    ) {
+        let account = &mut self.accounts[customer.at()];
+        let used = &mut account.used[tier as usize];
         *used = used.saturating_sub(size);
+        account.weak.remove(&(tier, task));
+    }
+
+    /// The first tries of a customer in tiers weaker than `tier`.
+    pub(super) fn weaker(&self, customer: CustomerSlot, tier: Tier) -> Vec<TaskId> {
+        let weak = self[customer].weak.iter().filter(|(other, _)| *other > tier);
+        weak.map(|(_, task)| *task).take(PROMOTIONS).collect()
     }
 
     /// The customer's dominant share, relative to the weight of its plan: a plan with the largest
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -6,15 +6,23 @@
 mod choice;
 #[path = "scheduler/desk.rs"]
 mod desk;
+#[path = "scheduler/ends.rs"]
+mod ends;
 #[path = "scheduler/fairness.rs"]
 mod fairness;
+#[path = "scheduler/fault.rs"]
+mod fault;
+#[path = "scheduler/leases.rs"]
+mod leases;
 #[path = "scheduler/ledger.rs"]
 mod ledger;
+#[path = "scheduler/message.rs"]
+mod message;
 #[path = "scheduler/properties.rs"]
 mod properties;
-#[path = "scheduler/rules.rs"]
-mod rules;
 #[path = "scheduler/worker.rs"]
 mod worker;
+#[path = "scheduler/workers.rs"]
+mod workers;
 #[path = "scheduler/world.rs"]
 mod world;
--- a/lib/tests/scheduler/choice.rs
+++ b/lib/tests/scheduler/choice.rs
@@ -394,3 +394,29 @@
     let cause = format!("{yielded:?}");
     assert!(cause.contains("Evicted(Preemption)"), "{cause}");
 }
+
+#[test]
+fn work_moves_to_a_firmer_tier_that_has_room_again() {
+    let mut desk = desk_with(&[("ann", plan(tiers(4, 4, 4)))], room(64, 64));
+    for id in 1..=3 {
+        desk.open(task(id, "ann", room(4, 4)));
+    }
+    desk.starts();
+    assert_eq!(tier(&desk, 3), Some(Tier::BestEffort));
+    desk.event(Event::EndRecorded { attempt: attempt(1, 1) });
+    let tiers: Vec<_> = [2, 3].iter().map(|id| tier(&desk, *id)).collect();
+    // The burst task takes the guarantee, and the best-effort task what that leaves.
+    assert_eq!(tiers, [Some(Tier::Guaranteed), Some(Tier::Burst)]);
+}
+
+#[test]
+fn small_tasks_pass_one_that_finds_no_room() {
+    let mut desk = desk_with(&[("ann", plan(burst(room(100, 100))))], room(4, 4));
+    desk.open(task(1, "ann", room(2, 2)));
+    desk.open(task(2, "ann", room(4, 4)));
+    desk.open(task(3, "ann", room(1, 1)));
+    let started: Vec<_> = desk.starts().iter().map(|(attempt, _)| attempt.task).collect();
+    desk.pass(Duration::from_millis(600));
+    let later: Vec<_> = desk.starts().iter().map(|(attempt, _)| attempt.task).collect();
+    assert_eq!((started, later), (vec![TaskId(1)], vec![TaskId(3)]));
+}
--- a/lib/tests/scheduler/desk.rs
+++ b/lib/tests/scheduler/desk.rs
@@ -241,3 +241,27 @@
         std::mem::take(&mut self.effects)
     }
 }
+
+/// What most workers of the tests have.
+pub(crate) const BIG: Resources =
+    Resources { millicores: 16_000, memory_mib: 65_536, accelerators: 0 };
+
+/// A desk with a task running on "w1".
+pub(crate) fn running(change: fn(&mut OpenTask)) -> Desk {
+    let mut desk = Desk::new();
+    desk.announce(announcement("w1", BIG)).expect("a lease");
+    let mut open = task(1, "ann", room(2, 2));
+    change(&mut open);
+    desk.open(open);
+    assert_eq!(desk.starts(), [(attempt(1, 1), "w1".into())]);
+    desk.announce(with(AttemptState::Running)).expect("a lease");
+    desk.rest();
+    desk
+}
+
+/// What "w1" says of try 1 of task 1.
+pub(crate) fn with(state: AttemptState) -> Announcement {
+    let mut said = announcement("w1", BIG);
+    said.tasks = vec![report(attempt(1, 1), state)];
+    said
+}
--- a/lib/tests/scheduler/properties.rs
+++ b/lib/tests/scheduler/properties.rs
@@ -3,7 +3,7 @@
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 
-use crate::world::{Fault, World};
+use crate::{fault::Fault, world::World};
 
 /// The seeds of all runs; a seed that failed once is added here.
 const SEEDS: &[u64] = &[1, 2, 3, 4];
--- a/lib/tests/scheduler/world.rs
+++ b/lib/tests/scheduler/world.rs
@@ -19,47 +19,22 @@
     },
     task::OpenTask,
     time::Time,
-    worker::{Announcement, LeaseAnswer, StartCommand, WorkerCommand},
+    worker::{StartCommand, WorkerCommand},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
     desk::{burst, centre, plan, policy, room},
+    fault::Fault,
     ledger::{Audience, Ledger},
+    message::Message,
     worker::Worker,
 };
 
 /// The length of a step, in milliseconds.
 const STEP: u64 = 50;
 
-/// Something that goes wrong, or a load that comes.
-#[derive(Clone, Debug)]
-pub(crate) enum Fault {
-    /// An instance is cut off from the council.
-    Cut { instance: usize, seconds: u64 },
-    /// A worker can't reach an instance, nor it the worker.
-    Part { worker: usize, instance: usize, seconds: u64 },
-    /// A worker dies and comes back.
-    Kill { worker: usize, seconds: u64 },
-    /// A worker says that it is leaving.
-    Leave { worker: usize },
-    /// The other instance takes the data centre.
-    Grant,
-    /// Tasks are submitted.
-    Wave { tasks: u64, cores: u64, idempotent: bool, urgent: bool },
-    /// A replica is submitted.
-    Replica,
-    /// Every task that is open is cancelled, or every third.
-    Cancel { all: bool },
-}
-
-enum Message {
-    Announce { worker: usize, sent: u64, instance: usize, said: Box<Announcement> },
-    Answer { worker: usize, sent: u64, incarnation: u64, answer: LeaseAnswer },
-    Command { worker: usize, epoch: Epoch, fence: Fence, commands: Vec<WorkerCommand> },
-}
-
 struct Instance {
     scheduler: Scheduler,
     /// Until when it is cut off from the council.
@@ -466,32 +441,6 @@
     }
 }
 
-impl Message {
-    /// The same message once more.
-    fn again(&self) -> Self {
-        match self {
-            Self::Announce { worker, sent, instance, said } => Self::Announce {
-                worker: *worker,
-                sent: *sent,
-                instance: *instance,
-                said: said.clone(),
-            },
-            Self::Answer { worker, sent, incarnation, answer } => Self::Answer {
-                worker: *worker,
-                sent: *sent,
-                incarnation: *incarnation,
-                answer: answer.clone(),
-            },
-            Self::Command { worker, epoch, fence, commands } => Self::Command {
-                worker: *worker,
-                epoch: *epoch,
-                fence: *fence,
-                commands: commands.clone(),
-            },
-        }
-    }
-}
-
 fn lists() -> Policy {
     let mut plan = plan(burst(room(1_000, 1_000)));
     plan.allowance.guaranteed = room(6, 100);
