--- /dev/null
+++ b/lib/src/router/admission.rs
@@ -0,0 +1,103 @@
+//! Whether a request is taken in.
+
+use std::time::Duration;
+
+use crate::{
+    burn::Served,
+    router::{
+        Router,
+        port::{Effect, NotRun, Request, RequestOutcome},
+        request::{Admitted, Entry, RequestEvent},
+        steps::Signal,
+        timers::Alarm,
+    },
+    time::Time,
+};
+
+impl Router {
+    /// Takes a request in, or answers at once that it did not run.
+    pub(super) fn admit(&mut self, now: Time, request: Box<Request>, effects: &mut Vec<Effect>) {
+        let id = request.request;
+        if self.requests.contains_key(&id) {
+            self.counters.stray += 1;
+            return;
+        }
+        match self.check(now, &request) {
+            Ok(admitted) => {
+                let Admitted { account, service, .. } = admitted;
+                self.accounts.get_mut(account).request(now, self.config.budget_window);
+                self.open += 1;
+                if admitted.standing {
+                    self.fleet.services[service].standing.enter(account);
+                }
+                self.timers.set(request.deadline, Alarm::Deadline(id));
+                self.requests.insert(id, Entry::new(now, request, admitted));
+                self.step(now, id, Signal::new(RequestEvent::Start), effects);
+                self.pump(now, service, effects);
+            }
+            Err(reason) => {
+                let outcome = RequestOutcome::NotRun { reason };
+                self.counters.count(&outcome);
+                let served = Served {
+                    customer: &request.customer,
+                    service: &request.service,
+                    outcome: &outcome,
+                    took: Duration::ZERO,
+                    patience: now.until(request.deadline),
+                    withdrawn: false,
+                    standing: false,
+                };
+                self.burn.record(now, &self.policy, served);
+                effects.push(Effect::Answer { request: id, outcome });
+            }
+        }
+    }
+
+    fn check(&mut self, now: Time, request: &Request) -> Result<Admitted, NotRun> {
+        if self.draining {
+            return Err(NotRun::Draining);
+        }
+        let number = self.accounts.number(&request.customer, &self.policy);
+        let account = number.ok_or(NotRun::NotAllowed)?;
+        let rights = self.accounts.get(account);
+        if !rights.services.contains(&request.service) {
+            return Err(NotRun::NotAllowed);
+        }
+        let exact = rights.exact;
+        if !request.idempotent && request.key.is_none() {
+            return Err(NotRun::MissingKey);
+        }
+        let service = self.fleet.service(&request.service).ok_or(NotRun::NoTarget)?;
+        if !self.fleet.services[service].is_present() {
+            return Err(NotRun::NoTarget);
+        }
+        if !self.waiting.admits(account) {
+            return Err(NotRun::Overloaded);
+        }
+        let settles = exact || !request.idempotent;
+        if settles && !self.unsettled.admits(account) {
+            return Err(NotRun::CouncilUnavailable);
+        }
+        if now >= request.deadline || now + self.estimate(now, service, account) > request.deadline
+        {
+            return Err(NotRun::Deadline);
+        }
+        let standing = now.until(request.deadline) > self.config.standing;
+        if standing && !self.fleet.services[service].standing.admits(account) {
+            return Err(NotRun::Overloaded);
+        }
+        Ok(Admitted { account, service, standing, exact })
+    }
+
+    /// How long the request is likely to wait and to run.
+    fn estimate(&self, now: Time, service: usize, account: usize) -> Duration {
+        let service = &self.fleet.services[service];
+        let median = service.quantiles.median(now);
+        if service.queue.is_empty() {
+            return median;
+        }
+        let ahead = service.queue.ahead(account) as f64;
+        let rounds = ahead / (service.capacity.max(1) as f64);
+        median.mul_f64(1.0 + rounds)
+    }
+}
