--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -1,9 +1,7 @@
 //! What workers say of themselves and of the tries on them.
 
-use std::collections::BTreeMap;
-
 use crate::{
-    ids::{Attempt, Epoch, Fence, TaskAttempt, TaskId},
+    ids::{Epoch, Fence, TaskAttempt, TaskId},
     resources::Resources,
     scheduler::{
         Scheduler,
@@ -22,6 +20,8 @@
     Resources { millicores: 100_000_000, memory_mib: 1 << 30, accelerators: 4_096 };
 /// No worker runs more tries at a time than this.
 const MOST_TRIES: usize = 10_000;
+/// No data centre has more workers than this.
+const MOST_WORKERS: usize = 65_536;
 /// Samples that are taken from one announcement.
 const MOST_SAMPLES: usize = 4_096;
 
@@ -65,6 +65,9 @@
         if said.tasks.len() > MOST_TRIES {
             return Err(format!("more than {MOST_TRIES} tasks are reported"));
         }
+        if known.is_none() && self.fleet.len() >= MOST_WORKERS {
+            return Err(format!("{MOST_WORKERS} workers are known already"));
+        }
         if let Some(worker) = known
             && let Some(newest) = worker.incarnation
             && said.incarnation < newest
@@ -131,8 +134,8 @@
     /// A worker was restarted: what was sent to its earlier boot must not reach this one.
     fn restart(&mut self, now: Time, slot: WorkerSlot, effects: &mut Vec<Effect>) {
         self.step_worker(now, slot, HealthEvent::Reset, effects);
+        self.fleet.raise_fence(slot);
         let worker = &mut self.fleet[slot];
-        worker.fence = Fence(worker.fence.0 + 1);
         worker.leaving = false;
         worker.growing = None;
     }
@@ -209,10 +212,12 @@
         effects: &mut Vec<Effect>,
     ) -> Vec<TaskAttempt> {
         let mut acknowledged = Vec::new();
-        let mut listed: BTreeMap<TaskId, Attempt> = BTreeMap::new();
+        self.fleet[slot].round += 1;
         for report in &said.tasks {
-            let newest = listed.entry(report.attempt.task).or_insert(report.attempt.attempt);
-            *newest = report.attempt.attempt.max(*newest);
+            let seat = self.fleet[slot].list(report.attempt);
+            if report.state == AttemptState::Running && seat.is_some_and(|seat| seat.steady) {
+                continue;
+            }
             if self.is_current(report.attempt, slot) {
                 self.take_report(now, slot, report.attempt, &report.state, effects);
             } else {
@@ -223,11 +228,8 @@
         if obeys {
             self.confirm_surmises(slot);
         }
-        for id in self.tries_on(slot) {
-            let Some((attempt, phase)) = self.phase_of(id) else { continue };
-            if listed.get(&id) == Some(&attempt) {
-                continue;
-            }
+        for id in self.fleet[slot].unlisted() {
+            let Some((_, phase)) = self.phase_of(id) else { continue };
             // A worker that obeys this epoch can't get a start from an earlier one any more.
             let event = match phase == Phase::Inherited {
                 true if obeys => PhaseEvent::Gone,
--- a/lib/src/scheduler/explain.rs
+++ b/lib/src/scheduler/explain.rs
@@ -155,10 +155,8 @@
     pub fn explain_worker(&self, now: Time, name: &WorkerName) -> Option<WorkerExplanation> {
         let slot = self.fleet.find(name)?;
         let worker = &self.fleet[slot];
-        let tries = worker.tries.iter().filter_map(|id| {
-            let (attempt, _) = self.phase_of(*id)?;
-            Some(TaskAttempt { task: *id, attempt })
-        });
+        let tries = worker.tries.iter();
+        let tries = tries.map(|(id, seat)| TaskAttempt { task: *id, attempt: seat.attempt });
         Some(WorkerExplanation {
             worker: name.clone(),
             rack: self.fleet.rack_of(slot).cloned(),
@@ -174,9 +172,9 @@
 
     /// The data centre at a glance. It looks at every worker and task.
     pub fn status(&self) -> Status {
-        let workers = self.fleet.workers();
-        let count = |health| workers.iter().filter(|worker| worker.health == health).count();
-        let leased = workers.iter().filter(|worker| worker.leased());
+        let workers = || self.fleet.known();
+        let count = |health| workers().filter(|worker| worker.health == health).count();
+        let leased = workers().filter(|worker| worker.leased());
         let stranded = self.tasks.iter().filter(|(_, task)| {
             let away = |current: &Try| current.holds_room() && !self.fleet[current.worker].leased();
             !task.batch() && task.current().is_some_and(away)
@@ -184,7 +182,7 @@
         Status {
             epoch: self.hold.epoch,
             waiting: self.queue.len(),
-            placed: workers.iter().map(|worker| worker.tries.len()).sum(),
+            placed: workers().map(|worker| worker.tries.len()).sum(),
             workers: Health::ALL.iter().map(|health| count(*health)).collect(),
             stranded: stranded.count(),
             capacity: self.fleet.total,
--- a/lib/src/scheduler/fleet.rs
+++ b/lib/src/scheduler/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{
-    ids::{Epoch, Fence, Incarnation, Rack, TaskId, WorkerName},
+    ids::{Attempt, Epoch, Fence, Incarnation, Rack, TaskAttempt, TaskId, WorkerName},
     policy::Tier,
     resources::Resources,
     scheduler::{
@@ -34,7 +34,10 @@
     pub(super) expected: Resources,
     /// The part of `committed` that each tier holds.
     pub(super) tiers: [Resources; Tier::ALL.len()],
-    pub(super) tries: BTreeSet<TaskId>,
+    /// The tries that hold room on it.
+    pub(super) tries: BTreeMap<TaskId, Seat>,
+    /// The number of its announcements.
+    pub(super) round: u64,
     /// Tasks whose tries on it were counted as stopped because its lease ran out.
     pub(super) surmised: BTreeSet<TaskId>,
     /// When the last announcement was answered with a lease.
@@ -49,7 +52,38 @@
     pub(super) watched: bool,
 }
 
+/// What is kept of a try beside its worker, so that most reports need no look at its task.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Seat {
+    pub(super) attempt: Attempt,
+    /// The number of its task's kind.
+    pub(super) kind: u32,
+    /// The room that it holds.
+    pub(super) size: Resources,
+    /// Whether a report that it runs changes nothing.
+    pub(super) steady: bool,
+    /// The last announcement that listed it.
+    pub(super) round: u64,
+}
+
 impl Worker {
+    /// Takes in that the current announcement lists a try, and gives whether it is known here.
+    pub(super) fn list(&mut self, attempt: TaskAttempt) -> Option<Seat> {
+        let round = self.round;
+        let seat = self.tries.get_mut(&attempt.task)?;
+        if seat.attempt != attempt.attempt {
+            return None;
+        }
+        seat.round = round;
+        Some(*seat)
+    }
+
+    /// The tries that the current announcement doesn't list.
+    pub(super) fn unlisted(&self) -> Vec<TaskId> {
+        let unlisted = self.tries.iter().filter(|(_, seat)| seat.round != self.round);
+        unlisted.map(|(id, _)| *id).collect()
+    }
+
     /// The room that nothing holds.
     pub(super) fn free(&self) -> Resources {
         self.capacity.saturating_sub(&self.committed)
@@ -68,6 +102,14 @@
             .fold(Resources::ZERO, |sum, other| sum.saturating_add(&self.tiers[*other as usize]))
     }
 
+    /// Moves room of a try from one tier to another.
+    pub(super) fn charge_again(&mut self, from: Tier, to: Tier, size: &Resources) {
+        let left = &mut self.tiers[from as usize];
+        *left = left.saturating_sub(size);
+        let right = &mut self.tiers[to as usize];
+        *right = right.saturating_add(size);
+    }
+
     /// Whether a lease was given whose time hasn't surely run out.
     pub(super) fn leased(&self) -> bool {
         self.health != Health::Silent
@@ -79,6 +121,11 @@
 pub(super) struct Fleet {
     workers: Vec<Worker>,
     names: BTreeMap<WorkerName, WorkerSlot>,
+    /// Slots of workers that were forgotten.
+    vacant: Vec<WorkerSlot>,
+    /// The largest fence that was given. A worker that was forgotten and comes back gets no
+    /// smaller one.
+    fence: u64,
     racks: BTreeMap<Rack, usize>,
     /// The workers of each rack.
     pub(super) members: Vec<Vec<WorkerSlot>>,
@@ -115,12 +162,53 @@
         if let Some(slot) = self.find(name) {
             return slot;
         }
-        let slot = WorkerSlot(u32::try_from(self.workers.len()).expect("fewer than 2^32 workers"));
-        self.workers.push(unknown(now, name));
+        let worker = unknown(now, name, Fence(self.fence));
+        let slot = match self.vacant.pop() {
+            Some(slot) => {
+                self[slot] = worker;
+                slot
+            }
+            None => {
+                let count = u32::try_from(self.workers.len());
+                self.workers.push(worker);
+                WorkerSlot(count.expect("fewer than 2^32 workers"))
+            }
+        };
         self.names.insert(name.clone(), slot);
         slot
     }
 
+    /// Forgets a worker that has no lease and holds no try.
+    pub(super) fn forget(&mut self, slot: WorkerSlot) {
+        let name = self[slot].name.clone();
+        if self.names.get(&name) != Some(&slot) {
+            return;
+        }
+        self.names.remove(&name);
+        self.vacant.push(slot);
+        self.resize(slot, &Resources::ZERO);
+        let rack = std::mem::replace(&mut self[slot].rack, usize::MAX);
+        if let Some(members) = self.members.get_mut(rack) {
+            members.retain(|member| *member != slot);
+        }
+    }
+
+    /// Makes commands that were sent to a worker until now void.
+    pub(super) fn raise_fence(&mut self, slot: WorkerSlot) {
+        self.fence += 1;
+        self[slot].fence = Fence(self.fence);
+    }
+
+    /// How many workers are known.
+    pub(super) fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Every worker that is known.
+    pub(super) fn known(&self) -> impl Iterator<Item = &Worker> {
+        self.names.values().map(|slot| &self[*slot])
+    }
+
     /// Every slot.
     pub(super) fn slots(&self) -> impl Iterator<Item = WorkerSlot> + use<> {
         (0..self.workers.len()).map(|at| WorkerSlot(at as u32))
@@ -176,7 +264,9 @@
                 self.shapes.remove(&shape(&old));
             }
         }
-        *self.shapes.entry(shape(capacity)).or_default() += 1;
+        if *capacity != Resources::ZERO {
+            *self.shapes.entry(shape(capacity)).or_default() += 1;
+        }
         if counted {
             self.count_in(slot);
         }
@@ -193,11 +283,19 @@
     }
 
     /// Holds room on a worker for a try.
-    pub(super) fn commit(&mut self, slot: WorkerSlot, task: TaskId, size: &Resources, tier: Tier) {
+    pub(super) fn commit(
+        &mut self,
+        slot: WorkerSlot,
+        attempt: TaskAttempt,
+        kind: u32,
+        size: &Resources,
+        tier: Tier,
+    ) {
         let worker = &mut self[slot];
         worker.committed = worker.committed.saturating_add(size);
         worker.tiers[tier as usize] = worker.tiers[tier as usize].saturating_add(size);
-        worker.tries.insert(task);
+        let seat = Seat { attempt: attempt.attempt, kind, size: *size, steady: false, round: 0 };
+        worker.tries.insert(attempt.task, seat);
         self.refresh(slot);
     }
 
@@ -231,14 +329,14 @@
     (capacity.millicores, capacity.memory_mib, capacity.accelerators)
 }
 
-fn unknown(now: Time, name: &WorkerName) -> Worker {
+fn unknown(now: Time, name: &WorkerName, fence: Fence) -> Worker {
     Worker {
         name: name.clone(),
         rack: usize::MAX,
         address: String::new(),
         incarnation: None,
         epoch: None,
-        fence: Fence(0),
+        fence,
         health: WORKER.initial(),
         leaving: false,
         capacity: Resources::ZERO,
@@ -246,7 +344,8 @@
         committed: Resources::ZERO,
         expected: Resources::ZERO,
         tiers: [Resources::ZERO; Tier::ALL.len()],
-        tries: BTreeSet::new(),
+        tries: BTreeMap::new(),
+        round: 0,
         surmised: BTreeSet::new(),
         answered: None,
         heard: now,
