--- a/lib/src/interference/limits.rs
+++ b/lib/src/interference/limits.rs
@@ -56,7 +56,7 @@
 /// Standard deviations that an estimate must lie above [`CERTAIN_HARM`] to cause a move.
 pub(crate) const MOVE_SIGMA: f64 = 2.0;
 /// The least harm, as the logarithm of the slowdown, that can be blamed.
-pub(crate) const BLAMED_HARM: f64 = 0.15;
+pub(crate) const BLAMED_HARM: f64 = 0.3;
 /// The least harm, as the logarithm of the slowdown, that is worth an eviction.
 pub(crate) const CERTAIN_HARM: f64 = 0.25;
 
--- a/lib/src/interference/model.rs
+++ b/lib/src/interference/model.rs
@@ -4,7 +4,7 @@
 //! one term for each kind of task beside it, times how much of that kind runs. The terms are
 //! estimated by a Kalman filter with a diagonal covariance, so that each has a mean and a
 //! variance, and a sample costs time in proportion to the kinds beside the replica. Variances
-//! grow with time, and grow at once when samples stop matching the estimates: that forgets.
+//! grow with time: that forgets.
 
 use std::time::Duration;
 
@@ -27,14 +27,6 @@
 const NOISE_WEIGHT: f64 = 0.01;
 /// Standard deviations beyond which an innovation counts no more.
 const CLIP_SIGMA: f64 = 3.0;
-/// The weight of one sample in the running surprise.
-const SURPRISE_WEIGHT: f64 = 0.05;
-/// The mean of squared normalised innovations that tells a change; 1 is what is expected.
-const SURPRISE_LIMIT: f64 = 3.0;
-/// The largest squared normalised innovation that one sample adds.
-const SURPRISE_CAP: f64 = 16.0;
-/// How much a change widens the variances of what was seen.
-const WIDENING: f32 = 4.0;
 
 /// How much of a kind ran beside a replica: the sum of the tasks' throttles as fractions.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -104,7 +96,6 @@
     levels: [Estimate; BANDS],
     pairs: Vec<Estimate>,
     noise: f64,
-    surprise: f64,
 }
 
 impl Estimate {
@@ -130,12 +121,7 @@
 
 impl ServiceModel {
     fn new() -> Self {
-        Self {
-            levels: [Estimate::unknown(LEVEL_PRIOR); BANDS],
-            pairs: Vec::new(),
-            noise: NOISE,
-            surprise: 1.0,
-        }
+        Self { levels: [Estimate::unknown(LEVEL_PRIOR); BANDS], pairs: Vec::new(), noise: NOISE }
     }
 
     fn learn(&mut self, seen: &Observation<'_>) {
@@ -154,7 +140,9 @@
         }
         let innovation = seen.latency - expected;
         self.correct(seen, band, innovation, total);
-        self.adapt(seen, band, innovation, total);
+        let (least, most) = NOISE_BOUNDS;
+        let squared = innovation * innovation;
+        self.noise = (self.noise + NOISE_WEIGHT * (squared - self.noise)).clamp(least, most);
     }
 
     /// Gives a band that was never seen the level of the nearest one that was.
@@ -192,25 +180,6 @@
             pair.mean = pair.mean.max(0.0);
         }
     }
-
-    /// Follows the noise of samples, and widens what was seen when it no longer matches.
-    fn adapt(&mut self, seen: &Observation<'_>, band: usize, innovation: f64, total: f64) {
-        let squared = innovation * innovation;
-        let (least, most) = NOISE_BOUNDS;
-        self.noise = (self.noise + NOISE_WEIGHT * (squared - self.noise)).clamp(least, most);
-        let surprise = (squared / total).min(SURPRISE_CAP);
-        self.surprise += SURPRISE_WEIGHT * (surprise - self.surprise);
-        if self.surprise <= SURPRISE_LIMIT {
-            return;
-        }
-        self.surprise = 1.0;
-        let level = &mut self.levels[band];
-        level.variance = (level.variance * WIDENING).min(LEVEL_PRIOR);
-        for beside in seen.beside {
-            let pair = &mut self.pairs[beside.kind as usize];
-            pair.variance = (pair.variance * WIDENING).min(PAIR_PRIOR);
-        }
-    }
 }
 
 impl Model {
--- a/lib/tests/interference/rules.rs
+++ b/lib/tests/interference/rules.rs
@@ -260,6 +260,32 @@
     }
 }
 
+#[test]
+fn nobody_is_blamed_on_the_word_of_a_silent_replica() {
+    struct Case {
+        name: &'static str,
+        silent: bool,
+        blamed: bool,
+    }
+    let cases = [
+        Case { name: "samples go on", silent: false, blamed: true },
+        Case { name: "no sample for 40 s", silent: true, blamed: false },
+    ];
+    for case in cases {
+        let mut world = World::new(SEED, &[("noisy", 1.5)]);
+        world.place(1, service(1, Latency));
+        world.run(30);
+        world.place(1, batch(2, "noisy", 0, Latency));
+        world.run(60);
+        world.silent = case.silent;
+        world.run(40);
+        world.place(1, batch(3, "noisy", 0, Latency));
+        world.run(20);
+        let blamed = world.actions.iter().any(|(_, action)| touches(action, 3));
+        assert_eq!(blamed, case.blamed, "{}: {:?}", case.name, world.actions);
+    }
+}
+
 #[test]
 fn throughput_plans_are_throttled_longer_before_a_move() {
     let moved_after = |objective| {
--- a/lib/tests/interference/world.rs
+++ b/lib/tests/interference/world.rs
@@ -31,6 +31,8 @@
     pub(crate) lag: Duration,
     /// The spread of samples, as the standard deviation of the logarithm.
     pub(crate) noise: f64,
+    /// Whether workers have stopped taking samples.
+    pub(crate) silent: bool,
     /// Every action with its time.
     pub(crate) actions: Vec<(Time, Action)>,
     tasks: BTreeMap<TaskAttempt, Task>,
@@ -102,6 +104,7 @@
             alone: 0.008,
             lag: Duration::ZERO,
             noise: 0.05,
+            silent: false,
             actions: Vec::new(),
             tasks: BTreeMap::new(),
             flying: Vec::new(),
@@ -147,7 +150,9 @@
     /// Lets a second pass: samples are taken, late ones arrive, and the policy decides.
     pub(crate) fn tick(&mut self) {
         self.now = self.now + Duration::from_secs(1);
-        self.take_samples();
+        if !self.silent {
+            self.take_samples();
+        }
         self.deliver();
         let mut actions = Vec::new();
         self.policy.decide(self.now, &mut actions);
