--- a/lib/src/interference.rs
+++ b/lib/src/interference.rs
@@ -82,7 +82,7 @@
         }
         let number = self.number(now, neighbour);
         let residents = self.workers.entry(worker.clone()).or_default();
-        residents.stays.push(Stay::new(now, neighbour, number));
+        residents.begin(Stay::new(now, neighbour, number));
         residents.refresh(&self.model);
         self.due = self.due.or(Some(now + INTERVAL));
     }
--- a/lib/src/interference/residents.rs
+++ b/lib/src/interference/residents.rs
@@ -23,8 +23,8 @@
 /// The tries on one worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Residents {
-    /// Those that are there.
-    pub(crate) stays: Vec<Stay>,
+    /// Those that are there, in the order of their tries.
+    stays: Vec<Stay>,
     /// Those that left a short time ago, in the order in which they left.
     ended: VecDeque<Stay>,
     pending: Vec<Pending>,
@@ -56,12 +56,23 @@
 impl Residents {
     /// The try's stay, if it is there.
     pub(crate) fn find(&self, attempt: TaskAttempt) -> Option<&Stay> {
-        self.stays.iter().find(|stay| stay.attempt == attempt)
+        self.position(attempt).ok().map(|at| &self.stays[at])
+    }
+
+    fn position(&self, attempt: TaskAttempt) -> Result<usize, usize> {
+        self.stays.binary_search_by_key(&attempt, |stay| stay.attempt)
+    }
+
+    /// Begins a stay, unless the try is there already.
+    pub(crate) fn begin(&mut self, stay: Stay) {
+        if let Err(at) = self.position(stay.attempt) {
+            self.stays.insert(at, stay);
+        }
     }
 
     /// Ends the try's stay; gives it if it was there.
     pub(crate) fn end(&mut self, now: Time, attempt: TaskAttempt) -> Option<&Stay> {
-        let at = self.stays.iter().position(|stay| stay.attempt == attempt)?;
+        let at = self.position(attempt).ok()?;
         let mut stay = self.stays.remove(at);
         stay.until = Some(now);
         self.ended.push_back(stay);
@@ -152,15 +163,15 @@
     }
 
     fn learn_use(&mut self, sample: &Pending, counters: &mut Counters) {
-        let stay = self.stays.iter_mut().find(|stay| stay.attempt == sample.attempt);
-        match stay {
-            Some(stay) => {
-                if let Some(batch) = stay.batch_mut() {
+        match self.position(sample.attempt) {
+            Ok(at) => {
+                if let Some(batch) = self.stays[at].batch_mut() {
                     batch.observe(sample.taken, sample.millicores);
                 }
             }
-            None => {
-                counters.unknown += u64::from(self.stay_at(sample.attempt, sample.taken).is_none())
+            Err(_) => {
+                let gone = self.stay_at(sample.attempt, sample.taken).is_none();
+                counters.unknown += u64::from(gone);
             }
         }
     }
@@ -185,16 +196,16 @@
     }
 
     fn stay_at(&self, attempt: TaskAttempt, time: Time) -> Option<&Stay> {
-        let stays = self.stays.iter().chain(&self.ended);
-        stays.into_iter().find(|stay| stay.attempt == attempt && stay.covers(time))
+        let ended = || self.ended.iter().find(|stay| stay.attempt == attempt);
+        self.find(attempt).or_else(ended).filter(|stay| stay.covers(time))
     }
 
     fn replica_at(&mut self, sample: &Pending) -> Option<&mut Replica> {
-        let stays = self.stays.iter_mut().chain(&mut self.ended);
-        let found = stays
-            .into_iter()
-            .find(|stay| stay.attempt == sample.attempt && stay.covers(sample.taken));
-        found?.replica_mut()
+        let stay = match self.position(sample.attempt) {
+            Ok(at) => Some(&mut self.stays[at]),
+            Err(_) => self.ended.iter_mut().find(|stay| stay.attempt == sample.attempt),
+        };
+        stay.filter(|stay| stay.covers(sample.taken))?.replica_mut()
     }
 
     /// Recounts what the neighbours account for in each replica's latency.
--- a/lib/src/interference/stay.rs
+++ b/lib/src/interference/stay.rs
@@ -1,6 +1,9 @@
 //! The stay of a try on a worker, and what was seen of it.
 
-use std::time::Duration;
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use crate::{
     ids::TaskAttempt,
@@ -37,6 +40,14 @@
     pub(crate) beside: Vec<TaskAttempt>,
 }
 
+/// A sample that counted, as it is remembered.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    taken: Time,
+    /// A hash of what it said.
+    digest: u64,
+}
+
 /// A try's stay on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Stay {
@@ -78,7 +89,7 @@
     /// When the newest sample was taken, or else when the replica was placed.
     newest: Time,
     /// The last samples that counted.
-    recent: Vec<Pending>,
+    recent: Vec<Seen>,
 }
 
 /// What is known of a batch task.
@@ -118,13 +129,20 @@
         }
     }
 
+    fn seen(&self) -> Seen {
+        let mut hasher = DefaultHasher::new();
+        self.latency.hash(&mut hasher);
+        self.millicores.hash(&mut hasher);
+        self.beside.hash(&mut hasher);
+        Seen { taken: self.taken, digest: hasher.finish() }
+    }
+}
+
+impl Seen {
     /// Whether both are one sample that was delivered twice.
     fn same(&self, other: &Self) -> bool {
         let apart = self.taken.since(other.taken).max(other.taken.since(self.taken));
-        let equal = self.latency == other.latency
-            && self.millicores == other.millicores
-            && self.beside == other.beside;
-        apart.is_zero() || (equal && apart < SPACING)
+        apart.is_zero() || (self.digest == other.digest && apart < SPACING)
     }
 }
 
@@ -196,13 +214,14 @@
 impl Replica {
     /// Counts a sample; false if it was counted before.
     pub(crate) fn admit(&mut self, pending: &Pending) -> bool {
-        if self.recent.iter().any(|recent| recent.same(pending)) {
+        let seen = pending.seen();
+        if self.recent.iter().any(|recent| recent.same(&seen)) {
             return false;
         }
         if self.recent.len() >= MAX_RECENT {
             self.recent.remove(0);
         }
-        self.recent.push(pending.clone());
+        self.recent.push(seen);
         true
     }
 
