--- a/lib/tests/consensus/world.rs
+++ b/lib/tests/consensus/world.rs
@@ -11,7 +11,7 @@
     consensus::{
         Consensus,
         chart::Role,
-        log::{Entry, HardState, Members, Payload, Recovered, Snapshot, Write},
+        log::{Entry, Members, Payload, Snapshot, Write},
         message::Message,
         port::{Config, Effect, Event},
     },
@@ -21,6 +21,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::disk::Disk;
+
 /// After how many entries a member takes a snapshot.
 const COMPACT_EVERY: u64 = 20;
 
@@ -35,35 +37,6 @@
     pub(crate) slowest: u64,
 }
 
-/// What a member finds again after a crash.
-#[derive(Clone, Default)]
-struct Disk {
-    hard: HardState,
-    snapshot: Option<Snapshot>,
-    entries: Vec<Entry>,
-}
-
-impl Disk {
-    fn write(&mut self, write: Write) {
-        if let Some(snapshot) = write.snapshot {
-            self.entries.retain(|entry| entry.index > snapshot.index);
-            self.snapshot = Some(snapshot);
-        }
-        if let Some(hard) = write.hard {
-            self.hard = hard;
-        }
-        if let Some(from) = write.truncate {
-            self.entries.retain(|entry| entry.index < from);
-        }
-        self.entries.extend(write.entries);
-    }
-
-    fn recover(&self) -> Recovered {
-        let Self { hard, snapshot, entries } = self.clone();
-        Recovered { hard, snapshot, entries }
-    }
-}
-
 struct Member {
     machine: Option<Consensus>,
     disk: Disk,
@@ -275,7 +248,7 @@
             member.unsynced.drain(..).partition(|write| write.sequence <= sequence);
         member.unsynced = unsynced;
         for write in synced {
-            member.disk.write(write);
+            member.disk.write(&write);
         }
         self.feed(at, Event::Stored { sequence });
     }
