--- a/lib/tests/consensus/main.rs
+++ b/lib/tests/consensus/main.rs
@@ -3,5 +3,7 @@
 
 mod disk;
 mod model;
+mod rules;
 mod schedules;
+mod solo;
 mod world;
--- /dev/null
+++ b/lib/tests/consensus/solo.rs
@@ -0,0 +1,163 @@
+//! One member alone, whose peers are played by the test.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    consensus::{
+        Consensus,
+        log::{Entry, HardState, Members, Payload, Recovered, Write},
+        message::{Body, Message},
+        port::{Config, Effect, Event, Status},
+    },
+    ids::{Index, InstanceId, Term, Ticket},
+    time::Time,
+};
+
+/// The member under test.
+pub(crate) const ME: InstanceId = InstanceId(1);
+
+/// The election timeout's base, in milliseconds.
+pub(crate) const ELECTION_MS: u64 = 200;
+
+pub(crate) struct Solo {
+    pub(crate) machine: Consensus,
+    pub(crate) now: Time,
+    /// What it did since the last [`take`](Self::take).
+    effects: Vec<Effect>,
+    /// The last write, synced or not.
+    sequence: u64,
+}
+
+pub(crate) fn config() -> Config {
+    Config {
+        me: ME,
+        heartbeat: Duration::from_millis(50),
+        election: Duration::from_millis(ELECTION_MS),
+        max_batch_bytes: 1_000,
+        max_inflight: 4,
+        chunk_bytes: 4,
+        max_pending: 4,
+        catch_up_margin: 2,
+        replace_after: Duration::from_secs(1),
+    }
+}
+
+pub(crate) fn members(voters: &[u64], learners: &[u64]) -> Members {
+    let ids = |list: &[u64]| list.iter().copied().map(InstanceId).collect();
+    Members { voters: ids(voters), learners: ids(learners) }
+}
+
+/// A log whose first entry holds the members and whose entries have these terms.
+pub(crate) fn log(members: &Members, terms: &[u64]) -> Vec<Entry> {
+    let payload = |at| match at {
+        0 => Payload::Members(members.clone()),
+        _ => Payload::Command(Bytes::from(vec![at as u8])),
+    };
+    let entry = |(at, term): (usize, &u64)| Entry {
+        index: Index(at as u64 + 1),
+        term: Term(*term),
+        payload: payload(at),
+    };
+    terms.iter().enumerate().map(entry).collect()
+}
+
+impl Solo {
+    /// A member that recovered a log with these terms, and the term of its last entry.
+    pub(crate) fn new(members: &Members, terms: &[u64]) -> Self {
+        let term = Term(terms.last().copied().unwrap_or(0));
+        let hard = HardState { term, vote: None };
+        let recovered = Recovered { hard, snapshot: None, entries: log(members, terms) };
+        let now = Time::from_millis(1_000);
+        let machine = Consensus::new(config(), recovered, members, now, 1);
+        Self { machine, now, effects: Vec::new(), sequence: 0 }
+    }
+
+    /// A member that has won an election and committed its first entry.
+    pub(crate) fn leader(members: &Members) -> Self {
+        let mut solo = Self::new(members, &[]);
+        solo.now = solo.machine.next_deadline().expect("an election timeout");
+        solo.feed(Event::Timer);
+        let voters = members.voters.clone();
+        for voter in voters.iter().filter(|voter| **voter != ME) {
+            solo.hear(voter.0, 0, Body::PreVoteAnswer { granted: true });
+        }
+        solo.sync();
+        for voter in voters.iter().filter(|voter| **voter != ME) {
+            solo.hear(voter.0, 1, Body::VoteAnswer { granted: true });
+        }
+        solo.sync();
+        solo.acknowledge(1);
+        solo.take();
+        solo
+    }
+
+    pub(crate) fn status(&self) -> Status {
+        self.machine.status()
+    }
+
+    pub(crate) fn feed(&mut self, event: Event) {
+        let from = self.effects.len();
+        self.machine.handle(self.now, event, &mut self.effects);
+        for effect in &self.effects[from..] {
+            if let Effect::Store(write) = effect {
+                self.sequence = write.sequence;
+            }
+        }
+    }
+
+    pub(crate) fn hear(&mut self, from: u64, term: u64, body: Body) {
+        let message = Message { term: Term(term), body };
+        self.feed(Event::Receive { from: InstanceId(from), message });
+    }
+
+    /// All voters but this one acknowledge the log up to `index`, with the newest round.
+    pub(crate) fn acknowledge(&mut self, index: u64) {
+        let Status { members, term, .. } = self.status();
+        for voter in members.voters.iter().filter(|voter| **voter != ME) {
+            self.acknowledge_as(voter.0, term.0, index);
+        }
+    }
+
+    pub(crate) fn acknowledge_as(&mut self, from: u64, term: u64, index: u64) {
+        let (matched, rejected) = (Index(index), false);
+        self.hear(from, term, Body::AppendAnswer { matched, rejected, round: 0 });
+    }
+
+    pub(crate) fn propose(&mut self, ticket: u64) {
+        let command = Bytes::from_static(b"command");
+        self.feed(Event::Propose { ticket: Ticket(ticket), command });
+    }
+
+    /// Storage has synced everything.
+    pub(crate) fn sync(&mut self) {
+        self.feed(Event::Stored { sequence: self.sequence });
+    }
+
+    pub(crate) fn wait(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    /// What it did since the last call.
+    pub(crate) fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The messages among what it did since the last call.
+    pub(crate) fn sent(&mut self) -> Vec<(InstanceId, Body)> {
+        let sent = |effect| {
+            let Effect::Send { to, message } = effect else { return None };
+            Some((to, message.body))
+        };
+        self.take().into_iter().filter_map(sent).collect()
+    }
+}
+
+/// The writes among effects.
+pub(crate) fn writes<'e>(effects: &'e [Effect]) -> Vec<&'e Write> {
+    let write = |effect: &'e Effect| {
+        let Effect::Store(write) = effect else { return None };
+        Some(write)
+    };
+    effects.iter().filter_map(write).collect()
+}
