--- a/lib/tests/consensus/main.rs
+++ b/lib/tests/consensus/main.rs
@@ -3,7 +3,9 @@
 
 mod disk;
 mod model;
+mod promises;
 mod rules;
 mod schedules;
 mod solo;
+mod timing;
 mod world;
--- a/lib/tests/consensus/schedules.rs
+++ b/lib/tests/consensus/schedules.rs
@@ -34,7 +34,7 @@
         world.run_for(pause);
         act(&mut world, faults);
         offer_standbys(&mut world);
-        if world.verdict().is_err() {
+        if world.promises.verdict().is_err() {
             return world;
         }
     }
@@ -163,13 +163,13 @@
         let (mut acked, mut reads, mut elections, mut restores) = (0, 0, 0, 0);
         for seed in case.seeds.clone() {
             let world = run(case.faults, case.voters, case.learners, seed);
-            if let Err(violation) = world.verdict() {
+            if let Err(violation) = world.promises.verdict() {
                 panic!("{}, seed {seed}: {violation}", case.name);
             }
-            acked += world.acked();
-            reads += world.reads;
-            elections += world.elections;
-            restores += world.restores;
+            acked += world.promises.acked();
+            reads += world.promises.reads;
+            elections += world.promises.elections;
+            restores += world.promises.restores;
         }
         assert!(acked > 0 && reads > 0, "{}: the schedules do something", case.name);
         println!(
@@ -191,7 +191,7 @@
             cut: weight(cut),
             freeze: weight(freeze),
         };
-        run(faults, 3 + 2 * (seed % 2), seed % 3, seed).verdict()
+        run(faults, 3 + 2 * (seed % 2), seed % 3, seed).promises.verdict()
     }
     type Property = fn(u64, u8, u8, u8, u8) -> Result<(), String>;
     let generator = Gen::from_size_and_seed(100, 7);
--- a/lib/tests/consensus/world.rs
+++ b/lib/tests/consensus/world.rs
@@ -11,24 +11,24 @@
     consensus::{
         Consensus,
         chart::Role,
-        log::{Entry, Members, Payload, Snapshot, Write},
+        log::{Members, Write},
         message::Message,
         port::{Config, Effect, Event},
     },
-    ids::{Index, InstanceId, Term, Ticket},
+    ids::{Index, InstanceId, Ticket},
     time::Time,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::disk::Disk;
+use crate::{
+    disk::Disk,
+    promises::{Promises, Replica},
+};
 
 /// After how many entries a member takes a snapshot.
 const COMPACT_EVERY: u64 = 20;
 
-/// The size of the encoded state of the test's ledger, in bytes.
-const STATE_BYTES: usize = 100;
-
 /// How unkind the network is, in messages of a hundred.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Network {
@@ -37,6 +37,13 @@
     pub(crate) slowest: u64,
 }
 
+/// The times by which the members wait for each other.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Times {
+    pub(crate) heartbeat: Duration,
+    pub(crate) election: Duration,
+}
+
 struct Member {
     machine: Option<Consensus>,
     disk: Disk,
@@ -46,8 +53,7 @@
     frozen: bool,
     /// What arrived while it was frozen.
     inbox: Vec<Event>,
-    applied: Index,
-    digest: u64,
+    replica: Replica,
     compacted: Index,
 }
 
@@ -74,22 +80,22 @@
     /// Pairs that can't reach each other.
     cuts: BTreeSet<(InstanceId, InstanceId)>,
     lost: BTreeSet<InstanceId>,
-    leaders: BTreeMap<Term, InstanceId>,
-    committed: BTreeMap<Index, Entry>,
-    digests: BTreeMap<Index, u64>,
-    commands: BTreeMap<Bytes, Index>,
-    accepted: BTreeMap<(InstanceId, Index, Term), Ticket>,
-    acked: BTreeMap<Ticket, Index>,
-    floors: BTreeMap<Ticket, Index>,
+    pub(crate) promises: Promises,
+    /// How much each member has sent, in encoded bytes.
+    pub(crate) sent: BTreeMap<InstanceId, u64>,
+    times: Times,
     next_ticket: u64,
-    pub(crate) reads: u64,
-    pub(crate) elections: u64,
-    pub(crate) restores: u64,
-    violations: Vec<String>,
 }
 
 impl World {
     pub(crate) fn new(voters: u64, learners: u64, seed: u64) -> Self {
+        let heartbeat = Duration::from_millis(50);
+        let election = Duration::from_millis(200);
+        Self::with_times(voters, learners, seed, Times { heartbeat, election })
+    }
+
+    /// A council with other times than the tests' short ones.
+    pub(crate) fn with_times(voters: u64, learners: u64, seed: u64, times: Times) -> Self {
         let ids = |from: u64, to: u64| (from..=to).map(InstanceId).collect::<Vec<_>>();
         let bootstrap =
             Members { voters: ids(1, voters), learners: ids(voters + 1, voters + learners) };
@@ -103,18 +109,10 @@
             scheduled: 0,
             cuts: BTreeSet::new(),
             lost: BTreeSet::new(),
-            leaders: BTreeMap::new(),
-            committed: BTreeMap::new(),
-            digests: BTreeMap::from([(Index(0), 0)]),
-            commands: BTreeMap::new(),
-            accepted: BTreeMap::new(),
-            acked: BTreeMap::new(),
-            floors: BTreeMap::new(),
+            promises: Promises::default(),
+            sent: BTreeMap::new(),
+            times,
             next_ticket: 0,
-            reads: 0,
-            elections: 0,
-            restores: 0,
-            violations: Vec::new(),
             bootstrap: bootstrap.clone(),
         };
         for id in bootstrap.all() {
@@ -123,15 +121,6 @@
         world
     }
 
-    /// The first violation of a promise, if there was one.
-    pub(crate) fn verdict(&self) -> Result<(), String> {
-        self.violations.first().map_or(Ok(()), |violation| Err(violation.clone()))
-    }
-
-    pub(crate) fn acked(&self) -> usize {
-        self.acked.len()
-    }
-
     pub(crate) fn ids(&self) -> Vec<InstanceId> {
         self.members.keys().copied().collect()
     }
@@ -155,11 +144,11 @@
         leaders.max().map(|(_, id)| id)
     }
 
-    fn config(me: InstanceId) -> Config {
+    fn config(&self, me: InstanceId) -> Config {
         Config {
             me,
-            heartbeat: Duration::from_millis(50),
-            election: Duration::from_millis(200),
+            heartbeat: self.times.heartbeat,
+            election: self.times.election,
             max_batch_bytes: 200,
             max_inflight: 3,
             chunk_bytes: 40,
@@ -172,7 +161,7 @@
     fn start(&mut self, id: InstanceId, disk: Disk, life: u64) {
         let recovered = disk.recover();
         let machine =
-            Consensus::new(Self::config(id), recovered, &self.bootstrap, self.now, self.seed);
+            Consensus::new(self.config(id), recovered, &self.bootstrap, self.now, self.seed);
         let member = Member {
             machine: Some(machine),
             disk,
@@ -180,8 +169,7 @@
             life,
             frozen: false,
             inbox: Vec::new(),
-            applied: Index(0),
-            digest: 0,
+            replica: Replica::default(),
             compacted: Index(0),
         };
         self.members.insert(id, member);
@@ -204,7 +192,7 @@
                 (None, Some((at, id))) => (at, Some(id)),
                 (None, None) => return,
             };
-            if next.0 > until || !self.violations.is_empty() {
+            if next.0 > until || self.promises.verdict().is_err() {
                 self.now = until;
                 return;
             }
@@ -285,11 +273,7 @@
         else {
             return false;
         };
-        let newest = self.committed.values().rev().find_map(|entry| match &entry.payload {
-            Payload::Members(members) => Some(members),
-            Payload::Empty | Payload::Command(_) => None,
-        });
-        newest == Some(&status.members)
+        self.promises.members() == Some(&status.members)
             && status.members.voters.len() % 2 == 1
             && status.members.voters.iter().all(|voter| !self.lost.contains(voter))
     }
@@ -303,6 +287,10 @@
         id
     }
 
+    pub(crate) fn add_learner(&mut self, leader: InstanceId, instance: InstanceId) {
+        self.feed(leader, Event::AddLearner { instance });
+    }
+
     pub(crate) fn freeze(&mut self, at: InstanceId) {
         if let Some(member) = self.members.get_mut(&at) {
             member.frozen = true;
@@ -347,8 +335,7 @@
     pub(crate) fn read(&mut self, at: InstanceId) {
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        let floor = self.committed.keys().next_back().copied().unwrap_or(Index(0));
-        self.floors.insert(ticket, floor);
+        self.promises.begin_read(ticket);
         self.feed(at, Event::Read { ticket });
     }
 
@@ -369,10 +356,11 @@
 
     fn compact(&mut self, id: InstanceId) {
         let Some(member) = self.members.get_mut(&id) else { return };
-        if member.applied.0 >= member.compacted.0 + COMPACT_EVERY {
-            member.compacted = member.applied;
-            let event = Event::Compacted { index: member.applied, state: encode(member.digest) };
-            self.feed(id, event);
+        let applied = member.replica.applied;
+        if applied.0 >= member.compacted.0 + COMPACT_EVERY {
+            member.compacted = applied;
+            let state = member.replica.encode();
+            self.feed(id, Event::Compacted { index: applied, state });
         }
     }
 
@@ -381,24 +369,31 @@
             Effect::Send { to, message } => self.deliver(id, to, &message),
             Effect::Store(write) => self.store(id, write),
             Effect::Apply(entries) => {
+                let Some(member) = self.members.get_mut(&id) else { return };
                 for entry in entries {
-                    self.apply(id, entry);
+                    self.promises.apply(id, &mut member.replica, entry);
                 }
             }
-            Effect::Restore(snapshot) => self.restore(id, &snapshot),
+            Effect::Restore(snapshot) => {
+                let Some(member) = self.members.get_mut(&id) else { return };
+                self.promises.restore(id, &mut member.replica, &snapshot);
+                member.compacted = snapshot.index;
+            }
             Effect::Accepted { ticket, index, term } => {
-                self.accepted.insert((id, index, term), ticket);
+                self.promises.accept(id, ticket, index, term);
             }
-            Effect::ReadReady { ticket, index } => self.check_read(id, ticket, index),
-            Effect::RoleChanged { role: Role::Leader, term, .. } => self.check_leader(id, term),
+            Effect::ReadReady { ticket, index } => self.promises.end_read(id, ticket, index),
+            Effect::RoleChanged { role: Role::Leader, term, .. } => self.promises.elect(id, term),
             Effect::RoleChanged { .. } | Effect::Rejected { .. } | Effect::ReadFailed { .. } => {}
             Effect::Unhandled { role, trigger } => {
-                self.violations.push(format!("{id}: {trigger} is not handled as {role}"));
+                self.promises.fail(format!("{id}: {trigger} is not handled as {role}"));
             }
         }
     }
 
     fn deliver(&mut self, from: InstanceId, to: InstanceId, message: &Message) {
+        let bytes = postcard::to_stdvec(message).expect("a message can be encoded").len();
+        *self.sent.entry(from).or_default() += bytes as u64;
         let Network { lost, repeated, slowest } = self.network;
         if self.rng.random_range(0..100) < lost {
             return;
@@ -418,61 +413,6 @@
         self.at(delay, Happening::Stored { at, life, sequence });
     }
 
-    fn apply(&mut self, id: InstanceId, entry: Entry) {
-        let Some(member) = self.members.get_mut(&id) else { return };
-        let index = entry.index;
-        if index.0 != member.applied.0 + 1 {
-            let after = member.applied;
-            self.violations.push(format!("{id}: applies {index} after {after}"));
-            return;
-        }
-        member.applied = index;
-        member.digest = digest(member.digest, &entry);
-        let digest = member.digest;
-        if let Some(ticket) = self.accepted.remove(&(id, index, entry.term)) {
-            self.acked.insert(ticket, index);
-        }
-        if *self.digests.entry(index).or_insert(digest) != digest {
-            self.violations.push(format!("{id}: applies another entry at {index}"));
-        }
-        if let Payload::Command(command) = &entry.payload {
-            let first = *self.commands.entry(command.clone()).or_insert(index);
-            if first != index {
-                self.violations.push(format!("{id}: applies a command at {first} and {index}"));
-            }
-        }
-        self.committed.entry(index).or_insert(entry);
-    }
-
-    fn restore(&mut self, id: InstanceId, snapshot: &Snapshot) {
-        self.restores += 1;
-        let Some(member) = self.members.get_mut(&id) else { return };
-        member.applied = snapshot.index;
-        member.compacted = snapshot.index;
-        let known = self.digests.get(&snapshot.index).copied();
-        member.digest = known.unwrap_or_default();
-        if known.map(encode).as_ref() != Some(&snapshot.state) {
-            let index = snapshot.index;
-            self.violations.push(format!("{id}: restores another state at {index}"));
-        }
-    }
-
-    fn check_read(&mut self, id: InstanceId, ticket: Ticket, index: Index) {
-        self.reads += 1;
-        let floor = self.floors.remove(&ticket);
-        if floor.is_none_or(|floor| index < floor) {
-            self.violations.push(format!("{id}: reads at {index}, before {floor:?}"));
-        }
-    }
-
-    fn check_leader(&mut self, id: InstanceId, term: Term) {
-        self.elections += 1;
-        let first = *self.leaders.entry(term).or_insert(id);
-        if first != id {
-            self.violations.push(format!("{first} and {id} both lead in term {term}"));
-        }
-    }
-
     /// Brings everything back up but the lost, and checks that nothing acknowledged is missing.
     pub(crate) fn settle(&mut self) {
         self.network = Network { lost: 0, repeated: 0, slowest: 2_000 };
@@ -485,39 +425,26 @@
         }
         self.run_for(6_000);
         let Some(leader) = self.leader() else {
-            self.violations.push("nobody leads after all faults are over".to_owned());
+            self.promises.fail("nobody leads after all faults are over".to_owned());
             return;
         };
         let ticket = self.propose(leader);
         self.run_for(1_000);
-        if !self.acked.contains_key(&ticket) {
-            self.violations.push("a proposal to a healthy council isn't committed".to_owned());
+        if !self.promises.is_acked(ticket) {
+            self.promises.fail("a proposal to a healthy council isn't committed".to_owned());
         }
         self.check_convergence(leader);
     }
 
     fn check_convergence(&mut self, leader: InstanceId) {
         let Some(status) = self.machine(leader).map(Consensus::status) else { return };
-        let newest = self.acked.values().max().copied().unwrap_or_default();
+        let newest = self.promises.newest_ack();
         for id in status.members.all() {
-            let applied = self.members.get(&id).map_or(Index(0), |member| member.applied);
+            let applied = self.members.get(&id).map_or(Index(0), |member| member.replica.applied);
             if !self.lost.contains(&id) && applied < newest {
                 let missing = format!("{id}: has applied {applied}, {newest} was acknowledged");
-                self.violations.push(missing);
+                self.promises.fail(missing);
             }
         }
     }
 }
-
-fn digest(before: u64, entry: &Entry) -> u64 {
-    let bytes = postcard::to_stdvec(entry).expect("an entry can be encoded");
-    let mut all = before.to_le_bytes().to_vec();
-    all.extend(bytes);
-    u64::from_le_bytes(blake3::hash(&all).as_bytes()[..8].try_into().expect("eight bytes"))
-}
-
-fn encode(digest: u64) -> Bytes {
-    let mut state = vec![0; STATE_BYTES];
-    state[..8].copy_from_slice(&digest.to_le_bytes());
-    state.into()
-}
