council: lose a disk right after each repair, and split the large test files

Change: a schedule that destroys a voter, leader or not, as soon as the council is whole again; rules for the last voter, a removed leader and a new leader's first change.

--- a/lib/tests/consensus/main.rs
+++ b/lib/tests/consensus/main.rs
@@ -2,6 +2,7 @@
 //! and a model check of the real step function.
 
 mod disk;
+mod leading;
 mod model;
 mod promises;
 mod rules;
--- a/lib/tests/consensus/schedules.rs
+++ b/lib/tests/consensus/schedules.rs
@@ -3,6 +3,7 @@
 use hickorylink_lib::{
     consensus::{Consensus, port::Event},
     ids::InstanceId,
+    time::Time,
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{Rng, seq::IndexedRandom};
@@ -22,6 +23,9 @@
 const LOSSY: Network = Network { lost: 10, repeated: 10, slowest: 30_000 };
 const KIND: Network = Network { lost: 0, repeated: 0, slowest: 2_000 };
 
+/// When a council has surely elected its first leader.
+const STARTED: Time = Time::from_millis(2_000);
+
 const PROPOSALS: u32 = 60;
 const READS: u32 = 20;
 
@@ -180,6 +184,32 @@
     }
 }
 
+#[test]
+fn a_second_loss_right_after_a_repair_leaves_the_state_whole() {
+    for seed in 0..12 {
+        let mut world = World::new(3, 1, seed);
+        world.network = KIND;
+        let mut losses = 0;
+        for _ in 0..1_500 {
+            world.run_for(10);
+            offer_standbys(&mut world);
+            let Some(leader) = world.leader() else { continue };
+            world.propose(leader);
+            let voters = world.machine(leader).map(|m| m.status().members.voters);
+            let lost = voters.and_then(|voters| voters.choose(&mut world.rng).copied());
+            if let Some(lost) = lost.filter(|_| world.is_whole() && world.now > STARTED) {
+                world.lose_disk(lost);
+                losses += 1;
+            }
+        }
+        world.settle();
+        let verdict = world.promises.verdict();
+        assert_eq!(verdict, Ok(()), "seed {seed}, {losses} losses");
+        assert!(losses >= 3, "seed {seed}: only {losses} voters were lost");
+        println!("seed {seed}: {losses} disks lost, {} acknowledged", world.promises.acked());
+    }
+}
+
 #[test]
 fn promises_hold_under_any_mix_of_faults() {
     fn holds(seed: u64, crash: u8, lose_disk: u8, cut: u8, freeze: u8) -> Result<(), String> {
--- a/lib/tests/consensus/solo.rs
+++ b/lib/tests/consensus/solo.rs
@@ -48,6 +48,12 @@
     Members { voters: ids(voters), learners: ids(learners) }
 }
 
+/// A leader's append without entries.
+pub(crate) fn heartbeat(commit: u64, round: u64) -> Body {
+    let (previous, previous_term, entries) = (Index(0), Term(0), Vec::new());
+    Body::Append { previous, previous_term, entries, commit: Index(commit), round }
+}
+
 /// A log whose first entry holds the members and whose entries have these terms.
 pub(crate) fn log(members: &Members, terms: &[u64]) -> Vec<Entry> {
     let payload = |at| match at {
@@ -73,8 +79,16 @@
         Self { machine, now, effects: Vec::new(), sequence: 0 }
     }
 
-    /// A member that has won an election and committed its first entry.
+    /// A leader that has committed its first entry.
     pub(crate) fn leader(members: &Members) -> Self {
+        let mut solo = Self::elected(members);
+        solo.acknowledge(1);
+        solo.take();
+        solo
+    }
+
+    /// A member of a new council that has won an election and synced its first entry.
+    pub(crate) fn elected(members: &Members) -> Self {
         let mut solo = Self::new(members, &[]);
         solo.now = solo.machine.next_deadline().expect("an election timeout");
         solo.feed(Event::Timer);
@@ -87,8 +101,6 @@
             solo.hear(voter.0, 1, Body::VoteAnswer { granted: true });
         }
         solo.sync();
-        solo.acknowledge(1);
-        solo.take();
         solo
     }
 
