--- a/lib/src/consensus/leader.rs
+++ b/lib/src/consensus/leader.rs
@@ -132,9 +132,9 @@
         turn.effects.push(Effect::Rejected { ticket: *ticket, leader: self.leader });
     }
 
-    /// Appends queued proposals in one write, unless storage is still busy with the last one.
+    /// Appends queued proposals in one write, unless the last ones are still being written.
     pub(super) fn append_pending(&mut self, turn: &mut Turn<'_>) {
-        if !self.outbox.idle() {
+        if self.outbox.is_appending() {
             return;
         }
         let Some(leading) = &mut self.leading else { return };
--- a/lib/src/consensus/outbox.rs
+++ b/lib/src/consensus/outbox.rs
@@ -31,6 +31,8 @@
     sequence: u64,
     /// The last entry in storage after the write.
     last: Index,
+    /// Whether the write appends entries.
+    appends: bool,
 }
 
 /// A message that may leave after a write.
@@ -57,9 +59,11 @@
         self.hard <= self.synced
     }
 
-    /// Whether nothing waits for storage.
-    pub(super) fn idle(&self) -> bool {
-        self.draft.is_none() && self.writes.is_empty()
+    /// Whether entries are on their way to storage. A snapshot alone doesn't count: it may take
+    /// long, and the followers can commit entries meanwhile.
+    pub(super) fn is_appending(&self) -> bool {
+        self.draft.as_ref().is_some_and(|draft| !draft.entries.is_empty())
+            || self.writes.iter().any(|write| write.appends)
     }
 
     fn draft(&mut self) -> &mut Write {
@@ -115,7 +119,8 @@
     /// oldest are dropped as if the network had lost them.
     pub(super) fn flush(&mut self, last: Index, limit: usize, effects: &mut Vec<Effect>) {
         if let Some(write) = self.draft.take() {
-            self.writes.push_back(Pending { sequence: write.sequence, last });
+            let (sequence, appends) = (write.sequence, !write.entries.is_empty());
+            self.writes.push_back(Pending { sequence, last, appends });
             effects.push(Effect::Store(write));
         }
         let synced = self.synced;
--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -1,5 +1,6 @@
 //! The rules of a leader, as tables of cases.
 
+use bytes::Bytes;
 use hickorylink_lib::{
     consensus::{
         chart::Role,
@@ -29,6 +30,17 @@
     assert_eq!(counts, [3], "one sync carries them");
 }
 
+#[test]
+fn a_snapshot_being_written_holds_up_no_proposal() {
+    let mut solo = Solo::leader(&members(&[1, 2, 3], &[]));
+    let state = Bytes::from_static(b"state");
+    solo.feed(Event::Compacted { index: Index(1), state });
+    solo.propose(1);
+    solo.acknowledge(2);
+    let status = solo.status();
+    assert_eq!((status.snapshot, status.commit), (Index(1), Index(2)));
+}
+
 #[test]
 fn entries_commit_when_a_quorum_has_synced_them() {
     struct Case {
@@ -60,6 +72,24 @@
     }
 }
 
+#[test]
+fn entries_of_earlier_terms_commit_with_one_of_the_own_term() {
+    struct Case {
+        name: &'static str,
+        matched: u64,
+        want: u64,
+    }
+    let cases = [
+        Case { name: "a quorum holds the earlier entries", matched: 3, want: 0 },
+        Case { name: "a quorum holds the first entry of the term", matched: 4, want: 4 },
+    ];
+    for case in cases {
+        let mut solo = Solo::elected(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
+        solo.acknowledge_as(2, 3, case.matched);
+        assert_eq!(solo.status().commit, Index(case.want), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_read_waits_for_a_round_that_began_after_it() {
     let mut solo = Solo::leader(&members(&[1, 2, 3], &[]));
@@ -228,7 +258,7 @@
 
 #[test]
 fn a_new_leader_changes_no_members_before_it_has_committed() {
-    let mut solo = Solo::elected(&members(&[1, 2, 3], &[]));
+    let mut solo = Solo::elected(&members(&[1, 2, 3], &[]), &[]);
     solo.take();
     solo.feed(Event::AddLearner { instance: InstanceId(4) });
     assert_eq!(proposed(&mut solo), None, "another leader's change may be under way");
--- a/lib/tests/consensus/solo.rs
+++ b/lib/tests/consensus/solo.rs
@@ -81,24 +81,26 @@
 
     /// A leader that has committed its first entry.
     pub(crate) fn leader(members: &Members) -> Self {
-        let mut solo = Self::elected(members);
+        let mut solo = Self::elected(members, &[]);
         solo.acknowledge(1);
         solo.take();
         solo
     }
 
-    /// A member of a new council that has won an election and synced its first entry.
-    pub(crate) fn elected(members: &Members) -> Self {
-        let mut solo = Self::new(members, &[]);
+    /// A member that recovered a log with these terms, and has won an election and synced its
+    /// first entry.
+    pub(crate) fn elected(members: &Members, terms: &[u64]) -> Self {
+        let mut solo = Self::new(members, terms);
         solo.now = solo.machine.next_deadline().expect("an election timeout");
         solo.feed(Event::Timer);
-        let voters = members.voters.clone();
-        for voter in voters.iter().filter(|voter| **voter != ME) {
-            solo.hear(voter.0, 0, Body::PreVoteAnswer { granted: true });
+        let term = solo.status().term.0;
+        let others: Vec<_> = members.voters.iter().filter(|voter| **voter != ME).collect();
+        for voter in &others {
+            solo.hear(voter.0, term, Body::PreVoteAnswer { granted: true });
         }
         solo.sync();
-        for voter in voters.iter().filter(|voter| **voter != ME) {
-            solo.hear(voter.0, 1, Body::VoteAnswer { granted: true });
+        for voter in &others {
+            solo.hear(voter.0, term + 1, Body::VoteAnswer { granted: true });
         }
         solo.sync();
         solo
