--- a/lib/src/ledger/claims.rs
+++ b/lib/src/ledger/claims.rs
@@ -8,7 +8,7 @@
     command::{Claim, ClaimResult, Refusal, Reply},
     data,
     ids::{CustomerName, IdempotencyKey, InstanceId},
-    ledger::{Limits, names::digest},
+    ledger::{Limits, names::Digest},
     time::WallTime,
 };
 
@@ -16,17 +16,18 @@
     /// All claims that are kept.
     #[derive(Default)]
     pub(super) struct Claims {
-        by_key: BTreeMap<u128, Record>,
+        by_key: BTreeMap<Digest, Record>,
         /// Keys in the order in which they were claimed, with the time.
-        order: VecDeque<(WallTime, u128)>,
+        order: VecDeque<(WallTime, Digest)>,
         /// Keys whose result has a body, in the order in which they were settled.
-        bodies: VecDeque<u128>,
+        bodies: VecDeque<Digest>,
         /// The size of all bodies, in bytes.
         size: usize,
     }
 
     struct Record {
-        digest: [u8; 32],
+        /// A digest of the claim's digest.
+        digest: Digest,
         owner: InstanceId,
         request: u64,
         at: WallTime,
@@ -59,8 +60,8 @@
 }
 
 /// The key of a claim: two customers with the same key have separate claims.
-fn slot(customer: &CustomerName, key: &IdempotencyKey) -> u128 {
-    digest(&[customer.as_str().as_bytes(), key.as_str().as_bytes()])
+fn slot(customer: &CustomerName, key: &IdempotencyKey) -> Digest {
+    Digest::of(&[customer.as_str().as_bytes(), key.as_str().as_bytes()])
 }
 
 impl Claims {
@@ -95,7 +96,9 @@
                 self.hold(slot, claim, at);
                 Reply::Claimed
             }
-            State::Held | State::Ran { .. } | State::Unknown if record.digest != claim.digest => {
+            State::Held | State::Ran { .. } | State::Unknown
+                if record.digest != Digest::of(&[&claim.digest]) =>
+            {
                 Reply::Refused(Refusal::KeyReused)
             }
             State::Held if resent => Reply::Claimed,
@@ -108,9 +111,9 @@
         }
     }
 
-    fn hold(&mut self, slot: u128, claim: &Claim, at: WallTime) {
+    fn hold(&mut self, slot: Digest, claim: &Claim, at: WallTime) {
         let record = Record {
-            digest: claim.digest,
+            digest: Digest::of(&[&claim.digest]),
             owner: claim.owner,
             request: claim.request,
             at,
@@ -184,12 +187,12 @@
         }
     }
 
-    fn has_body(&self, slot: u128) -> bool {
+    fn has_body(&self, slot: Digest) -> bool {
         let record = self.by_key.get(&slot);
         record.is_some_and(|record| matches!(record.state, State::Ran { body: Some(_), .. }))
     }
 
-    fn drop_body(&mut self, slot: u128) {
+    fn drop_body(&mut self, slot: Digest) {
         if let Some(Record { state: State::Ran { body, .. }, .. }) = self.by_key.get_mut(&slot)
             && let Some(body) = body.take()
         {
--- a/lib/src/ledger/names.rs
+++ b/lib/src/ledger/names.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    data,
     ids::{CustomerName, DataCentre, WorkerName},
     task::TaskSpec,
 };
@@ -24,7 +25,7 @@
     customers: BTreeSet<CustomerName>,
     centres: BTreeSet<DataCentre>,
     workers: BTreeSet<WorkerName>,
-    specs: BTreeMap<u128, Arc<TaskSpec>>,
+    specs: BTreeMap<Digest, Arc<TaskSpec>>,
     /// The number of specifications at which unused ones are dropped.
     sweep: usize,
 }
@@ -67,19 +68,35 @@
 }
 
 /// A digest of the specification.
-pub(super) fn spec_digest(spec: &TaskSpec) -> u128 {
+pub(super) fn spec_digest(spec: &TaskSpec) -> Digest {
     let encoded = postcard::to_allocvec(spec).expect("a specification can be encoded");
-    digest(&[&encoded])
+    Digest::of(&[&encoded])
 }
 
-/// A digest of several parts, which tells where one ends and the next begins.
-pub(super) fn digest(parts: &[&[u8]]) -> u128 {
-    let mut hasher = blake3::Hasher::new();
-    for part in parts {
-        hasher.update(&(part.len() as u64).to_le_bytes());
-        hasher.update(part);
+data! {
+    /// A digest of keys, in place of them; it is aligned to a byte, so that it packs well.
+    #[derive(Copy, PartialOrd, Ord)]
+    pub(super) struct Digest {
+        bytes: [u8; 16],
+    }
+}
+
+impl Digest {
+    /// The digest of several parts, which tells where one ends and the next begins.
+    pub(super) fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut bytes = [0; 16];
+        hasher.finalize_xof().fill(&mut bytes);
+        Self { bytes }
+    }
+
+    /// Half of the digest.
+    pub(super) fn half(self) -> u64 {
+        let half = self.bytes.first_chunk::<8>().copied().unwrap_or_default();
+        u64::from_le_bytes(half)
     }
-    let mut short = [0; 16];
-    hasher.finalize_xof().fill(&mut short);
-    u128::from_le_bytes(short)
 }
--- a/lib/src/ledger/tasks.rs
+++ b/lib/src/ledger/tasks.rs
@@ -15,7 +15,7 @@
         Limits,
         change::Change,
         life::Phase,
-        names::{Names, digest, spec_digest},
+        names::{Digest, Names, spec_digest},
     },
     task::{Checkpoint, OpenTask, Submission, TaskOutcome, TaskSpec, TaskState},
     time::WallTime,
@@ -29,11 +29,11 @@
         pub(super) open: BTreeMap<TaskId, Box<Record>>,
         pub(super) ended: BTreeMap<TaskId, Box<Record>>,
         /// Submissions by a digest of customer and key.
-        keys: BTreeMap<u128, KeyEntry>,
+        keys: BTreeMap<Digest, KeyEntry>,
         /// Ended tasks in the order of their ends, with the time.
         order: VecDeque<(WallTime, TaskId)>,
         /// Keys of tasks that are kept no more, with the time of the task's end.
-        loose: VecDeque<(WallTime, u128)>,
+        loose: VecDeque<(WallTime, Digest)>,
         /// The size of all outcomes that are kept, in bytes.
         size: usize,
         /// Open replicas of services; made anew from the open tasks after decoding.
@@ -51,7 +51,7 @@
     pub(super) struct Record {
         pub(super) customer: CustomerName,
         /// The digest of customer and key; nothing for a replica.
-        key: Option<u128>,
+        key: Option<Digest>,
         /// What to run, without the payload: tasks of a kind share it.
         pub(super) spec: Arc<TaskSpec>,
         payload: Bytes,
@@ -212,7 +212,7 @@
     pub(super) fn add(
         &mut self,
         customer: &CustomerName,
-        key: Option<u128>,
+        key: Option<Digest>,
         mut spec: TaskSpec,
         names: &mut Names,
         changes: &mut Vec<Change>,
@@ -324,10 +324,10 @@
     Some((spec.service.clone()?, spec.centre.clone()?))
 }
 
-fn submission_key(submission: &Submission) -> u128 {
-    digest(&[submission.customer.as_str().as_bytes(), submission.key.as_str().as_bytes()])
+fn submission_key(submission: &Submission) -> Digest {
+    Digest::of(&[submission.customer.as_str().as_bytes(), submission.key.as_str().as_bytes()])
 }
 
 fn submission_digest(spec: &TaskSpec) -> u64 {
-    spec_digest(spec) as u64
+    spec_digest(spec).half()
 }
