--- /dev/null
+++ b/cli/benches/restart.rs
@@ -0,0 +1,167 @@
+//! What a sync carries, and how long a restart takes after many changes.
+//!
+//! The changes are commands in entries of the log, written to a real folder.
+
+use std::{
+    path::Path,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use hickorylink_cli::storage::{Folder, Identity, SEGMENT_MAX, Store};
+use hickorylink_lib::{
+    codec::{decode_envelope, encode_envelope},
+    command::{Command, Envelope, ListEdit, ListKind, Reply},
+    consensus::log::{Entry, Members, Payload, Recovered, Snapshot, Write},
+    ids::{Attempt, Epoch, Index, InstanceId, TaskAttempt, TaskId, Term, Ticket},
+    ledger::{Ledger, Limits},
+    resources::Resources,
+    task::{Submission, TaskSpec},
+    time::WallTime,
+};
+
+/// Entries in a batch of the replayed logs.
+const BATCH: u64 = 64;
+
+/// Entries that are written to find what a sync carries.
+const ENTRIES: u64 = 12_800;
+
+fn main() {
+    for batch in [1, 8, 64, 256] {
+        sync(batch);
+    }
+    restart("10,000 changes", 10_000, None);
+    restart("100,000 changes", 100_000, None);
+    restart("100,000 changes, a snapshot after 90,000", 100_000, Some(90_000));
+}
+
+fn sync(batch: u64) {
+    let entries = ENTRIES.min(batch * 400);
+    let folder = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a folder can be made");
+    let mut store = open(folder.path()).0;
+    let start = Instant::now();
+    for from in (1..=entries).step_by(batch as usize) {
+        store.write(&[write(from, batch)]).expect("the disk works");
+    }
+    let syncs = entries / batch;
+    let spent = start.elapsed().as_secs_f64();
+    println!(
+        "{batch} entries a sync: {:.0} syncs/s, {:.0} entries/s",
+        syncs as f64 / spent,
+        entries as f64 / spent
+    );
+}
+
+fn restart(name: &str, changes: u64, snapshot: Option<u64>) {
+    let folder = tempfile::tempdir_in(env!("CARGO_TARGET_TMPDIR")).expect("a folder can be made");
+    let mut store = open(folder.path()).0;
+    let mut ledger = Ledger::new(Limits::default());
+    for from in (1..=changes).step_by(BATCH as usize) {
+        let write = write(from, BATCH.min(changes - from + 1));
+        if snapshot.is_some() {
+            apply(&mut ledger, &write.entries);
+        }
+        let last = from + write.entries.len() as u64 - 1;
+        let due = snapshot.filter(|at| (from..=last).contains(at));
+        let taken = due.map(|_| Snapshot {
+            index: Index(last),
+            term: Term(1),
+            members: Members::default(),
+            state: ledger.encode(),
+        });
+        store.write(&[write]).expect("the disk works");
+        if taken.is_some() {
+            let write = Write { sequence: last, snapshot: taken, ..Write::default() };
+            store.write(&[write]).expect("the disk works");
+        }
+    }
+    drop(store);
+    let start = Instant::now();
+    let (_store, recovered) = open(folder.path());
+    let read = start.elapsed();
+    let mut ledger = match &recovered.snapshot {
+        Some(snapshot) => Ledger::decode(&snapshot.state).expect("it is whole"),
+        None => Ledger::new(Limits::default()),
+    };
+    apply(&mut ledger, &recovered.entries);
+    assert_eq!(ledger.applied(), Index(changes));
+    println!("{name}: {:.1?}, of which {read:.1?} to read the folder", start.elapsed());
+}
+
+fn open(path: &Path) -> (Store<Folder>, Recovered) {
+    let identity = Identity { instance: InstanceId(1), created: WallTime(1) };
+    let opened = Store::open(Folder::new(path), identity, SEGMENT_MAX).expect("the folder opens");
+    (opened.store, opened.recovered)
+}
+
+fn write(from: u64, count: u64) -> Write {
+    let entries = (from..from + count).map(entry).collect();
+    Write { sequence: from + count - 1, entries, ..Write::default() }
+}
+
+/// A list, a grant, then submissions and starts in turn.
+fn entry(index: u64) -> Entry {
+    let task = TaskId((index - 1) / 2);
+    let command = match index {
+        1 => Command::EditList(ListEdit {
+            list: ListKind::Plans,
+            edit: 1,
+            author: "ann".into(),
+            text: plans(),
+        }),
+        2 => Command::GrantCentre {
+            centre: "akl-a".into(),
+            holder: InstanceId(1),
+            previous: Epoch(0),
+        },
+        index if index % 2 == 1 => submission(index),
+        _ => Command::Start {
+            centre: "akl-a".into(),
+            epoch: Epoch(1),
+            attempt: TaskAttempt { task, attempt: Attempt(1) },
+            worker: format!("worker-{:04}", index % 5_500).as_str().into(),
+        },
+    };
+    let (origin, ticket) = (InstanceId(0x1234_5678_9abc), Ticket(index));
+    let envelope = Envelope { origin, ticket, at: WallTime(1_800_000_000_000 + index), command };
+    let payload = Payload::Command(encode_envelope(&envelope));
+    Entry { index: Index(index), term: Term(1), payload }
+}
+
+fn submission(index: u64) -> Command {
+    let spec = TaskSpec {
+        kind: format!("kind-{}", index % 50).as_str().into(),
+        size: Resources { millicores: 500, memory_mib: 1024, accelerators: 0 },
+        run_time: Duration::from_secs(400),
+        urgent: false,
+        idempotent: true,
+        centre: None,
+        service: None,
+        payload: Bytes::from(vec![index as u8; 64]),
+    };
+    let key = format!("0a1b2c3d-{index:08}").as_str().into();
+    Command::Submit(Submission { customer: "store".into(), key, spec })
+}
+
+fn plans() -> String {
+    format!(
+        r#"{{ "version": 1,
+        "operators": [{{ "name": "ann", "credential": "blake3:{}" }}],
+        "plans": [{{ "name": "gold", "objective": "latency" }}],
+        "customers": [{{ "name": "store", "plan": "gold", "credential": "blake3:{}" }}] }}"#,
+        "1".repeat(64),
+        "2".repeat(64)
+    )
+}
+
+fn apply(ledger: &mut Ledger, entries: &[Entry]) {
+    let mut changes = Vec::new();
+    for entry in entries {
+        let Payload::Command(bytes) = &entry.payload else { continue };
+        let envelope: Envelope = decode_envelope(bytes).expect("it is whole");
+        let reply = ledger.apply(entry.index, &envelope, &mut changes);
+        let taken = !matches!(reply, Reply::Refused(_) | Reply::Rejected(_));
+        assert!(taken, "{}: {reply:?}", entry.index);
+        changes.clear();
+    }
+}
