--- a/cli/src/storage.rs
+++ b/cli/src/storage.rs
@@ -45,8 +45,8 @@
     hard: HardState,
     snapshot: Option<SnapshotId>,
     segments: Vec<Segment>,
-    /// The first entry that may come next; unknown before there is any.
-    next: Option<Index>,
+    /// The position of the entry that comes next.
+    next: Index,
     sequence: u64,
     poisoned: bool,
 }
@@ -85,8 +85,8 @@
     pub fn open(mut disk: D, fresh: Identity, segment_max: u64) -> Result<Opened<D>, StoreError> {
         let (identity, found) = recovery::open(&mut disk, fresh)?;
         let Found { segments, recovered, snapshot, sequence, cut } = found;
-        let next = recovered.entries.last().map(|entry| entry.index);
-        let next = next.or(snapshot.map(|snapshot| snapshot.index));
+        let last = recovered.entries.last().map(|entry| entry.index);
+        let last = last.unwrap_or(covered(snapshot));
         let store = Self {
             disk,
             instance: identity.instance,
@@ -94,7 +94,7 @@
             hard: recovered.hard,
             snapshot,
             segments,
-            next: next.map(|last| Index(last.0 + 1)),
+            next: Index(last.0 + 1),
             sequence,
             poisoned: false,
         };
@@ -110,7 +110,7 @@
     /// finds out.
     pub fn write(&mut self, writes: &[Write]) -> Result<u64, StoreError> {
         ensure!(!self.poisoned, PoisonedSnafu);
-        let next = follow(self.next, writes)?;
+        let next = follow(self.next, covered(self.snapshot), writes)?;
         let Some(last) = writes.last() else { return Ok(self.sequence) };
         // Whatever goes wrong from here leaves the disk in a state that only a recovery knows.
         self.poisoned = true;
@@ -152,7 +152,7 @@
     /// Starts a segment with `frame`, which says on what the segment builds.
     fn start_segment(&mut self, frame: &mut Frame) -> Result<(), StoreError> {
         let number = self.segments.last().map_or(1, |segment| segment.number + 1);
-        let covered = self.snapshot.map_or(Index(0), |snapshot| snapshot.index);
+        let covered = covered(self.snapshot);
         let needed = self.segments.iter().find(|segment| segment.last > covered);
         frame.base = Some(Base {
             oldest: needed.map_or(number, |segment| segment.number),
@@ -166,7 +166,7 @@
 
     /// Removes segments and the snapshot that the newest segment needs no more.
     fn remove_old(&mut self, previous: Option<SnapshotId>) -> Result<(), StoreError> {
-        let covered = self.snapshot.map_or(Index(0), |snapshot| snapshot.index);
+        let covered = covered(self.snapshot);
         let newest = self.segments.len() - 1;
         let needed = self.segments.iter().position(|segment| segment.last > covered);
         for segment in self.segments.drain(..needed.unwrap_or(newest).min(newest)) {
@@ -181,21 +181,26 @@
     }
 }
 
+/// The last position that a snapshot covers; 0 without one.
+fn covered(snapshot: Option<SnapshotId>) -> Index {
+    snapshot.map_or(Index(0), |snapshot| snapshot.index)
+}
+
 /// The position that comes after the writes.
-fn follow(mut next: Option<Index>, writes: &[Write]) -> Result<Option<Index>, StoreError> {
+fn follow(mut next: Index, mut covered: Index, writes: &[Write]) -> Result<Index, StoreError> {
     for write in writes {
         if let Some(snapshot) = &write.snapshot {
-            let after = Index(snapshot.index.0 + 1);
-            next = Some(next.map_or(after, |next| next.max(after)));
+            covered = covered.max(snapshot.index);
+            next = next.max(Index(covered.0 + 1));
+        }
+        if let Some(from) = write.truncate {
+            let wanted = Index(covered.0 + 1);
+            ensure!(from >= wanted, OrderSnafu { found: from, wanted });
+            next = next.min(from);
         }
-        next = match (next, write.truncate) {
-            (Some(next), Some(from)) => Some(next.min(from)),
-            (next, _) => next,
-        };
         for entry in &write.entries {
-            let wanted = next.unwrap_or(entry.index);
-            ensure!(entry.index == wanted, OrderSnafu { found: entry.index, wanted });
-            next = Some(Index(entry.index.0 + 1));
+            ensure!(entry.index == next, OrderSnafu { found: entry.index, wanted: next });
+            next = Index(next.0 + 1);
         }
     }
     Ok(next)
--- a/cli/tests/storage/cases.rs
+++ b/cli/tests/storage/cases.rs
@@ -161,11 +161,41 @@
 
 #[test]
 fn entries_must_follow_each_other() {
+    struct Case {
+        name: &'static str,
+        write: Write,
+        want: &'static str,
+    }
+    let at = |sequence| Write { sequence, ..Write::default() };
+    let cases = [
+        Case {
+            name: "a gap",
+            write: append(5, 5),
+            want: "entry 5 was to be stored where entry 4 must follow",
+        },
+        Case {
+            name: "an entry twice",
+            write: append(3, 5),
+            want: "entry 3 was to be stored where entry 4 must follow",
+        },
+        Case {
+            name: "a cut into a snapshot",
+            write: Write { truncate: Some(Index(2)), ..at(5) },
+            want: "entry 2 was to be stored where entry 3 must follow",
+        },
+    ];
     let disk = three_entries();
     let mut opened = open(&disk).expect("the folder opens");
-    let error = opened.store.write(&[append(5, 4)]).expect_err("there is a gap").to_string();
-    assert_eq!(error, "entry 5 was to be stored where entry 4 must follow");
-    opened.store.write(&[append(4, 4)]).expect("a write that was refused harms nothing");
+    let write = Write { snapshot: Some(snapshot(2, 1, 50)), ..at(4) };
+    opened.store.write(&[write]).expect("the disk works");
+    for case in cases {
+        let error = opened.store.write(&[case.write]).expect_err(case.name).to_string();
+        assert_eq!(error, case.want, "{}", case.name);
+    }
+    opened.store.write(&[append(4, 5)]).expect("a write that was refused harms nothing");
+    let mut empty = open(&FakeDisk::default()).expect("an empty folder opens");
+    let error = empty.store.write(&[append(2, 1)]).expect_err("the log starts at 1").to_string();
+    assert_eq!(error, "entry 2 was to be stored where entry 1 must follow");
 }
 
 #[test]
