--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 
 use bytes::Bytes;
+use postcard::ser_flavors::Flavor;
 use serde::{
     Deserialize, Deserializer, Serialize, Serializer,
     de::{Error as _, IgnoredAny, MapAccess, SeqAccess, Visitor},
@@ -20,6 +21,9 @@
     time::WallTime,
 };
 
+/// What most envelopes fit in, in bytes.
+const ENVELOPE_LEN: usize = 256;
+
 /// Why bytes could not be read.
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
@@ -40,13 +44,48 @@
     },
 }
 
+/// Collects encoded bytes in a vector.
+///
+/// The codec's own adds a slice byte by byte.
+struct Growing {
+    bytes: Vec<u8>,
+}
+
+impl Flavor for Growing {
+    type Output = Vec<u8>;
+
+    fn try_push(&mut self, byte: u8) -> postcard::Result<()> {
+        self.bytes.push(byte);
+        Ok(())
+    }
+
+    fn try_extend(&mut self, bytes: &[u8]) -> postcard::Result<()> {
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn finalize(self) -> postcard::Result<Vec<u8>> {
+        Ok(self.bytes)
+    }
+}
+
+/// Adds the encoding of `value` to `bytes`.
+///
+/// # Panics
+///
+/// Never for the types of this crate: encoding into memory doesn't fail.
+pub(crate) fn extend(bytes: Vec<u8>, value: &impl Serialize) -> Vec<u8> {
+    postcard::serialize_with_flavor(value, Growing { bytes }).expect("it can be encoded")
+}
+
 /// Encodes a command for the log.
 ///
 /// # Panics
 ///
 /// Never: encoding into memory fails for no value of these types.
 pub fn encode_envelope(envelope: &Envelope) -> Bytes {
-    postcard::to_allocvec(envelope).expect("an envelope can be encoded").into()
+    // The log keeps the bytes for long: they get an allocation of just their size.
+    Bytes::copy_from_slice(&extend(Vec::with_capacity(ENVELOPE_LEN), envelope))
 }
 
 /// Decodes a command of the log.
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -10,7 +10,7 @@
 use snafu::ResultExt as _;
 
 use crate::{
-    codec::{FormatSnafu, MalformedSnafu},
+    codec::{self, FormatSnafu, MalformedSnafu},
     command::{Claim, Command, Envelope, ListEdit, ListKind, Refusal, Reply},
     ids::{CustomerName, DataCentre, Epoch, IdempotencyKey, Index, InstanceId, TaskId},
     ledger::{
@@ -45,6 +45,9 @@
 /// The format of an encoded ledger.
 const FORMAT: u8 = 1;
 
+/// What most tasks are encoded in, in bytes.
+const TASK_LEN: usize = 256;
+
 /// The state that the log adds up to.
 #[derive(Clone, Debug)]
 pub struct Ledger {
@@ -104,9 +107,10 @@
 
     /// The whole state as bytes; two ledgers that applied the same entries give the same.
     pub fn encode(&self) -> Bytes {
-        let out = vec![FORMAT];
-        let encoded = postcard::to_extend(&self.state, out);
-        encoded.expect("a ledger can be encoded into memory").into()
+        let tasks = self.state.tasks.open.len() + self.state.tasks.ended.len();
+        let mut bytes = Vec::with_capacity(TASK_LEN * tasks);
+        bytes.push(FORMAT);
+        codec::extend(bytes, &self.state).into()
     }
 
     /// Applies the entry at `index`, answers its command, and adds what changed to `changes`.
--- a/lib/src/ledger/names.rs
+++ b/lib/src/ledger/names.rs
@@ -17,6 +17,9 @@
 /// How many specifications are known before unused ones are dropped for the first time.
 const SPECS_FIRST: usize = 1_024;
 
+/// How many specifications with one checksum are shared, so that none can be made slow to find.
+const ALIKE_MAX: usize = 16;
+
 /// Names and specifications that are in use.
 ///
 /// Nothing depends on what is shared: it only saves memory, and isn't part of a snapshot.
@@ -25,8 +28,9 @@
     customers: BTreeSet<CustomerName>,
     centres: BTreeSet<DataCentre>,
     workers: BTreeSet<WorkerName>,
-    specs: BTreeMap<Digest, Arc<TaskSpec>>,
-    /// The number of specifications at which unused ones are dropped.
+    /// Specifications by a checksum; few have the same.
+    specs: BTreeMap<u32, Vec<Arc<TaskSpec>>>,
+    /// The number of checksums at which unused specifications are dropped.
     sweep: usize,
 }
 
@@ -49,13 +53,39 @@
     /// The shared specification.
     pub(super) fn spec(&mut self, spec: TaskSpec) -> Arc<TaskSpec> {
         if self.specs.len() >= self.sweep.max(SPECS_FIRST) {
-            self.specs.retain(|_, spec| Arc::strong_count(spec) > 1);
+            self.specs.retain(|_, specs| {
+                specs.retain(|spec| Arc::strong_count(spec) > 1);
+                !specs.is_empty()
+            });
             self.sweep = 2 * self.specs.len();
         }
-        self.specs.entry(spec_digest(&spec)).or_insert_with(|| Arc::new(spec)).clone()
+        let specs = self.specs.entry(checksum(&spec)).or_default();
+        if let Some(known) = specs.iter().find(|known| ***known == spec) {
+            return known.clone();
+        }
+        let shared = Arc::new(spec);
+        if specs.len() < ALIKE_MAX {
+            specs.push(shared.clone());
+        }
+        shared
     }
 }
 
+/// A checksum of what tells specifications apart.
+fn checksum(spec: &TaskSpec) -> u32 {
+    let parts: [&[u8]; 8] = [
+        spec.kind.as_str().as_bytes(),
+        spec.centre.as_ref().map_or("", |centre| centre.as_str()).as_bytes(),
+        spec.service.as_ref().map_or("", |service| service.as_str()).as_bytes(),
+        &spec.size.millicores.to_le_bytes(),
+        &spec.size.memory_mib.to_le_bytes(),
+        &spec.size.accelerators.to_le_bytes(),
+        &spec.run_time.as_nanos().to_le_bytes(),
+        &[spec.urgent.into(), spec.idempotent.into()],
+    ];
+    parts.iter().fold(0, |sum, part| crc32c::crc32c_append(sum, part))
+}
+
 fn share<T: Ord + Clone>(names: &mut BTreeSet<T>, name: &T) -> T {
     if let Some(known) = names.get(name) {
         return known.clone();
