dispatch: probe open connections, and report the end of tries that were given up

Cause: the router asked for three things of the edges: a drained instance keeps its part of a target's slots until it is gone (it was told that it has none, so requests that wait there could never leave); a watcher that is quiet on a sound connection was taken for lost; a slot stays taken until an abandoned try ends. Ruled out: probes for every request (something between the two ends may acknowledge for a target that never sees the request; only a watcher may be quiet for long). Change: instances that drain are listed with the others; TCP probes every second and 3 s for unacknowledged data; progress each second for requests whose caller waits a minute or more; the end of an abandoned try.

--- a/cli/src/duty/dispatch.rs
+++ b/cli/src/duty/dispatch.rs
@@ -112,11 +112,7 @@
                 let call = TargetCall { attempt, target, customer, path, body };
                 self.request(call, fresh, timeout);
             }
-            Order::Abandon { attempt } => {
-                if let Some(task) = self.under_way.remove(&attempt) {
-                    task.abort();
-                }
-            }
+            Order::Abandon { attempt } => self.abandon(attempt),
             Order::CloseIdle { target } => self.pool.close_idle(&target),
             Order::Command { worker, address, epoch, fence, commands } => {
                 self.command(worker, address, CommandBatch { epoch, fence, commands });
@@ -138,6 +134,19 @@
         self.under_way.insert(attempt, task.abort_handle());
     }
 
+    /// Gives a try up; its end is reported once its connection is closed, which frees its slot.
+    fn abandon(&self, attempt: TryId) {
+        let Some(task) = self.under_way.get(&attempt) else { return };
+        task.abort();
+        let done = self.done.clone();
+        tokio::spawn(async move {
+            // The aborted task has been dropped by the runtime, and its connection with it, before
+            // a task that is spawned after it runs.
+            let end = TryEnd::Lost { reason: "it was given up".to_owned() };
+            drop(done.send(Done::Ended(attempt, end)).await);
+        });
+    }
+
     fn command(&self, worker: WorkerName, address: String, batch: CommandBatch) {
         let (done, log) = (self.done.clone(), self.log.clone());
         let batch = Arc::new(batch);
@@ -157,7 +166,7 @@
     fn ended(&mut self, done: Done, rings: &Rings, mail: &mut Mail) {
         match done {
             Done::Ended(attempt, end) => {
-                // An abandoned try's end isn't reported: its task may have ended just before.
+                // A try has one end, also if it was given up just as it ended.
                 if self.under_way.remove(&attempt).is_some() {
                     mail.deliver(hickorylink_lib::instance::port::Output::router(
                         Event::TryEnded { attempt, end },
--- a/cli/src/http.rs
+++ b/cli/src/http.rs
@@ -17,11 +17,22 @@
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::timeout};
 
 /// How long opening a connection may take.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// How often a silent connection is probed, and how many probes may go unanswered.
+const PROBE: Duration = Duration::from_secs(1);
+const PROBES: u32 = 2;
+
+/// How long data may go unacknowledged before the connection is broken.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
+
+/// The time for which the caller of a standing watcher waits at least.
+const WATCH: Duration = Duration::from_secs(60);
+
 /// How long a connection is kept idle.
 const IDLE: Duration = Duration::from_secs(10);
 
@@ -154,6 +165,11 @@
         Err(_) => return ConnectTimeSnafu { address }.fail(),
     };
     stream.set_nodelay(true).context(ConnectSnafu { address })?;
+    // A connection that something between the two ends has lost track of answers no probe.
+    let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
+    let socket = SockRef::from(&stream);
+    socket.set_tcp_keepalive(&probes).context(ConnectSnafu { address })?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED)).context(ConnectSnafu { address })?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
     tokio::spawn(async move { drop(connection.await) });
     Ok(sender)
@@ -180,7 +196,16 @@
         Ok(request) => request,
         Err(error) => return TryEnd::NotSent { reason: error.to_string() },
     };
-    match timeout(limit, exchange(&mut sender, request, &progress)).await {
+    // A watcher may be quiet for long on a sound connection; any other request that is quiet while
+    // its target answers others has lost its connection, whatever the probes say.
+    let quiet = limit >= WATCH;
+    let alive = || {
+        if quiet {
+            progress();
+        }
+    };
+    let exchange = exchange(&mut sender, request, &progress, &alive);
+    match timeout(limit, exchange).await {
         Ok(end) => {
             if matches!(end, TryEnd::Answered(_) | TryEnd::Refused) && sender.ready().await.is_ok()
             {
@@ -207,8 +232,10 @@
     sender: &mut Sender,
     request: Request<Full<Bytes>>,
     progress: &impl Fn(),
+    alive: &impl Fn(),
 ) -> TryEnd {
-    let response = match sender.try_send_request(request).await {
+    let sent = with_progress(sender.try_send_request(request), alive).await;
+    let response = match sent {
         Ok(response) => response,
         Err(mut error) => {
             // The request comes back whole only if no byte of it was written.
@@ -218,23 +245,36 @@
         }
     };
     progress();
-    match whole(response, progress).await {
+    match whole(response, progress, alive).await {
         Ok(answer) if answer.outcome.as_deref() == Some(NOT_RUN) => TryEnd::Refused,
         Ok(answer) => TryEnd::Answered(Response { status: answer.status, body: answer.body }),
         Err(error) => TryEnd::Lost { reason: error.to_string() },
     }
 }
 
+/// Waits for something from a connection, and reports progress each second while it stays open:
+/// a connection that answers no probe fails by itself.
+async fn with_progress<T>(wait: impl Future<Output = T>, progress: &impl Fn()) -> T {
+    let mut wait = std::pin::pin!(wait);
+    loop {
+        match timeout(PROBE, &mut wait).await {
+            Ok(came) => return came,
+            Err(_) => progress(),
+        }
+    }
+}
+
 async fn whole(
     response: hyper::Response<Incoming>,
     progress: &impl Fn(),
+    alive: &impl Fn(),
 ) -> Result<Answer, CallError> {
     let status = response.status().as_u16();
     let outcome = response.headers().get(OUTCOME_HEADER);
     let outcome = outcome.and_then(|value| value.to_str().ok()).map(str::to_owned);
     let mut body = Limited::new(response.into_body(), ANSWER_BYTES);
     let mut parts = Vec::new();
-    while let Some(part) = body.frame().await {
+    while let Some(part) = with_progress(body.frame(), alive).await {
         let part = match part {
             Ok(part) => part,
             Err(error) => return BodySnafu { message: error.to_string() }.fail(),
@@ -275,5 +315,5 @@
 pub async fn send(address: &str, request: Request<Full<Bytes>>) -> Result<Answer, CallError> {
     let mut sender = connect(address).await?;
     let response = sender.send_request(request).await.context(BrokenSnafu)?;
-    whole(response, &|| ()).await
+    whole(response, &|| (), &|| ()).await
 }
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -238,9 +238,10 @@
 
     fn tell_instances(&self, out: &mut Vec<Output>) {
         let alive = self.alive();
+        // An instance that drains keeps its part of the targets' limits until it is gone: requests
+        // that wait there still have to leave.
         let peers = alive
             .iter()
-            .filter(|info| !info.draining)
             .map(|info| router::Peer { instance: info.instance, centre: info.centre.clone() })
             .collect();
         out.push(Output::router(router::Event::Instances(peers)));
