router: don't take a slow service for a silent connection

Cause: a try without progress for 3 s was lost as soon as its target answered another one. The daemon reports progress only for bytes of an answer, so that any run longer than that would have ended as unknown. Ruled out: waiting for the deadline (a connection that went silent would cost each request its whole patience). Change: a try is given four times what 95% of its service's requests take, if that is longer than the configured silence. A claim without an answer is remembered for a minute, not ten: the room for such claims would have stayed full for ten minutes after the council came back.

--- a/lib/src/router/config.rs
+++ b/lib/src/router/config.rs
@@ -24,7 +24,8 @@
         pub settle: Duration,
         /// How long after the end of the last request a drain waits for records.
         pub leave_after: Duration,
-        /// A try without progress for so long is given up if its target answers others.
+        /// A try without progress for so long, and for several times what its service usually
+        /// takes, is given up if its target answers others.
         pub silence: Duration,
         /// How long a slot stays taken after its try was abandoned, unless the try ends earlier.
         pub linger: Duration,
@@ -70,7 +71,7 @@
             silence: Duration::from_secs(3),
             linger: Duration::from_secs(1),
             standing: Duration::from_secs(60),
-            release_after: Duration::from_secs(600),
+            release_after: Duration::from_secs(60),
             warm_up: Duration::from_secs(10),
             failures: 3,
             ejection: Duration::from_secs(1),
--- a/lib/tests/router/faults.rs
+++ b/lib/tests/router/faults.rs
@@ -95,6 +95,26 @@
     }
 }
 
+#[test]
+fn a_slow_service_is_not_taken_for_a_silent_connection() {
+    let mut world = World::new(1);
+    for id in 101..=120 {
+        world.ask(request(id, STORE.name, true, world.now + PATIENCE));
+        world.pass(millis(2_500));
+        world.end(attempt(id, 1), answered(id));
+    }
+    world.ask(request(1, STORE.name, false, world.now + PATIENCE));
+    world.claim(1, ClaimAnswer::Claimed);
+    for id in 201..=203 {
+        world.ask(request(id, STORE.name, true, world.now + PATIENCE));
+        world.pass(millis(2_500));
+        world.end(attempt(id, 1), answered(id));
+    }
+    assert!(!told(&world).contains_key(&RequestId(1)), "7.5 s is no more than three times usual");
+    world.pass(Duration::from_secs(5));
+    assert!(matches!(told(&world)[&RequestId(1)], RequestOutcome::Unknown { .. }));
+}
+
 #[test]
 fn a_target_that_is_silent_altogether_gets_a_few_spans() {
     let mut world = World::new(1);
