scheduler: show that hurt services are helped, and urgent work's second

Change: a table in which the interference policy slows and then moves a batch task through the scheduler, within budgets; a case that bounds the grace of what urgent work evicts.

--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -12,6 +12,8 @@
 mod fairness;
 #[path = "scheduler/fault.rs"]
 mod fault;
+#[path = "scheduler/hurt.rs"]
+mod hurt;
 #[path = "scheduler/leases.rs"]
 mod leases;
 #[path = "scheduler/ledger.rs"]
--- a/lib/tests/scheduler/choice.rs
+++ b/lib/tests/scheduler/choice.rs
@@ -420,3 +420,28 @@
     let later: Vec<_> = desk.starts().iter().map(|(attempt, _)| attempt.task).collect();
     assert_eq!((started, later), (vec![TaskId(1)], vec![TaskId(3)]));
 }
+
+#[test]
+fn urgent_work_starts_within_a_second() {
+    let plans = [("ann", plan(tiers(0, 0, 4))), ("bob", plan(tiers(0, 4, 0)))];
+    let mut desk = desk_with(&plans, room(4, 4));
+    desk.open(task(1, "ann", room(4, 4)));
+    desk.starts();
+    desk.rest();
+    let mut open = task(2, "bob", room(4, 4));
+    open.spec.urgent = true;
+    desk.open(open);
+    let commands = desk.commands();
+    let [(_, WorkerCommand::Stop { grace, .. })] = &commands[..] else {
+        panic!("the weaker task is stopped at once: {commands:?}");
+    };
+    // What is left of the second is for the network and the council.
+    assert!(*grace <= Duration::from_millis(500), "{grace:?}");
+    desk.pass(*grace);
+    let mut said = announcement("w1", room(4, 4));
+    said.tasks = vec![report(attempt(1, 1), AttemptState::Stopped { checkpoint: None })];
+    desk.announce(said).expect("a lease");
+    assert_eq!(desk.starts(), [(attempt(2, 1), "w1".into())], "at once with the worker's report");
+    let start = desk.commands();
+    assert!(matches!(&start[..], [(_, WorkerCommand::Start(_))]), "{start:?}");
+}
