--- a/lib/src/ids.rs
+++ b/lib/src/ids.rs
@@ -1,6 +1,6 @@
 //! The keys and names by which the parts speak of the same thing.
 
-use crate::{data, key, name};
+use crate::{key, name};
 
 key! {
     /// One process of the system: the identity in its data folder, or one drawn at its start.
@@ -23,6 +23,8 @@
     pub struct Ticket(u64);
     /// A worker's boot: a worker that restarts announces a larger one.
     pub struct Incarnation(u64);
+    /// Tells command batches from before a worker's lease was counted as run out from later ones.
+    pub struct Fence(u64);
 }
 
 name! {
@@ -48,15 +50,13 @@
     pub struct TaskKind;
 }
 
-data! {
-    /// A try at a task.
-    #[derive(Copy, PartialOrd, Ord, Hash)]
-    pub struct TaskAttempt {
-        /// The task.
-        pub task: TaskId,
-        /// The number of the try.
-        pub attempt: Attempt,
-    }
+/// A try at a task.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TaskAttempt {
+    /// The task.
+    pub task: TaskId,
+    /// The number of the try.
+    pub attempt: Attempt,
 }
 
 impl std::fmt::Display for TaskAttempt {
--- /dev/null
+++ b/lib/tests/router/main.rs
@@ -0,0 +1,11 @@
+//! The router: what becomes of requests, and which targets they go to.
+
+mod admission;
+mod faults;
+mod limits;
+mod promises;
+mod records;
+mod retries;
+mod rules;
+mod script;
+mod world;
