interference: show that a silent replica's neighbours get their throttle back

Cause: the fault 'the last level counts for ever' survived, since a blame also needs fresh samples. Change: the case of a silent replica also asks for the throttle back.

--- a/lib/tests/interference/rules.rs
+++ b/lib/tests/interference/rules.rs
@@ -266,10 +266,11 @@
         name: &'static str,
         silent: bool,
         blamed: bool,
+        given_back: bool,
     }
     let cases = [
-        Case { name: "samples go on", silent: false, blamed: true },
-        Case { name: "no sample for 40 s", silent: true, blamed: false },
+        Case { name: "samples go on", silent: false, blamed: true, given_back: false },
+        Case { name: "no sample for 40 s", silent: true, blamed: false, given_back: true },
     ];
     for case in cases {
         let mut world = World::new(SEED, &[("noisy", 1.5)]);
@@ -279,6 +280,8 @@
         world.run(60);
         world.silent = case.silent;
         world.run(40);
+        let given_back = world.permille(2) == Some(1_000);
+        assert_eq!(given_back, case.given_back, "{}: {:?}", case.name, world.actions);
         world.place(1, batch(3, "noisy", 0, Latency));
         world.run(20);
         let blamed = world.actions.iter().any(|(_, action)| touches(action, 3));
