standin: drive the real scheduler in the experiment

Cause: the experiment compared placers of its own; the scheduler stands now. Change: strategy 'scheduler' takes the fake's announcements, records and commands through Scheduler::handle, with the replicas inherited and the policy inside; 'idle' starts no batch task, as a bound; a column for the 99th percentile over the good latency.

--- a/standin/src/bin/experiment.rs
+++ b/standin/src/bin/experiment.rs
@@ -68,18 +68,19 @@
     Ok(())
 }
 
-const HEAD: &str = "| strategy | p50 ms | p99 ms | p99.9 ms | not good, ‰ | batch done/h \
-| evictions/h | throttles/h | queue |\n|---|---|---|---|---|---|---|---|---|";
+const HEAD: &str = "| strategy | p50 ms | p99 ms | p99.9 ms | p99 / good | not good, ‰ | batch done/h \
+| evictions/h | throttles/h | queue |\n|---|---|---|---|---|---|---|---|---|---|";
 
 /// What a column shows, with how many digits.
 type Column = (fn(&Figures) -> f64, usize);
 
 fn print_row(strategy: Strategy, outcomes: &[Outcome]) {
     let figures: Vec<_> = outcomes.iter().map(Outcome::figures).collect();
-    let columns: [Column; 8] = [
+    let columns: [Column; 9] = [
         (|figures| figures.p50, 1),
         (|figures| figures.p99, 1),
         (|figures| figures.p999, 1),
+        (|figures| figures.p99_ratio, 2),
         (|figures| figures.bad_permille, 1),
         (|figures| figures.hourly_done, 0),
         (|figures| figures.hourly_evictions, 0),
--- a/standin/src/experiment.rs
+++ b/standin/src/experiment.rs
@@ -8,6 +8,7 @@
 
 mod arrivals;
 mod cell;
+mod dispatch;
 mod draw;
 mod host;
 pub mod outcome;
--- a/standin/src/experiment/arrivals.rs
+++ b/standin/src/experiment/arrivals.rs
@@ -3,6 +3,7 @@
 use hickorylink_lib::resources::Resources;
 
 use crate::experiment::{
+    dispatch::TASK_EVICTIONS,
     draw::Draw,
     setup::{KINDS, REPLICAS, Setup},
     truth::Truth,
@@ -93,7 +94,7 @@
             },
             cores: cores as f64 * size_error,
             work: MEAN_WORK * self.draw.factor(0.6) / f64::exp(0.18),
-            evictions: 3,
+            evictions: TASK_EVICTIONS,
         }
     }
 }
--- a/standin/src/experiment/cell.rs
+++ b/standin/src/experiment/cell.rs
@@ -12,6 +12,7 @@
 
 use crate::experiment::{
     arrivals::{Arrivals, Job},
+    dispatch::{Dispatch, LOST_WORK},
     draw::Draw,
     host::{Host, Replica, Running},
     outcome::Outcome,
@@ -23,8 +24,6 @@
 
 /// Requests that a fully loaded replica answers in a second.
 const REQUESTS: f64 = 60.0;
-/// Work that is done since the last checkpoint and lost by an eviction, in seconds.
-const LOST_WORK: f64 = 10.0;
 /// Seconds from an eviction until the task can start again.
 const RESTART: u64 = 5;
 /// Queued tasks that are looked at in a second.
@@ -41,6 +40,8 @@
     queue: VecDeque<Job>,
     returning: VecDeque<(u64, Job)>,
     chooser: Chooser,
+    /// The real scheduler, if the strategy drives it in place of the chooser.
+    dispatch: Option<Dispatch>,
     noise: Draw,
     outcome: Outcome,
     latencies: Vec<f64>,
@@ -60,6 +61,7 @@
             queue: VecDeque::new(),
             returning: VecDeque::new(),
             chooser: Chooser::new(strategy),
+            dispatch: None,
             noise: Draw::new(seed, 4),
             outcome: Outcome::new(setup, strategy, seed),
             latencies: Vec::new(),
@@ -67,6 +69,10 @@
         for at in 0..count {
             cell.announce_replicas(at);
         }
+        if strategy == Strategy::Scheduler {
+            let good = |service| cell.truth.good(service);
+            cell.dispatch = Some(Dispatch::new(setup, &cell.hosts, good));
+        }
         cell
     }
 
@@ -87,7 +93,8 @@
             self.deliver();
             self.act();
             if self.counts() {
-                self.outcome.queued += self.queue.len() as u64;
+                let dispatched = self.dispatch.as_ref().map_or(0, Dispatch::queued);
+                self.outcome.queued += self.queue.len() as u64 + dispatched;
             }
         }
         self.outcome.unfinished = (self.queue.len() + self.returning.len()) as u64;
@@ -124,7 +131,16 @@
 
     fn submit(&mut self) {
         let jobs = self.arrivals.submit(self.second, &self.truth);
-        self.queue.extend(jobs);
+        match &mut self.dispatch {
+            Some(dispatch) => {
+                for job in jobs {
+                    let Neighbour { customer, .. } = neighbour(&self.setup, &job);
+                    let kind = kind_name(&job);
+                    dispatch.submit(job, &customer, &kind);
+                }
+            }
+            None => self.queue.extend(jobs),
+        }
         while self.returning.front().is_some_and(|(due, _)| *due <= self.second) {
             self.queue.extend(self.returning.pop_front().map(|(_, job)| job));
         }
@@ -153,12 +169,15 @@
 
     fn work(&mut self) {
         let (now, counts) = (self.now(), self.counts());
-        for host in &mut self.hosts {
+        for (at, host) in self.hosts.iter_mut().enumerate() {
             for ended in host.work(&self.truth, self.second) {
                 self.outcome.done += u64::from(counts);
                 if let Some(policy) = &mut self.chooser.policy {
                     policy.left(now, &host.name, ended.attempt());
                 }
+                if let Some(dispatch) = &mut self.dispatch {
+                    dispatch.completed(at, ended.attempt());
+                }
             }
         }
     }
@@ -192,7 +211,11 @@
 
     fn deliver(&mut self) {
         let now = self.now();
-        while let Some(Report { host: at, sample, .. }) = self.reports.deliver(now) {
+        while let Some(Report { taken, host: at, sample }) = self.reports.deliver(now) {
+            if let Some(dispatch) = &mut self.dispatch {
+                dispatch.sampled(at, taken, sample);
+                continue;
+            }
             let host = &self.hosts[at];
             let replica = host.replicas.iter().find(|known| known.attempt == sample.attempt);
             let good = replica.map_or(f64::MAX, |replica| self.truth.good(replica.service));
@@ -203,14 +226,25 @@
     }
 
     fn act(&mut self) {
-        for action in self.chooser.decide(self.now()) {
+        let (now, counts) = (self.now(), self.counts());
+        if let Some(dispatch) = &mut self.dispatch {
+            dispatch.step(now, self.second, &mut self.hosts);
+            let evictions = std::mem::take(&mut dispatch.evictions);
+            let throttles = std::mem::take(&mut dispatch.throttles);
+            if counts {
+                self.outcome.evictions += evictions;
+                self.outcome.throttles += throttles;
+            }
+            return;
+        }
+        for action in self.chooser.decide(now) {
             match action {
                 Action::Throttle { worker, attempt, permille } => {
                     let Some(at) = self.find(&worker) else { continue };
                     let mut running = self.hosts[at].running.iter_mut();
                     if let Some(running) = running.find(|running| running.attempt() == attempt) {
                         running.permille = permille;
-                        self.outcome.throttles += u64::from(self.second > self.setup.warmup);
+                        self.outcome.throttles += u64::from(counts);
                     }
                 }
                 Action::Move { worker, attempt } => {
@@ -268,13 +302,14 @@
         customer,
         size: job.size,
         objective: setup.user.objective(),
-        role: Role::Batch {
-            kind: format!("kind-{}", job.kind).as_str().into(),
-            evictions: job.evictions,
-        },
+        role: Role::Batch { kind: kind_name(job).as_str().into(), evictions: job.evictions },
     }
 }
 
+fn kind_name(job: &Job) -> String {
+    format!("kind-{}", job.kind)
+}
+
 fn use_of(running: &Running) -> Sample {
     Sample {
         attempt: running.attempt(),
--- a/standin/src/experiment/outcome.rs
+++ b/standin/src/experiment/outcome.rs
@@ -17,6 +17,8 @@
     pub seed: u64,
     /// Latencies of all requests, in microseconds.
     pub latencies: Histogram<u64>,
+    /// Latencies of all requests, in thousandths of the good latency of their service.
+    pub ratios: Histogram<u64>,
     /// Requests answered within the good latency.
     pub good: u64,
     /// Batch tasks done.
@@ -44,6 +46,8 @@
     pub p99: f64,
     /// The 99.9th percentile, in milliseconds.
     pub p999: f64,
+    /// The 99th percentile of latencies over the good latency of their service.
+    pub p99_ratio: f64,
     /// Requests that were not good, in thousandths.
     pub bad_permille: f64,
     /// Batch tasks done in an hour.
@@ -56,14 +60,18 @@
     pub mean_queue: f64,
 }
 
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MOST_MICROS, 3).expect("the bounds are in order")
+}
+
 impl Outcome {
     /// Nothing measured yet.
     pub(crate) fn new(setup: &Setup, strategy: Strategy, seed: u64) -> Self {
         Self {
             strategy,
             seed,
-            latencies: Histogram::new_with_bounds(1, MOST_MICROS, 3)
-                .expect("the bounds are in order"),
+            latencies: histogram(),
+            ratios: histogram(),
             good: 0,
             done: 0,
             evictions: 0,
@@ -79,6 +87,7 @@
     pub(crate) fn record(&mut self, latencies: &[f64], good: f64) {
         for latency in latencies {
             self.latencies.saturating_record((latency * 1e6) as u64);
+            self.ratios.saturating_record((latency / good * 1e3) as u64);
             self.good += u64::from(*latency <= good);
         }
     }
@@ -86,6 +95,7 @@
     /// Adds what another data centre measured at the same time.
     pub(crate) fn add(&mut self, other: &Self) {
         self.latencies.add(&other.latencies).expect("the bounds are the same");
+        self.ratios.add(&other.ratios).expect("the bounds are the same");
         self.good += other.good;
         self.done += other.done;
         self.evictions += other.evictions;
@@ -108,6 +118,7 @@
             p50: millis(0.5),
             p99: millis(0.99),
             p999: millis(0.999),
+            p99_ratio: self.ratios.value_at_quantile(0.99) as f64 / 1_000.0,
             bad_permille: 1_000.0 * (1.0 - self.good as f64 / requests),
             hourly_done: self.done as f64 / hours,
             hourly_evictions: self.evictions as f64 / hours,
--- a/standin/src/experiment/strategy.rs
+++ b/standin/src/experiment/strategy.rs
@@ -38,6 +38,10 @@
     Acting,
     /// Least held plus the policy's penalty, with the policy's actions.
     Hickorylink,
+    /// The scheduler itself with its own placement and the policy inside, by events.
+    Scheduler,
+    /// No batch task is started: what services alone come to.
+    Idle,
     /// Least held plus the true rise of latency, which no system can know: a bound.
     Oracle,
 }
@@ -91,6 +95,9 @@
         task: &Neighbour,
         true_rise: impl Fn(&Host) -> f64,
     ) -> Option<usize> {
+        if self.strategy == Strategy::Idle {
+            return None;
+        }
         let mut fitting = hosts.iter().enumerate().filter(|(_, host)| host.free.fits(&task.size));
         if self.strategy.takes_first() {
             return fitting.next().map(|(at, _)| at);
