--- a/lib/src/consensus.rs
+++ b/lib/src/consensus.rs
@@ -54,7 +54,7 @@
     /// When the role's timer fires: the election timeout, or the leader's next heartbeat.
     deadline: Time,
     /// The election timeout that was drawn last.
-    patience: Duration,
+    timeout: Duration,
     votes: BTreeSet<InstanceId>,
     following: Following,
     leading: Option<Leadership>,
@@ -112,7 +112,7 @@
             membership,
             commit,
             deadline: now,
-            patience: Duration::ZERO,
+            timeout: Duration::ZERO,
             votes: BTreeSet::new(),
             following: Following::new(commit),
             leading: None,
--- a/lib/src/consensus/election.rs
+++ b/lib/src/consensus/election.rs
@@ -21,8 +21,8 @@
 impl Consensus {
     /// Draws an election timeout and waits for it from now on.
     pub(super) fn wait(&mut self, now: Time) {
-        self.patience = self.draw(now);
-        self.deadline = now + self.patience;
+        self.timeout = self.draw(now);
+        self.deadline = now + self.timeout;
     }
 
     /// Between one and two base timeouts; the same for the same time, member and seed.
--- a/lib/src/consensus/follower.rs
+++ b/lib/src/consensus/follower.rs
@@ -52,7 +52,7 @@
         let Some((from, _)) = turn.message() else { return };
         self.leader = Some(from);
         self.following.heard = turn.now;
-        self.deadline = turn.now + self.patience;
+        self.deadline = turn.now + self.timeout;
     }
 
     pub(super) fn append(&mut self, turn: &mut Turn<'_>) {
--- a/lib/src/consensus/leader.rs
+++ b/lib/src/consensus/leader.rs
@@ -16,7 +16,7 @@
         log::{Entry, Payload},
         port::{Effect, Event},
         reads::ReadQueue,
-        reconfigure::Order,
+        reconfigure::Change,
         replication::Peer,
     },
     ids::{Index, InstanceId, Ticket},
@@ -35,7 +35,7 @@
     /// Reads that wait for a round.
     pub(super) reads: ReadQueue,
     /// Changes of the members that are wanted, in order.
-    pub(super) orders: VecDeque<Order>,
+    pub(super) changes: VecDeque<Change>,
     pending: VecDeque<Proposal>,
 }
 
@@ -60,7 +60,7 @@
             first: next,
             round: 0,
             reads: ReadQueue::default(),
-            orders: VecDeque::new(),
+            changes: VecDeque::new(),
             pending: VecDeque::new(),
         });
         self.leader = Some(me);
--- a/lib/src/consensus/reads.rs
+++ b/lib/src/consensus/reads.rs
@@ -7,6 +7,7 @@
     consensus::{
         Consensus,
         actions::Turn,
+        follower::Following,
         message::Body,
         port::{Effect, Event},
     },
@@ -43,6 +44,11 @@
         self.asked.len() + self.waiting.len()
     }
 
+    /// Whether reads wait and no round is on its way for others.
+    fn needs_round(&self) -> bool {
+        self.asked.is_empty() && !self.waiting.is_empty()
+    }
+
     /// A round was sent: the reads that came before it wait for its answers.
     pub(super) fn assign(&mut self, round: u64) {
         let asked = self.waiting.drain(..).map(|asker| AskedRead { round, asker });
@@ -70,7 +76,7 @@
     until: Time,
 }
 
-impl super::follower::Following {
+impl Following {
     /// When the oldest forwarded read fails.
     pub(super) fn read_deadline(&self) -> Option<Time> {
         self.reads.front().map(|read| read.until)
@@ -97,18 +103,17 @@
     /// if none is on its way.
     pub(super) fn finish_reads(&mut self, turn: &mut Turn<'_>) {
         loop {
+            let round = self.confirmed_round();
             let Some(leading) = &mut self.leading else { return };
-            if leading.reads.len() == 0 || self.commit < leading.first {
+            if self.commit < leading.first {
                 return;
             }
-            let confirmed = self.confirmed_round();
-            let Some(leading) = &mut self.leading else { return };
-            let index = self.commit;
-            for asker in leading.reads.confirmed(confirmed) {
-                self.answer_read(turn, asker, Some(index));
+            let confirmed = leading.reads.confirmed(round);
+            let needs_round = leading.reads.needs_round();
+            for asker in confirmed {
+                self.answer_read(turn, asker, Some(self.commit));
             }
-            let Some(leading) = &mut self.leading else { return };
-            if !leading.reads.asked.is_empty() || leading.reads.waiting.is_empty() {
+            if !needs_round {
                 return;
             }
             self.start_round();
--- a/lib/src/consensus/reconfigure.rs
+++ b/lib/src/consensus/reconfigure.rs
@@ -16,38 +16,38 @@
 };
 
 /// How many wanted changes a leader remembers.
-const MAX_ORDERS: usize = 256;
+const MAX_CHANGES: usize = 256;
 
 /// A change of the members that is wanted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(super) enum Order {
+pub(super) enum Change {
     /// The instance follows.
-    Learn(InstanceId),
+    AddLearner(InstanceId),
     /// The learner votes once it has caught up.
     Promote(InstanceId),
     /// The member goes.
     Remove(InstanceId),
 }
 
-/// What becomes of an order.
+/// What becomes of a wanted change.
 enum Verdict {
     /// It can't be carried out, or was.
     Drop,
     /// It must wait.
     Keep,
     /// It gives these members.
-    Change(Members),
+    Replace(Members),
 }
 
 impl Consensus {
     pub(super) fn queue_change(&mut self, turn: &mut Turn<'_>) {
         match turn.event {
-            Event::AddLearner { instance } => self.order(Order::Learn(*instance)),
-            Event::Promote { instance } => self.order(Order::Promote(*instance)),
-            Event::RemoveMember { instance } => self.order(Order::Remove(*instance)),
+            Event::AddLearner { instance } => self.queue(Change::AddLearner(*instance)),
+            Event::Promote { instance } => self.queue(Change::Promote(*instance)),
+            Event::RemoveMember { instance } => self.queue(Change::Remove(*instance)),
             Event::ReplaceVoter { lost, by } => {
-                self.order(Order::Promote(*by));
-                self.order(Order::Remove(*lost));
+                self.queue(Change::Promote(*by));
+                self.queue(Change::Remove(*lost));
             }
             Event::Timer
             | Event::Receive { .. }
@@ -59,10 +59,10 @@
         }
     }
 
-    fn order(&mut self, order: Order) {
+    fn queue(&mut self, change: Change) {
         let Some(leading) = &mut self.leading else { return };
-        if leading.orders.len() < MAX_ORDERS && !leading.orders.contains(&order) {
-            leading.orders.push_back(order);
+        if leading.changes.len() < MAX_CHANGES && !leading.changes.contains(&change) {
+            leading.changes.push_back(change);
         }
     }
 
@@ -75,11 +75,11 @@
         if self.commit < leading.first || self.membership.since() > self.commit {
             return;
         }
-        let mut orders = std::mem::take(&mut leading.orders);
-        let learners = self.next_learners(turn.now, &mut orders);
-        let members = self.next_voters(turn.now, &learners, &mut orders);
+        let mut changes = std::mem::take(&mut leading.changes);
+        let learners = self.next_learners(turn.now, &mut changes);
+        let members = self.next_voters(turn.now, &learners, &mut changes);
         if let Some(leading) = &mut self.leading {
-            leading.orders = orders;
+            leading.changes = changes;
         }
         if members != *self.members() {
             self.append_own(turn, Payload::Members(members));
@@ -89,51 +89,51 @@
     }
 
     /// The members with the learners that were asked for, without those that are silent.
-    fn next_learners(&self, now: Time, orders: &mut VecDeque<Order>) -> Members {
+    fn next_learners(&self, now: Time, changes: &mut VecDeque<Change>) -> Members {
         let mut members = self.members().clone();
         for learner in &self.members().learners {
             if self.is_silent(now, *learner) {
                 members = members.without(*learner);
             }
         }
-        orders.retain(|order| match order {
-            Order::Learn(instance) => {
+        changes.retain(|change| match change {
+            Change::AddLearner(instance) => {
                 members = members.with_learner(*instance);
                 false
             }
-            Order::Promote(_) | Order::Remove(_) => true,
+            Change::Promote(_) | Change::Remove(_) => true,
         });
         members
     }
 
     /// The members after the first change of a voter that can be made.
-    fn next_voters(&self, now: Time, members: &Members, orders: &mut VecDeque<Order>) -> Members {
-        while let Some(order) = orders.front() {
-            match self.judge(now, members, *order) {
+    fn next_voters(&self, now: Time, members: &Members, changes: &mut VecDeque<Change>) -> Members {
+        while let Some(change) = changes.front() {
+            match self.judge(now, members, *change) {
                 Verdict::Drop => {}
                 Verdict::Keep => return members.clone(),
-                Verdict::Change(changed) => {
-                    orders.pop_front();
+                Verdict::Replace(changed) => {
+                    changes.pop_front();
                     return changed;
                 }
             }
-            orders.pop_front();
+            changes.pop_front();
         }
         self.without_silent_voter(now, members).unwrap_or_else(|| members.clone())
     }
 
-    fn judge(&self, now: Time, members: &Members, order: Order) -> Verdict {
-        match order {
-            Order::Learn(instance) => Verdict::Change(members.with_learner(instance)),
-            Order::Promote(instance) if !members.learners.contains(&instance) => Verdict::Drop,
-            Order::Promote(instance) if self.has_caught_up(instance) => {
-                Verdict::Change(members.with_voter(instance))
+    fn judge(&self, now: Time, members: &Members, change: Change) -> Verdict {
+        match change {
+            Change::AddLearner(instance) => Verdict::Replace(members.with_learner(instance)),
+            Change::Promote(instance) if !members.learners.contains(&instance) => Verdict::Drop,
+            Change::Promote(instance) if self.has_caught_up(instance) => {
+                Verdict::Replace(members.with_voter(instance))
             }
-            Order::Promote(instance) if self.is_silent(now, instance) => Verdict::Drop,
-            Order::Promote(_) => Verdict::Keep,
-            Order::Remove(instance) if !members.contains(instance) => Verdict::Drop,
-            Order::Remove(instance) if members.voters == [instance] => Verdict::Drop,
-            Order::Remove(instance) => Verdict::Change(members.without(instance)),
+            Change::Promote(instance) if self.is_silent(now, instance) => Verdict::Drop,
+            Change::Promote(_) => Verdict::Keep,
+            Change::Remove(instance) if !members.contains(instance) => Verdict::Drop,
+            Change::Remove(instance) if members.voters == [instance] => Verdict::Drop,
+            Change::Remove(instance) => Verdict::Replace(members.without(instance)),
         }
     }
 
--- a/lib/src/consensus/replication.rs
+++ b/lib/src/consensus/replication.rs
@@ -19,8 +19,8 @@
     pub(super) heard: Time,
     /// The newest round of heartbeats that it answered.
     pub(super) round: u64,
-    /// The commit index that it was told last.
-    told: Index,
+    /// The commit index that it was sent last.
+    sent_commit: Index,
     /// The last entries of the appends that are on their way.
     inflight: VecDeque<Index>,
     pub(super) flow: Flow,
@@ -47,7 +47,7 @@
             next,
             heard: now,
             round: 0,
-            told: Index(0),
+            sent_commit: Index(0),
             inflight: VecDeque::new(),
             flow: Flow::Probe { asked: false },
         }
@@ -138,7 +138,7 @@
             }
             if peer.next <= limit {
                 self.send_entries(to, limit);
-            } else if notify && peer.told < self.commit {
+            } else if notify && peer.sent_commit < self.commit {
                 self.send_empty(to);
                 return;
             } else {
@@ -166,7 +166,7 @@
             }
             Flow::Transfer(_) => return,
         }
-        peer.told = self.commit;
+        peer.sent_commit = self.commit;
         let commit = self.commit;
         self.send(to, Body::Append { previous, previous_term, entries, commit, round });
     }
@@ -180,7 +180,7 @@
         let Some(leading) = &mut self.leading else { return };
         let round = leading.round;
         let Some(peer) = leading.peers.get_mut(&to) else { return };
-        peer.told = self.commit;
+        peer.sent_commit = self.commit;
         let before = match peer.flow {
             Flow::Probe { .. } | Flow::Replicate => Some(Index(peer.next.0 - 1)),
             Flow::Transfer(_) => None,
--- a/lib/tests/consensus/model.rs
+++ b/lib/tests/consensus/model.rs
@@ -1,6 +1,7 @@
 //! A model check: all orders in which a few things can happen to a small council, with the real
 //! step function, against the safety properties of the agreement.
 
+mod checks;
 mod shared;
 mod state;
 mod step;
--- a/lib/tests/consensus/model/state.rs
+++ b/lib/tests/consensus/model/state.rs
@@ -30,11 +30,11 @@
 const NOW: Time = Time::from_nanos(0);
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Member {
-    machine: Consensus,
-    disk: Disk,
+pub(super) struct Member {
+    pub(super) machine: Consensus,
+    pub(super) disk: Disk,
     /// What the disk will hold once everything is synced: the member's log.
-    log: Disk,
+    pub(super) log: Disk,
     /// The last write that isn't synced, if there is one.
     unsynced: Option<u64>,
 }
@@ -60,7 +60,7 @@
 /// What must hold over time, beside the members' own state.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub(crate) struct History {
-    leaders: BTreeMap<Term, InstanceId>,
+    pub(super) leaders: BTreeMap<Term, InstanceId>,
     /// Committed entries, with the term of the member that committed first.
     pub(crate) committed: Vec<(Entry, Term)>,
     /// What a read must see, by its ticket.
@@ -69,7 +69,7 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct State {
-    members: Vec<Shared<Member>>,
+    pub(super) members: Vec<Shared<Member>>,
     channels: BTreeMap<(InstanceId, InstanceId), Vec<Shared<Message>>>,
     pub(crate) budget: Budget,
     pub(crate) history: Shared<History>,
@@ -182,7 +182,7 @@
         }
     }
 
-    fn id(at: usize) -> InstanceId {
+    pub(super) fn id(at: usize) -> InstanceId {
         InstanceId(at as u64 + 1)
     }
 
@@ -301,69 +301,6 @@
         }
     }
 
-    fn fail(&mut self, violation: String) {
-        self.violation.get_or_insert(violation);
-    }
-
-    fn record(&mut self, change: impl FnOnce(&mut History)) {
-        let mut history = History::clone(&self.history.value);
-        change(&mut history);
-        self.history = Shared::new(history);
-    }
-
-    /// Election safety: a term has one leader. Leader completeness: it holds whatever was
-    /// committed in earlier terms.
-    fn elect(&mut self, at: usize, term: Term) {
-        let id = Self::id(at);
-        if self.history.value.leaders.get(&term).is_some_and(|first| *first != id) {
-            self.fail(format!("two leaders in term {term}"));
-        }
-        let log = &self.members[at].value.log;
-        let first = log.snapshot.as_ref().map_or(0, |snapshot| snapshot.index.0);
-        let missing = self.history.value.committed.iter().any(|(entry, since)| {
-            *since < term && entry.index.0 > first && !log.entries.contains(entry)
-        });
-        if missing {
-            self.fail(format!("{id} leads in term {term} without a committed entry"));
-        }
-        self.record(|history| {
-            history.leaders.insert(term, id);
-        });
-    }
-
-    /// State machine safety: members apply the same entries. Durability: the first to apply an
-    /// entry does so when a quorum has synced it.
-    fn apply(&mut self, at: usize, entry: Entry) {
-        let status = self.members[at].value.machine.status();
-        let place = usize::try_from(entry.index.0 - 1).expect("few entries");
-        match self.history.value.committed.get(place) {
-            Some((known, _)) if *known != entry => {
-                self.fail(format!("{} applies {entry:?} for {known:?}", Self::id(at)));
-            }
-            Some(_) => {}
-            None => {
-                let synced = |id: InstanceId| {
-                    let at = usize::try_from(id.0 - 1).expect("few members");
-                    let disk = &self.members[at].value.disk;
-                    let covered = disk.snapshot.as_ref().is_some_and(|s| s.index >= entry.index);
-                    covered || disk.entries.contains(&entry)
-                };
-                if !status.members.is_quorum(synced) {
-                    self.fail(format!("{:?} is applied before a quorum synced it", entry.index));
-                }
-                self.record(|history| history.committed.push((entry, status.term)));
-            }
-        }
-    }
-
-    /// Log matching: entries with the same index and term are the same, and so are all before.
-    fn check_log(&mut self, at: usize) {
-        let log = &self.members[at].value.log.entries;
-        if !self.members.iter().all(|other| matches(log, &other.value.log.entries)) {
-            self.fail("two logs differ before an entry that they share".to_owned());
-        }
-    }
-
     pub(crate) fn successors(&self) -> Vec<Self> {
         if self.violation.is_some() {
             return Vec::new();
@@ -446,14 +383,3 @@
         | Body::ReadIndex { .. } => false,
     }
 }
-
-/// Whether two logs agree on all entries before the last one that they share.
-fn matches(a: &[Entry], b: &[Entry]) -> bool {
-    let first = |log: &[Entry]| log.first().map_or(Index(u64::MAX), |entry| entry.index);
-    let start = first(a).max(first(b));
-    let skip = |log: &[Entry]| log.iter().position(|entry| entry.index == start);
-    let (Some(i), Some(j)) = (skip(a), skip(b)) else { return true };
-    let pairs: Vec<_> = a[i..].iter().zip(&b[j..]).collect();
-    let shared = pairs.iter().rposition(|(x, y)| x.term == y.term).map_or(0, |at| at + 1);
-    pairs[..shared].iter().all(|(x, y)| x == y)
-}
