lists: bound the work of checking a list

Cause: an edit is checked by every instance while its council waits. Comparing each of many wrong names with all known ones, and each service of a plan with all others, grew with the square of the list.

Change: the nearest name is sought in the first 100 findings only; sets in place of linear searches; a plan names at most 1,000 services. document.rs gains report_unknown.

Seen red with the bound at 100,000: many_wrong_names_are_all_found... found 990 near names where it wants 50.

--- a/lib/src/document.rs
+++ b/lib/src/document.rs
@@ -23,6 +23,10 @@
 /// How many known names a finding lists before it only counts the rest.
 const KNOWN_SHOWN: usize = 10;
 
+/// How many findings a file has before unknown names are no longer answered with the nearest:
+/// comparing with every known name is the dearest part of a check.
+const SUGGESTIONS_MAX: usize = 100;
+
 /// A parsed file with what has been found wrong in it so far.
 pub struct Document<'a> {
     file: &'a str,
@@ -212,10 +216,19 @@
         if known.contains(&text) {
             return Some(text);
         }
-        self.report(unknown(self.field, text, known));
+        self.report_unknown(self.field, text, known);
         None
     }
 
+    /// Reports that `name` is none of the `known` names; a near miss is answered with the nearest.
+    pub fn report_unknown(self, what: &str, name: &str, known: &[&str]) {
+        let found = self.document.found.borrow().len();
+        self.report(match found < SUGGESTIONS_MAX {
+            true => unknown(what, name, known),
+            false => format!("unknown {what} \"{name}\""),
+        });
+    }
+
     /// A whole number within `bounds`.
     pub fn whole(self, bounds: std::ops::RangeInclusive<u64>) -> Option<u64> {
         let expected = || format!("a whole number from {} to {}", bounds.start(), bounds.end());
--- a/lib/src/lists/fields.rs
+++ b/lib/src/lists/fields.rs
@@ -37,18 +37,27 @@
     root.need("version")?.whole(1..=VERSION_MAX)
 }
 
-/// The rows of a table with their names; what isn't an object or goes past `max` is reported.
-pub(super) fn rows<'d, 'a>(
-    root: ObjectView<'d, 'a>,
+/// The elements of a field that may be left out; what goes past `max` is reported.
+pub(super) fn elements<'d, 'a>(
+    object: ObjectView<'d, 'a>,
     field: &str,
     max: usize,
-) -> Vec<ObjectView<'d, 'a>> {
-    let mut elements = root.list(field);
+) -> Vec<ValueView<'d, 'a>> {
+    let mut elements = object.list(field);
     if let Some(surplus) = elements.get(max) {
         surplus.report(format!("\"{field}\" has {} rows; at most {max} fit", elements.len()));
     }
     elements.truncate(max);
-    elements.into_iter().filter_map(ValueView::object).collect()
+    elements
+}
+
+/// The rows of a table; what isn't an object or goes past `max` is reported.
+pub(super) fn rows<'d, 'a>(
+    root: ObjectView<'d, 'a>,
+    field: &str,
+    max: usize,
+) -> Vec<ObjectView<'d, 'a>> {
+    elements(root, field, max).into_iter().filter_map(ValueView::object).collect()
 }
 
 /// Adds a row, or reports that its name is taken.
--- a/lib/src/lists/plans.rs
+++ b/lib/src/lists/plans.rs
@@ -1,18 +1,18 @@
 //! The reader of the list of plans.
 
 use std::{
-    collections::{BTreeMap, btree_map::Entry},
+    collections::{BTreeMap, BTreeSet, btree_map::Entry},
     time::Duration,
 };
 
 use crate::{
-    document::{ObjectView, ValueView, unknown},
+    document::{ObjectView, ValueView},
     ids::{CustomerName, DataCentre, OperatorName, PlanName, ServiceName},
     lists::{
         CUSTOMERS_MAX, PLANS_MAX, PlanRow, PlansList, ServiceRow,
         fields::{
-            credential, insert, is_name, name, name_fault, optional, optional_u32, resources,
-            row_name, rows, version,
+            credential, elements, insert, is_name, name, name_fault, optional, optional_u32,
+            resources, row_name, rows, version,
         },
     },
     policy::{Allowance, CredentialHash, Customer, Objective, Plan, Service},
@@ -159,7 +159,8 @@
     let exact = optional(row, "exact_counts", true, ValueView::flag);
     let task = optional_u32(row, "task_evictions", TASK_EVICTIONS, 0..=EVICTIONS_MAX);
     let hourly = optional_u32(row, "hourly_evictions", HOURLY_EVICTIONS, 0..=EVICTIONS_MAX);
-    let services = row.list("services").into_iter().filter_map(name).map(ServiceName::from);
+    let services = elements(row, "services", PLANS_MAX).into_iter();
+    let services = services.filter_map(name).map(ServiceName::from);
     Some(Plan {
         services: services.collect(),
         objective: Objective::from_name(objective?)?,
@@ -262,18 +263,18 @@
     // A service with a fault of its own is known by its name, so that it is reported once.
     let listed = rows(root, "services", PLANS_MAX);
     let named = listed.iter().filter_map(|row| row.get("name")?.as_text());
-    let known: Vec<&str> = services.keys().map(ServiceName::as_str).chain(named).collect();
+    let known: BTreeSet<&str> = services.keys().map(ServiceName::as_str).chain(named).collect();
+    let names: Vec<&str> = known.iter().copied().collect();
     for row in rows(root, "plans", PLANS_MAX) {
-        let mut seen = Vec::new();
-        for value in row.list("services") {
+        let mut seen = BTreeSet::new();
+        for value in elements(row, "services", PLANS_MAX) {
             let Some(service) = value.as_text() else { continue };
-            if !known.contains(&service) {
-                value.report(unknown("service", service, &known));
+            if !known.contains(service) {
+                value.report_unknown("service", service, &names);
             }
-            if seen.contains(&service) {
+            if !seen.insert(service) {
                 value.report(format!("service \"{service}\" is named twice"));
             }
-            seen.push(service);
         }
     }
 }
--- a/lib/tests/lists.rs
+++ b/lib/tests/lists.rs
@@ -311,6 +311,24 @@
     parse_usage("usage.jsonc", &text).expect_err("nested too deeply");
 }
 
+#[test]
+fn many_wrong_names_are_all_found_but_only_the_first_are_compared() {
+    let rows = (0..1_000).map(|at| {
+        format!(r#"{{"name":"p{at}","objective":"latency","services":["desl","s{at}"]}}"#)
+    });
+    let rows: Vec<_> = rows.collect();
+    let text = with_hashes(PLANS)
+        .replace(r#""plans": ["#, &format!(r#""plans": [{},"#, rows[..990].join(",")));
+    let findings = parse_plans("plans.jsonc", &text).expect_err("no plan's services are known");
+    assert_eq!(findings.items.len(), 2 * 990);
+    let near = findings.items.iter().filter(|item| item.message.contains("did you mean"));
+    assert_eq!(near.count(), 50, "every other of the first 100 is near");
+    let many = vec![r#""desk""#; 1_001].join(",");
+    let text = with_hashes(PLANS).replace(r#"["desk"]"#, &format!("[{many}]"));
+    let findings = parse_plans("plans.jsonc", &text).expect_err("too many services");
+    assert!(findings.to_string().contains("1001 rows; at most 1000 fit"), "{findings}");
+}
+
 #[test]
 fn samples_fit_and_their_credentials_are_those_in_the_comments() {
     struct Case {
