--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,14 +5,19 @@
 //! event and the present time and fills a list of effects; the daemon's duties, a property test
 //! or a model check drive the same code.
 
+pub mod api;
+pub mod burn;
 pub mod chart;
 pub mod codec;
 pub mod command;
 pub mod consensus;
+pub mod council;
 mod derives;
+pub mod directory;
 pub mod document;
 pub mod finding;
 pub mod ids;
+pub mod instance;
 pub mod interference;
 pub mod ledger;
 pub mod lists;
@@ -20,6 +25,7 @@
 pub mod resources;
 pub mod router;
 pub mod scheduler;
+pub mod settings;
 pub mod task;
 pub mod time;
 pub mod worker;
