standin: measure what real processes spend

Cause: docs/CAPACITY.md needs slopes of whole processes, and only the parts had figures. Ruled out: bytes from /proc (sockets are not in its counters); the daemon counts its frames instead. Change: hickorylink-standin measure; metrics of bytes between instances.

--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -233,6 +233,7 @@
         key: PeerKey::new(&settings.peer_key),
         clock,
         log: log.clone(),
+        metrics: metrics.clone(),
         drained: drained_sender,
     };
     let (peer_runtime, peer_log) = (runtime()?, log.clone());
--- a/cli/src/duty/peers.rs
+++ b/cli/src/duty/peers.rs
@@ -29,6 +29,7 @@
     duty::deliver_all,
     frame::{self, PeerKey},
     mail::{Mail, Rings},
+    metrics::Metrics,
     ring::Inlet,
 };
 
@@ -89,6 +90,8 @@
     pub clock: Clock,
     /// The log.
     pub log: Logger,
+    /// The metrics.
+    pub metrics: Arc<Metrics>,
     /// Told when every request in flight has ended.
     pub drained: mpsc::Sender<()>,
 }
@@ -106,7 +109,12 @@
     setup: Setup,
 ) -> Result<(), ListenError> {
     let _server = listen(&rings, &setup).await?;
-    let mut links = Links { key: setup.key.clone(), log: setup.log.clone(), open: HashMap::new() };
+    let mut links = Links {
+        key: setup.key.clone(),
+        log: setup.log.clone(),
+        metrics: setup.metrics.clone(),
+        open: HashMap::new(),
+    };
     let mut out = Vec::new();
     loop {
         let now = setup.clock.now();
@@ -146,6 +154,7 @@
         council: rings.council.clone(),
         peers: rings.peers.clone(),
         log: setup.log.clone(),
+        metrics: setup.metrics.clone(),
     };
     let mut module = RpcModule::new(context);
     let registered = module.register_method("deliver", |params, inbound, _| {
@@ -162,10 +171,12 @@
     council: Inlet<council::Event>,
     peers: Inlet<Post>,
     log: Logger,
+    metrics: Arc<Metrics>,
 }
 
 impl Inbound {
     fn take(&self, text: &str) -> Result<u32, ErrorObjectOwned> {
+        self.metrics.peer_received(text.len());
         let messages: Vec<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
             warn!(self.log, "a frame from a peer is refused"; "error" => %error);
             ErrorObjectOwned::owned(1, error.to_string(), None::<()>)
@@ -198,6 +209,7 @@
 struct Links {
     key: PeerKey,
     log: Logger,
+    metrics: Arc<Metrics>,
     open: HashMap<SocketAddr, mpsc::Sender<Arc<PeerMessage>>>,
 }
 
@@ -205,7 +217,13 @@
     fn send(&mut self, to: SocketAddr, message: PeerMessage) {
         let link = self.open.entry(to).or_insert_with(|| {
             let (sender, receiver) = mpsc::channel(PEER_QUEUE);
-            tokio::spawn(link(to, receiver, self.key.clone(), self.log.clone()));
+            let link = Link {
+                to,
+                key: self.key.clone(),
+                log: self.log.clone(),
+                metrics: self.metrics.clone(),
+            };
+            tokio::spawn(link.run(receiver));
             sender
         });
         // Messages to a peer that takes none are lost; their senders repeat them.
@@ -213,53 +231,60 @@
     }
 }
 
-/// Sends a peer what waits for it, a frame at a time, over a connection that is replaced as soon
-/// as an answer fails to come.
-async fn link(
+/// The link to one peer.
+struct Link {
     to: SocketAddr,
-    mut queue: mpsc::Receiver<Arc<PeerMessage>>,
     key: PeerKey,
     log: Logger,
-) {
-    let mut client: Option<WsClient> = None;
-    let mut failures = 0_u64;
-    let mut batch = Vec::new();
-    while queue.recv_many(&mut batch, FRAME_MESSAGES).await > 0 {
-        let messages: Vec<&PeerMessage> = batch.iter().map(AsRef::as_ref).collect();
-        match exchange(to, &mut client, &key, &messages).await {
-            Ok(()) if failures > 0 => {
-                info!(log, "a peer is reached again"; "peer" => %to, "failures" => failures);
-                failures = 0;
-            }
-            Ok(()) => {}
-            Err(error) => {
-                client = None;
-                if failures == 0 {
-                    warn!(log, "a peer can't be reached"; "peer" => %to, "error" => %error);
+    metrics: Arc<Metrics>,
+}
+
+impl Link {
+    /// Sends a peer what waits for it, a frame at a time, over a connection that is replaced as
+    /// soon as an answer fails to come.
+    async fn run(self, mut queue: mpsc::Receiver<Arc<PeerMessage>>) {
+        let mut client: Option<WsClient> = None;
+        let mut failures = 0_u64;
+        let mut batch = Vec::new();
+        while queue.recv_many(&mut batch, FRAME_MESSAGES).await > 0 {
+            let messages: Vec<&PeerMessage> = batch.iter().map(AsRef::as_ref).collect();
+            match self.exchange(&mut client, &messages).await {
+                Ok(()) if failures > 0 => {
+                    info!(self.log, "a peer is reached again";
+                        "peer" => %self.to, "failures" => failures);
+                    failures = 0;
+                }
+                Ok(()) => {}
+                Err(error) => {
+                    client = None;
+                    if failures == 0 {
+                        warn!(self.log, "a peer can't be reached";
+                            "peer" => %self.to, "error" => %error);
+                    }
+                    failures += 1;
+                    sleep(RECONNECT).await;
                 }
-                failures += 1;
-                sleep(RECONNECT).await;
             }
+            batch.clear();
         }
-        batch.clear();
     }
-}
 
-/// Sends a frame, over a new connection if there is none.
-async fn exchange(
-    to: SocketAddr,
-    client: &mut Option<WsClient>,
-    key: &PeerKey,
-    messages: &[&PeerMessage],
-) -> Result<(), jsonrpsee::core::ClientError> {
-    let open = match client.take() {
-        Some(open) => open,
-        None => connect(to).await?,
-    };
-    let text = frame::seal(key, &messages);
-    let _taken: u32 = open.request("deliver", rpc_params![text]).await?;
-    *client = Some(open);
-    Ok(())
+    /// Sends a frame, over a new connection if there is none.
+    async fn exchange(
+        &self,
+        client: &mut Option<WsClient>,
+        messages: &[&PeerMessage],
+    ) -> Result<(), jsonrpsee::core::ClientError> {
+        let open = match client.take() {
+            Some(open) => open,
+            None => connect(self.to).await?,
+        };
+        let text = frame::seal(&self.key, &messages);
+        self.metrics.peer_sent(text.len());
+        let _taken: u32 = open.request("deliver", rpc_params![text]).await?;
+        *client = Some(open);
+        Ok(())
+    }
 }
 
 async fn connect(to: SocketAddr) -> Result<WsClient, jsonrpsee::core::ClientError> {
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -74,6 +74,8 @@
     task_events: Counter<u64, AtomicU64>,
     unreadable: Counter<u64, AtomicU64>,
     unhandled: Counter<u64, AtomicU64>,
+    peer_sent: Counter<u64, AtomicU64>,
+    peer_received: Counter<u64, AtomicU64>,
 }
 
 impl fmt::Debug for Metrics {
@@ -101,6 +103,8 @@
             task_events: Counter::default(),
             unreadable: Counter::default(),
             unhandled: Counter::default(),
+            peer_sent: Counter::default(),
+            peer_received: Counter::default(),
         };
         metrics.register();
         metrics
@@ -126,6 +130,8 @@
         r.register("council_leads", "Whether this instance leads", self.leads.clone());
         r.register("task_events", "Steps of tasks applied here", self.task_events.clone());
         r.register("chart_unhandled", "Events without a rule in a chart", self.unhandled.clone());
+        r.register("peer_sent_bytes", "Bytes sent to instances", self.peer_sent.clone());
+        r.register("peer_received_bytes", "Bytes taken from them", self.peer_received.clone());
         r.register("log_unreadable", "Entries that can't be read", self.unreadable.clone());
     }
 
@@ -142,6 +148,16 @@
         self.latency.get_or_create(&labels).observe(took.as_secs_f64());
     }
 
+    /// Counts a frame that was sent to an instance, in bytes.
+    pub fn peer_sent(&self, bytes: usize) {
+        self.peer_sent.inc_by(bytes as u64);
+    }
+
+    /// Counts a frame that came from an instance, in bytes.
+    pub fn peer_received(&self, bytes: usize) {
+        self.peer_received.inc_by(bytes as u64);
+    }
+
     /// Takes in what a part noted.
     pub fn note(&self, note: &Note) {
         match note {
--- a/lib/src/council/answers.rs
+++ b/lib/src/council/answers.rs
@@ -259,7 +259,7 @@
                 .map(|(centre, epoch, holder)| (centre.clone(), epoch, holder))
                 .collect(),
             alive: self.alive.iter().map(|info| info.name.clone()).collect(),
-            open_tasks: self.ledger.open_tasks().count() as u64,
+            open_tasks: self.ledger.open_count() as u64,
             counts: self.ledger.counts().map(|(name, count)| (name.clone(), count)).collect(),
         }
     }
--- a/standin/src/cluster.rs
+++ b/standin/src/cluster.rs
@@ -247,6 +247,12 @@
         serde_json::from_slice(&answer.ok()?.body).ok()
     }
 
+    /// The metrics of an instance in their text format; nothing if it doesn't answer.
+    pub async fn metrics(&self, at: usize) -> Option<String> {
+        let answer = self.send(at, Method::GET, "/metrics", &[], Bytes::new()).await.ok()?;
+        String::from_utf8(answer.body.into()).ok()
+    }
+
     /// Submits a task; nothing if it wasn't taken.
     pub async fn submit(&self, at: usize, credential: &str, body: &SubmitBody) -> Option<TaskId> {
         let headers = [("authorization", bearer(credential))];
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod demo;
 pub mod experiment;
 pub mod journal;
+pub mod measure;
 pub mod net;
 pub mod worker;
--- a/standin/src/main.rs
+++ b/standin/src/main.rs
@@ -3,7 +3,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use clap::{Parser, Subcommand};
-use hickorylink_standin::demo;
+use hickorylink_standin::{demo, measure};
 
 /// Stand-ins for what the system works with.
 #[derive(Debug, Parser)]
@@ -23,16 +23,25 @@
         #[arg(long)]
         folder: Option<PathBuf>,
     },
+    /// Measure what real processes spend; build with --release for figures that count
+    Measure,
 }
 
 fn main() -> ExitCode {
-    let Command::Demo { samples, folder } = Args::parse().command;
+    let command = Args::parse().command;
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let shown = runtime.and_then(|runtime| {
         let temporary = tempfile::tempdir()?;
-        let folder = folder.as_deref().unwrap_or(temporary.path());
         let program = demo::program_beside()?;
-        runtime.block_on(demo::run(&program, &samples, folder))
+        match &command {
+            Command::Demo { samples, folder } => {
+                let folder = folder.as_deref().unwrap_or(temporary.path());
+                runtime.block_on(demo::run(&program, samples, folder))
+            }
+            Command::Measure => {
+                runtime.block_on(measure::run(&program, temporary.path())).map(|()| true)
+            }
+        }
     });
     match shown {
         Ok(true) => ExitCode::SUCCESS,
