ledger: bound the open tasks, and share their room among customers

Cause: open tasks were the only part of the ledger without a bound: one customer's wave of submissions could take the memory of every instance, and with it everybody's work.

Ruled out: a fixed bound a customer, which is either too small for a lone customer at full size or lets a few customers fill the room.

Change: a customer's open tasks take at most as much room as is left free; payloads count. Refusal::TooManyTasks, answered over HTTP as 429 and not run (one arm in cli/src/front/reply.rs).

Seen red on faults put in by hand: the bound of the total alone (100 tasks where 50 are wanted), room not given back at the end, room not found again after a restart.

--- a/cli/src/front/reply.rs
+++ b/cli/src/front/reply.rs
@@ -135,6 +135,11 @@
             ),
             Refusal::NoSuchCustomer => Problem::unauthorized(),
             Refusal::Ended => conflict("ended", "the task has ended".to_owned()),
+            Refusal::TooManyTasks => Problem::not_run(
+                StatusCode::TOO_MANY_REQUESTS,
+                "too_many_tasks",
+                "too many of your tasks wait or run; try again when some have ended",
+            ),
             Refusal::StaleEpoch { .. } | Refusal::StaleAttempt | Refusal::NotOwner => unexpected(),
         },
         Reply::Edited { .. }
--- a/lib/src/command.rs
+++ b/lib/src/command.rs
@@ -245,5 +245,7 @@
         NotOwner,
         /// The task has ended or is cancelled.
         Ended,
+        /// The customer has as many open tasks as there is room left for.
+        TooManyTasks,
     }
 }
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -34,12 +34,18 @@
 mod counts;
 pub mod life;
 mod limits;
+mod load;
 mod names;
 mod replicas;
 mod standing;
 mod tasks;
 
-pub use self::{claims::ClaimView, limits::Limits, standing::Standing, tasks::TaskView};
+pub use self::{
+    claims::ClaimView,
+    limits::{Limits, PAYLOAD_UNIT},
+    standing::Standing,
+    tasks::TaskView,
+};
 pub use crate::codec::DecodeError;
 
 /// The format of an encoded ledger.
@@ -255,6 +261,9 @@
             return first;
         }
         match self.state.policy.plan_of(&submission.customer) {
+            Some(_) if !self.state.tasks.has_room(submission, self.state.limits.open_max) => {
+                Reply::Refused(Refusal::TooManyTasks)
+            }
             Some(_) => self.state.tasks.submit(submission, &mut self.names, changes),
             None => Reply::Refused(Refusal::NoSuchCustomer),
         }
--- a/lib/src/ledger/limits.rs
+++ b/lib/src/ledger/limits.rs
@@ -7,6 +7,9 @@
 data! {
     /// The bounds of the ledger; every instance must have the same.
     pub struct Limits {
+        /// How much room there is for open tasks: each takes one unit, and one for every whole
+        /// [`PAYLOAD_UNIT`] of its payload. A customer's tasks take at most as much as is free.
+        pub open_max: u64,
         /// How long ended tasks are kept, by the time of the log.
         pub ended_kept: Duration,
         /// How many ended tasks are kept; the oldest go first.
@@ -34,12 +37,16 @@
     }
 }
 
+/// The payload that takes a unit of the room for open tasks, in bytes.
+pub const PAYLOAD_UNIT: usize = 256;
+
 /// A day.
 const DAY: Duration = Duration::from_secs(24 * 60 * 60);
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            open_max: 260_000,
             ended_kept: DAY,
             ended_max: 100_000,
             ended_bytes: 16 << 20,
--- /dev/null
+++ b/lib/src/ledger/load.rs
@@ -0,0 +1,51 @@
+//! The room that open tasks take, by customer.
+
+use std::collections::BTreeMap;
+
+use crate::{ids::CustomerName, ledger::PAYLOAD_UNIT};
+
+/// The room that is taken, in units.
+///
+/// It follows from the open tasks, and isn't part of a snapshot.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(super) struct Load {
+    total: u64,
+    by_customer: BTreeMap<CustomerName, u64>,
+}
+
+/// The units that a task with this payload takes.
+fn units(payload: &[u8]) -> u64 {
+    1 + (payload.len() / PAYLOAD_UNIT) as u64
+}
+
+impl Load {
+    /// Whether a customer may add a task: its own tasks never take more than what is free.
+    ///
+    /// So one customer gets at most half of the room, two a third each, and there is always room
+    /// for another one.
+    pub(super) fn has_room(&self, customer: &CustomerName, payload: &[u8], most: u64) -> bool {
+        let own = self.by_customer.get(customer).copied().unwrap_or(0);
+        let added = units(payload);
+        own + added <= most.saturating_sub(self.total + added)
+    }
+
+    /// Adds a task.
+    pub(super) fn add(&mut self, customer: &CustomerName, payload: &[u8]) {
+        self.total += units(payload);
+        match self.by_customer.get_mut(customer) {
+            Some(own) => *own += units(payload),
+            None => drop(self.by_customer.insert(customer.clone(), units(payload))),
+        }
+    }
+
+    /// Removes a task.
+    pub(super) fn remove(&mut self, customer: &CustomerName, payload: &[u8]) {
+        self.total -= units(payload);
+        if let Some(own) = self.by_customer.get_mut(customer) {
+            *own -= units(payload);
+            if *own == 0 {
+                self.by_customer.remove(customer);
+            }
+        }
+    }
+}
--- a/lib/src/ledger/tasks.rs
+++ b/lib/src/ledger/tasks.rs
@@ -15,6 +15,7 @@
         Limits,
         change::Change,
         life::Phase,
+        load::Load,
         names::{Digest, Names, spec_digest},
     },
     task::{Checkpoint, OpenTask, Submission, TaskOutcome, TaskSpec, TaskState},
@@ -39,6 +40,9 @@
         /// Open replicas of services; made anew from the open tasks after decoding.
         #[serde(skip)]
         pub(super) replicas: BTreeMap<(ServiceName, DataCentre), BTreeSet<TaskId>>,
+        /// The room that customers' open tasks take; made anew, too.
+        #[serde(skip)]
+        load: Load,
     }
 
     struct KeyEntry {
@@ -193,6 +197,11 @@
         })
     }
 
+    /// Whether there is room for a submission.
+    pub(super) fn has_room(&self, submission: &Submission, most: u64) -> bool {
+        self.load.has_room(&submission.customer, &submission.spec.payload, most)
+    }
+
     /// Takes in a submission that didn't come before.
     pub(super) fn submit(
         &mut self,
@@ -239,9 +248,22 @@
         task
     }
 
+    /// Enters an open task into what isn't part of a snapshot.
     fn index(&mut self, task: TaskId, record: &Record) {
-        if let Some(slot) = replica_slot(&record.spec) {
-            self.replicas.entry(slot).or_default().insert(task);
+        match replica_slot(&record.spec) {
+            Some(slot) => drop(self.replicas.entry(slot).or_default().insert(task)),
+            None => self.load.add(&record.customer, &record.payload),
+        }
+    }
+
+    fn unindex(&mut self, task: TaskId, record: &Record) {
+        match replica_slot(&record.spec) {
+            Some(slot) => {
+                if let Some(open) = self.replicas.get_mut(&slot) {
+                    open.remove(&task);
+                }
+            }
+            None => self.load.remove(&record.customer, &record.payload),
         }
     }
 
@@ -256,6 +278,7 @@
         let mut record = match self.open.remove(&task) {
             Some(record) => {
                 self.order.push_back((now, task));
+                self.unindex(task, &record);
                 record
             }
             None => match self.ended.remove(&task) {
@@ -263,11 +286,6 @@
                 None => return,
             },
         };
-        if let Some(slot) = replica_slot(&record.spec)
-            && let Some(open) = self.replicas.get_mut(&slot)
-        {
-            open.remove(&task);
-        }
         self.size -= record.outcome.as_deref().map_or(0, outcome_size);
         self.size += outcome_size(&outcome);
         let attempt = TaskAttempt { task, attempt: record.attempt() };
@@ -301,7 +319,8 @@
         }
     }
 
-    /// Puts back what a snapshot leaves out: the index of replicas, and the sharing of names.
+    /// Puts back what a snapshot leaves out: the sharing of names, and what follows from the open
+    /// tasks.
     pub(super) fn restore(&mut self, names: &mut Names) {
         for record in self.open.values_mut().chain(self.ended.values_mut()) {
             record.customer = names.customer(&record.customer);
@@ -311,12 +330,11 @@
                 last.worker = names.worker(&last.worker);
             }
         }
-        let open = self.open.iter();
-        let slots: Vec<_> =
-            open.filter_map(|(task, record)| Some((replica_slot(&record.spec)?, *task))).collect();
-        for (slot, task) in slots {
-            self.replicas.entry(slot).or_default().insert(task);
+        let open = std::mem::take(&mut self.open);
+        for (task, record) in &open {
+            self.index(*task, record);
         }
+        self.open = open;
     }
 }
 
--- a/lib/tests/ledger/bounds.rs
+++ b/lib/tests/ledger/bounds.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use hickorylink_lib::{
-    command::Reply,
+    command::{Command, Refusal, Reply},
     ids::{Index, TaskId},
-    ledger::{Ledger, Limits},
+    ledger::{Ledger, Limits, PAYLOAD_UNIT},
 };
 
 use crate::support::{
-    World, cancel, claim, completed, count, end, envelope, ran, settle, start, submit, submitted,
+    World, cancel, claim, completed, count, end, envelope, ran, refused, settle, start, submit,
+    submitted,
 };
 
 #[test]
@@ -145,3 +146,38 @@
         assert!(error.starts_with(want), "{name}: {error}");
     }
 }
+
+#[test]
+fn no_customer_takes_the_last_room() {
+    struct Case {
+        name: &'static str,
+        payload: usize,
+        /// How many tasks each customer gets in, one customer after the other.
+        want: [usize; 2],
+    }
+    let cases = [
+        Case { name: "small tasks", payload: 0, want: [50, 25] },
+        Case { name: "tasks that take four units", payload: 3 * PAYLOAD_UNIT, want: [12, 6] },
+        Case { name: "a task that takes too much", payload: 99 * PAYLOAD_UNIT, want: [0, 0] },
+    ];
+    for case in cases {
+        let mut world = World::ready_with(Limits { open_max: 100, ..Limits::default() });
+        let takes = |world: &mut World, customer, key: &str| {
+            let mut command = submit(customer, key, true);
+            if let Command::Submit(submission) = &mut command {
+                submission.spec.payload = vec![0; case.payload].into();
+            }
+            world.apply(&command) != refused(Refusal::TooManyTasks)
+        };
+        for (customer, want) in ["store", "member"].into_iter().zip(case.want) {
+            let taken = (0..100).take_while(|at| takes(&mut world, customer, &at.to_string()));
+            assert_eq!(taken.count(), want, "{}: {customer}", case.name);
+        }
+        world.ledger = Ledger::decode(&world.ledger.encode()).expect("it can be decoded");
+        assert!(!takes(&mut world, "store", "after a restart"), "{}", case.name);
+        for task in 1..=case.want[0] as u64 {
+            assert_eq!(world.apply(&cancel("store", task)), Reply::Done, "{}", case.name);
+        }
+        assert_eq!(takes(&mut world, "store", "another"), case.want[0] > 0, "{}", case.name);
+    }
+}
