scheduler: say why a worker was chosen, and send throttles again

Cause: an explanation gave the worker and not the reason; a throttle that was lost, or worse its end, was never sent again, as no report shows the speed.

Change: the parts of the cost are kept with the try and printed; a throttle is sent up to three times more, with the worker's next reports. The cost has a module of its own; tests of tiers have a file of their own.

--- a/lib/src/scheduler.rs
+++ b/lib/src/scheduler.rs
@@ -37,6 +37,7 @@
 mod attempt;
 pub mod charts;
 pub mod config;
+pub mod cost;
 mod estimate;
 pub mod explain;
 mod failures;
--- a/lib/src/scheduler/attempt.rs
+++ b/lib/src/scheduler/attempt.rs
@@ -18,6 +18,9 @@
     worker::{AttemptState, StartCommand, WorkerCommand},
 };
 
+/// How often a throttle is sent again.
+const THROTTLE_REPEATS: u8 = 3;
+
 /// What an event of a try carries.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Cause<'c> {
@@ -81,14 +84,15 @@
             Ok(step) => {
                 if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
                     current.phase = step.to;
-                    let steady = matches!(step.to, Phase::Running | Phase::Throttled);
-                    if let Some(seat) = self.fleet[current.worker].tries.get_mut(&id) {
-                        seat.steady = steady;
-                    }
                 }
                 for action in step.actions {
                     self.act_on_try(now, id, *action, cause, effects);
                 }
+                if let Some(current) = self.tasks.get(id).and_then(Task::current)
+                    && let Some(seat) = self.fleet[current.worker].tries.get_mut(&id)
+                {
+                    seat.steady = current.steady();
+                }
             }
             Err(unhandled) => self.unhandled(&unhandled),
         }
@@ -108,6 +112,7 @@
                 !task.open.spec.idempotent || task.open.failures + 1 >= self.config.max_failures
             }
             PhaseGuard::Surmised => current.surmised,
+            PhaseGuard::Repeating => current.repeats > 0,
             PhaseGuard::FullSpeed => match cause {
                 Cause::Throttle(permille) => permille >= 1_000,
                 Cause::Plain | Cause::Report(_) | Cause::Evict(_) => false,
@@ -128,7 +133,8 @@
             PhaseAction::RecordAgain => self.record_again(now, id, effects),
             PhaseAction::SendStart => self.send_start(id),
             PhaseAction::SendStop => self.send_stop(id),
-            PhaseAction::SendThrottle => self.send_throttle(id, cause),
+            PhaseAction::SetSpeed => self.set_speed(id, cause),
+            PhaseAction::SendThrottle => self.send_throttle(id),
             PhaseAction::NoteEviction => self.note_eviction(now, id, cause),
             PhaseAction::HoldRoom => self.hold_again(now, id),
             PhaseAction::Release => self.release(now, id, effects),
@@ -291,11 +297,20 @@
         self.send(current.worker, WorkerCommand::Stop { attempt, grace });
     }
 
-    fn send_throttle(&mut self, id: TaskId, cause: Cause<'_>) {
+    fn set_speed(&mut self, id: TaskId, cause: Cause<'_>) {
         let Cause::Throttle(permille) = cause else { return };
-        let Some(current) = self.tasks.get(id).and_then(Task::current) else { return };
+        if let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) {
+            current.speed = permille;
+            current.repeats = THROTTLE_REPEATS + 1;
+        }
+    }
+
+    fn send_throttle(&mut self, id: TaskId) {
+        let Some(current) = self.tasks.get_mut(id).and_then(Task::current_mut) else { return };
+        current.repeats = current.repeats.saturating_sub(1);
         let attempt = TaskAttempt { task: id, attempt: current.attempt };
-        self.send(current.worker, WorkerCommand::Throttle { attempt, permille });
+        let (worker, permille) = (current.worker, current.speed);
+        self.send(worker, WorkerCommand::Throttle { attempt, permille });
     }
 
     fn note_eviction(&mut self, now: Time, id: TaskId, cause: Cause<'_>) {
--- a/lib/src/scheduler/charts.rs
+++ b/lib/src/scheduler/charts.rs
@@ -80,6 +80,8 @@
         LastFailure = "last_failure",
         /// That it stopped follows only from its worker's lease.
         Surmised = "surmised",
+        /// The last throttle is to be sent again.
+        Repeating = "repeating",
         /// The throttle is taken away.
         FullSpeed = "full_speed",
     }
@@ -94,6 +96,8 @@
         SendStart = "send_start",
         /// Send the stop.
         SendStop = "send_stop",
+        /// Remember the speed that is asked for.
+        SetSpeed = "set_speed",
         /// Send the throttle.
         SendThrottle = "send_throttle",
         /// Remember why it must leave.
--- /dev/null
+++ b/lib/src/scheduler/cost.rs
@@ -0,0 +1,125 @@
+//! What it costs to place a task on a worker, and why a worker was chosen.
+
+use std::fmt;
+
+use crate::{
+    data,
+    ids::TaskId,
+    interference::port::Neighbour,
+    scheduler::{
+        Scheduler, charts::Health, fleet::Worker, index::WorkerSlot, queue::Lane, tasks::Task,
+    },
+    time::Time,
+};
+
+/// The cost of a second replica in a rack; a worker filled from empty to full costs 1,000.
+const RACK_COST: u32 = 4_000;
+/// The cost of the worker where the last try failed.
+const AVOID_COST: u32 = 2_000;
+/// The cost of a worker in probation for a task that must start soon.
+const UNPROVEN_COST: u32 = 8_000;
+/// The cost of a worker whose tries are expected to use twice what it has.
+const OVERLOAD_COST: f64 = 2_000.0;
+/// The cost of a service latency that is expected to double.
+const HARM_COST: f64 = 1_000.0;
+
+data! {
+    /// What it costs to place a task on a worker, in thousandths of a worker.
+    #[derive(Copy, Default)]
+    pub struct Cost {
+        /// Room that would be left, for batch work; room that is taken, for the rest.
+        pub room: u32,
+        /// Replicas of the same service in the rack.
+        pub rack: u32,
+        /// Whether the last try failed there.
+        pub failed: u32,
+        /// Whether the worker must still prove itself.
+        pub unproven: u32,
+        /// The expected rise of service latency.
+        pub interference: u32,
+        /// By how much the worker's tries are expected to use more than it has.
+        pub overload: u32,
+    }
+
+    /// Why a worker was chosen.
+    #[derive(Copy, Default)]
+    pub struct Choice {
+        /// How many workers were weighed against each other.
+        pub candidates: u32,
+        /// What the chosen one costs.
+        pub cost: Cost,
+    }
+}
+
+impl Cost {
+    /// The sum of all parts.
+    pub fn total(&self) -> u32 {
+        [self.room, self.rack, self.failed, self.unproven, self.interference, self.overload]
+            .into_iter()
+            .fold(0, u32::saturating_add)
+    }
+}
+
+impl fmt::Display for Choice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Cost { room, rack, failed, unproven, interference, overload } = self.cost;
+        write!(f, "cheapest of {} at {}", self.candidates, self.cost.total())?;
+        let parts = [
+            ("room", room),
+            ("rack", rack),
+            ("failed there", failed),
+            ("unproven", unproven),
+            ("interference", interference),
+            ("overload", overload),
+        ];
+        for (name, part) in parts.into_iter().filter(|(_, part)| *part > 0) {
+            write!(f, ", {name} {part}")?;
+        }
+        Ok(())
+    }
+}
+
+impl Scheduler {
+    /// What it costs to place a task on a worker: the smaller, the better.
+    pub(super) fn cost(
+        &self,
+        now: Time,
+        id: TaskId,
+        slot: WorkerSlot,
+        neighbour: Option<&Neighbour>,
+    ) -> Option<Cost> {
+        let task = self.tasks.get(id)?;
+        let worker = &self.fleet[slot];
+        let left = worker.free().saturating_sub(&task.size());
+        let empty = (left.dominant_share(&worker.capacity).min(1.0) * 1_000.0) as u32;
+        let same = match &task.open.spec.service {
+            Some(service) => self.spread.count(service, worker.rack),
+            None => 0,
+        };
+        let harm = neighbour
+            .map_or(0.0, |neighbour| self.interference.penalty(now, &worker.name, neighbour));
+        let failed = task.avoid == Some(slot);
+        let unproven = task.lane == Lane::Urgent && worker.health == Health::Probation;
+        Some(Cost {
+            // Batch work fills what is nearly full and keeps large holes; the rest stays apart.
+            room: match task.lane {
+                Lane::Normal => empty,
+                Lane::Urgent => 1_000 - empty,
+            },
+            rack: same.saturating_mul(RACK_COST),
+            failed: if failed { AVOID_COST } else { 0 },
+            unproven: if unproven { UNPROVEN_COST } else { 0 },
+            interference: (harm * HARM_COST) as u32,
+            overload: self.overload(task, worker),
+        })
+    }
+
+    /// The cost of a worker whose tries, going by what their kinds were seen to use, would use
+    /// more than it has.
+    fn overload(&self, task: &Task, worker: &Worker) -> u32 {
+        let expected = self.estimates.expected(task.kind, &task.size());
+        let expected = expected.saturating_add(&worker.expected);
+        let load = expected.dominant_share(&worker.capacity).min(2.0);
+        (OVERLOAD_COST * (load - 1.0).max(0.0)) as u32
+    }
+}
--- a/lib/src/scheduler/explain.rs
+++ b/lib/src/scheduler/explain.rs
@@ -10,6 +10,7 @@
     scheduler::{
         Scheduler,
         charts::{Health, Phase},
+        cost::Choice,
         place::show,
         queue::WaitReason,
         tasks::{Stage, Task, Try},
@@ -53,6 +54,8 @@
             tier: Tier,
             /// Where the try stands.
             phase: Phase,
+            /// Why the worker was chosen; nothing if another instance chose it.
+            choice: Option<Choice>,
             /// Why it must leave, if it must.
             eviction: Option<EvictionReason>,
         },
@@ -132,6 +135,7 @@
             worker: self.fleet[current.worker].name.clone(),
             tier: current.tier,
             phase: current.phase,
+            choice: current.choice,
             eviction: current.eviction,
         }
     }
@@ -208,8 +212,11 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Waiting(reason) => write!(f, "waits: {reason}"),
-            Self::Placed { attempt, worker, tier, phase, eviction } => {
+            Self::Placed { attempt, worker, tier, phase, choice, eviction } => {
                 write!(f, "is on {worker} as try {attempt} ({phase}, {tier})")?;
+                if let Some(choice) = choice {
+                    write!(f, ", {choice}")?;
+                }
                 match eviction {
                     Some(reason) => write!(f, ", and must leave because of {reason}"),
                     None => Ok(()),
--- a/lib/src/scheduler/ledger.rs
+++ b/lib/src/scheduler/ledger.rs
@@ -6,7 +6,7 @@
     scheduler::{
         Scheduler,
         attempt::Cause,
-        charts::{HealthEvent, Phase, PhaseEvent},
+        charts::{HealthEvent, PhaseEvent},
         health::FORGET,
         hold::Hold,
         index::WorkerSlot,
@@ -98,7 +98,7 @@
         let mut task = self.task(now, open, Stage::Parked);
         let size = task.size();
         let tier = self.quota.tier(task.customer, &size).unwrap_or(Tier::BestEffort);
-        task.stage = Stage::Active(Box::new(Try::new(now, attempt, Phase::Inherited, slot, tier)));
+        task.stage = Stage::Active(Box::new(Try::inherited(now, attempt, slot, tier)));
         self.hold_room(now, open.task, task);
     }
 
--- a/lib/src/scheduler/place.rs
+++ b/lib/src/scheduler/place.rs
@@ -11,8 +11,8 @@
     resources::Resources,
     scheduler::{
         Scheduler,
-        charts::{Health, HealthEvent, Phase},
-        fleet::Worker,
+        charts::HealthEvent,
+        cost::Choice,
         index::{Order, WorkerSlot},
         port::Effect,
         queue::{CustomerSlot, Lane, WaitReason},
@@ -28,14 +28,6 @@
 const RACKS: usize = 16;
 /// Workers of a rack that are looked at for a replica.
 const RACK_PROBES: usize = 4;
-/// The cost of a second replica in a rack, against a worker filled from empty to full.
-const RACK_COST: f64 = 4.0;
-/// The cost of the worker where the last try failed.
-const AVOID_COST: f64 = 2.0;
-/// The cost of a worker whose tries are expected to use twice what it has.
-const OVERLOAD_COST: f64 = 2.0;
-/// The cost of a worker in probation for a task that must start soon.
-const UNPROVEN_COST: f64 = 8.0;
 
 /// How often those that wait for room look again.
 pub(super) const SWEEP: Duration = Duration::from_millis(500);
@@ -93,9 +85,9 @@
             let Some(task) = self.tasks.get(id) else { continue };
             let size = task.size();
             if let Some(tier) = self.quota.tier(customer, &size)
-                && let Some(slot) = self.choose(now, id)
+                && let Some((slot, choice)) = self.choose(now, id)
             {
-                self.start(now, id, slot, tier, effects);
+                self.start(now, id, Try::new(now, slot, tier, choice), effects);
             }
         }
     }
@@ -116,8 +108,8 @@
                 false => WaitReason::Allowance,
             });
         };
-        if let Some(slot) = self.choose(now, id) {
-            self.start(now, id, slot, tier, effects);
+        if let Some((slot, choice)) = self.choose(now, id) {
+            self.start(now, id, Try::new(now, slot, tier, choice), effects);
             return Placing::Done;
         }
         if let Some(reason) = self.impossible(now, customer, &size) {
@@ -133,13 +125,13 @@
     }
 
     /// The worker with the least cost among a few that have room.
-    fn choose(&mut self, now: Time, id: TaskId) -> Option<WorkerSlot> {
+    fn choose(&mut self, now: Time, id: TaskId) -> Option<(WorkerSlot, Choice)> {
         let task = self.tasks.get(id)?;
         let size = task.size();
         if let Some(slot) = self.reservations.get(&id)
             && self.fleet[*slot].free().fits(&size)
         {
-            return Some(*slot);
+            return Some((*slot, Choice { candidates: 1, ..Choice::default() }));
         }
         let mut found = std::mem::take(&mut self.candidates);
         found.clear();
@@ -157,11 +149,11 @@
         let neighbour = self.neighbour(id);
         let best = found
             .iter()
-            .map(|slot| (self.cost(now, id, *slot, neighbour.as_ref()), *slot))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b))
-            .map(|(_, slot)| slot);
+            .filter_map(|slot| Some((*slot, self.cost(now, id, *slot, neighbour.as_ref())?)))
+            .min_by_key(|(_, cost)| cost.total());
+        let candidates = found.len() as u32;
         self.candidates = found;
-        best
+        best.map(|(slot, cost)| (slot, Choice { candidates, cost }))
     }
 
     /// Adds workers with room from several racks.
@@ -185,54 +177,15 @@
         }
     }
 
-    /// What it costs to place a task on a worker: the smaller, the better.
-    fn cost(&self, now: Time, id: TaskId, slot: WorkerSlot, neighbour: Option<&Neighbour>) -> f64 {
-        let Some(task) = self.tasks.get(id) else { return f64::INFINITY };
-        let worker = &self.fleet[slot];
-        let left = worker.free().saturating_sub(&task.size());
-        let empty = left.dominant_share(&worker.capacity).min(1.0);
-        let spread = match &task.open.spec.service {
-            Some(service) => RACK_COST * f64::from(self.spread.count(service, worker.rack)),
-            None => 0.0,
-        };
-        // Batch work fills what is nearly full and keeps large holes; the rest stays apart.
-        let room = match task.lane {
-            Lane::Normal => empty,
-            Lane::Urgent => 1.0 - empty,
-        };
-        let avoid = if task.avoid == Some(slot) { AVOID_COST } else { 0.0 };
-        let unproven = match (task.lane, worker.health) {
-            (Lane::Urgent, Health::Probation) => UNPROVEN_COST,
-            (Lane::Urgent | Lane::Normal, _) => 0.0,
-        };
-        let hurt = neighbour
-            .map_or(0.0, |neighbour| self.interference.penalty(now, &worker.name, neighbour));
-        room + spread + avoid + unproven + hurt + self.overload(task.kind, &task.size(), worker)
-    }
-
-    /// The cost of a worker whose tries, going by what their kinds were seen to use, would use
-    /// more than it has.
-    fn overload(&self, kind: u32, size: &Resources, worker: &Worker) -> f64 {
-        let expected = self.estimates.expected(kind, size).saturating_add(&worker.expected);
-        let load = expected.dominant_share(&worker.capacity).min(2.0);
-        OVERLOAD_COST * (load - 1.0).max(0.0)
-    }
-
     /// Holds room for a task's next try and asks for its record.
-    fn start(
-        &mut self,
-        now: Time,
-        id: TaskId,
-        slot: WorkerSlot,
-        tier: Tier,
-        effects: &mut Vec<Effect>,
-    ) {
+    fn start(&mut self, now: Time, id: TaskId, mut chosen: Try, effects: &mut Vec<Effect>) {
         let Some(mut task) = self.tasks.remove(id) else { return };
         self.queue.start(now, task.lane, task.customer, id, &self.quota);
         self.unreserve(id);
+        chosen.attempt = task.open.next;
+        let slot = chosen.worker;
         task.since = now;
-        task.stage =
-            Stage::Active(Box::new(Try::new(now, task.open.next, Phase::Recording, slot, tier)));
+        task.stage = Stage::Active(Box::new(chosen));
         self.hold_room(now, id, task);
         self.step_worker(now, slot, HealthEvent::Placed, effects);
         self.record_start(now, id, effects);
--- a/lib/src/scheduler/tasks.rs
+++ b/lib/src/scheduler/tasks.rs
@@ -8,7 +8,8 @@
     policy::Tier,
     resources::Resources,
     scheduler::{
-        charts::Phase,
+        charts::{ATTEMPT, Phase},
+        cost::Choice,
         index::WorkerSlot,
         queue::{CustomerSlot, Lane},
     },
@@ -16,6 +17,9 @@
     time::Time,
 };
 
+/// All of a try's processors, in thousandths.
+const WHOLE: u32 = 1_000;
+
 /// A task without an end.
 #[derive(Clone, Debug)]
 pub(super) struct Task {
@@ -57,38 +61,56 @@
     pub(super) worker: WorkerSlot,
     pub(super) tier: Tier,
     pub(super) placed: Time,
+    /// Why its worker was chosen; nothing if another instance placed it.
+    pub(super) choice: Option<Choice>,
     /// What it was expected to use when it was placed.
     pub(super) expected: Resources,
     /// Why it must leave its worker.
     pub(super) eviction: Option<EvictionReason>,
     /// Whether that it stopped follows only from its worker's lease.
     pub(super) surmised: bool,
+    /// The part of its processors that it may use, in thousandths.
+    pub(super) speed: u32,
+    /// How often the last throttle is still sent again, as nothing reports that it arrived.
+    pub(super) repeats: u8,
     /// What the ledger was last asked to record.
     pub(super) record: Option<Record>,
 }
 
 impl Try {
-    /// A try that was just placed, or found in the ledger.
-    pub(super) fn new(
-        now: Time,
-        attempt: Attempt,
-        phase: Phase,
-        worker: WorkerSlot,
-        tier: Tier,
-    ) -> Self {
+    /// A try that is placed now and will get its number when its record is asked for.
+    pub(super) fn new(now: Time, worker: WorkerSlot, tier: Tier, choice: Choice) -> Self {
         Self {
-            attempt,
-            phase,
+            attempt: Attempt::default(),
+            phase: ATTEMPT.initial(),
             worker,
             tier,
             placed: now,
+            choice: Some(choice),
             expected: Resources::ZERO,
             eviction: None,
             surmised: false,
+            speed: WHOLE,
+            repeats: 0,
             record: None,
         }
     }
 
+    /// A try that was found in the ledger.
+    pub(super) fn inherited(now: Time, attempt: Attempt, worker: WorkerSlot, tier: Tier) -> Self {
+        Self {
+            attempt,
+            phase: Phase::Inherited,
+            choice: None,
+            ..Self::new(now, worker, tier, Choice::default())
+        }
+    }
+
+    /// Whether a report that it runs changes nothing.
+    pub(super) fn steady(&self) -> bool {
+        matches!(self.phase, Phase::Running | Phase::Throttled) && self.repeats == 0
+    }
+
     /// Whether its room is held.
     pub(super) fn holds_room(&self) -> bool {
         match self.phase {
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -22,6 +22,8 @@
 mod message;
 #[path = "scheduler/properties.rs"]
 mod properties;
+#[path = "scheduler/tiers.rs"]
+mod tiers;
 #[path = "scheduler/worker.rs"]
 mod worker;
 #[path = "scheduler/workers.rs"]
--- a/lib/tests/scheduler/desk.rs
+++ b/lib/tests/scheduler/desk.rs
@@ -12,6 +12,7 @@
     scheduler::{
         Scheduler,
         config::Config,
+        explain::Standing,
         port::{Effect, Event},
     },
     task::{OpenTask, TaskSpec, TaskState},
@@ -265,3 +266,17 @@
     said.tasks = vec![report(attempt(1, 1), state)];
     said
 }
+
+/// A desk with plans and one worker, "w1".
+pub(crate) fn desk_with(plans: &[(&str, Plan)], capacity: Resources) -> Desk {
+    let mut desk = Desk::idle();
+    desk.policy(&policy(plans));
+    desk.hold(Some(1));
+    desk.announce(announcement("w1", capacity)).expect("a lease");
+    desk
+}
+
+/// Where a task stands.
+pub(crate) fn standing(desk: &Desk, id: u64) -> Option<Standing> {
+    desk.scheduler.explain_task(desk.now, TaskId(id)).map(|task| task.standing)
+}
--- a/lib/tests/scheduler/hurt.rs
+++ b/lib/tests/scheduler/hurt.rs
@@ -19,7 +19,8 @@
     desk: Desk,
     batch: bool,
     permille: u32,
-    throttled: bool,
+    /// Throttles that were sent.
+    sent: Vec<u32>,
     stopped: bool,
 }
 
@@ -36,7 +37,7 @@
         replica.spec.service = Some("folddesk".into());
         desk.open(replica);
         assert_eq!(desk.starts().len(), 1);
-        Self { desk, batch: false, permille: 1_000, throttled: false, stopped: false }
+        Self { desk, batch: false, permille: 1_000, sent: Vec::new(), stopped: false }
     }
 
     fn start_batch(&mut self, idempotent: bool) {
@@ -76,7 +77,7 @@
             match command {
                 WorkerCommand::Throttle { attempt: who, permille } if who == attempt(2, 1) => {
                     self.permille = permille;
-                    self.throttled |= permille < 1_000;
+                    self.sent.push(permille);
                 }
                 WorkerCommand::Stop { attempt: who, .. } => self.stopped |= who == attempt(2, 1),
                 WorkerCommand::Throttle { .. }
@@ -112,7 +113,9 @@
                 break;
             }
         }
-        assert!(beside.throttled, "{}: slowed first", case.name);
+        assert!(beside.sent[0] < 1_000, "{}: slowed first", case.name);
+        let again = beside.sent.iter().skip(1).take_while(|speed| **speed == beside.sent[0]);
+        assert!(again.count() >= 1, "{}: sent again, in case it is lost", case.name);
         assert_eq!(beside.stopped, case.moved, "{}", case.name);
         if case.moved {
             let mut said = announcement("w1", BIG);
--- a/lib/tests/scheduler/workers.rs
+++ b/lib/tests/scheduler/workers.rs
@@ -173,3 +173,14 @@
     assert!(after.fence > before.fence, "what was sent before stays void");
     assert_eq!(desk.scheduler.status().capacity, room(32, 128));
 }
+
+#[test]
+fn an_unreachable_worker_gets_no_work_until_it_is_heard() {
+    let mut desk = Desk::new();
+    desk.announce(announcement("w1", BIG)).expect("a lease");
+    desk.event(Event::Unreachable { worker: "w1".into() });
+    desk.open(task(1, "ann", room(1, 1)));
+    assert_eq!(desk.starts(), []);
+    desk.announce(announcement("w1", BIG)).expect("a lease");
+    assert_eq!(desk.starts().len(), 1);
+}
