--- a/lib/tests/scheduler/workers.rs
+++ b/lib/tests/scheduler/workers.rs
@@ -39,6 +39,12 @@
         assert_eq!(desk.starts(), [], "{}: no new work", case.name);
         desk.announce(announcement("w2", BIG)).expect("a lease");
         assert_eq!(desk.starts(), [(attempt(2, 1), "w2".into())], "{}", case.name);
+        // The same boot doesn't come back either after it was silent.
+        desk.pass(Duration::from_secs(10));
+        desk.rest();
+        desk.announce(announcement("w1", BIG)).expect("a lease");
+        desk.open(task(3, "bob", room(1, 1)));
+        assert_eq!(desk.starts(), [], "{}: no new work after a silence", case.name);
     }
 }
 
