council: name no round in the refusal of an older term's append

Cause: a leader that stepped down and led again in a later term counts its rounds of heartbeats from 1. A follower that had entered the later term refused a delayed append of the earlier one with that append's round, say 44, and with the new term; the leader took it as the answer to a round that it had yet to send, and answered a read without one. Thawed after a freeze, it read at 185 when 233 was committed.

Ruled out: dropping rounds above the leader's own; a late answer with a smaller number would still count.

Change: the refusal names round 0.

--- a/lib/src/consensus/election.rs
+++ b/lib/src/consensus/election.rs
@@ -18,6 +18,10 @@
     time::Time,
 };
 
+/// The answer to an append of an older term. It names no round: the sender may lead again in this
+/// term, and count its rounds anew.
+const REFUSAL: Body = Body::AppendAnswer { matched: Index(0), rejected: true, round: 0 };
+
 impl Consensus {
     /// Draws an election timeout and waits for it from now on.
     pub(super) fn wait(&mut self, now: Time) {
@@ -68,8 +72,7 @@
         match body {
             Body::PreVote { .. } => self.send(from, Body::PreVoteAnswer { granted: false }),
             Body::Vote { .. } => self.send(from, Body::VoteAnswer { granted: false }),
-            Body::Append { round, .. } => self.send(from, refusal(*round)),
-            Body::SnapshotChunk { .. } => self.send(from, refusal(0)),
+            Body::Append { .. } | Body::SnapshotChunk { .. } => self.send(from, REFUSAL),
             Body::ReadIndex { ticket } => {
                 self.send(from, Body::ReadAnswer { ticket: *ticket, index: None });
             }
@@ -160,7 +163,3 @@
         turn.raised.push_back(Trigger::Tally);
     }
 }
-
-fn refusal(round: u64) -> Body {
-    Body::AppendAnswer { matched: Index(0), rejected: true, round }
-}
--- a/lib/tests/consensus/rules.rs
+++ b/lib/tests/consensus/rules.rs
@@ -240,6 +240,14 @@
     assert_eq!(solo.sent(), [(InstanceId(2), synced)]);
 }
 
+#[test]
+fn an_append_of_an_older_term_confirms_no_round() {
+    let mut solo = Solo::new(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
+    solo.hear(2, 1, heartbeat(0, 44));
+    let refusal = Body::AppendAnswer { matched: Index(0), rejected: true, round: 0 };
+    assert_eq!(solo.sent(), [(InstanceId(2), refusal)]);
+}
+
 #[test]
 fn entries_in_place_of_others_are_acknowledged_after_the_sync() {
     let all = members(&[1, 2, 3], &[]);
--- a/lib/tests/consensus/schedules.rs
+++ b/lib/tests/consensus/schedules.rs
@@ -148,6 +148,13 @@
             learners: 1,
             seeds: 0..12,
         },
+        Case {
+            name: "frozen, an answer to an earlier term's round",
+            faults: Faults { freeze: 8, ..calm },
+            voters: 3,
+            learners: 1,
+            seeds: 155..156,
+        },
         Case {
             name: "lost disks",
             faults: Faults { lose_disk: 8, ..calm },
