council: run the schedules over many seeds on demand

Change: the table of schedules is shared by the default test and by one that is ignored by default and takes 600 seeds of each case. No default seed is gone.

--- a/lib/tests/consensus/schedules.rs
+++ b/lib/tests/consensus/schedules.rs
@@ -106,18 +106,19 @@
     }
 }
 
-#[test]
-fn no_acknowledged_entry_is_lost_or_applied_twice() {
-    struct Case {
-        name: &'static str,
-        faults: Faults,
-        voters: u64,
-        learners: u64,
-        seeds: std::ops::Range<u64>,
-    }
+/// A council under faults, and the seeds of its schedules.
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    voters: u64,
+    learners: u64,
+    seeds: std::ops::Range<u64>,
+}
+
+fn cases() -> [Case; 9] {
     let calm = Faults { network: KIND, ..Faults::default() };
     let lossy = Faults { network: LOSSY, ..calm };
-    let cases = [
+    [
         Case { name: "calm", faults: calm, voters: 3, learners: 2, seeds: 0..3 },
         Case {
             name: "alone",
@@ -169,25 +170,43 @@
             learners: 1,
             seeds: 0..24,
         },
-    ];
-    for case in cases {
-        let (mut acked, mut reads, mut elections, mut restores) = (0, 0, 0, 0);
-        for seed in case.seeds.clone() {
-            let world = run(case.faults, case.voters, case.learners, seed);
-            if let Err(violation) = world.promises.verdict() {
-                panic!("{}, seed {seed}: {violation}", case.name);
-            }
-            acked += world.promises.acked();
-            reads += world.promises.reads;
-            elections += world.promises.elections;
-            restores += world.promises.restores;
+    ]
+}
+
+/// Runs a case's schedules and prints what they did.
+fn check(case: &Case, seeds: std::ops::Range<u64>) {
+    let (mut acked, mut reads, mut elections, mut restores) = (0, 0, 0, 0);
+    for seed in seeds.clone() {
+        let world = run(case.faults, case.voters, case.learners, seed);
+        if let Err(violation) = world.promises.verdict() {
+            panic!("{}, seed {seed}: {violation}", case.name);
         }
-        assert!(acked > 0 && reads > 0, "{}: the schedules do something", case.name);
-        println!(
-            "{}: {} seeds, {acked} acknowledged, {reads} reads, {elections} elections, {restores} restores",
-            case.name,
-            case.seeds.count(),
-        );
+        acked += world.promises.acked();
+        reads += world.promises.reads;
+        elections += world.promises.elections;
+        restores += world.promises.restores;
+    }
+    assert!(acked > 0 && reads > 0, "{}: the schedules do something", case.name);
+    println!(
+        "{}: {} seeds, {acked} acknowledged, {reads} reads, {elections} elections, \
+         {restores} restores",
+        case.name,
+        seeds.count(),
+    );
+}
+
+#[test]
+fn no_acknowledged_entry_is_lost_or_applied_twice() {
+    for case in cases() {
+        check(&case, case.seeds.clone());
+    }
+}
+
+#[test]
+#[ignore = "takes a minute in a release build; give --release --include-ignored"]
+fn no_acknowledged_entry_is_lost_over_many_seeds() {
+    for case in cases() {
+        check(&case, 0..600);
     }
 }
 
