cli: show the burn report, keep its counts over restarts, and change the log's level at run time

Cause: the router counts good and bad requests, but nobody could ask for them and a restart lost them; the log's level needed a restart, and a repeated line could fill the log.

Ruled out: counts as records of the council's log (a commit for a report that may lag); saving on the router's thread (it may not wait for a disk) or on storage's (a sync of the council's log would wait behind it). Splitting the two in two commits: the daemon and the front take both in the same lines.

GET /v1/burn and hickorylink burn merge the reports of several instances and name those that gave none. PUT /v1/log-level and hickorylink log-level; the thread that writes the log limits lines above debug to 20 a second and message, and counts the others. An inlet takes what can become its item, so senders of events stay as they are.

--- a/cli/src/burn.rs
+++ b/cli/src/burn.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here does I/O; a report goes in and text comes out.
 
+mod counts;
 mod picture;
 mod table;
 
@@ -14,6 +15,7 @@
 use serde_json::{Value, json};
 
 pub use self::{
+    counts::Counts,
     picture::{PictureError, svg},
     table::table,
 };
--- a/cli/src/clock.rs
+++ b/cli/src/clock.rs
@@ -4,6 +4,9 @@
 
 use hickorylink_lib::time::{Time, WallTime};
 
+/// Nanoseconds in a millisecond.
+const NANOS_PER_MILLI: u64 = 1_000_000;
+
 /// The monotonic clock, counted from the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -26,6 +29,11 @@
     pub fn wall(&self) -> WallTime {
         self.wall
     }
+
+    /// The wall clock at `now`, if nobody has set it since the start.
+    pub fn wall_at(&self, now: Time) -> WallTime {
+        WallTime(self.wall.0.saturating_add(now.as_nanos() / NANOS_PER_MILLI))
+    }
 }
 
 fn wall_now() -> WallTime {
--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -4,10 +4,12 @@
 
 use crate::client::{Connection, Outcome};
 
+pub mod burn;
 pub mod call;
 pub mod completions;
 pub mod credential;
 pub mod list;
+pub mod log_level;
 pub mod serve;
 pub mod status;
 pub mod submit;
@@ -47,6 +49,10 @@
     Worker(worker::Args),
     /// Call a service
     Call(call::Args),
+    /// Show how fast error budgets are used up
+    Burn(burn::Args),
+    /// Change what an instance logs, without a restart
+    LogLevel(log_level::Args),
     /// Make the hash of a credential, for the lists
     Credential(credential::Args),
     /// Print completions for a shell
@@ -66,6 +72,8 @@
             Command::Task(args) => task::run(connection, &args),
             Command::Worker(args) => worker::run(connection, &args),
             Command::Call(args) => call::run(connection, args),
+            Command::Burn(args) => burn::run(connection, &args),
+            Command::LogLevel(args) => log_level::run(connection, args),
             Command::Credential(args) => credential::run(&args),
             Command::Completions(args) => completions::run(&args),
         }
--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -1,6 +1,6 @@
 //! A whole instance: its duties, the rings between them, and how it starts and leaves.
 
-use std::{io, sync::Arc, time::Duration};
+use std::{io, path::Path, sync::Arc, time::Duration};
 
 use crossbeam_channel as ring;
 use hickorylink_lib::{
@@ -26,14 +26,20 @@
 
 use crate::{
     clock::Clock,
-    duty::{self, dispatch::Order, peers::Post, scheduler::Job, spawn, storage::Keep},
+    duty::{
+        self, counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job,
+        spawn, storage::Keep,
+    },
     frame::PeerKey,
     front::Desk,
-    log::logger,
+    log,
     mail::{FrontNews, Mail, Rings},
     metrics::Metrics,
     ring::{to_runtime, to_thread},
-    storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
+    storage::{
+        Folder, Identity, SEGMENT_MAX, Store, StoreError,
+        counts::{self, CountsError, CountsFile},
+    },
 };
 
 mod config;
@@ -44,6 +50,9 @@
 /// Room in storage's ring: it takes all it finds at once.
 const STORAGE_RING: usize = 4096;
 
+/// Room for counts to be saved.
+const COUNTS_RING: usize = 4;
+
 /// Room for lines to the log.
 const NOTES_RING: usize = 8192;
 
@@ -51,6 +60,9 @@
 /// learn that it left.
 const FAREWELL: Duration = Duration::from_millis(600);
 
+/// How long an instance that leaves waits for its counts to be saved.
+const LAST_SAVE: Duration = Duration::from_secs(2);
+
 /// Why an instance can't run.
 #[derive(Debug, Snafu)]
 pub enum DaemonError {
@@ -85,10 +97,11 @@
     council: ring::Receiver<council::Event>,
     storage: ring::Receiver<Write>,
     scheduler: ring::Receiver<Job>,
-    router: ring::Receiver<router::Event>,
+    router: ring::Receiver<RouterJob>,
     front: mpsc::Receiver<FrontNews>,
     peers: mpsc::Receiver<Post>,
     dispatch: mpsc::Receiver<Order>,
+    counts: ring::Receiver<Save>,
     notes: ring::Receiver<Note>,
 }
 
@@ -106,8 +119,10 @@
 /// [`DaemonError`] if it can't start or its disk fails.
 pub fn run(settings: Settings) -> Result<(), DaemonError> {
     let clock = Clock::start();
-    let (log, _guard) = logger(settings.log, settings.name.as_str());
-    let (me, keep, recovered) = open(&settings, clock.wall(), &log)?;
+    // Its guard lives as long as the instance, and writes what waits at the end.
+    let journal = log::start(settings.log, settings.name.as_str(), clock);
+    let log = &journal.root;
+    let (me, keep, recovered) = open(&settings, clock.wall(), log)?;
     let config = config::config(&settings, me, clock.wall());
     let (rings, ends) = rings();
     let metrics = Arc::new(Metrics::default());
@@ -115,13 +130,15 @@
     let council = Council::new(config.council, recovered, now)
         .map_err(|error| DaemonError::Snapshot { message: error.to_string() })?;
     let directory = Directory::new(config.directory, now);
-    let router = RouterPart::new(me, config.router, now, config.seed);
+    let mut router = RouterPart::new(me, config.router, now, config.seed);
+    let counts = restore_counts(&settings, clock, &mut router, log);
     let scheduler = SchedulerPart::new(settings.centre.clone(), config.scheduler, now, config.seed);
-    let desk = Desk::new(settings.clone(), rings.clone(), clock, metrics.clone(), log.clone());
-    let parts = Parts { council, directory, router, scheduler, keep, desk: Arc::new(desk) };
+    let desk = Desk::new(settings.clone(), rings.clone(), clock, metrics.clone(), &journal);
+    let desk = Arc::new(desk);
+    let parts = Parts { council, directory, router, scheduler, keep, counts, desk };
     info!(log, "the instance starts"; "id" => me.0, "listen" => %settings.listen);
-    let running = start(settings, rings, ends, parts, clock, &metrics, &log)?;
-    running.until_left(&log)
+    let running = start(settings, rings, ends, parts, clock, &metrics, log)?;
+    running.until_left(log)
 }
 
 struct Parts {
@@ -130,6 +147,7 @@
     router: RouterPart,
     scheduler: SchedulerPart,
     keep: Keep<Folder>,
+    counts: Option<CountsFile<Folder>>,
     desk: Arc<Desk>,
 }
 
@@ -139,6 +157,7 @@
     desk: Arc<Desk>,
     stop_front: watch::Sender<bool>,
     drained: mpsc::Receiver<()>,
+    saved: mpsc::Receiver<()>,
     faults: mpsc::Receiver<Fault>,
     runtime: Runtime,
 }
@@ -161,6 +180,32 @@
     Ok((opened.identity.instance, Keep::Disk(opened.store), opened.recovered))
 }
 
+/// Reads the counts of the burn report that an earlier process kept; without them the report
+/// says how much of its windows it covers.
+fn restore_counts(
+    settings: &Settings,
+    clock: Clock,
+    part: &mut RouterPart,
+    log: &Logger,
+) -> Option<CountsFile<Folder>> {
+    let path = Path::new(settings.data.as_ref()?).join(counts::FOLDER);
+    let opened = CountsFile::open(Folder::new(path));
+    let mut file = opened.map_err(|error| warn_counts(log, &error)).ok()?;
+    match file.load() {
+        Ok(Some(snapshot)) => {
+            let now = clock.now();
+            part.router.restore_burn(now, clock.wall_at(now), snapshot);
+        }
+        Ok(None) => {}
+        Err(error) => warn_counts(log, &error),
+    }
+    Some(file)
+}
+
+fn warn_counts(log: &Logger, error: &CountsError) {
+    warn!(log, "the burn report starts without earlier counts"; "error" => %error);
+}
+
 fn rings() -> (Rings, Ends) {
     let (council, council_end) = to_thread("council", RING);
     let (storage, storage_end) = to_thread("storage", STORAGE_RING);
@@ -169,8 +214,10 @@
     let (front, front_end) = to_runtime("front", RING);
     let (peers, peers_end) = to_runtime("peers", RING);
     let (dispatch, dispatch_end) = to_runtime("dispatch", RING);
+    let (counts, counts_end) = to_thread("counts", COUNTS_RING);
     let (notes, notes_end) = to_thread("notes", NOTES_RING);
-    let rings = Rings { council, storage, scheduler, router, front, peers, dispatch, notes };
+    let rings =
+        Rings { council, storage, scheduler, router, front, peers, dispatch, counts, notes };
     let ends = Ends {
         council: council_end,
         storage: storage_end,
@@ -179,6 +226,7 @@
         front: front_end,
         peers: peers_end,
         dispatch: dispatch_end,
+        counts: counts_end,
         notes: notes_end,
     };
     (rings, ends)
@@ -199,6 +247,7 @@
 ) -> Result<Running, DaemonError> {
     let (fault, faults) = mpsc::channel(4);
     let (drained_sender, drained) = mpsc::channel(1);
+    let (saved_sender, saved) = mpsc::channel(1);
     let (stop_front, stop) = watch::channel(false);
     let mail = |gauge: &Arc<crate::ring::Gauge>| Mail::new(&rings, gauge);
 
@@ -222,6 +271,13 @@
     let (end, post, router) = (ends.router, mail(rings.router.gauge()), parts.router);
     spawn("router", move || duty::router::router(&end, clock, post, router)).context(StartSnafu)?;
 
+    if let Some(file) = parts.counts {
+        let (end, router) = (ends.counts, rings.router.clone());
+        let setup =
+            duty::counts::Setup { file, clock, router, saved: saved_sender, log: log.clone() };
+        spawn("counts", move || duty::counts::counts(&end, setup)).context(StartSnafu)?;
+    }
+
     let (end, post, scheduler) = (ends.scheduler, mail(rings.scheduler.gauge()), parts.scheduler);
     spawn("scheduler", move || duty::scheduler::scheduler(&end, clock, post, scheduler))
         .context(StartSnafu)?;
@@ -268,13 +324,15 @@
     .context(StartSnafu)?;
 
     let desk = parts.desk;
-    Ok(Running { settings, rings, desk, stop_front, drained, faults, runtime: runtime()? })
+    let runtime = runtime()?;
+    Ok(Running { settings, rings, desk, stop_front, drained, saved, faults, runtime })
 }
 
 impl Running {
     /// Waits until the instance is told to leave, and lets it leave.
     fn until_left(self, log: &Logger) -> Result<(), DaemonError> {
-        let Self { settings, rings, desk, stop_front, mut drained, mut faults, runtime } = self;
+        let Self { settings, rings, desk, stop_front, mut drained, mut saved, mut faults, runtime } =
+            self;
         runtime.block_on(async move {
             let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
             let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
@@ -298,6 +356,10 @@
                 warn!(log, "requests were still under way when the time to leave ran out");
             }
             stop_front.send_replace(true);
+            if settings.data.is_some() && rings.counts.push(Save::Leave).is_ok() {
+                // Nothing comes if the duty couldn't be started; its channel is closed then.
+                drop(tokio::time::timeout(LAST_SAVE, saved.recv()).await);
+            }
             tokio::time::sleep(FAREWELL).await;
             info!(log, "the instance has left");
             Ok(())
--- a/cli/src/duty.rs
+++ b/cli/src/duty.rs
@@ -8,6 +8,7 @@
 use crate::{clock::Clock, mail::Mail};
 
 pub mod council;
+pub mod counts;
 pub mod dispatch;
 pub mod front;
 pub mod notes;
--- a/cli/src/front.rs
+++ b/cli/src/front.rs
@@ -11,6 +11,7 @@
 };
 
 use hickorylink_lib::{
+    burn,
     command::Command,
     council::port as council,
     ids::{CustomerName, InstanceName, OperatorName, RequestId},
@@ -20,18 +21,21 @@
     settings::Settings,
     worker::LeaseAnswer,
 };
-use poem::{EndpointExt, IntoEndpoint, Route, get, middleware::AddData, post};
+use poem::{EndpointExt, IntoEndpoint, Route, get, middleware::AddData, post, put};
 use slog::Logger;
 use tokio::sync::oneshot;
 
 use crate::{
     clock::Clock,
+    log::{LevelSwitch, Log},
     mail::{FrontNews, Rings},
     metrics::Metrics,
 };
 
+pub mod burn_report;
 pub mod credential;
 pub mod lists;
+pub mod logging;
 pub mod reply;
 pub mod services;
 pub mod state;
@@ -55,6 +59,8 @@
     pub metrics: Arc<Metrics>,
     /// The log.
     pub log: Logger,
+    /// Which records are logged.
+    pub level: LevelSwitch,
     policy: RwLock<Arc<Policy>>,
     next: AtomicU64,
     draining: AtomicBool,
@@ -62,6 +68,7 @@
     requests: Waiting<RequestId, RequestOutcome>,
     announcements: Waiting<u64, Result<LeaseAnswer, String>>,
     explained: Waiting<u64, Option<serde_json::Value>>,
+    burns: Waiting<u64, burn::Report>,
 }
 
 /// Callers that wait for an answer.
@@ -118,7 +125,7 @@
         rings: Rings,
         clock: Clock,
         metrics: Arc<Metrics>,
-        log: Logger,
+        log: &Log,
     ) -> Self {
         Self {
             next: AtomicU64::new(rand::random()),
@@ -126,13 +133,15 @@
             rings,
             clock,
             metrics,
-            log,
+            log: log.root.clone(),
+            level: log.level.clone(),
             policy: RwLock::default(),
             draining: AtomicBool::new(false),
             answers: Waiting::new(),
             requests: Waiting::new(),
             announcements: Waiting::new(),
             explained: Waiting::new(),
+            burns: Waiting::new(),
         }
     }
 
@@ -143,6 +152,7 @@
             FrontNews::Request(request, outcome) => self.requests.answer(&request, outcome),
             FrontNews::Announce(ticket, answer) => self.announcements.answer(&ticket, answer),
             FrontNews::Explained(ticket, value) => self.explained.answer(&ticket, value),
+            FrontNews::Burn(ticket, report) => self.burns.answer(&ticket, *report),
             FrontNews::Policy(policy) => {
                 *self.policy.write().unwrap_or_else(PoisonError::into_inner) = policy;
             }
@@ -227,6 +237,8 @@
         .at("/health", get(state::health))
         .at("/metrics", get(state::metrics))
         .at("/v1/status", get(state::status))
+        .at("/v1/burn", get(burn_report::show))
+        .at("/v1/log-level", put(logging::set_level))
         .at("/v1/services/:service/*path", post(services::call))
         .at("/v1/tasks", post(tasks::submit))
         .at("/v1/tasks/:task", get(tasks::show).delete(tasks::cancel))
--- a/cli/src/front/services.rs
+++ b/cli/src/front/services.rs
@@ -156,7 +156,7 @@
     took: Duration,
 ) {
     slog::debug!(desk.log, "request";
-        "request" => id.0,
+        "request" => %id,
         "customer" => customer.as_str(),
         "outcome" => words::outcome(outcome),
         "took_us" => u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
--- a/cli/src/mail.rs
+++ b/cli/src/mail.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hickorylink_lib::{
+    burn,
     consensus::log::Write,
     council::port as council,
     ids::RequestId,
@@ -13,7 +14,7 @@
 };
 
 use crate::{
-    duty::{dispatch::Order, peers::Post, scheduler::Job},
+    duty::{counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job},
     ring::{Gauge, Inlet, Outbox, note_backlog},
 };
 
@@ -30,6 +31,8 @@
     Policy(Arc<Policy>),
     /// A worker or a task as the scheduler sees it.
     Explained(u64, Option<serde_json::Value>),
+    /// What the router counted for the burn report.
+    Burn(u64, Box<burn::Report>),
 }
 
 /// The sending ends of all rings.
@@ -42,13 +45,15 @@
     /// To the scheduler.
     pub scheduler: Inlet<Job>,
     /// To the router.
-    pub router: Inlet<router::Event>,
+    pub router: Inlet<RouterJob>,
     /// To the front.
     pub front: Inlet<FrontNews>,
     /// To the peers' duty.
     pub peers: Inlet<Post>,
     /// To dispatch.
     pub dispatch: Inlet<Order>,
+    /// To the duty that saves the burn report's counts.
+    pub counts: Inlet<Save>,
     /// To the log and the metrics.
     pub notes: Inlet<Note>,
 }
@@ -64,6 +69,7 @@
             (self.front.gauge().clone(), self.front.len()),
             (self.peers.gauge().clone(), self.peers.len()),
             (self.dispatch.gauge().clone(), self.dispatch.len()),
+            (self.counts.gauge().clone(), self.counts.len()),
             (self.notes.gauge().clone(), self.notes.len()),
         ]
     }
@@ -76,10 +82,11 @@
     council: Outbox<council::Event>,
     storage: Outbox<Write>,
     scheduler: Outbox<Job>,
-    router: Outbox<router::Event>,
+    router: Outbox<RouterJob>,
     front: Outbox<FrontNews>,
     peers: Outbox<Post>,
     dispatch: Outbox<Order>,
+    counts: Inlet<Save>,
     notes: Inlet<Note>,
 }
 
@@ -95,6 +102,7 @@
             front: Outbox::new(&rings.front),
             peers: Outbox::new(&rings.peers),
             dispatch: Outbox::new(&rings.dispatch),
+            counts: rings.counts.clone(),
             notes: rings.notes.clone(),
         }
     }
@@ -161,4 +169,14 @@
     pub fn explain(&mut self, ticket: u64, explained: Option<serde_json::Value>) {
         self.front.send(FrontNews::Explained(ticket, explained));
     }
+
+    /// Tells the front what the router counted.
+    pub fn burn(&mut self, ticket: u64, report: burn::Report) {
+        self.front.send(FrontNews::Burn(ticket, Box::new(report)));
+    }
+
+    /// Has the router's counts saved; if there is no room, the next ones will do.
+    pub fn counts(&mut self, snapshot: burn::Snapshot) {
+        drop(self.counts.push(Save::Counts(Box::new(snapshot))));
+    }
 }
--- a/cli/src/ring.rs
+++ b/cli/src/ring.rs
@@ -86,7 +86,8 @@
     /// # Errors
     ///
     /// The item, if the ring is too full or its duty has too much to pass on.
-    pub fn offer(&self, item: T) -> Result<(), T> {
+    pub fn offer(&self, item: impl Into<T>) -> Result<(), T> {
+        let item = item.into();
         let room = self.gauge.capacity - self.gauge.capacity / RESERVE;
         if self.len() + self.gauge.backlog.load(Ordering::Relaxed) >= room {
             self.gauge.shed.fetch_add(1, Ordering::Relaxed);
@@ -100,7 +101,8 @@
     /// # Errors
     ///
     /// The item, if the ring is full or its duty has ended.
-    pub fn push(&self, item: T) -> Result<(), T> {
+    pub fn push(&self, item: impl Into<T>) -> Result<(), T> {
+        let item = item.into();
         let pushed = match &self.end {
             End::Thread(sender) => sender.try_send(item).map_err(ring::TrySendError::into_inner),
             End::Runtime(sender) => sender.try_send(item).map_err(|error| match error {
@@ -148,7 +150,8 @@
     }
 
     /// Passes an item on, after those that wait.
-    pub fn send(&mut self, item: T) {
+    pub fn send(&mut self, item: impl Into<T>) {
+        let item = item.into();
         if self.waiting.is_empty() {
             if let Err(item) = self.inlet.push(item) {
                 self.waiting.push_back(item);
--- a/cli/src/storage.rs
+++ b/cli/src/storage.rs
@@ -17,6 +17,7 @@
     segment::Base,
 };
 
+pub mod counts;
 pub mod disk;
 mod error;
 mod frame;
--- /dev/null
+++ b/cli/tests/real/burn.rs
@@ -0,0 +1,184 @@
+//! The burn report of real processes.
+
+use std::{
+    fs,
+    path::Path,
+    process::{Command, Output},
+};
+
+use hickorylink_standin::cluster::{OPERATOR, Signal, eventually};
+use serde_json::Value;
+
+use crate::world::{ONE, PATIENCE, STORE, THREE, World};
+
+/// An address where nobody listens: a port that no cluster gets.
+const NOBODY: &str = "127.0.0.1:9";
+
+/// Runs `hickorylink burn` as an operator.
+fn burn(address: &str, credential: &str, args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_hickorylink"));
+    command.args(["burn", "--address", address, "--credential", credential]).args(args);
+    command.output().expect("the command runs")
+}
+
+/// The report of these instances in JSON.
+fn report(world: &World, args: &[&str]) -> Option<Value> {
+    let address = world.cluster.instances[0].front.to_string();
+    let output = burn(&address, OPERATOR, &[&["--json"], args].concat());
+    serde_json::from_slice(&output.stdout).ok()
+}
+
+/// Requests of the store that the report counts over three days.
+fn counted(world: &World, args: &[&str]) -> Option<u64> {
+    let report = report(world, args)?;
+    let rows = report["rows"].as_array()?;
+    let row = rows.iter().find(|row| row["customer"] == "store")?;
+    let tally = &row["windows"]["3d"];
+    Some(tally["good"].as_u64()? + tally["bad"].as_u64()?)
+}
+
+/// Waits until at least so many requests are counted, and gives how many there are.
+async fn wait_counted(world: &World, least: u64) -> u64 {
+    let seen =
+        eventually(PATIENCE, async || counted(world, &[]).filter(|counted| *counted >= least));
+    seen.await.unwrap_or_else(|| panic!("{least} requests are counted\n{}", world.logs()))
+}
+
+/// Waits until the file has been written twice more: the second time holds all that was counted
+/// before this was called.
+async fn wait_saved(file: &Path) {
+    for _ in 0..2 {
+        let before = fs::read(file).ok();
+        let saved = eventually(PATIENCE, async || {
+            let now = fs::read(file).ok()?;
+            (Some(&now) != before.as_ref()).then_some(())
+        });
+        assert!(saved.await.is_some(), "the counts are saved");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn counts_survive_a_crash_and_a_graceful_leave() {
+    let mut world = World::serving(ONE).await;
+    let served = world.call(&[0], "burn", 10, true).await;
+    assert_eq!(served.ran, 10, "{}", world.logs());
+    let before = wait_counted(&world, 10).await;
+    let file = world.cluster.data(0).join("burn/counts.bin");
+    wait_saved(&file).await;
+    world.cluster.kill(0).expect("the instance is ended");
+    world.cluster.launch(0).expect("it starts again");
+    let crashed = wait_counted(&world, before).await;
+    assert_eq!(crashed, before, "nothing is counted twice");
+
+    world.wait_served(0).await;
+    let before = wait_counted(&world, crashed + 1).await;
+    world.cluster.signal(0, Signal::SIGTERM).expect("the instance is told to leave");
+    assert!(world.cluster.wait_end(0, PATIENCE).expect("it ends by itself"), "it ends well");
+    world.cluster.launch(0).expect("it starts again");
+    assert_eq!(wait_counted(&world, before).await, before, "a graceful leave loses no count");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn damaged_counts_are_started_without() {
+    let mut world = World::serving(ONE).await;
+    wait_counted(&world, 1).await;
+    world.cluster.signal(0, Signal::SIGTERM).expect("the instance is told to leave");
+    assert!(world.cluster.wait_end(0, PATIENCE).expect("it ends by itself"), "it ends well");
+    let file = world.cluster.data(0).join("burn/counts.bin");
+    let mut bytes = fs::read(&file).expect("the counts were saved");
+    let middle = bytes.len() / 2;
+    bytes[middle] ^= 1;
+    fs::write(&file, bytes).expect("the file can be written");
+    world.cluster.launch(0).expect("it starts again");
+    let shown = eventually(PATIENCE, async || report(&world, &[])).await;
+    let shown = shown.expect("the instance runs and reports");
+    assert_eq!(shown["rows"].as_array().map(Vec::len), Some(0), "{shown}");
+    let part = shown["coverage"]["5m"]["part"].as_f64().expect("it says what it covers");
+    assert!(part < 1.0, "the report says what it doesn't know: {shown}");
+    assert!(world.cluster.log(0).contains("starts without earlier counts"), "{}", world.logs());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_command_merges_reports_and_says_who_is_silent() {
+    struct Case {
+        name: &'static str,
+        instances: Vec<String>,
+        credential: &'static str,
+        exit: i32,
+        sources: usize,
+        silent: usize,
+        says: &'static str,
+    }
+    let world = World::serving(THREE).await;
+    let at = |at: usize| world.cluster.instances[at].front.to_string();
+    let case = Case {
+        name: "all three",
+        instances: vec![at(0), at(1), at(2)],
+        credential: OPERATOR,
+        exit: 0,
+        sources: 3,
+        silent: 0,
+        says: "",
+    };
+    let cases = [
+        Case { name: "one by default", instances: vec![], sources: 1, ..case },
+        Case { name: "one twice", instances: vec![at(0), at(0)], sources: 1, ..case },
+        Case {
+            name: "one is silent",
+            instances: vec![at(0), NOBODY.to_owned()],
+            exit: 4,
+            sources: 1,
+            silent: 1,
+            says: NOBODY,
+            ..case
+        },
+        Case {
+            name: "none answers",
+            instances: vec![NOBODY.to_owned()],
+            exit: 4,
+            sources: 0,
+            says: NOBODY,
+            ..case
+        },
+        Case {
+            name: "a customer asks",
+            instances: vec![],
+            credential: STORE,
+            exit: 7,
+            sources: 0,
+            says: "credential",
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut args = vec!["--json".to_owned()];
+        if !case.instances.is_empty() {
+            args.extend(["--instances".to_owned(), case.instances.join(",")]);
+        }
+        let args: Vec<_> = args.iter().map(String::as_str).collect();
+        let output = burn(&at(0), case.credential, &args);
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(case.exit), "{}: {errors}", case.name);
+        assert!(errors.contains(case.says), "{}: {errors}", case.name);
+        let value: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let len = |field: &str| value[field].as_array().map_or(0, Vec::len);
+        assert_eq!(len("instances"), case.sources, "{}: {value}", case.name);
+        assert_eq!(len("silent_instances"), case.silent, "{}: {value}", case.name);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_command_draws_a_picture() {
+    let world = World::serving(ONE).await;
+    wait_counted(&world, 1).await;
+    let folder = tempfile::tempdir().expect("a temporary folder can be made");
+    let file = folder.path().join("burn.svg");
+    let address = world.cluster.instances[0].front.to_string();
+    let path = file.to_str().expect("the path is text");
+    let output = burn(&address, OPERATOR, &["--svg", path]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    assert!(String::from_utf8_lossy(&output.stdout).contains("BUDGET LEFT"), "{output:?}");
+    let picture = fs::read_to_string(&file).expect("the picture was drawn");
+    assert!(picture.contains("folddesk / store"), "rows are labelled");
+}
--- a/cli/tests/real/world.rs
+++ b/cli/tests/real/world.rs
@@ -26,6 +26,9 @@
 /// The data centres.
 pub(crate) const CENTRES: [&str; 3] = ["akl-a", "akl-b", "hlz-c"];
 
+/// One instance with a disk.
+pub(crate) const ONE: &[Spec<'_>] = &[Spec { name: "akl-a-1", centre: "akl-a", disk: true }];
+
 /// Three instances with disks, one in each data centre.
 pub(crate) const THREE: &[Spec<'_>] = &[
     Spec { name: "akl-a-1", centre: "akl-a", disk: true },
--- a/cli/tests/storage.rs
+++ b/cli/tests/storage.rs
@@ -2,6 +2,8 @@
 
 #[path = "storage/cases.rs"]
 mod cases;
+#[path = "storage/counts.rs"]
+mod counts;
 #[path = "storage/fake.rs"]
 mod fake;
 #[path = "storage/model.rs"]
--- a/lib/src/router.rs
+++ b/lib/src/router.rs
@@ -166,9 +166,12 @@
         }
     }
 
-    /// The good and bad requests that this instance counted.
+    /// The good and bad requests that this instance counted; the report names the live instances
+    /// that it doesn't cover.
     pub fn burn(&self, now: Time) -> burn::Report {
-        self.burn.report(now, self.config.me, &self.policy)
+        let mut report = self.burn.report(now, self.config.me, &self.policy);
+        report.expect(self.fleet.alive());
+        report
     }
 
     /// What the counts of good and bad requests need to go on after a restart.
--- a/lib/src/router/fleet.rs
+++ b/lib/src/router/fleet.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    ids::{DataCentre, ServiceName},
+    ids::{DataCentre, InstanceId, ServiceName},
     router::{
         config::Config,
         latency::Quantiles,
@@ -194,6 +194,11 @@
         self.deal_all(now, config, timers);
     }
 
+    /// The instances that were alive by the newest view.
+    pub(super) fn alive(&self) -> impl Iterator<Item = InstanceId> {
+        self.views.current().peers.iter().map(|peer| peer.instance)
+    }
+
     /// Deals the slots of every service again.
     pub(super) fn deal_all(&mut self, now: Time, config: &Config, timers: &mut Timers) {
         self.views.expire(now, config.settle);
