--- /dev/null
+++ b/cli/tests/pages.rs
@@ -0,0 +1,263 @@
+//! The pages for operators: their commands run as they stand, and their tables are whole.
+
+use std::{
+    fs,
+    os::unix::fs::symlink,
+    path::{Path, PathBuf},
+    process::{Command, Output, Stdio},
+    time::Duration,
+};
+
+use hickorylink_cli::{metrics::Metrics, ring::to_thread};
+use hickorylink_lib::{
+    ids::{Epoch, Revision},
+    instance::port::Note,
+};
+use hickorylink_standin::{
+    cluster::{Cluster, OPERATOR, Spec, eventually},
+    demo::traits,
+    journal::Journal,
+    worker::Worker,
+};
+use tempfile::TempDir;
+
+/// How long any condition may take; generous, so that a busy machine gives the same verdict.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Workers of the deployment that the commands are run against.
+const WORKERS: usize = 6;
+
+const ROOT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/..");
+
+/// A command of a page, and the exit code that the page says it has.
+#[derive(Debug, PartialEq, Eq)]
+struct Line {
+    number: usize,
+    command: String,
+    exit: i32,
+}
+
+/// The commands in a page's blocks that are marked `console`, which may be indented.
+fn commands(text: &str) -> Vec<Line> {
+    let mut lines = Vec::new();
+    let mut open = None;
+    for (at, line) in text.lines().map(str::trim_start).enumerate() {
+        match (line.strip_prefix("```"), open) {
+            (Some(kind), None) => open = Some(kind),
+            (Some(""), Some(_)) => open = None,
+            (None, Some("console")) => lines.extend(command(at + 1, line)),
+            (Some(_) | None, Some(_)) | (None, None) => {}
+        }
+    }
+    lines
+}
+
+fn command(number: usize, line: &str) -> Option<Line> {
+    let line = line.strip_prefix("$ ")?;
+    let (command, exit) = match line.rsplit_once(" # exit ") {
+        Some((command, exit)) => (command, exit.trim().parse().ok()?),
+        None => (line, 0),
+    };
+    Some(Line { number, command: command.to_owned(), exit })
+}
+
+#[test]
+fn commands_are_read_from_console_blocks() {
+    struct Case {
+        text: &'static str,
+        want: &'static [(usize, &'static str, i32)],
+    }
+    let cases = [
+        Case { text: "$ outside\n", want: &[] },
+        Case { text: "```sh\n$ another kind\n```\n", want: &[] },
+        Case {
+            text: "```console\n$ one\noutput\n$ two # exit 6\n```\n$ after\n",
+            want: &[(2, "one", 0), (4, "two", 6)],
+        },
+        Case { text: "1. item\n   ```console\n   $ one\n   ```\n", want: &[(3, "one", 0)] },
+        Case { text: "```\n```console\n$ closed by the line above\n", want: &[] },
+    ];
+    for case in cases {
+        let lines = commands(case.text);
+        let lines: Vec<_> = lines.iter().map(|l| (l.number, l.command.as_str(), l.exit)).collect();
+        assert_eq!(lines, case.want, "{:?}", case.text);
+    }
+}
+
+/// A deployment of one instance with its workers, and a folder to run commands in.
+struct Deployment {
+    cluster: Cluster,
+    _workers: Vec<Worker>,
+    folder: TempDir,
+}
+
+impl Deployment {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let program = Path::new(env!("CARGO_BIN_EXE_hickorylink"));
+        let spec = Spec { name: "akl-a-1", centre: "akl-a", disk: true };
+        let home = folder.path().join("deployment");
+        fs::create_dir(&home).expect("a folder can be made");
+        let cluster = Cluster::start(program, &home, &[spec]).expect("the instance starts");
+        let mut workers = Vec::new();
+        for number in 0..WORKERS {
+            let worker = Worker::start(traits("akl-a", number), cluster.home(), Journal::default());
+            workers.push(worker.await.expect("a worker starts"));
+        }
+        symlink(Path::new(ROOT).join("samples"), folder.path().join("samples"))
+            .expect("a link can be made");
+        let deployment = Self { cluster, _workers: workers, folder };
+        deployment
+            .wait("it leads", "hickorylink --json status | grep -q '\"role\":\"leader\"'")
+            .await;
+        deployment
+    }
+
+    /// Puts the lists in force and waits until everything is served.
+    async fn serve(&self) {
+        for (list, edit) in [("plans", "1"), ("usage", "2")] {
+            let file = format!("samples/kowhai/{list}.jsonc");
+            self.wait(list, &format!("hickorylink {list} apply {file} --edit {edit}")).await;
+        }
+        self.wait("a worker is known", "hickorylink worker show akl-a-w00").await;
+        let call = "HICKORYLINK_CREDENTIAL=menswear-demo hickorylink call folddesk square";
+        self.wait("a call is served", &format!("{call} --idempotent")).await;
+    }
+
+    /// Runs a command until it ends well.
+    async fn wait(&self, what: &str, command: &str) {
+        let done = eventually(PATIENCE, async || self.run(command).status.success().then_some(()));
+        assert!(done.await.is_some(), "{what}: {command}\n{}", self.cluster.log(0));
+    }
+
+    fn run(&self, command: &str) -> Output {
+        let program = PathBuf::from(env!("CARGO_BIN_EXE_hickorylink"));
+        let programs = program.parent().expect("the program is in a folder").display();
+        let path = std::env::var("PATH").unwrap_or_default();
+        Command::new("sh")
+            .args(["-c", command])
+            .current_dir(self.folder.path())
+            .env("PATH", format!("{programs}:{path}"))
+            .env("HICKORYLINK_ADDRESS", self.cluster.instances[0].front.to_string())
+            .env("HICKORYLINK_CREDENTIAL", OPERATOR)
+            .stdin(Stdio::null())
+            .output()
+            .expect("a shell runs")
+    }
+}
+
+/// Runs all commands of a page, in order.
+async fn run_page(page: &str, serving: bool) {
+    let text = fs::read_to_string(Path::new(ROOT).join(page)).expect("the page can be read");
+    let lines = commands(&text);
+    if lines.is_empty() {
+        return;
+    }
+    let deployment = Deployment::start().await;
+    if serving {
+        deployment.serve().await;
+    }
+    for line in lines {
+        let output = deployment.run(&line.command);
+        let place = format!("{page}:{}: {}", line.number, line.command);
+        assert_eq!(output.status.code(), Some(line.exit), "{place}\n{output:?}");
+    }
+}
+
+/// The pages for operators.
+fn pages() -> Vec<String> {
+    let folder = Path::new(ROOT).join("docs/operate");
+    let files = fs::read_dir(folder).expect("the folder can be read");
+    let name = |file: std::io::Result<fs::DirEntry>| {
+        let name = file.expect("the folder can be read").file_name();
+        format!("docs/operate/{}", name.to_string_lossy())
+    };
+    let mut pages: Vec<_> = files.map(name).filter(|name| name.ends_with(".md")).collect();
+    pages.sort();
+    pages
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_commands_of_all_pages_run_as_they_stand() {
+    // These lead from an instance without lists to one with them.
+    let from_nothing = ["docs/operate/first-lists.md", "docs/operate/install.md"];
+    for page in pages().into_iter().chain(["README.md".to_owned()]) {
+        run_page(&page, !from_nothing.contains(&page.as_str())).await;
+    }
+}
+
+fn page(name: &str) -> String {
+    let path = Path::new(ROOT).join("docs/operate").join(name);
+    fs::read_to_string(path).expect("the page can be read")
+}
+
+#[test]
+fn every_metric_is_explained() {
+    let page = page("metrics.md");
+    let metrics = Metrics::default();
+    // A metric with labels is written once it has a value.
+    metrics.request(&"store".into(), &"folddesk".into(), "ran");
+    metrics.latency(&"folddesk".into(), Duration::from_millis(1));
+    metrics.note(&Note::Policy { plans: Revision(1), usage: Revision(1) });
+    metrics.note(&Note::Epoch { centre: "akl-a".into(), epoch: Epoch(1), holder: None });
+    let (ring, _) = to_thread::<()>("council", 1);
+    let text = metrics.encode(&[(ring.gauge().clone(), 0)]).expect("metrics can be written");
+    let names = text.lines().filter_map(|line| line.strip_prefix("# HELP hickorylink_"));
+    let names: Vec<_> = names.filter_map(|line| line.split(' ').next()).collect();
+    assert_eq!(names.len(), 13, "the metrics are found: {text}");
+    for name in names {
+        assert!(page.contains(&format!("\n| `{name}`")), "{name} is in metrics.md");
+    }
+}
+
+/// The first text after each of these macros in the sources.
+fn messages(macros: &[&str]) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut folders = vec![Path::new(ROOT).join("cli/src")];
+    while let Some(folder) = folders.pop() {
+        for file in fs::read_dir(folder).expect("the folder can be read") {
+            let path = file.expect("the folder can be read").path();
+            if path.is_dir() {
+                folders.push(path);
+                continue;
+            }
+            let text = fs::read_to_string(path).expect("the file can be read");
+            for name in macros {
+                let calls = text.split(name).skip(1);
+                found.extend(calls.filter_map(|call| call.split('"').nth(1)).map(str::to_owned));
+            }
+        }
+    }
+    found
+}
+
+#[test]
+fn every_warning_and_error_is_explained() {
+    let page = page("messages.md");
+    let messages = messages(&["warn!(", "error!(", "crit!("]);
+    assert!(messages.len() > 8, "the messages are found: {messages:?}");
+    for message in messages {
+        assert!(page.contains(&format!("\n| `{message}`")), "{message:?} is in messages.md");
+    }
+}
+
+#[test]
+fn every_exit_code_is_explained() {
+    let page = page("exit-codes.md");
+    for code in 0..=8 {
+        assert!(page.contains(&format!("\n| {code} |")), "{code} is in exit-codes.md");
+    }
+}
+
+#[test]
+fn links_between_pages_lead_somewhere() {
+    for page in pages() {
+        let path = Path::new(ROOT).join(&page);
+        let text = fs::read_to_string(&path).expect("the page can be read");
+        let links = text.split("](").skip(1).filter_map(|rest| rest.split(')').next());
+        for link in links.filter(|link| !link.contains("://") && !link.starts_with('#')) {
+            let target = path.parent().expect("a page is in a folder").join(link);
+            assert!(target.exists(), "{page}: {link}");
+        }
+    }
+}
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings files: what is read, and everything that is wrong in one at once.
 
+use std::{collections::BTreeSet, fs, io, path::Path};
+
 use hickorylink_lib::settings::Settings;
 
 const GOOD: &str = r#"{
@@ -99,3 +101,55 @@
         }
     }
 }
+
+#[test]
+fn the_samples_are_whole_deployments() {
+    struct Case {
+        user: &'static str,
+        centres: &'static [&'static str],
+        instances: usize,
+    }
+    let cases = [
+        Case { user: "kowhai", centres: &["akl-a", "akl-b", "hlz-c"], instances: 6 },
+        Case {
+            user: "dermaga",
+            centres: &["klang-a", "dickson-b", "melaka-c", "penang-d"],
+            instances: 8,
+        },
+    ];
+    for case in cases {
+        let all = samples(case.user);
+        assert_eq!(all.len(), case.instances, "{}", case.user);
+        assert_eq!(all.iter().filter(|s| s.founding).count(), 1, "{}: one founds", case.user);
+        let addresses: BTreeSet<_> = all.iter().flat_map(|s| [s.listen, s.peer_listen]).collect();
+        assert_eq!(addresses.len(), 2 * all.len(), "{}: no address twice", case.user);
+        let found: BTreeSet<_> = all.iter().map(|s| s.centre.as_str()).collect();
+        assert_eq!(found, case.centres.iter().copied().collect(), "{}", case.user);
+        for centre in case.centres {
+            let disks = all.iter().filter(|s| s.centre.as_str() == *centre && s.data.is_some());
+            assert_eq!(disks.count(), 1, "{centre}: one has a disk");
+        }
+        for settings in &all {
+            assert_eq!(settings.peer_key, all[0].peer_key, "{}", settings.name);
+            assert_eq!(settings.worker_key, all[0].worker_key, "{}", settings.name);
+            let known =
+                settings.peers.iter().all(|peer| all.iter().any(|s| s.peer_listen == *peer));
+            assert!(known, "{}: its peers are instances", settings.name);
+        }
+    }
+}
+
+/// The settings of a user's instances; each file is named as its instance.
+fn samples(user: &str) -> Vec<Settings> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../samples").join(user);
+    let files = fs::read_dir(folder.join("instances")).expect("the folder can be read");
+    let read = |file: io::Result<fs::DirEntry>| {
+        let path = file.expect("the folder can be read").path();
+        let text = fs::read_to_string(&path).expect("the file can be read");
+        let settings = Settings::parse(&path.display().to_string(), &text);
+        let settings = settings.unwrap_or_else(|findings| panic!("{findings}"));
+        assert_eq!(path.file_stem().and_then(|stem| stem.to_str()), Some(settings.name.as_str()));
+        settings
+    };
+    files.map(read).collect()
+}
