--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -12,6 +12,8 @@
 mod fairness;
 #[path = "scheduler/fault.rs"]
 mod fault;
+#[path = "scheduler/hurt.rs"]
+mod hurt;
 #[path = "scheduler/leases.rs"]
 mod leases;
 #[path = "scheduler/ledger.rs"]
@@ -20,6 +22,8 @@
 mod message;
 #[path = "scheduler/properties.rs"]
 mod properties;
+#[path = "scheduler/tiers.rs"]
+mod tiers;
 #[path = "scheduler/worker.rs"]
 mod worker;
 #[path = "scheduler/workers.rs"]
