--- a/standin/src/measure.rs
+++ b/standin/src/measure.rs
@@ -7,16 +7,19 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use hickorylink_lib::{
     api::{SizeBody, SubmitBody},
     ids::TaskId,
 };
+use hyper::Method;
 
 use crate::{
     caller::{self, Load},
     cluster::{Cluster, Spec, blake3_text, eventually},
     demo::traits,
     journal::Journal,
+    net,
     worker::Worker,
 };
 
@@ -60,10 +63,12 @@
 pub async fn run(program: &Path, folder: &Path) -> io::Result<()> {
     let mut watched = start(program, folder).await?;
     watched.rest("at rest").await;
+    watched.direct(2000).await;
     watched.requests("10,000 idempotent requests", 10_000, true).await;
     watched.requests("2,000 requests with a claim each", 2000, false).await;
     watched.tasks(1000).await?;
     watched.rest("at rest again").await;
+    watched.edit().await?;
     watched.lose_leader().await?;
     watched.restart().await
 }
@@ -151,6 +156,55 @@
         self.print(what, took, &before, &self.spent().await);
     }
 
+    /// The same requests sent straight to the targets, to compare with.
+    async fn direct(&self, count: u32) {
+        let targets: Vec<_> =
+            self.workers.iter().flat_map(|worker| worker.shared.targets()).collect();
+        let mut calls = tokio::task::JoinSet::new();
+        let mut ticks = tokio::time::interval(Duration::from_secs(1) / 500);
+        for number in 0..count {
+            ticks.tick().await;
+            let target = targets[number as usize % targets.len()];
+            calls.spawn(async move {
+                let sent = Instant::now();
+                let body = Bytes::from("direct");
+                let answer = net::send(target, Method::POST, "/square", &[], body).await;
+                answer.ok().map(|_| sent.elapsed())
+            });
+        }
+        let mut latency = caller::Report::default().latency;
+        for took in calls.join_all().await.into_iter().flatten() {
+            let _ = latency.record(u64::try_from(took.as_micros()).unwrap_or(u64::MAX));
+        }
+        let ms = |quantile| latency.value_at_quantile(quantile) as f64 / 1000.0;
+        println!(
+            "{count} requests straight to the targets: p50 {:.2}, p99 {:.2}, p99.9 {:.2} ms",
+            ms(0.5),
+            ms(0.99),
+            ms(0.999)
+        );
+    }
+
+    /// Times an edit of a list from its sending until it is in force at every instance.
+    async fn edit(&self) -> io::Result<()> {
+        let text = plans().replace("\"version\":1", "\"version\":2");
+        let start = Instant::now();
+        let answer = self.cluster.apply(1, "plans", &text).await.map_err(io::Error::other)?;
+        println!(
+            "an edit of the plans is answered with {} after {:.2?}",
+            answer.status,
+            start.elapsed()
+        );
+        for at in 0..self.cluster.instances.len() {
+            let in_force = eventually(PATIENCE, async || {
+                (self.cluster.status(at).await?["plans"].as_u64()? >= 3).then_some(())
+            });
+            in_force.await.ok_or(io::ErrorKind::TimedOut)?;
+        }
+        println!("  and in force at every instance after {:.2?}", start.elapsed());
+        Ok(())
+    }
+
     async fn requests(&self, what: &str, count: u32, idempotent: bool) {
         let before = self.spent().await;
         let start = Instant::now();
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -194,6 +194,11 @@
         state.tries.iter().filter(|(_, t)| t.running.is_some()).map(|(a, _)| *a).collect()
     }
 
+    /// Where targets on it take requests.
+    pub fn targets(&self) -> Vec<SocketAddr> {
+        self.lock().tries.values().filter_map(|this| this.target).collect()
+    }
+
     fn stop_all(&self) {
         let running: Vec<_> = self.running();
         for attempt in running {
