daemon: start each duty in a function of its own

Cause: daemon.rs started all duties in one function of a hundred lines, and each new duty made it longer.

Change: daemon/start.rs has a short function a duty; nothing else changes.

--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -16,24 +16,24 @@
     settings::Settings,
     time::WallTime,
 };
-use slog::{Logger, error, info, warn};
+use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
-    runtime::{Builder, Runtime},
+    runtime::Runtime,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
 };
 
 use crate::{
     clock::Clock,
+    daemon::start::{Starter, runtime},
     duty::{
-        self, counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job,
-        spawn, storage::Keep,
+        counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job,
+        storage::Keep,
     },
-    frame::PeerKey,
     front::Desk,
     log,
-    mail::{FrontNews, Mail, Rings},
+    mail::{FrontNews, Rings},
     metrics::Metrics,
     ring::{to_runtime, to_thread},
     storage::{
@@ -43,6 +43,7 @@
 };
 
 mod config;
+mod start;
 
 /// Room in a duty's ring.
 const RING: usize = 16_384;
@@ -232,10 +233,6 @@
     (rings, ends)
 }
 
-fn runtime() -> Result<Runtime, DaemonError> {
-    Builder::new_current_thread().enable_all().build().context(StartSnafu)
-}
-
 fn start(
     settings: Settings,
     rings: Rings,
@@ -249,83 +246,19 @@
     let (drained_sender, drained) = mpsc::channel(1);
     let (saved_sender, saved) = mpsc::channel(1);
     let (stop_front, stop) = watch::channel(false);
-    let mail = |gauge: &Arc<crate::ring::Gauge>| Mail::new(&rings, gauge);
-
-    let (end, notes_log, notes_metrics) = (ends.notes, log.clone(), metrics.clone());
-    spawn("notes", move || duty::notes::notes(&end, &notes_metrics, &notes_log))
-        .context(StartSnafu)?;
-
-    let (end, post, keep) = (ends.storage, mail(rings.storage.gauge()), parts.keep);
-    let (disk_fault, storage_log) = (fault.clone(), log.clone());
-    spawn("storage", move || {
-        if duty::storage::storage(&end, post, keep, &storage_log) {
-            drop(disk_fault.blocking_send(Fault::Disk));
-        }
-    })
-    .context(StartSnafu)?;
-
-    let (end, post, council) = (ends.council, mail(rings.council.gauge()), parts.council);
-    spawn("council", move || duty::council::council(&end, clock, post, council))
-        .context(StartSnafu)?;
-
-    let (end, post, router) = (ends.router, mail(rings.router.gauge()), parts.router);
-    spawn("router", move || duty::router::router(&end, clock, post, router)).context(StartSnafu)?;
-
+    let starter = Starter { settings: &settings, rings: &rings, clock, log, fault };
+    starter.notes(ends.notes, metrics)?;
+    starter.storage(ends.storage, parts.keep)?;
+    starter.council(ends.council, parts.council)?;
+    starter.router(ends.router, parts.router)?;
     if let Some(file) = parts.counts {
-        let (end, router) = (ends.counts, rings.router.clone());
-        let setup =
-            duty::counts::Setup { file, clock, router, saved: saved_sender, log: log.clone() };
-        spawn("counts", move || duty::counts::counts(&end, setup)).context(StartSnafu)?;
+        starter.counts(ends.counts, file, saved_sender)?;
     }
-
-    let (end, post, scheduler) = (ends.scheduler, mail(rings.scheduler.gauge()), parts.scheduler);
-    spawn("scheduler", move || duty::scheduler::scheduler(&end, clock, post, scheduler))
-        .context(StartSnafu)?;
-
-    let (end, post, directory) = (ends.peers, mail(rings.peers.gauge()), parts.directory);
-    let (peer_rings, peer_fault) = (rings.clone(), fault.clone());
-    let setup = duty::peers::Setup {
-        listen: settings.peer_listen,
-        key: PeerKey::new(&settings.peer_key),
-        clock,
-        log: log.clone(),
-        metrics: metrics.clone(),
-        drained: drained_sender,
-    };
-    let (peer_runtime, peer_log) = (runtime()?, log.clone());
-    spawn("peers", move || {
-        let served =
-            peer_runtime.block_on(duty::peers::peers(end, peer_rings, post, directory, setup));
-        if let Err(problem) = served {
-            error!(peer_log, "the peers' duty ended"; "error" => %problem);
-            drop(peer_fault.blocking_send(Fault::Listen));
-        }
-    })
-    .context(StartSnafu)?;
-
-    let (end, post) = (ends.dispatch, mail(rings.dispatch.gauge()));
-    let (dispatch_rings, dispatch_log, dispatch_runtime) = (rings.clone(), log.clone(), runtime()?);
-    spawn("dispatch", move || {
-        dispatch_runtime.block_on(duty::dispatch::dispatch(
-            end,
-            dispatch_rings,
-            post,
-            dispatch_log,
-        ));
-    })
-    .context(StartSnafu)?;
-
-    let (end, desk, front_log, front_runtime) =
-        (ends.front, parts.desk.clone(), log.clone(), runtime()?);
-    let (listen, drain) = (settings.listen, settings.limits.drain);
-    spawn("front", move || {
-        front_runtime.block_on(duty::front::front(end, desk, listen, drain, stop, front_log));
-        drop(fault.blocking_send(Fault::Listen));
-    })
-    .context(StartSnafu)?;
-
-    let desk = parts.desk;
-    let runtime = runtime()?;
+    starter.scheduler(ends.scheduler, parts.scheduler)?;
+    starter.peers(ends.peers, parts.directory, drained_sender, metrics)?;
+    starter.dispatch(ends.dispatch)?;
+    starter.front(ends.front, parts.desk.clone(), stop)?;
+    let (desk, runtime) = (parts.desk, runtime()?);
     Ok(Running { settings, rings, desk, stop_front, drained, saved, faults, runtime })
 }
 
