directory: route to no target that only an older authority speaks for

A worker announces itself to whichever instance the balancer gives until it is told the holder; that instance stays an authority for its targets for 6 s. When the worker leaves and its target stops, the holder's record goes, and the older one, which knows of no leaving, is the newest that is left. Ruled out: the confirm window of 1.8 s alone (an instance that was told and is then cut off had the same fault for another reason: its own record lasted 6 s without a word of the worker; seen red with "0-0" to "19-0" served). Change: a record counts for 1.8 s after its worker was last heard, also at the instance that heard it, and is gone then. Tests, seen red before: a_target_that_stopped_is_not_revived_by_an_older_authority ("late-0", … served) and a_leaving_target_gets_nothing_from_an_instance_that_misses_ the_word. The at-most-once test also compares counts with what was answered and ran.

--- a/cli/src/daemon/config.rs
+++ b/cli/src/daemon/config.rs
@@ -27,8 +27,9 @@
 /// get no new work after two seconds.
 const CONFIRM: Duration = Duration::from_millis(1800);
 
-/// How long a worker may be silent before its targets are gone.
-const EXPIRE: Duration = Duration::from_secs(6);
+/// How long a worker may be silent before its targets are gone. A worker that announces itself
+/// elsewhere now may be leaving, so this is no longer than the time above.
+const EXPIRE: Duration = CONFIRM;
 
 /// The time between two announcements of a worker, and the lease that one gives.
 const ANNOUNCE: Duration = Duration::from_secs(1);
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -3,8 +3,8 @@
 //! Instances tell each other of themselves in beats. An instance that hears a worker announce a
 //! target is an authority for it: it numbers its changes and sends each to all others, and every
 //! beat carries the newest number, so that one beat confirms the whole set and a gap shows at
-//! once. What an authority hasn't confirmed for [`Config::confirm`] is no longer routed to: an
-//! instance that is cut off stops sending to a target that may be leaving.
+//! once. What neither its worker nor an authority confirmed for [`Config::confirm`] is no longer
+//! routed to: an instance that is cut off stops sending to a target that may be leaving.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -40,7 +40,7 @@
     pub beat: Duration,
     /// How long after its last beat an instance counts as dead.
     pub dead: Duration,
-    /// How long after its last beat an authority's targets are still routed to.
+    /// How long a target is routed to after its worker or an authority last spoke for it.
     pub confirm: Duration,
     /// How long after its last announcement a target is gone.
     pub expire: Duration,
@@ -225,8 +225,9 @@
 
     fn merge(&mut self, now: Time, out: &mut Vec<Output>) {
         let confirm = self.config.confirm;
-        let confirmed = |remote: &&Remote| now.since(remote.heard) < confirm;
-        self.merged.update(&self.local, self.remote.values().filter(confirmed), out);
+        let remote = self.remote.values().filter(|remote| now.since(remote.heard) < confirm);
+        let records = self.local.heard(now, confirm).chain(remote.flat_map(Remote::records));
+        self.merged.update(records, out);
     }
 
     fn broadcast(&self, changes: TargetsMessage, out: &mut Vec<Output>) {
--- a/lib/src/directory/targets.rs
+++ b/lib/src/directory/targets.rs
@@ -90,6 +90,11 @@
         self.changed(changes)
     }
 
+    /// Targets whose workers were heard within `span`.
+    pub fn heard(&self, now: Time, span: Duration) -> impl Iterator<Item = &TargetRecord> {
+        self.items.values().filter(move |item| now.since(item.at) < span).map(|item| &item.record)
+    }
+
     /// All targets, for another instance.
     pub fn all(&self, me: InstanceId) -> TargetsMessage {
         let items = self.items.values().map(|item| item.record.clone()).collect();
@@ -127,6 +132,11 @@
         Self { version: 0, heard: now, items: BTreeMap::new() }
     }
 
+    /// The authority's targets.
+    pub fn records(&self) -> impl Iterator<Item = &TargetRecord> {
+        self.items.values()
+    }
+
     /// Takes in all targets, unless newer ones are known.
     pub fn replace(&mut self, version: u64, items: Vec<TargetRecord>) {
         if version < self.version {
@@ -162,13 +172,11 @@
     /// that the target is leaving, since a leaving target doesn't come back in the same boot.
     pub fn update<'r>(
         &mut self,
-        local: &Local,
-        remote: impl Iterator<Item = &'r Remote>,
+        records: impl Iterator<Item = &'r TargetRecord>,
         out: &mut Vec<Output>,
     ) {
         let mut newest: BTreeMap<&str, &TargetRecord> = BTreeMap::new();
-        let own = local.items.values().map(|item| &item.record);
-        for record in own.chain(remote.flat_map(|remote| remote.items.values())) {
+        for record in records {
             let rank = |record: &TargetRecord| (record.incarnation, record.target.leaving);
             let best = newest.entry(&record.target.address).or_insert(record);
             if rank(record) > rank(best) {
--- a/lib/tests/instances/main.rs
+++ b/lib/tests/instances/main.rs
@@ -2,7 +2,10 @@
 
 mod net;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use hickorylink_lib::{
     command::{Command, ListEdit, ListKind, Reply},
@@ -25,7 +28,7 @@
     "operators": [{ "name": "first", "credential":
         "blake3:39ffafdfaa6b112eca02116d4591230447f157029c7bb5c2df54af3c1fc3c5b8" }],
     "plans": [{ "name": "counter", "objective": "latency",
-        "exact_counts": false, "services": ["folddesk"] }],
+        "exact_counts": EXACT, "services": ["folddesk"] }],
     "customers": [{ "name": "store", "plan": "counter", "credential":
         "blake3:f8a03630fcfd7f4033a2a2a34793b24d7bcd5ebe7078836ec3b81b0668159d7f" }],
     "services": [{ "name": "folddesk", "owner": "store",
@@ -34,11 +37,16 @@
 }"#;
 
 fn edit(version: u64, number: u128) -> Command {
+    edit_with(version, number, true)
+}
+
+fn edit_with(version: u64, number: u128, exact: bool) -> Command {
+    let text = PLANS.replace("VERSION", &version.to_string());
     Command::EditList(ListEdit {
         list: ListKind::Plans,
         edit: number,
         author: "first".into(),
-        text: PLANS.replace("VERSION", &version.to_string()),
+        text: text.replace("EXACT", &exact.to_string()),
     })
 }
 
@@ -127,6 +135,22 @@
             let ran = net.served.get(&bodies[request]).copied().unwrap_or_default();
             check(case.name, seed, &bodies[request], outcome, ran);
         }
+        let answered: BTreeSet<_> = net
+            .outcomes
+            .iter()
+            .filter(|(_, outcome)| matches!(outcome, RequestOutcome::Ran(_)))
+            .map(|(request, _)| &bodies[request])
+            .collect();
+        // What was answered was counted; what ran while its instance died may not be known to
+        // have run.
+        let (least, most) = (answered.len() as u64, net.served.len() as u64);
+        for counted in net.counted() {
+            assert!(
+                (least..=most).contains(&counted),
+                "{}, seed {seed}: {counted} counted, {least} answered, {most} ran",
+                case.name
+            );
+        }
         if !case.kill {
             assert_eq!(net.outcomes.len(), bodies.len(), "{}, seed {seed}: answers", case.name);
         }
@@ -241,6 +265,8 @@
 fn a_cut_off_instance_serves_what_it_can_and_reverts_nothing() {
     for seed in SEEDS {
         let mut net = ready(seed, Faults::default(), 3);
+        ask(&mut net, 0, 80, edit_with(2, 80, false));
+        net.run(Duration::from_secs(1));
         let cut = net.below(3);
         net.cut = Some(cut);
         net.run(Duration::from_secs(6));
@@ -277,3 +303,43 @@
         assert_eq!(net.served.get("keyed-there"), None, "seed {seed}: refused and did not run");
     }
 }
+
+#[test]
+fn a_leaving_target_gets_nothing_from_an_instance_that_misses_the_word() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults::default(), 3);
+        let cut = net.below(3);
+        net.cut = Some(cut);
+        net.leaving = true;
+        net.run(Duration::from_secs(2));
+        let before = net.served.len();
+        for number in 0..20 {
+            for at in 0..3 {
+                idempotent(&mut net, at, 100 + number * 3 + at as u64, &format!("{number}-{at}"));
+            }
+            net.run(Duration::from_millis(50));
+        }
+        net.run(Duration::from_secs(5));
+        assert_eq!(net.served.len(), before, "seed {seed}: {:?}", net.served);
+    }
+}
+
+#[test]
+fn a_target_that_stopped_is_not_revived_by_an_older_authority() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults::default(), 3);
+        // Every instance has heard the worker; from now on only one does, first that it leaves,
+        // then that its target has stopped.
+        net.only = Some(net.below(3));
+        net.leaving = true;
+        net.run(Duration::from_millis(700));
+        net.stopped = true;
+        net.run(Duration::from_millis(1300));
+        for number in 0..60 {
+            let at = net.below(3);
+            idempotent(&mut net, at, 100 + number, &format!("late-{number}"));
+            net.run(Duration::from_millis(50));
+        }
+        assert_eq!(net.served, BTreeMap::new(), "seed {seed}");
+    }
+}
--- a/lib/tests/instances/net.rs
+++ b/lib/tests/instances/net.rs
@@ -77,6 +77,12 @@
     pub faults: Faults,
     /// An instance that no message reaches and that reaches no other.
     pub(crate) cut: Option<usize>,
+    /// The one instance that the worker announces itself to, if not any.
+    pub(crate) only: Option<usize>,
+    /// The worker runs no target any more.
+    pub(crate) stopped: bool,
+    /// The worker says that it is leaving.
+    pub(crate) leaving: bool,
     /// How often the target ran each body.
     pub served: BTreeMap<String, u32>,
     /// What callers were told.
@@ -140,7 +146,7 @@
             beat: ms(250),
             dead: ms(1000),
             confirm: ms(1800),
-            expire: ms(6000),
+            expire: ms(1800),
             announce: ms(1000),
         },
         router: RouterConfig::new(instance, "akl-a".into()),
@@ -167,6 +173,9 @@
             numbered: 0,
             faults: Faults::default(),
             cut: None,
+            leaving: false,
+            stopped: false,
+            only: None,
             served: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -273,9 +282,18 @@
                 }
             }
             What::Announce => {
-                let at = self.below(self.nodes.len());
-                let announcement = Box::new(announcement());
+                let any = self.below(self.nodes.len());
+                let mut at = self.only.unwrap_or(any);
+                if self.leaving && self.cut == Some(at) {
+                    // The worker doesn't reach the instance that is cut off.
+                    at = (at + 1) % self.nodes.len();
+                }
+                let announcement = Box::new(announcement(self.leaving, self.stopped));
                 let event = DirectoryEvent::Announced { ticket: 0, announcement };
+                // Both sides of a cut have workers; one target stands in for them.
+                if let Some(cut) = self.cut.filter(|cut| *cut != at && !self.leaving) {
+                    self.give(cut, Event::Directory(event.clone()));
+                }
                 self.give(at, Event::Directory(event));
                 self.after(Duration::from_millis(300), What::Announce);
             }
@@ -372,6 +390,12 @@
         running.map(|instance| instance.council.ledger().policy().plans_revision.0).collect()
     }
 
+    /// The customer's count of completed requests at each instance that runs.
+    pub(crate) fn counted(&self) -> Vec<u64> {
+        let running = self.nodes.iter().filter_map(|node| node.instance.as_ref());
+        running.map(|i| i.council.ledger().counts().map(|(_, count)| count).sum()).collect()
+    }
+
     /// The newest version of the plans that any instance knows.
     pub(crate) fn newest_version(&self) -> u64 {
         let running = self.nodes.iter().filter_map(|node| node.instance.as_ref());
@@ -408,7 +432,14 @@
     disk.entries.extend(write.entries);
 }
 
-fn announcement() -> Announcement {
+fn announcement(leaving: bool, stopped: bool) -> Announcement {
+    let target = TargetReport {
+        service: "folddesk".into(),
+        attempt: TaskAttempt { task: TaskId(1), attempt: Attempt(1) },
+        address: TARGET.to_owned(),
+        slots: 8,
+        connections: 64,
+    };
     Announcement {
         worker: "w1".into(),
         incarnation: Incarnation(1),
@@ -416,16 +447,10 @@
         rack: "r1".into(),
         address: "10.0.0.1:8000".to_owned(),
         capacity: Resources { millicores: 16_000, memory_mib: 65_536, accelerators: 0 },
-        leaving: false,
+        leaving,
         epoch: Epoch(0),
         tasks: Vec::new(),
-        targets: vec![TargetReport {
-            service: "folddesk".into(),
-            attempt: TaskAttempt { task: TaskId(1), attempt: Attempt(1) },
-            address: TARGET.to_owned(),
-            slots: 8,
-            connections: 64,
-        }],
+        targets: if stopped { Vec::new() } else { vec![target] },
         samples: Vec::new(),
     }
 }
