standin: relays that lose track of connections; one start a try

Cause: silent connections were shown in the router only. Ruled out: the scheduler (a repeated start is idempotent by its try; the fence and the epoch were the same). Change: a relay before each target, which can lose track of the open connections while new ones work, and two tests with real processes; the stand-in admits a start in one step.

--- a/cli/tests/real/main.rs
+++ b/cli/tests/real/main.rs
@@ -7,4 +7,5 @@
 mod leaving;
 mod logs;
 mod path;
+mod silence;
 mod world;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod journal;
 pub mod measure;
 pub mod net;
+pub mod relay;
 pub mod worker;
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -30,6 +30,7 @@
 use crate::{
     journal::{Happened, Journal},
     net,
+    relay::Relay,
     worker::run::Running,
 };
 
@@ -112,7 +113,8 @@
 struct Try {
     state: AttemptState,
     running: Option<Running>,
-    target: Option<SocketAddr>,
+    /// What stands before its target.
+    relay: Option<Relay>,
     checkpoint: Option<Checkpoint>,
 }
 
@@ -169,6 +171,12 @@
         self.shared.stop_all();
     }
 
+    /// Whatever stands before its targets loses track of the connections that are open.
+    pub fn lose_track(&self) {
+        let state = self.shared.lock();
+        state.tries.values().filter_map(|this| this.relay.as_ref()).for_each(Relay::lose_track);
+    }
+
     /// Cuts the worker off from every instance; what runs on it goes on until its lease ends.
     pub fn cut_off(&self) {
         self.tasks[1].abort();
@@ -196,7 +204,9 @@
 
     /// Where targets on it take requests.
     pub fn targets(&self) -> Vec<SocketAddr> {
-        self.lock().tries.values().filter_map(|this| this.target).collect()
+        let state = self.lock();
+        let relays = state.tries.values().filter_map(|this| this.relay.as_ref());
+        relays.map(|relay| relay.address).collect()
     }
 
     fn stop_all(&self) {
@@ -212,7 +222,7 @@
         let Some(this) = locked.tries.get_mut(&attempt) else { return };
         let Some(running) = this.running.take() else { return };
         running.stop();
-        this.target = None;
+        this.relay = None;
         this.state = match state {
             AttemptState::Stopped { checkpoint: None } => {
                 AttemptState::Stopped { checkpoint: this.checkpoint.clone() }
@@ -243,7 +253,7 @@
             Some(TargetReport {
                 service: this.running.as_ref()?.service()?.clone(),
                 attempt: *attempt,
-                address: this.target?.to_string(),
+                address: this.relay.as_ref()?.address.to_string(),
                 slots: self.traits.slots,
                 connections: self.traits.connections,
             })
@@ -282,9 +292,18 @@
 }
 
 impl State {
-    /// Whether neither this try nor a newer one was started or stopped here.
-    fn is_new(&self, attempt: TaskAttempt) -> bool {
-        self.newest.get(&attempt.task).is_none_or(|newest| *newest < attempt.attempt)
+    /// Whether a try may start here; of two commands that come at once, only for the first.
+    ///
+    /// Neither it nor a newer one was started or stopped in this boot, and the lease holds if it
+    /// needs one. A start without a lease is ignored: the holder sends it again.
+    fn admit_start(&mut self, attempt: TaskAttempt, needs_lease: bool) -> bool {
+        let lapsed = self.lease.is_none_or(|lease| lease <= Instant::now());
+        let known = self.newest.get(&attempt.task).is_some_and(|newest| *newest >= attempt.attempt);
+        if known || (needs_lease && lapsed) {
+            return false;
+        }
+        self.newest.insert(attempt.task, attempt.attempt);
+        true
     }
 
     /// Whether words under this epoch and fence are obeyed; the newest are remembered.
--- a/standin/src/worker/run.rs
+++ b/standin/src/worker/run.rs
@@ -1,12 +1,11 @@
 //! Running a try on a stand-in worker.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -19,7 +18,7 @@
 use tokio::task::JoinHandle;
 
 use super::{Shared, Try, target};
-use crate::journal::Happened;
+use crate::{journal::Happened, relay::Relay};
 
 /// A whole, in thousandths.
 const WHOLE: u32 = 1000;
@@ -73,25 +72,20 @@
 /// Starts a try, unless it was started or stopped before.
 pub(super) async fn start(shared: &Arc<Shared>, start: StartCommand) {
     let attempt = start.attempt;
-    if !shared.lock().is_new(attempt) {
-        return;
-    }
-    let lapsed = shared.lock().lease.is_none_or(|lease| lease <= Instant::now());
-    if lapsed && start.service.is_none() {
-        // The holder sends it again once the worker has a lease.
+    if !shared.lock().admit_start(attempt, start.service.is_none()) {
         return;
     }
     let speed = Arc::new(AtomicU32::new(WHOLE));
-    let (task, address) = match &start.service {
+    let (task, relay) = match &start.service {
         Some(_) => match target::serve(shared, attempt).await {
-            Ok((task, address)) => (task, Some(address)),
+            Ok((task, relay)) => (task, Some(relay)),
             Err(_) => return never_started(shared, attempt),
         },
         None => (tokio::spawn(batch(shared.clone(), start.clone(), speed.clone())), None),
     };
     shared.journal.add(&shared.traits.name, Happened::Started(attempt));
     let running = Running { service: start.service, speed, task };
-    insert(shared, attempt, AttemptState::Running, Some(running), address);
+    insert(shared, attempt, AttemptState::Running, Some(running), relay);
 }
 
 /// Notes that a try couldn't be started.
@@ -100,14 +94,15 @@
     insert(shared, attempt, state, None, None);
 }
 
+/// Puts a try into the worker's table, in place of whatever was known of it.
 pub(super) fn insert(
     shared: &Shared,
     attempt: TaskAttempt,
     state: AttemptState,
     running: Option<Running>,
-    target: Option<SocketAddr>,
+    relay: Option<Relay>,
 ) {
-    let this = Try { state, running, target, checkpoint: None };
+    let this = Try { state, running, relay, checkpoint: None };
     let mut state = shared.lock();
     state.newest.insert(attempt.task, attempt.attempt);
     state.tries.insert(attempt, this);
--- a/standin/src/worker/target.rs
+++ b/standin/src/worker/target.rs
@@ -1,7 +1,6 @@
 //! A stand-in for a target: it serves requests on a stand-in worker.
 
 use std::{
-    net::SocketAddr,
     sync::{
         Arc,
         atomic::{AtomicU32, Ordering},
@@ -25,7 +24,7 @@
 use tokio::task::JoinHandle;
 
 use super::Shared;
-use crate::journal::Happened;
+use crate::{journal::Happened, relay::Relay};
 
 /// How a request wants to be served.
 #[derive(Debug, Default, Deserialize)]
@@ -53,11 +52,11 @@
     }
 }
 
-/// Starts a target on a free port of the loopback address.
+/// Starts a target on a free port of the loopback address, behind a relay.
 pub(super) async fn serve(
     shared: &Arc<Shared>,
     _attempt: TaskAttempt,
-) -> std::io::Result<(JoinHandle<()>, SocketAddr)> {
+) -> std::io::Result<(JoinHandle<()>, Relay)> {
     let acceptor = TcpListener::bind("127.0.0.1:0").into_acceptor().await?;
     let address = acceptor.local_addr().iter().find_map(|at| at.as_socket_addr().copied());
     let address = address.ok_or(std::io::ErrorKind::AddrNotAvailable)?;
@@ -66,7 +65,7 @@
     let task = tokio::spawn(async move {
         drop(Server::new_with_acceptor(acceptor).run(app).await);
     });
-    Ok((task, address))
+    Ok((task, Relay::start(address).await?))
 }
 
 #[handler]
