instance: one type for what goes to targets and workers; one reader of names

Edge and dispatch's Order were the same variants twice, copied field by field in mail.rs; settings and lists each read names and credentials' hashes in their own words. Ruled out: dispatch taking the whole Edge (it would have to ignore most of it). Change: Order stands in lib beside Edge; settings use the lists' readers, which parse a hash by the library. Two expected texts in the test of settings follow the shared wording; they ask as much as before.

--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -10,7 +10,7 @@
     ids::InstanceId,
     instance::{
         parts::{RouterPart, SchedulerPart},
-        port::Note,
+        port::{Note, Order},
     },
     router::port as router,
     settings::Settings,
@@ -27,10 +27,7 @@
 use crate::{
     clock::Clock,
     daemon::start::{Starter, runtime},
-    duty::{
-        counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job,
-        storage::Keep,
-    },
+    duty::{counts::Save, peers::Post, router::Job as RouterJob, scheduler::Job, storage::Keep},
     front::Desk,
     log,
     mail::{FrontNews, Rings},
--- a/cli/src/daemon/start.rs
+++ b/cli/src/daemon/start.rs
@@ -9,7 +9,7 @@
     directory::Directory,
     instance::{
         parts::{RouterPart, SchedulerPart},
-        port::Note,
+        port::{Note, Order},
     },
     settings::Settings,
 };
@@ -24,8 +24,8 @@
     clock::Clock,
     daemon::{DaemonError, Fault, StartSnafu},
     duty::{
-        self, counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job,
-        spawn, storage::Keep,
+        self, counts::Save, peers::Post, router::Job as RouterJob, scheduler::Job, spawn,
+        storage::Keep,
     },
     frame::PeerKey,
     front::Desk,
--- a/cli/src/duty/dispatch.rs
+++ b/cli/src/duty/dispatch.rs
@@ -2,12 +2,12 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use hickorylink_lib::{
-    ids::{CustomerName, Epoch, Fence, WorkerName},
+    ids::WorkerName,
+    instance::port::{Order, Output},
     router::port::{Event, TryEnd, TryId},
     scheduler::port as scheduler,
-    worker::{CommandBatch, WorkerCommand},
+    worker::CommandBatch,
 };
 use slog::{Logger, debug};
 use tokio::{sync::mpsc, task::AbortHandle, time::timeout};
@@ -27,51 +27,6 @@
 /// How often the idle connections are swept.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// What dispatch's ring carries.
-#[derive(Debug)]
-pub enum Order {
-    /// Send a try of a request to a target.
-    Request {
-        /// The try.
-        attempt: TryId,
-        /// The target.
-        target: String,
-        /// Whether to open a new connection.
-        fresh: bool,
-        /// The customer.
-        customer: CustomerName,
-        /// The path at the target.
-        path: String,
-        /// The body.
-        body: Bytes,
-        /// How long it may take.
-        timeout: Duration,
-    },
-    /// Give a try up and close its connection.
-    Abandon {
-        /// The try.
-        attempt: TryId,
-    },
-    /// Close the idle connections to a target.
-    CloseIdle {
-        /// The target.
-        target: String,
-    },
-    /// Send commands to a worker.
-    Command {
-        /// The worker.
-        worker: WorkerName,
-        /// Where it takes commands.
-        address: String,
-        /// The holder's epoch.
-        epoch: Epoch,
-        /// The fence of the worker's lease.
-        fence: Fence,
-        /// What to do, in order.
-        commands: Vec<WorkerCommand>,
-    },
-}
-
 /// What a task of this duty tells the duty.
 enum Done {
     Ended(TryId, TryEnd),
@@ -168,9 +123,7 @@
             Done::Ended(attempt, end) => {
                 // A try has one end, also if it was given up just as it ended.
                 if self.under_way.remove(&attempt).is_some() {
-                    mail.deliver(hickorylink_lib::instance::port::Output::router(
-                        Event::TryEnded { attempt, end },
-                    ));
+                    mail.deliver(Output::router(Event::TryEnded { attempt, end }));
                 }
             }
             Done::Progress(attempt) => drop(rings.router.offer(Event::Progress { attempt })),
--- a/cli/src/mail.rs
+++ b/cli/src/mail.rs
@@ -7,14 +7,14 @@
     consensus::log::Write,
     council::port as council,
     ids::RequestId,
-    instance::port::{Answer, Edge, Event, Note, Output},
+    instance::port::{Answer, Edge, Event, Note, Order, Output},
     policy::Policy,
     router::port as router,
     worker::LeaseAnswer,
 };
 
 use crate::{
-    duty::{counts::Save, dispatch::Order, peers::Post, router::Job as RouterJob, scheduler::Job},
+    duty::{counts::Save, peers::Post, router::Job as RouterJob, scheduler::Job},
     ring::{Gauge, Inlet, Outbox, note_backlog},
 };
 
@@ -135,22 +135,7 @@
         match edge {
             Edge::Store(write) => self.storage.send(write),
             Edge::Send { to, message } => self.peers.send(Post::Send { to, message }),
-            Edge::Request { attempt, target, fresh, customer, path, body, timeout } => {
-                self.dispatch.send(Order::Request {
-                    attempt,
-                    target,
-                    fresh,
-                    customer,
-                    path,
-                    body,
-                    timeout,
-                });
-            }
-            Edge::Abandon { attempt } => self.dispatch.send(Order::Abandon { attempt }),
-            Edge::CloseIdle { target } => self.dispatch.send(Order::CloseIdle { target }),
-            Edge::Command { worker, address, epoch, fence, commands } => {
-                self.dispatch.send(Order::Command { worker, address, epoch, fence, commands });
-            }
+            Edge::Dispatch(order) => self.dispatch.send(order),
             Edge::AnnounceAnswer { ticket, answer } => {
                 self.front.send(FrontNews::Announce(ticket, answer));
             }
--- a/lib/src/instance/parts.rs
+++ b/lib/src/instance/parts.rs
@@ -5,7 +5,7 @@
     command::Command,
     council::port::{Asker, Event as CouncilEvent},
     ids::{DataCentre, InstanceId},
-    instance::port::{Edge, Output},
+    instance::port::{Edge, Order, Output},
     router::{Config as RouterConfig, Router, port as router},
     scheduler::{Scheduler, config::Config as SchedulerConfig, port as scheduler},
     time::Time,
@@ -63,10 +63,10 @@
         }
         router::Effect::Send { attempt, target, fresh, customer, path, body, deadline } => {
             let timeout = now.until(deadline);
-            Output::Edge(Edge::Request { attempt, target, fresh, customer, path, body, timeout })
+            order(Order::Request { attempt, target, fresh, customer, path, body, timeout })
         }
-        router::Effect::Abandon { attempt } => Output::Edge(Edge::Abandon { attempt }),
-        router::Effect::CloseIdle { target } => Output::Edge(Edge::CloseIdle { target }),
+        router::Effect::Abandon { attempt } => order(Order::Abandon { attempt }),
+        router::Effect::CloseIdle { target } => order(Order::CloseIdle { target }),
         router::Effect::Answer { request, outcome } => {
             Output::Edge(Edge::RequestAnswer { request, outcome })
         }
@@ -107,7 +107,7 @@
             ask(Asker::End { attempt }, Command::End { centre, epoch, attempt, outcome })
         }
         scheduler::Effect::Command { worker, address, epoch, fence, commands } => {
-            Output::Edge(Edge::Command { worker, address, epoch, fence, commands })
+            order(Order::Command { worker, address, epoch, fence, commands })
         }
         scheduler::Effect::Answer { ticket, answer } => {
             Output::Edge(Edge::AnnounceAnswer { ticket, answer })
@@ -118,3 +118,7 @@
 fn ask(asker: Asker, command: Command) -> Output {
     Output::council(CouncilEvent::Ask { asker, command: Box::new(command) })
 }
+
+fn order(order: Order) -> Output {
+    Output::Edge(Edge::Dispatch(order))
+}
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -53,6 +53,39 @@
             /// What to send.
             message: directory::PeerMessage,
         },
+        /// Something for a target or a worker.
+        Dispatch(Order),
+        /// Answer an announcement.
+        AnnounceAnswer {
+            /// Matches the announcement.
+            ticket: u64,
+            /// The answer, or why the announcement is nonsense.
+            answer: Result<LeaseAnswer, String>,
+        },
+        /// Answer a request.
+        RequestAnswer {
+            /// The request.
+            request: RequestId,
+            /// What became of it.
+            outcome: router::RequestOutcome,
+        },
+        /// Answer a command or a question that came in at the front.
+        Answer {
+            /// Matches the question.
+            ticket: u64,
+            /// The answer.
+            answer: Box<Answer>,
+        },
+        /// Every request in flight has ended; the instance may leave.
+        Drained,
+        /// Something an operator may want to read in the log.
+        Note(Note),
+        /// A policy is in force, for the edges that check credentials.
+        Policy(Arc<Policy>),
+    }
+
+    /// Something for a target or a worker, over HTTP.
+    pub enum Order {
         /// Send a try of a request to a target.
         Request {
             /// The try.
@@ -93,33 +126,6 @@
             /// What to do, in order.
             commands: Vec<WorkerCommand>,
         },
-        /// Answer an announcement.
-        AnnounceAnswer {
-            /// Matches the announcement.
-            ticket: u64,
-            /// The answer, or why the announcement is nonsense.
-            answer: Result<LeaseAnswer, String>,
-        },
-        /// Answer a request.
-        RequestAnswer {
-            /// The request.
-            request: RequestId,
-            /// What became of it.
-            outcome: router::RequestOutcome,
-        },
-        /// Answer a command or a question that came in at the front.
-        Answer {
-            /// Matches the question.
-            ticket: u64,
-            /// The answer.
-            answer: Box<Answer>,
-        },
-        /// Every request in flight has ended; the instance may leave.
-        Drained,
-        /// Something an operator may want to read in the log.
-        Note(Note),
-        /// A policy is in force, for the edges that check credentials.
-        Policy(Arc<Policy>),
     }
 
     /// Something worth a line in the log.
--- a/lib/src/lists.rs
+++ b/lib/src/lists.rs
@@ -14,7 +14,7 @@
 };
 
 mod check;
-mod fields;
+pub(crate) mod fields;
 mod plans;
 mod usage;
 
--- a/lib/src/lists/fields.rs
+++ b/lib/src/lists/fields.rs
@@ -15,9 +15,6 @@
 /// What a credential's hash starts with.
 const HASH_PREFIX: &str = "blake3:";
 
-/// Bytes in a credential's hash.
-const DIGEST_LEN: usize = 32;
-
 /// The largest version of a list.
 const VERSION_MAX: u64 = 1 << 53;
 
@@ -106,7 +103,7 @@
 }
 
 /// A name: small letters, digits and hyphens, no longer than [`NAME_MAX`].
-pub(super) fn name<'d>(value: ValueView<'d, '_>) -> Option<&'d str> {
+pub(crate) fn name<'d>(value: ValueView<'d, '_>) -> Option<&'d str> {
     let text = value.text()?;
     if is_name(text) {
         return Some(text);
@@ -130,24 +127,17 @@
 }
 
 /// The hash of a credential, written `blake3:<64 hex digits>`.
-pub(super) fn credential(row: ObjectView<'_, '_>) -> Option<CredentialHash> {
+pub(crate) fn credential(row: ObjectView<'_, '_>) -> Option<CredentialHash> {
     let value = row.need("credential")?;
-    let hash = value.text()?.strip_prefix(HASH_PREFIX).and_then(digest);
+    let hex = value.text()?.strip_prefix(HASH_PREFIX);
+    let hash = hex.and_then(|hex| blake3::Hash::from_hex(hex).ok());
     if hash.is_none() {
-        value.report("\"credential\" must be \"blake3:\" and 64 hex digits, never the plain text");
-    }
-    hash
-}
-
-fn digest(hex: &str) -> Option<CredentialHash> {
-    let mut digest = [0; DIGEST_LEN];
-    if hex.len() != 2 * DIGEST_LEN || !hex.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-        return None;
-    }
-    for (at, byte) in digest.iter_mut().enumerate() {
-        *byte = u8::from_str_radix(hex.get(2 * at..2 * at + 2)?, 16).ok()?;
+        value.report(
+            "\"credential\" must be \"blake3:\" and 64 hex digits, never the plain text; \
+             `hickorylink credential hash` makes it",
+        );
     }
-    Some(CredentialHash { digest })
+    hash.map(|hash| CredentialHash { digest: *hash.as_bytes() })
 }
 
 /// An amount; a dimension that is left out is zero, and part of a MiB counts as a whole one.
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -7,13 +7,11 @@
     document::{Document, ObjectView, ValueView},
     finding::Findings,
     ids::{DataCentre, InstanceName, OperatorName},
+    lists::fields,
     policy::CredentialHash,
     symbols,
 };
 
-/// The longest name of an instance or a data centre, in bytes.
-const NAME_BYTES: usize = 64;
-
 /// The most voters a council has; more make each commit slower and survive no likely failure.
 const COUNCIL_MOST: u64 = 7;
 
@@ -145,8 +143,8 @@
 }
 
 fn read_settings(root: ObjectView<'_, '_>) -> Option<Settings> {
-    let name = root.need("name").and_then(read_name);
-    let centre = root.need("centre").and_then(read_name);
+    let name = root.need("name").and_then(fields::name);
+    let centre = root.need("centre").and_then(fields::name);
     let listen = root.need("listen").and_then(read_address);
     let peer_listen = root.need("peer_listen").and_then(read_address);
     let peers = root.list("peers").into_iter().filter_map(read_address).collect();
@@ -186,16 +184,6 @@
     object.get(field)?.whole(bounds)
 }
 
-fn read_name<'d>(value: ValueView<'d, '_>) -> Option<&'d str> {
-    let name = value.text()?;
-    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-    if name.len() <= NAME_BYTES && name.chars().all(allowed) {
-        return Some(name);
-    }
-    value.report(format!("a name has at most {NAME_BYTES} of the characters a to z, 0 to 9 and -"));
-    None
-}
-
 fn read_address(value: ValueView<'_, '_>) -> Option<SocketAddr> {
     let text = value.text()?;
     let address = text.parse().ok();
@@ -216,24 +204,11 @@
 
 fn read_operator(value: ValueView<'_, '_>) -> Option<FirstOperator> {
     let object = value.object()?.only(&["name", "credential"]);
-    let name = object.need("name").and_then(read_name);
-    let credential = object.need("credential").and_then(read_credential);
+    let name = object.need("name").and_then(fields::name);
+    let credential = fields::credential(object);
     Some(FirstOperator { name: name?.into(), credential: credential? })
 }
 
-/// Reads the hash of a credential, as `blake3:` and 64 hexadecimal digits.
-pub fn read_credential(value: ValueView<'_, '_>) -> Option<CredentialHash> {
-    let text = value.text()?;
-    let hash = text.strip_prefix("blake3:").and_then(|hex| blake3::Hash::from_hex(hex).ok());
-    if hash.is_none() {
-        value.report(
-            "a credential is given as \"blake3:\" and 64 hexadecimal digits; \
-             `hickorylink credential hash` makes one",
-        );
-    }
-    hash.map(|hash| CredentialHash { digest: *hash.as_bytes() })
-}
-
 fn read_log(root: ObjectView<'_, '_>) -> Option<LogSettings> {
     let mut log = LogSettings { format: LogFormat::Json, level: LogLevel::Info };
     let Some(value) = root.get("log") else { return Some(log) };
--- a/lib/tests/instances/net.rs
+++ b/lib/tests/instances/net.rs
@@ -20,7 +20,7 @@
     ids::{Attempt, Epoch, Incarnation, InstanceId, RequestId, TaskAttempt, TaskId},
     instance::{
         Config, Instance,
-        port::{Answer, Edge, Event, Note},
+        port::{Answer, Edge, Event, Note, Order},
     },
     ledger::Limits,
     resources::Resources,
@@ -328,7 +328,7 @@
                     self.after(Duration::from_millis(1), What::Stored { at, boot, write });
                 }
                 Edge::Send { to, message } => self.send(at, to, &message),
-                Edge::Request { attempt, body, .. } => {
+                Edge::Dispatch(Order::Request { attempt, body, .. }) => {
                     let body = String::from_utf8_lossy(&body).into_owned();
                     self.after(delay, What::Served { at, boot, attempt, body });
                 }
@@ -347,9 +347,9 @@
                     }
                 }
                 Edge::Note(_)
-                | Edge::Abandon { .. }
-                | Edge::CloseIdle { .. }
-                | Edge::Command { .. }
+                | Edge::Dispatch(
+                    Order::Abandon { .. } | Order::CloseIdle { .. } | Order::Command { .. },
+                )
                 | Edge::AnnounceAnswer { .. }
                 | Edge::Drained => {}
             }
--- a/lib/tests/settings.rs
+++ b/lib/tests/settings.rs
@@ -52,7 +52,7 @@
             name: "two faults at once",
             change: ("\"akl-a-1\",\n    \"centre\": \"akl-a\"", "\"A 1\",\n    \"centre\": 7"),
             want: &[
-                "s.jsonc:3:13: a name has at most 64 of the characters a to z, 0 to 9 and -",
+                "s.jsonc:3:13: name \"A 1\" may only have the letters a-z, digits and hyphens",
                 r#"s.jsonc:4:15: "centre" must be text that isn't empty"#,
             ],
         },
@@ -74,7 +74,7 @@
         Case {
             name: "a credential in plain text",
             change: ("blake3:f8a0", "f8a0"),
-            want: &["s.jsonc:14:23: a credential is given as \"blake3:\""],
+            want: &["s.jsonc:14:23: \"credential\" must be \"blake3:\" and 64 hex digits"],
         },
         Case {
             name: "an unknown level",
