cli: a status and a conflict that say what to do with them

Cause: tried as a new user would: `status` printed "centres.0: akl-a, 1, 1349…", and a conflict showed the list that stands without the next step. Read-through: `_ =>` arms on closed sets, the same match twice in document.rs. Ruled out: names of holders in place of their identities (the ledger knows only those; the directory's names may be gone). Change: typed rows in the status; a conflict says to apply the change as the next version; ListKind in place of text in commands/list.rs.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands, a file each.
 
 use clap::{Parser, Subcommand};
+use hickorylink_lib::command::ListKind;
 
 use crate::client::{Connection, Outcome};
 
@@ -65,8 +66,8 @@
         let connection = &self.connection;
         match self.command {
             Command::Serve(args) => serve::run(&args),
-            Command::Plans(args) => list::run(connection, "plans", &args),
-            Command::Usage(args) => list::run(connection, "usage", &args),
+            Command::Plans(args) => list::run(connection, ListKind::Plans, &args),
+            Command::Usage(args) => list::run(connection, ListKind::Usage, &args),
             Command::Status(args) => status::run(connection, &args),
             Command::Submit(args) => submit::run(connection, &args),
             Command::Task(args) => task::run(connection, &args),
--- a/cli/src/commands/list.rs
+++ b/cli/src/commands/list.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 
 use clap::{Args as ClapArgs, Subcommand};
-use hickorylink_lib::{api::EDIT_HEADER, finding::Findings, lists};
+use hickorylink_lib::{api::EDIT_HEADER, command::ListKind, finding::Findings, lists};
 use hyper::Method;
 use serde_json::Value;
 
@@ -38,8 +38,8 @@
     Show,
 }
 
-/// Runs the command on the list called `list`.
-pub fn run(connection: &Connection, list: &str, args: &Args) -> Outcome {
+/// Runs the command on a list.
+pub fn run(connection: &Connection, list: ListKind, args: &Args) -> Outcome {
     let done = match &args.action {
         Action::Apply { file, edit } => apply(connection, list, file, edit.as_deref()),
         Action::Check { file } => read_checked(list, file).map(|_| Outcome::done("no findings")),
@@ -50,7 +50,7 @@
 
 fn apply(
     connection: &Connection,
-    list: &str,
+    list: ListKind,
     file: &Path,
     edit: Option<&str>,
 ) -> Result<Outcome, Outcome> {
@@ -73,13 +73,13 @@
 }
 
 /// Reads a file and checks it as far as that can be done without an instance.
-fn read_checked(list: &str, file: &Path) -> Result<String, Outcome> {
+fn read_checked(list: ListKind, file: &Path) -> Result<String, Outcome> {
     let name = file.display().to_string();
     let text = std::fs::read_to_string(file)
         .map_err(|error| Outcome::problem(Exit::Failed, format!("{name}: {error}")))?;
     let checked: Result<(), Findings> = match list {
-        "plans" => lists::parse_plans(&name, &text).map(drop),
-        _ => lists::parse_usage(&name, &text).map(drop),
+        ListKind::Plans => lists::parse_plans(&name, &text).map(drop),
+        ListKind::Usage => lists::parse_usage(&name, &text).map(drop),
     };
     match checked {
         Ok(()) => Ok(text),
@@ -87,7 +87,7 @@
     }
 }
 
-fn stands(connection: &Connection, list: &str) -> Result<Outcome, Outcome> {
+fn stands(connection: &Connection, list: ListKind) -> Result<Outcome, Outcome> {
     let path = format!("/v1/lists/{list}");
     let value = read(&call(connection, Call::new(Method::GET, &path))?)?;
     if connection.json {
--- a/cli/src/front/reply.rs
+++ b/cli/src/front/reply.rs
@@ -124,9 +124,14 @@
         Reply::Rejected(findings) => {
             Problem::not_run(StatusCode::UNPROCESSABLE_ENTITY, "findings", findings.to_string())
         }
-        Reply::Conflict { version, author, text } => {
-            conflict("conflict", format!("version {version} by {author} stands; it reads:\n{text}"))
-        }
+        Reply::Conflict { version, author, text } => conflict(
+            "conflict",
+            format!(
+                "version {version} by {author} stands; make your change to it and apply that as \
+                 version {}; it reads:\n{text}",
+                version + 1
+            ),
+        ),
         Reply::Refused(refusal) => match refusal {
             Refusal::NoSuchTask => Problem::not_found("task"),
             Refusal::KeyReused => conflict(
--- a/lib/src/council/answers.rs
+++ b/lib/src/council/answers.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     ids::{DataCentre, Epoch, TaskId},
-    instance::port::{InstanceStatus, Question, TaskAnswer},
+    instance::port::{CentreStatus, CustomerCount, InstanceStatus, Question, TaskAnswer},
     router::port::ClaimAnswer,
     task::{OpenTask, TaskState},
 };
@@ -33,9 +33,9 @@
             Asker::Settle { request } => out.push(recorded(*request)),
             Asker::Start { attempt } => {
                 let attempt = *attempt;
-                out.push(Output::scheduler(match reply {
-                    Reply::Done => scheduler::Event::StartRecorded { attempt },
-                    _ => scheduler::Event::StartRefused { attempt },
+                out.push(Output::scheduler(match reply == Reply::Done {
+                    true => scheduler::Event::StartRecorded { attempt },
+                    false => scheduler::Event::StartRefused { attempt },
                 }));
             }
             Asker::Yield { attempt } => {
@@ -256,11 +256,19 @@
             centres: self
                 .ledger
                 .centres()
-                .map(|(centre, epoch, holder)| (centre.clone(), epoch, holder))
+                .map(|(centre, epoch, holder)| CentreStatus {
+                    centre: centre.clone(),
+                    epoch,
+                    holder,
+                })
                 .collect(),
             alive: self.alive.iter().map(|info| info.name.clone()).collect(),
             open_tasks: self.ledger.open_count() as u64,
-            counts: self.ledger.counts().map(|(name, count)| (name.clone(), count)).collect(),
+            counts: self
+                .ledger
+                .counts()
+                .map(|(customer, requests)| CustomerCount { customer: customer.clone(), requests })
+                .collect(),
         }
     }
 }
--- a/lib/src/document.rs
+++ b/lib/src/document.rs
@@ -231,26 +231,20 @@
 
     /// A whole number within `bounds`.
     pub fn whole(self, bounds: std::ops::RangeInclusive<u64>) -> Option<u64> {
+        let number = self.parsed().filter(|number| bounds.contains(number));
         let expected = || format!("a whole number from {} to {}", bounds.start(), bounds.end());
-        match self.value {
-            Value::NumberLit(number) => match number.value.parse::<u64>() {
-                Ok(number) if bounds.contains(&number) => Some(number),
-                _ => self.wrong(&expected()),
-            },
-            _ => self.wrong(&expected()),
-        }
+        number.or_else(|| self.wrong(&expected()))
     }
 
     /// A number within `bounds`.
     pub fn number(self, bounds: std::ops::RangeInclusive<f64>) -> Option<f64> {
+        let number = self.parsed().filter(|number| bounds.contains(number));
         let expected = || format!("a number from {} to {}", bounds.start(), bounds.end());
-        match self.value {
-            Value::NumberLit(number) => match number.value.parse::<f64>() {
-                Ok(number) if bounds.contains(&number) => Some(number),
-                _ => self.wrong(&expected()),
-            },
-            _ => self.wrong(&expected()),
-        }
+        number.or_else(|| self.wrong(&expected()))
+    }
+
+    fn parsed<T: std::str::FromStr>(self) -> Option<T> {
+        self.value.as_number_lit()?.value.parse().ok()
     }
 
     /// `true` or `false`.
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -257,14 +257,32 @@
         pub plans: Revision,
         /// The revision of the usage list in force.
         pub usage: Revision,
-        /// The data centres with their epochs and holders.
-        pub centres: Vec<(DataCentre, Epoch, InstanceId)>,
+        /// The data centres whose epoch is held.
+        pub centres: Vec<CentreStatus>,
         /// Instances that are alive.
         pub alive: Vec<InstanceName>,
         /// Tasks without an end.
         pub open_tasks: u64,
         /// Completed requests by customer.
-        pub counts: Vec<(CustomerName, u64)>,
+        pub counts: Vec<CustomerCount>,
+    }
+
+    /// Who may place work in a data centre.
+    pub struct CentreStatus {
+        /// The data centre.
+        pub centre: DataCentre,
+        /// The epoch.
+        pub epoch: Epoch,
+        /// Its holder.
+        pub holder: InstanceId,
+    }
+
+    /// How many requests of a customer were completed.
+    pub struct CustomerCount {
+        /// The customer.
+        pub customer: CustomerName,
+        /// Completed requests.
+        pub requests: u64,
     }
 
     /// What became of a task.
