council: don't hold an epoch that an earlier start was granted

Cause: found by reading hold.rs. An instance with a disk keeps its identity, so after a restart the ledger still names it as its data centre's holder, and it went on under the same epoch with an empty scheduler whose fences start at 0. Workers that had seen a larger fence of the epoch refuse its commands and leases: the data centre places nothing until another instance takes over, and one with a single instance never does. Change: the epoch is held only if this process's own command made it; otherwise the next one is taken.

--- a/cli/tests/real/death.rs
+++ b/cli/tests/real/death.rs
@@ -152,3 +152,27 @@
     }
     assert_eq!(world.journal.doubled(), Vec::<String>::new());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_only_instance_of_a_data_centre_goes_on_placing_after_a_restart() {
+    let mut world = World::serving(THREE).await;
+    let here = |key: &str| {
+        let mut body = crate::world::submission(key, 200);
+        body.centre = Some("hlz-c".to_owned());
+        body
+    };
+    let before = world.cluster.submit(2, crate::world::STORE, &here("before")).await;
+    world.wait_end(2, before.expect("it is taken")).await;
+    // A worker that falls silent and comes back has seen more than one fence of the epoch.
+    world.cluster.signal(2, Signal::SIGSTOP).expect("the holder is frozen");
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    world.cluster.signal(2, Signal::SIGCONT).expect("the holder goes on");
+    let thawed = world.cluster.submit(0, crate::world::STORE, &here("thawed")).await;
+    world.wait_end(0, thawed.expect("it is taken")).await;
+    world.cluster.kill(2).expect("the holder is ended");
+    world.cluster.launch(2).expect("the holder starts again");
+    let after = world.cluster.submit(0, crate::world::STORE, &here("after")).await;
+    let outcome = world.wait_end(0, after.expect("it is taken")).await;
+    assert!(outcome.get("Completed").is_some(), "{outcome}\n{}", world.logs());
+    assert_eq!(world.journal.doubled(), Vec::<String>::new());
+}
--- a/lib/src/council.rs
+++ b/lib/src/council.rs
@@ -236,8 +236,7 @@
     fn ask(&mut self, now: Time, asker: Asker, command: Command, out: &mut Vec<Output>) {
         let deadline = match &asker {
             Asker::Front { wait, .. } => Some(now + *wait),
-            Asker::Claim { .. } => Some(now + self.config.claim),
-            Asker::Hold => Some(now + self.config.takeover),
+            Asker::Claim { .. } | Asker::Hold => Some(now + self.config.claim),
             Asker::Settle { .. }
             | Asker::Start { .. }
             | Asker::Yield { .. }
@@ -324,13 +323,24 @@
         };
         let mut changes = Vec::new();
         let reply = self.ledger.apply(entry.index, &envelope, &mut changes);
+        // An answer may also repeat an epoch that an earlier start of this instance was granted.
+        let granted = changes.iter().find_map(|change| match change {
+            Change::CentreGranted { epoch, .. } => Some(*epoch),
+            Change::Policy(_)
+            | Change::Queued(_)
+            | Change::Started { .. }
+            | Change::Yielded { .. }
+            | Change::Ended { .. }
+            | Change::CancelAsked { .. }
+            | Change::CentreReleased { .. } => None,
+        });
         for change in changes {
             self.tell(now, change, out);
         }
         if envelope.origin == self.config.me.instance
             && let Some(pending) = self.proposals.answered(envelope.ticket)
         {
-            self.reply(now, &pending, reply, out);
+            self.reply(now, &pending, reply, granted, out);
         }
     }
 
--- a/lib/src/council/answers.rs
+++ b/lib/src/council/answers.rs
@@ -12,12 +12,13 @@
 };
 
 impl Council {
-    /// Tells a part that its command was applied.
+    /// Tells a part that its command was applied; `granted` is an epoch that it made, if any.
     pub(super) fn reply(
         &mut self,
         now: Time,
         pending: &Pending,
         reply: Reply,
+        granted: Option<Epoch>,
         out: &mut Vec<Output>,
     ) {
         match &pending.asker {
@@ -47,7 +48,10 @@
                 out.push(Output::scheduler(scheduler::Event::EndRecorded { attempt }));
             }
             Asker::Counts => out.extend(self.counts.recorded().into_iter().map(recorded)),
-            Asker::Hold => self.hold.answered(now),
+            Asker::Hold => {
+                self.hold.answered(now, granted);
+                self.tell_hold(now, out);
+            }
         }
     }
 
@@ -133,9 +137,8 @@
     /// Offers a task that waits at another data centre to this one's scheduler.
     pub(super) fn offer(&self, task: TaskId, out: &mut Vec<Output>) {
         if let Some(view) = self.ledger.task(task)
-            && self.ledger.centre(&self.config.me.centre).is_some_and(|(_, holder)| {
-                holder == self.config.me.instance && view.outcome().is_none()
-            })
+            && self.hold.held(&self.ledger).is_some()
+            && view.outcome().is_none()
         {
             out.push(Output::scheduler(scheduler::Event::Open(Box::new(view.to_open()))));
         }
@@ -149,14 +152,18 @@
         holder: Option<InstanceId>,
         out: &mut Vec<Output>,
     ) {
-        let note = Note::Epoch { centre: centre.clone(), epoch, holder };
-        out.push(Output::Edge(Edge::Note(note)));
-        if centre != self.config.me.centre {
-            return;
+        let ours = centre == self.config.me.centre;
+        out.push(Output::Edge(Edge::Note(Note::Epoch { centre, epoch, holder })));
+        if ours {
+            self.tell_hold(now, out);
         }
-        let mine = holder == Some(self.config.me.instance);
-        let epoch = mine.then_some(epoch);
-        if mine {
+    }
+
+    /// Tells the scheduler whether this process holds the data centre's epoch; if it does, it gets
+    /// to know every open task that it is to look after first.
+    fn tell_hold(&mut self, now: Time, out: &mut Vec<Output>) {
+        let epoch = self.hold.held(&self.ledger);
+        if epoch.is_some() {
             let open: Vec<_> = self.ledger.open_tasks().map(|view| view.to_open()).collect();
             for task in open {
                 if self.places_here(&task) {
@@ -166,6 +173,7 @@
                 }
             }
         }
+        let centre = self.config.me.centre.clone();
         out.push(Output::scheduler(scheduler::Event::Hold { centre, epoch }));
     }
 
@@ -188,19 +196,14 @@
     pub(super) fn tell_facts(&mut self, out: &mut Vec<Output>) {
         let status = self.consensus.status();
         let policy = self.ledger.policy();
-        let me = self.config.me.instance;
-        let held = self
-            .ledger
-            .centres()
-            .filter(|(_, _, holder)| *holder == me)
-            .map(|(centre, epoch, _)| (centre.clone(), epoch))
-            .collect();
+        let centre = &self.config.me.centre;
+        let held = self.hold.held(&self.ledger).map(|epoch| (centre.clone(), epoch));
         let facts = Facts {
             member: status.last.0 > 0,
             applied: self.ledger.applied(),
             plans: policy.plans_revision,
             usage: policy.usage_revision,
-            held,
+            held: held.into_iter().collect(),
         };
         if facts != self.facts {
             self.facts = facts.clone();
--- a/lib/src/council/hold.rs
+++ b/lib/src/council/hold.rs
@@ -1,5 +1,9 @@
 //! The right to place work in this instance's data centre: when to take it, and whether it still
 //! stands.
+//!
+//! An epoch that was granted before this process started is not held: what the scheduler knew of
+//! workers' leases is gone, and workers refuse commands that are older than those they have seen.
+//! The process takes the next epoch instead.
 
 use std::time::Duration;
 
@@ -7,7 +11,7 @@
     command::Command,
     council::Config,
     directory::port::InstanceInfo,
-    ids::{DataCentre, Index, InstanceId, Ticket},
+    ids::{DataCentre, Epoch, Index, InstanceId, Ticket},
     ledger::Ledger,
     time::Time,
 };
@@ -23,6 +27,8 @@
 pub struct Hold {
     me: InstanceId,
     centre: DataCentre,
+    /// The newest epoch that this process was granted.
+    granted: Option<Epoch>,
     takeover: Duration,
     every: Duration,
     draining: bool,
@@ -41,6 +47,7 @@
         Self {
             me: config.me.instance,
             centre: config.me.centre.clone(),
+            granted: None,
             takeover: config.takeover,
             every: config.confirm,
             draining: false,
@@ -70,11 +77,12 @@
         }
         let standing = ledger.centre(&self.centre);
         if self.draining {
-            let (epoch, _) = standing.filter(|(_, holder)| *holder == self.me)?;
+            let epoch = self.held(ledger)?;
             self.asked = true;
             return Some(Command::ReleaseCentre { centre: self.centre.clone(), epoch });
         }
-        if standing.is_some_and(|(_, holder)| self.lives(holder, alive)) {
+        let held = self.held(ledger).is_some();
+        if held || standing.is_some_and(|(_, holder)| self.lives(holder, alive)) {
             self.content = now;
             return None;
         }
@@ -87,7 +95,8 @@
     }
 
     fn lives(&self, holder: InstanceId, alive: &[InstanceInfo]) -> bool {
-        holder == self.me || alive.iter().any(|info| info.instance == holder && !info.draining)
+        let alive = alive.iter().any(|info| info.instance == holder && !info.draining);
+        holder != self.me && alive
     }
 
     /// How long to wait before taking the right: the instances of the data centre do so one
@@ -101,10 +110,17 @@
         if held { self.takeover + turn } else { turn }
     }
 
-    /// The command was answered; weigh anew.
-    pub fn answered(&mut self, now: Time) {
+    /// The command was answered, with an epoch if the right was taken; weigh anew.
+    pub fn answered(&mut self, now: Time, granted: Option<Epoch>) {
         self.asked = false;
         self.content = now;
+        self.granted = granted.or(self.granted);
+    }
+
+    /// The epoch that this process holds.
+    pub fn held(&self, ledger: &Ledger) -> Option<Epoch> {
+        let (epoch, holder) = ledger.centre(&self.centre)?;
+        (holder == self.me && self.granted == Some(epoch)).then_some(epoch)
     }
 
     /// A read to start, if the right is held and its confirmation is due.
@@ -113,7 +129,7 @@
             return None;
         }
         self.confirm = now + self.every;
-        ledger.centre(&self.centre).filter(|(_, holder)| *holder == self.me)?;
+        self.held(ledger)?;
         self.reads += 1;
         let ticket = Ticket(self.reads);
         self.read = Some((ticket, now));
@@ -131,7 +147,7 @@
         if now.since(asked) > FRESH || ledger.applied() < index {
             return false;
         }
-        ledger.centre(&self.centre).is_some_and(|(_, holder)| holder == self.me)
+        self.held(ledger).is_some()
     }
 
     /// The read found no leader.
--- a/lib/tests/instances/main.rs
+++ b/lib/tests/instances/main.rs
@@ -343,3 +343,17 @@
         assert_eq!(net.served, BTreeMap::new(), "seed {seed}");
     }
 }
+
+#[test]
+fn an_epoch_of_an_earlier_start_is_not_held() {
+    for seed in SEEDS {
+        let mut net = ready(seed, Faults::default(), 1);
+        for life in 0..3 {
+            let newest = net.newest_epoch();
+            net.kill(0);
+            net.restart(0);
+            net.run(Duration::from_secs(4));
+            assert!(net.newest_epoch() > newest, "seed {seed}, life {life}: another epoch");
+        }
+    }
+}
--- a/lib/tests/instances/net.rs
+++ b/lib/tests/instances/net.rs
@@ -384,6 +384,11 @@
         newest.map_or(0, |instance| instance as usize - 1)
     }
 
+    /// The newest epoch that was granted.
+    pub(crate) fn newest_epoch(&self) -> Epoch {
+        self.holders.last_key_value().map(|(epoch, _)| *epoch).unwrap_or_default()
+    }
+
     /// The revision of the plans in force at each instance that runs.
     pub(crate) fn revisions(&self) -> Vec<u64> {
         let running = self.nodes.iter().filter_map(|node| node.instance.as_ref());
