real: count what ran only once all replicas run

The test counted before the last replicas had been placed, and took their starts for something that bad input had run. Ruled out: counting requests only (a bad submission that runs must show too). Change: a world serves once all replicas of its data centres run; the test asks the same and is no longer early. Conclusion: the test's fault.

--- a/cli/tests/real/world.rs
+++ b/cli/tests/real/world.rs
@@ -1,6 +1,6 @@
 //! A small world: instances as processes, workers as tasks of the test.
 
-use std::{path::Path, time::Duration};
+use std::{collections::BTreeSet, path::Path, time::Duration};
 
 use hickorylink_lib::{
     api::{SizeBody, SubmitBody},
@@ -29,6 +29,9 @@
 /// One instance with a disk.
 pub(crate) const ONE: &[Spec<'_>] = &[Spec { name: "akl-a-1", centre: "akl-a", disk: true }];
 
+/// Replicas in each data centre by the plans list.
+const REPLICAS: usize = 2;
+
 /// Three instances with disks, one in each data centre.
 pub(crate) const THREE: &[Spec<'_>] = &[
     Spec { name: "akl-a-1", centre: "akl-a", disk: true },
@@ -86,9 +89,20 @@
         for at in 0..specs.len() {
             world.wait_served(at).await;
         }
+        let centres: BTreeSet<_> = specs.iter().map(|spec| spec.centre).collect();
+        world.wait_replicas(centres.len() * REPLICAS).await;
         world
     }
 
+    /// Waits until so many replicas run, so that what starts later is a test's own.
+    async fn wait_replicas(&self, replicas: usize) {
+        let placed = eventually(PATIENCE, async || {
+            let running: usize = self.workers.iter().map(|w| w.shared.running().len()).sum();
+            (running == replicas).then_some(())
+        });
+        assert!(placed.await.is_some(), "all replicas run\n{}", self.logs());
+    }
+
     /// Adds a worker.
     pub(crate) async fn add_worker(&mut self, traits: Traits) {
         let worker = Worker::start(traits, self.cluster.home(), self.journal.clone()).await;
