--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -8,9 +8,12 @@
 pub mod burn;
 pub mod call;
 pub mod completions;
+pub mod controller;
 pub mod credential;
+pub mod gateway;
 pub mod list;
 pub mod log_level;
+pub mod role;
 pub mod serve;
 pub mod status;
 pub mod submit;
@@ -36,6 +39,10 @@
 enum Command {
     /// Run an instance
     Serve(serve::Args),
+    /// Run a controller of a deployment: it keeps jobs and decides where tasks run
+    Controller(role::Args),
+    /// Run a gateway of a deployment: it passes customers' calls on to the controllers
+    Gateway(role::Args),
     /// Apply, check or show the customers' plans
     Plans(list::Args),
     /// Apply, check or show what each plan may use
@@ -66,6 +73,8 @@
         let connection = &self.connection;
         match self.command {
             Command::Serve(args) => serve::run(&args),
+            Command::Controller(args) => controller::run(&args),
+            Command::Gateway(args) => gateway::run(&args),
             Command::Plans(args) => list::run(connection, ListKind::Plans, &args),
             Command::Usage(args) => list::run(connection, ListKind::Usage, &args),
             Command::Status(args) => status::run(connection, &args),
--- /dev/null
+++ b/cli/src/commands/controller.rs
@@ -0,0 +1,21 @@
+//! `hickorylink controller`: run a controller of a deployment.
+
+use hickorylink_platform::control::Control;
+use hickorylink_runtime::controller;
+
+use crate::{client::Outcome, commands::role::Args, exit::Exit};
+
+/// Runs the command until the controller is told to leave.
+pub fn run(args: &Args) -> Outcome {
+    let settings = match args.read() {
+        Ok(settings) => settings,
+        Err(outcome) => return outcome,
+    };
+    if args.checks() {
+        return Outcome::done("no findings");
+    }
+    match controller::run(&settings, Control { listen: settings.listen }) {
+        Ok(()) => Outcome::done(String::new()),
+        Err(error) => Outcome::problem(Exit::Failed, error.to_string()),
+    }
+}
--- a/cli/src/lib.rs
+++ b/cli/src/lib.rs
@@ -2,7 +2,6 @@
 
 pub mod burn;
 pub mod client;
-pub mod clock;
 pub mod commands;
 pub mod daemon;
 pub mod duty;
@@ -10,8 +9,7 @@
 pub mod frame;
 pub mod front;
 pub mod http;
-pub mod log;
 pub mod mail;
 pub mod metrics;
-pub mod ring;
-pub mod storage;
+
+pub use hickorylink_runtime::{clock, log, ring, storage};
--- a/lib/src/consensus.rs
+++ b/lib/src/consensus.rs
@@ -55,6 +55,9 @@
     deadline: Time,
     /// The election timeout that was drawn last.
     timeout: Duration,
+    /// Until when a member that has restarted votes for nobody: it may have heard a leader just
+    /// before, which counts on its silence.
+    quiet_until: Time,
     votes: BTreeSet<InstanceId>,
     following: Following,
     leading: Option<Leadership>,
@@ -99,6 +102,7 @@
                 membership.push(entry.index, members.clone());
             }
         }
+        let quiet_until = if hard.term.0 > 0 { now + config.election } else { now };
         let commit = snapshot.as_ref().map_or(Index(0), |snapshot| snapshot.index);
         let log = Log::new(snapshot.clone(), entries);
         let mut machine = Self {
@@ -113,6 +117,7 @@
             commit,
             deadline: now,
             timeout: Duration::ZERO,
+            quiet_until,
             votes: BTreeSet::new(),
             following: Following::new(commit),
             leading: None,
--- a/lib/src/consensus/election.rs
+++ b/lib/src/consensus/election.rs
@@ -40,6 +40,9 @@
     /// Whether a leader was heard so lately that an election would only disturb it.
     pub(super) fn leader_alive(&self, now: Time) -> bool {
         let recent = |silence| silence < self.config.election;
+        if now < self.quiet_until {
+            return true;
+        }
         match self.leader {
             Some(leader) if leader == self.config.me => self.quorum_heard(recent, now),
             Some(_) => recent(now.since(self.following.heard)),
--- a/lib/src/consensus/leader.rs
+++ b/lib/src/consensus/leader.rs
@@ -32,6 +32,8 @@
     pub(super) first: Index,
     /// The newest round of heartbeats.
     pub(super) round: u64,
+    /// When the last rounds were sent, oldest first.
+    pub(super) sent: VecDeque<(u64, Time)>,
     /// Reads that wait for a round.
     pub(super) reads: ReadQueue,
     /// Changes of the members that are wanted, in order.
@@ -59,6 +61,7 @@
             peers,
             first: next,
             round: 0,
+            sent: VecDeque::new(),
             reads: ReadQueue::default(),
             changes: VecDeque::new(),
             pending: VecDeque::new(),
--- a/lib/src/consensus/reads.rs
+++ b/lib/src/consensus/reads.rs
@@ -15,6 +15,11 @@
     time::Time,
 };
 
+/// The part of an election timeout that a leader's lease lasts: the rest allows for clocks that
+/// run at different speeds.
+const LEASE_NUMERATOR: u32 = 4;
+const LEASE_DENOMINATOR: u32 = 5;
+
 /// Who waits for a read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum Asker {
@@ -116,8 +121,23 @@
             if !needs_round {
                 return;
             }
-            self.start_round();
+            self.start_round(turn.now);
+        }
+    }
+
+    /// Until when no other member can lead; nothing if this one doesn't, or hasn't committed an
+    /// entry of its term.
+    ///
+    /// A quorum that answered a round votes for nobody else within an election timeout after it
+    /// heard that round, which was after the round was sent.
+    pub fn lease_until(&self) -> Option<Time> {
+        let leading = self.leading.as_ref()?;
+        if self.commit < leading.first {
+            return None;
         }
+        let round = self.confirmed_round();
+        let (_, sent) = leading.sent.iter().rev().find(|(sent, _)| *sent <= round)?;
+        Some(*sent + self.config.election * LEASE_NUMERATOR / LEASE_DENOMINATOR)
     }
 
     fn confirmed_round(&self) -> u64 {
--- a/lib/src/consensus/replication.rs
+++ b/lib/src/consensus/replication.rs
@@ -8,6 +8,9 @@
     time::Time,
 };
 
+/// Rounds of heartbeats whose times a leader remembers for its lease.
+const ROUNDS_KEPT: usize = 64;
+
 /// A follower, as its leader sees it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Peer {
@@ -88,14 +91,18 @@
     /// Starts a new round of heartbeats to all followers.
     pub(super) fn heartbeat(&mut self, now: Time) {
         self.deadline = now + self.config.heartbeat;
-        self.start_round();
+        self.start_round(now);
         self.resend_stalled();
     }
 
     /// Sends every follower an empty append that carries a new round.
-    pub(super) fn start_round(&mut self) {
+    pub(super) fn start_round(&mut self, now: Time) {
         let Some(leading) = &mut self.leading else { return };
         leading.round += 1;
+        leading.sent.push_back((leading.round, now));
+        if leading.sent.len() > ROUNDS_KEPT {
+            leading.sent.pop_front();
+        }
         let round = leading.round;
         leading.reads.assign(round);
         for to in self.peers() {
--- /dev/null
+++ b/lib/src/jobs/controller/lead.rs
@@ -0,0 +1,353 @@
+//! What a leader knows and has decided beyond the agreed state.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use crate::{
+    ids::{Epoch, Incarnation, WorkerName},
+    jobs::{
+        controller::{Answer, Effect, Note, Ticket, Timing},
+        fleet::{Fleet, RunView, Worker},
+        life::TaskPhase,
+        model::{JobId, StepKey, TaskKey, WorkerNumber},
+        record::{Node, Record},
+        state::{Change, State},
+    },
+    time::{Time, WallTime, earliest},
+};
+
+/// How often the leader looks for leases that have run out.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// How long a worker that runs nothing is remembered in silence.
+const FORGET_WORKER: Duration = Duration::from_secs(30);
+
+/// How often jobs that ended long ago are looked for.
+const RETENTION_LOOK: Duration = Duration::from_secs(5);
+
+/// The order in which steps get places: smaller first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Long-running steps, then queues by their priority.
+    pub class: u32,
+    /// When the job should be done.
+    pub due: WallTime,
+}
+
+/// A leader's own part.
+#[derive(Debug)]
+pub struct Lead {
+    /// The state with all that was decided, committed or not.
+    pub state: State,
+    /// The workers.
+    pub fleet: Fleet,
+    pub(super) epoch: Epoch,
+    pub(super) timing: Timing,
+    /// Steps with tasks that may start, in the order of their ranks.
+    pub(super) ready: BTreeSet<(Rank, StepKey)>,
+    pub(super) ranks: HashMap<StepKey, Rank>,
+    /// Occurrences that aren't due yet.
+    pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
+    /// Workers on which tasks have failed.
+    pub(super) failed: HashMap<TaskKey, Vec<WorkerNumber>>,
+    /// Starts that leave with the next answer to their worker.
+    pub(super) outgoing: BTreeMap<WorkerNumber, Vec<TaskKey>>,
+    pub(super) records: Vec<Record>,
+    pub(super) answers: Vec<(Ticket, Answer)>,
+    pub(super) notes: Vec<Note>,
+    changes: Vec<Change>,
+    /// Jobs that have ended, with the time at which they are forgotten.
+    ended: BTreeSet<(Time, JobId)>,
+    look: Time,
+    retention: Time,
+    /// Whether something happened that may let a task start.
+    pub(super) unsettled: bool,
+    /// The wall clock of this turn.
+    pub(super) wall: WallTime,
+}
+
+/// What a turn of the leader comes to.
+#[derive(Debug)]
+pub(super) struct Turn {
+    pub(super) records: Vec<Record>,
+    /// What may leave once the records are committed.
+    pub(super) answers: Vec<(Ticket, Answer)>,
+}
+
+impl Lead {
+    /// Begins to lead with the agreed state: what is recorded as running may be running, on
+    /// workers that haven't been heard yet.
+    pub(super) fn new(
+        state: State,
+        epoch: Epoch,
+        timing: Timing,
+        now: Time,
+        wall: WallTime,
+        out: &mut Vec<Effect>,
+    ) -> Self {
+        let mut lead = Self {
+            fleet: Fleet::default(),
+            ready: BTreeSet::new(),
+            ranks: HashMap::new(),
+            upcoming: BTreeSet::new(),
+            failed: HashMap::new(),
+            outgoing: BTreeMap::new(),
+            records: Vec::new(),
+            answers: Vec::new(),
+            notes: Vec::new(),
+            changes: Vec::new(),
+            ended: BTreeSet::new(),
+            look: now + LOOK,
+            retention: now + RETENTION_LOOK,
+            unsettled: true,
+            state,
+            epoch,
+            timing,
+            wall,
+        };
+        let runs = lead.adopt(now);
+        let open = lead.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
+        let open: Vec<_> = open.map(|(id, _)| *id).collect();
+        for id in &open {
+            lead.admit(*id);
+        }
+        let closed = lead.state.jobs.iter().filter(|(_, job)| !job.phase.is_open());
+        lead.ended = closed.map(|(id, _)| (now + timing.retain, *id)).collect();
+        out.push(Effect::Note(Note::Leading { epoch, jobs: open.len(), runs }));
+        lead
+    }
+
+    /// Notes all recorded workers and runs; gives the number of runs.
+    fn adopt(&mut self, now: Time) -> usize {
+        let lease_until = now + self.timing.lease + self.timing.lease_margin;
+        for (number, life) in &self.state.workers {
+            let worker = Worker::unheard(life.name.clone(), life.born, now, lease_until);
+            self.fleet.insert(*number, worker);
+        }
+        let mut runs = 0;
+        for (id, job) in self.state.jobs.iter().filter(|(_, job)| job.phase.is_open()) {
+            for (round, progress) in &job.rounds {
+                for (at, (spec, step)) in job.spec.steps.iter().zip(&progress.steps).enumerate() {
+                    let step_at = u16::try_from(at).unwrap_or(u16::MAX);
+                    let key = StepKey { job: *id, round: *round, step: step_at };
+                    for (index, task) in (0..).zip(&step.tasks) {
+                        if task.phase != TaskPhase::Running {
+                            continue;
+                        }
+                        if let Some(worker) = self.fleet.workers.get_mut(&task.worker) {
+                            worker.add(key.task(index), RunView::new(spec, task.run, now));
+                            runs += 1;
+                        }
+                    }
+                }
+            }
+        }
+        runs
+    }
+
+    /// When the leader wants to act next.
+    pub(super) fn next_deadline(&self) -> Option<Time> {
+        let open = self.fleet.workers.values().filter_map(|worker| worker.open);
+        earliest(open.map(|open| open.until).min(), Some(self.look))
+    }
+
+    /// Everyone who waits for this leader.
+    pub(super) fn into_tickets(self) -> Vec<Ticket> {
+        let open = self.fleet.workers.values().filter_map(|worker| worker.open);
+        let open = open.map(|open| open.ticket);
+        open.chain(self.answers.iter().map(|(ticket, _)| *ticket)).collect()
+    }
+
+    /// Records where a controller is.
+    pub(super) fn introduce(&mut self, node: &Node) {
+        if self.state.nodes.get(&node.id) != Some(node) {
+            self.record(Record::Node(node.clone()));
+        }
+    }
+
+    /// Takes a decision into the working copy, to be agreed on at the end of the turn.
+    pub(super) fn record(&mut self, record: Record) {
+        let mut changes = std::mem::take(&mut self.changes);
+        self.state.apply(&record, &mut changes);
+        self.records.push(record);
+        for change in changes.drain(..) {
+            match change {
+                Change::Accepted(id) => self.admit(id),
+                Change::Ready(step) => self.enqueue(step),
+                Change::Ended(id) => self.close(id),
+            }
+        }
+        self.changes = changes;
+    }
+
+    /// Queues what may start of a job, and notes what will be due.
+    pub(super) fn admit(&mut self, id: JobId) {
+        let Some(job) = self.state.jobs.get(&id) else { return };
+        let spec = job.spec.clone();
+        if spec.schedule.is_none() {
+            for step in self.state.ready_steps(id, 0) {
+                self.enqueue(step);
+            }
+            return;
+        }
+        let begun: Vec<u32> = job.rounds.keys().copied().collect();
+        for round in begun {
+            for step in self.state.ready_steps(id, round) {
+                self.enqueue(step);
+            }
+        }
+        let first = self.state.jobs.get(&id).map_or(0, |job| {
+            (0..spec.rounds()).find(|round| !job.rounds.contains_key(round)).unwrap_or(u32::MAX)
+        });
+        self.expect_round(id, first);
+    }
+
+    /// Notes when an occurrence is due.
+    fn expect_round(&mut self, id: JobId, round: u32) {
+        let Some(job) = self.state.jobs.get(&id) else { return };
+        if round < job.spec.rounds()
+            && let Some(due) = job.spec.due(round)
+        {
+            self.upcoming.insert((due, id, round));
+        }
+    }
+
+    /// Queues the occurrences that are due.
+    pub(super) fn begin_rounds(&mut self) {
+        while let Some((due, id, round)) = self.upcoming.first().copied() {
+            if due > self.wall {
+                return;
+            }
+            self.upcoming.pop_first();
+            for step in self.state.ready_steps(id, round) {
+                self.enqueue(step);
+            }
+            self.expect_round(id, round + 1);
+        }
+    }
+
+    fn enqueue(&mut self, step: StepKey) {
+        let Some(job) = self.state.jobs.get(&step.job).filter(|job| job.phase.is_open()) else {
+            return;
+        };
+        let Some(queue) = self.state.queue_of(job) else { return };
+        let long = job.spec.steps.get(usize::from(step.step)).is_some_and(|s| s.traits.long_running);
+        let begin = job.spec.due(step.round).unwrap_or(job.accepted);
+        let objective = queue.objective(job.spec.longest_chain());
+        let rank = Rank {
+            class: if long { 0 } else { queue.priority.saturating_add(1) },
+            due: WallTime(begin.0 + objective),
+        };
+        if let Some(old) = self.ranks.insert(step, rank) {
+            self.ready.remove(&(old, step));
+        }
+        self.ready.insert((rank, step));
+        self.unsettled = true;
+    }
+
+    /// Takes a step from the queue.
+    pub(super) fn dequeue(&mut self, step: &StepKey) {
+        if let Some(rank) = self.ranks.remove(step) {
+            self.ready.remove(&(rank, *step));
+        }
+    }
+
+    /// Stops what runs of a job that has ended, and forgets what waits.
+    fn close(&mut self, id: JobId) {
+        let first = StepKey { job: id, round: 0, step: 0 };
+        let last = StepKey { job: id, round: u32::MAX, step: u16::MAX };
+        let steps: Vec<_> =
+            self.ranks.keys().filter(|key| (first..=last).contains(key)).copied().collect();
+        for step in steps {
+            self.dequeue(&step);
+        }
+        self.upcoming.retain(|(_, job, _)| *job != id);
+        self.failed.retain(|task, _| task.job != id);
+        let tasks = first.task(0)..=last.task(u32::MAX);
+        for worker in self.fleet.workers.values_mut() {
+            for (_, view) in worker.runs.range_mut(tasks.clone()) {
+                view.stopping = true;
+            }
+        }
+        let Some(job) = self.state.jobs.get(&id) else { return };
+        let age_ms = self.wall.0.saturating_sub(job.accepted.0);
+        let (what, queue) = (job.phase.name(), job.queue.to_string());
+        self.notes.push(Note::Job { id: id.hex(), what, queue, age_ms });
+    }
+
+    /// Looks for leases that have run out, and for what can be forgotten.
+    pub(super) fn expire(&mut self, now: Time) {
+        if now < self.look {
+            return;
+        }
+        self.look = now + LOOK;
+        self.unsettled = true;
+        let workers = self.fleet.workers.iter();
+        let lost = workers.filter(|(_, worker)| {
+            let silent = now.since(worker.heard) > FORGET_WORKER;
+            worker.open.is_none() && now > worker.lease_until && (silent || !worker.runs.is_empty())
+        });
+        let lost: Vec<_> = lost.map(|(number, _)| *number).collect();
+        for number in lost {
+            self.lose(now, number, "lost: its lease has run out");
+        }
+        if now >= self.retention {
+            self.retention = now + RETENTION_LOOK;
+            self.forget_jobs(now);
+        }
+    }
+
+    fn forget_jobs(&mut self, now: Time) {
+        let mut jobs = Vec::new();
+        while let Some((at, id)) = self.ended.first().copied().filter(|(at, _)| *at <= now) {
+            self.ended.remove(&(at, id));
+            jobs.push(id);
+        }
+        if !jobs.is_empty() {
+            self.record(Record::Forget { jobs });
+        }
+    }
+
+    /// Remembers when a job that has ended may be forgotten.
+    pub(super) fn retain(&mut self, now: Time, id: JobId) {
+        self.ended.insert((now + self.timing.retain, id));
+    }
+
+    /// Gives up an incarnation of a worker whose runs have surely ended.
+    pub(super) fn lose(&mut self, now: Time, number: WorkerNumber, what: &'static str) {
+        let Some(worker) = self.fleet.remove(number) else { return };
+        self.outgoing.remove(&number);
+        if let Some(open) = worker.open {
+            self.answers.push((open.ticket, Answer::Noted));
+        }
+        let silent = now.since(worker.heard).as_millis();
+        self.notes.push(Note::Worker {
+            name: worker.name.to_string(),
+            what,
+            silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
+            runs: worker.runs.len(),
+        });
+        self.record(Record::Gone { worker: number });
+        self.unsettled = true;
+    }
+
+    /// A worker is gone by its own word.
+    pub(super) fn leave(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        name: &WorkerName,
+        born: Option<Incarnation>,
+    ) {
+        let number = self.fleet.find(name).filter(|number| {
+            let worker = self.fleet.workers.get(number);
+            worker.is_some_and(|worker| born.is_none_or(|born| born == worker.born))
+        });
+        if let Some(number) = number {
+            self.lose(now, number, "left");
+        }
+        self.answers.push((ticket, Answer::Noted));
+    }
+}
--- /dev/null
+++ b/lib/src/jobs/place.rs
@@ -0,0 +1,96 @@
+//! Where a task goes: which workers may run it, and which of them is best.
+
+use crate::{
+    jobs::{
+        fleet::{Fleet, Worker},
+        model::{Step, StepKey, WorkerNumber},
+    },
+    ids::ServiceName,
+    time::Time,
+};
+
+/// The part of its wish that a filling task must find unused, in percent.
+const FILL_SHARE: u64 = 80;
+
+/// What a neighbour that serves users costs a filling task's place, in thousandths of a
+/// processor.
+const SERVING_COST: u64 = 6000;
+
+/// A task that looks for a place.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// The service whose workers may run it.
+    pub service: &'a ServiceName,
+    /// Its step.
+    pub step: &'a Step,
+    /// The step's place in its job.
+    pub key: StepKey,
+    /// Workers on which it has failed.
+    pub avoid: &'a [WorkerNumber],
+}
+
+/// Which workers are looked at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// Those whose heartbeat waits for an answer: a start leaves at once.
+    Open,
+    /// All that live: a start leaves with the next heartbeat.
+    Live,
+}
+
+/// The best worker for a task.
+pub fn choose(fleet: &Fleet, now: Time, reach: Reach, request: &Request<'_>) -> Option<WorkerNumber> {
+    let near = |worker: &Worker| reach == Reach::Live || worker.open.is_some();
+    let candidates = fleet.workers.iter().filter(|(_, worker)| near(worker));
+    let costs = candidates.filter_map(|(number, worker)| {
+        Some((cost(worker, now, request)? + avoided(*number, request), *number))
+    });
+    costs.min().map(|(_, number)| number)
+}
+
+/// What a second failure on the same worker is worth avoiding.
+const AVOIDED: u64 = 1 << 40;
+
+/// What work on another rack than the data's costs.
+const REMOTE: u64 = 1 << 30;
+
+fn avoided(number: WorkerNumber, request: &Request<'_>) -> u64 {
+    if request.avoid.contains(&number) { AVOIDED } else { 0 }
+}
+
+/// What a place costs; nothing if the task may not run there.
+fn cost(worker: &Worker, now: Time, request: &Request<'_>) -> Option<u64> {
+    let step = request.step;
+    let profile = worker.profile.as_ref()?;
+    if profile.service != *request.service || !worker.is_usable(now) {
+        return None;
+    }
+    if step.label.as_ref().is_some_and(|label| !profile.labels.contains(label)) {
+        return None;
+    }
+    if step.spread.is_some_and(|most| worker.count(&request.key) >= most) {
+        return None;
+    }
+    let free = worker.free();
+    if !free.fits(&step.reserved()) {
+        return None;
+    }
+    let far = step.rack.as_ref().is_some_and(|rack| !profile.labels.contains(rack));
+    let remote = if far { REMOTE } else { 0 };
+    let unused = free.millicores.saturating_sub(worker.wished);
+    let capacity = profile.capacity.millicores;
+    let load = capacity.saturating_sub(unused);
+    if step.traits.filling {
+        let wish = step.needs.millicores;
+        let idle = worker.wished == 0 && free.millicores * 2 >= wish;
+        if unused * 100 < wish * FILL_SHARE && !idle {
+            return None;
+        }
+        return Some(remote + load + u64::from(worker.serving) * SERVING_COST);
+    }
+    if step.serves() {
+        // Where few others fill and serve, its users are disturbed least.
+        return Some(remote + load + worker.wished);
+    }
+    Some(remote + load)
+}
--- /dev/null
+++ b/lib/src/jobs/state.rs
@@ -0,0 +1,466 @@
+//! What the controllers agree on. Applying the same records in the same order gives the same
+//! state everywhere.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use snafu::ResultExt as _;
+
+use crate::{
+    codec::{DecodeError, MalformedSnafu, extend},
+    data,
+    ids::{Incarnation, InstanceId, WorkerName},
+    jobs::{
+        config::{Config, Queue},
+        life::{JOB_CHART, JobEvent, JobPhase, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase},
+        model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
+        record::{Ending, Node, Record},
+    },
+    time::WallTime,
+};
+
+data! {
+    /// The agreed state.
+    #[derive(Default)]
+    pub struct State {
+        /// The configuration in force.
+        pub config: Option<Arc<Config>>,
+        /// All jobs that aren't forgotten.
+        pub jobs: BTreeMap<JobId, Job>,
+        /// The incarnations of workers that may run something.
+        pub workers: BTreeMap<WorkerNumber, WorkerLife>,
+        /// The controllers.
+        pub nodes: BTreeMap<InstanceId, Node>,
+        /// For each queue, its jobs of which no task has started.
+        pub pending: BTreeMap<QueueName, u32>,
+        /// The largest number that a worker was given.
+        pub last_worker: WorkerNumber,
+    }
+
+    /// An incarnation of a worker.
+    pub struct WorkerLife {
+        /// The worker.
+        pub name: WorkerName,
+        /// Its incarnation.
+        pub born: Incarnation,
+    }
+
+    /// A job and its progress.
+    pub struct Job {
+        /// Its queue.
+        pub queue: QueueName,
+        /// When it was accepted.
+        pub accepted: WallTime,
+        /// What was submitted.
+        pub spec: Arc<JobSpec>,
+        /// Where it stands.
+        pub phase: JobPhase,
+        /// The occurrences that have begun.
+        pub rounds: BTreeMap<u32, Round>,
+        /// How many occurrences are done.
+        pub done: u32,
+    }
+
+    /// An occurrence of a job.
+    pub struct Round {
+        /// Its steps.
+        pub steps: Vec<Progress>,
+    }
+
+    /// How far a step is.
+    pub struct Progress {
+        /// Its tasks.
+        pub tasks: Vec<Task>,
+        /// How many of them are done.
+        pub done: u32,
+    }
+
+    /// A task's runs.
+    #[derive(Default)]
+    pub struct Task {
+        /// Where it stands.
+        pub phase: TaskPhase,
+        /// The last run that was recorded.
+        pub run: Run,
+        /// That run's worker.
+        pub worker: WorkerNumber,
+        /// How many runs have failed.
+        pub failed: u32,
+        /// The last progress that was saved; empty if there is none.
+        pub checkpoint: Box<str>,
+    }
+}
+
+impl Default for TaskPhase {
+    fn default() -> Self {
+        Self::Waiting
+    }
+}
+
+/// What a record brought about, for the controller that leads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Tasks of the step may start.
+    Ready(StepKey),
+    /// The job has ended; its runs are to be stopped.
+    Ended(JobId),
+    /// A job was accepted.
+    Accepted(JobId),
+}
+
+impl State {
+    /// Reads the state from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are damaged.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        postcard::from_bytes(bytes).context(MalformedSnafu)
+    }
+
+    /// The state as bytes for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        extend(Vec::new(), self)
+    }
+
+    /// The queue of a job, if the configuration still has it.
+    pub fn queue_of(&self, job: &Job) -> Option<&Queue> {
+        self.config.as_ref()?.queue(&job.queue)
+    }
+
+    /// A task, if its occurrence has begun.
+    pub fn task(&self, key: &TaskKey) -> Option<&Task> {
+        let progress = self.progress(&key.step_key())?;
+        progress.tasks.get(usize::try_from(key.index).ok()?)
+    }
+
+    /// A step's progress, if its occurrence has begun.
+    pub fn progress(&self, key: &StepKey) -> Option<&Progress> {
+        let round = self.jobs.get(&key.job)?.rounds.get(&key.round)?;
+        round.steps.get(usize::from(key.step))
+    }
+
+    /// What was submitted of a step.
+    pub fn step(&self, key: &StepKey) -> Option<&Step> {
+        self.jobs.get(&key.job)?.spec.steps.get(usize::from(key.step))
+    }
+
+    /// Takes a record into effect and adds what it brings about to `changes`.
+    pub fn apply(&mut self, record: &Record, changes: &mut Vec<Change>) {
+        match record {
+            Record::Configure(config) => self.configure(config),
+            Record::Submit { id, queue, at, spec } => self.submit(*id, queue, *at, spec, changes),
+            Record::Cancel { id } => self.end_job(*id, JobEvent::Cancel, changes),
+            Record::Worker { number, name, born } => {
+                self.last_worker = self.last_worker.max(*number);
+                self.workers.insert(*number, WorkerLife { name: name.clone(), born: *born });
+            }
+            Record::Gone { worker } => self.lose_worker(*worker, changes),
+            Record::Start { task, run, worker } => self.start(*task, *run, *worker),
+            Record::End { task, run, ending, checkpoint } => {
+                self.end_run(*task, *run, *ending, checkpoint, changes);
+            }
+            Record::Node(node) => {
+                self.nodes.retain(|id, known| *id == node.id || known.peer != node.peer);
+                self.nodes.insert(node.id, node.clone());
+            }
+            Record::Forget { jobs } => {
+                for id in jobs {
+                    self.jobs.remove(id);
+                }
+            }
+        }
+    }
+
+    /// The steps of which tasks may start, by what is recorded; an occurrence's due time isn't
+    /// looked at.
+    pub fn ready_steps(&self, id: JobId, round: u32) -> Vec<StepKey> {
+        let Some(job) = self.jobs.get(&id).filter(|job| job.phase.is_open()) else {
+            return Vec::new();
+        };
+        let steps = 0..job.spec.steps.len();
+        let key = |step| StepKey { job: id, round, step: u16::try_from(step).unwrap_or(u16::MAX) };
+        steps.map(key).filter(|key| job.is_ready(key)).collect()
+    }
+
+    fn configure(&mut self, config: &Config) {
+        if self.config.as_ref().is_none_or(|held| held.version < config.version) {
+            self.config = Some(Arc::new(config.clone()));
+        }
+    }
+
+    fn submit(
+        &mut self,
+        id: JobId,
+        queue: &QueueName,
+        at: WallTime,
+        spec: &JobSpec,
+        changes: &mut Vec<Change>,
+    ) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        let job = Job {
+            queue: queue.clone(),
+            accepted: at,
+            spec: Arc::new(spec.clone()),
+            phase: JobPhase::Queued,
+            rounds: BTreeMap::new(),
+            done: 0,
+        };
+        self.jobs.insert(id, job);
+        *self.pending.entry(queue.clone()).or_default() += 1;
+        changes.push(Change::Accepted(id));
+    }
+
+    fn start(&mut self, key: TaskKey, run: Run, worker: WorkerNumber) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if !job.phase.is_open() {
+            return;
+        }
+        let queued = job.phase == JobPhase::Queued;
+        job.step_chart(JobEvent::Start);
+        if queued {
+            let queue = job.queue.clone();
+            self.started(&queue);
+        }
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if let Some(task) = job.task_mut(&key) {
+            let input = Input { event: TaskEvent::Start, run, worker, checkpoint: "" };
+            task.step_chart(&input);
+        }
+    }
+
+    fn started(&mut self, queue: &QueueName) {
+        if let Some(pending) = self.pending.get_mut(queue) {
+            *pending = pending.saturating_sub(1);
+        }
+    }
+
+    fn end_run(
+        &mut self,
+        key: TaskKey,
+        run: Run,
+        ending: Ending,
+        checkpoint: &str,
+        changes: &mut Vec<Change>,
+    ) {
+        let attempts = self.attempts(key.job);
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return };
+        let (gang, lasting) = (step.traits.gang, step.traits.long_running);
+        let event = match ending {
+            // Long-running tasks start again however they end, without a bound.
+            Ending::Done if lasting => TaskEvent::Interrupted,
+            Ending::Done => TaskEvent::Done,
+            Ending::Failed if lasting => TaskEvent::Interrupted,
+            Ending::Failed => TaskEvent::Failed,
+            Ending::Stopped
+            | Ending::Lapsed
+            | Ending::Broken
+            | Ending::Alone
+            | Ending::Refused => TaskEvent::Interrupted,
+        };
+        // One member's end as done stands for its whole gang.
+        let indexes = if gang && ending == Ending::Done { 0..step.count } else {
+            key.index..key.index.saturating_add(1)
+        };
+        let mut failed = 0;
+        let mut moved = false;
+        for index in indexes {
+            let member = TaskKey { index, ..key };
+            let Some(task) = job.task_mut(&member) else { continue };
+            let input = Input { event, run, worker: task.worker, checkpoint };
+            moved |= task.step_chart(&input);
+            failed = failed.max(task.failed);
+        }
+        if !moved {
+            return;
+        }
+        job.recount(&key.step_key());
+        if failed >= attempts {
+            self.end_job(key.job, JobEvent::Exhaust, changes);
+            return;
+        }
+        self.follow_up(&key.step_key(), event, changes);
+    }
+
+    /// Notes which steps may go on after a run's end.
+    fn follow_up(&mut self, key: &StepKey, event: TaskEvent, changes: &mut Vec<Change>) {
+        let Some(job) = self.jobs.get_mut(&key.job) else { return };
+        if event != TaskEvent::Done {
+            changes.push(Change::Ready(*key));
+            return;
+        }
+        if !job.is_done(key) {
+            return;
+        }
+        if job.finish_round(key.round) {
+            self.end_job(key.job, JobEvent::Finish, changes);
+            return;
+        }
+        let steps = job.spec.steps.iter().enumerate();
+        let next = steps.filter(|(_, step)| step.after.contains(&key.step));
+        for (at, _) in next {
+            let next = StepKey { step: u16::try_from(at).unwrap_or(u16::MAX), ..*key };
+            if job.is_ready(&next) {
+                changes.push(Change::Ready(next));
+            }
+        }
+    }
+
+    /// How often a task of the job may fail.
+    fn attempts(&self, id: JobId) -> u32 {
+        let job = self.jobs.get(&id);
+        job.and_then(|job| self.queue_of(job)).map_or(u32::MAX, |queue| queue.attempts.max(1))
+    }
+
+    fn end_job(&mut self, id: JobId, event: JobEvent, changes: &mut Vec<Change>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let before = job.phase;
+        job.step_chart(event);
+        if !before.is_open() || job.phase.is_open() {
+            return;
+        }
+        changes.push(Change::Ended(id));
+        if before == JobPhase::Queued {
+            let queue = job.queue.clone();
+            self.started(&queue);
+        }
+    }
+
+    fn lose_worker(&mut self, worker: WorkerNumber, changes: &mut Vec<Change>) {
+        if self.workers.remove(&worker).is_none() {
+            return;
+        }
+        let mut lost = BTreeSet::new();
+        for (id, job) in &mut self.jobs {
+            for (round, progress) in &mut job.rounds {
+                for (at, step) in progress.steps.iter_mut().enumerate() {
+                    if step.lose(worker) && job.phase.is_open() {
+                        let step = u16::try_from(at).unwrap_or(u16::MAX);
+                        lost.insert(StepKey { job: *id, round: *round, step });
+                    }
+                }
+            }
+        }
+        changes.extend(lost.into_iter().map(Change::Ready));
+    }
+}
+
+/// What a record says about a task.
+struct Input<'a> {
+    event: TaskEvent,
+    run: Run,
+    worker: WorkerNumber,
+    checkpoint: &'a str,
+}
+
+impl Task {
+    /// Takes a step of the chart; whether the phase changed.
+    fn step_chart(&mut self, input: &Input<'_>) -> bool {
+        let holds = |guard| match guard {
+            TaskGuard::NextRun => input.run > self.run,
+            TaskGuard::CurrentRun => input.run == self.run,
+        };
+        let step = TASK_CHART.step(self.phase, input.event, holds);
+        let step = step.expect("the chart handles every event in every state");
+        let moved = step.to != self.phase;
+        for action in step.actions {
+            match action {
+                TaskAction::RecordStart => (self.run, self.worker) = (input.run, input.worker),
+                TaskAction::KeepCheckpoint if input.checkpoint.is_empty() => {}
+                TaskAction::KeepCheckpoint => self.checkpoint = input.checkpoint.into(),
+                TaskAction::CountFailure => self.failed += 1,
+                TaskAction::CountDone => self.checkpoint = Box::default(),
+            }
+        }
+        self.phase = step.to;
+        moved
+    }
+}
+
+impl Progress {
+    fn new(step: &Step) -> Self {
+        let tasks = vec![Task::default(); usize::try_from(step.count).unwrap_or(0)];
+        Self { tasks, done: 0 }
+    }
+
+    /// Ends the runs on a worker that is gone; whether there were any.
+    fn lose(&mut self, worker: WorkerNumber) -> bool {
+        let mut any = false;
+        for task in &mut self.tasks {
+            if task.phase == TaskPhase::Running && task.worker == worker {
+                let (event, run) = (TaskEvent::Interrupted, task.run);
+                any |= task.step_chart(&Input { event, run, worker, checkpoint: "" });
+            }
+        }
+        any
+    }
+}
+
+impl Job {
+    fn step_chart(&mut self, event: JobEvent) {
+        let step = JOB_CHART.step(self.phase, event, |_| true);
+        self.phase = step.expect("the chart handles every event in every state").to;
+    }
+
+    fn task_mut(&mut self, key: &TaskKey) -> Option<&mut Task> {
+        if key.round >= self.spec.rounds() {
+            return None;
+        }
+        let spec = &self.spec;
+        let round = self.rounds.entry(key.round).or_insert_with(|| Round {
+            steps: spec.steps.iter().map(Progress::new).collect(),
+        });
+        let progress = round.steps.get_mut(usize::from(key.step))?;
+        progress.tasks.get_mut(usize::try_from(key.index).ok()?)
+    }
+
+    fn progress(&self, key: &StepKey) -> Option<&Progress> {
+        self.rounds.get(&key.round)?.steps.get(usize::from(key.step))
+    }
+
+    fn recount(&mut self, key: &StepKey) {
+        let round = self.rounds.get_mut(&key.round);
+        let Some(progress) = round.and_then(|round| round.steps.get_mut(usize::from(key.step)))
+        else {
+            return;
+        };
+        let done = progress.tasks.iter().filter(|task| task.phase == TaskPhase::Done).count();
+        progress.done = u32::try_from(done).unwrap_or(u32::MAX);
+    }
+
+    /// Whether all tasks of a step are done.
+    fn is_done(&self, key: &StepKey) -> bool {
+        let count = self.spec.steps.get(usize::from(key.step)).map_or(0, |step| step.count);
+        self.progress(key).is_some_and(|progress| progress.done >= count)
+    }
+
+    /// Whether all steps before this one are done, and it has tasks without a run.
+    pub fn is_ready(&self, key: &StepKey) -> bool {
+        let Some(step) = self.spec.steps.get(usize::from(key.step)) else { return false };
+        let before = step.after.iter().all(|at| self.is_done(&StepKey { step: *at, ..*key }));
+        let waits = self.progress(key).is_none_or(|progress| {
+            progress.tasks.iter().any(|task| task.phase == TaskPhase::Waiting)
+        });
+        before && waits
+    }
+
+    /// Counts an occurrence if all its steps are done; whether it was the last one.
+    fn finish_round(&mut self, round: u32) -> bool {
+        let steps = 0..self.spec.steps.len();
+        let key = |step| StepKey {
+            job: JobId(0),
+            round,
+            step: u16::try_from(step).unwrap_or(u16::MAX),
+        };
+        if !steps.map(key).all(|key| self.is_done(&key)) {
+            return false;
+        }
+        self.done += 1;
+        self.done >= self.spec.rounds()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod ids;
 pub mod instance;
 pub mod interference;
+pub mod jobs;
 pub mod ledger;
 pub mod lists;
 pub mod policy;
--- /dev/null
+++ b/runtime/src/controller.rs
@@ -0,0 +1,425 @@
+//! A controller as a process: its duties, and the rings between them.
+//!
+//! `control` decides, `storage` syncs, `links` speaks with other instances, `front` with workers
+//! and operators. Control's ring sheds heartbeats when it is too full; a message between
+//! instances that finds no room is lost, and its sender repeats it.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use hickorylink_lib::{
+    codec::DecodeError,
+    consensus::{log::Recovered, log::Write, port as consensus},
+    ids::InstanceId,
+    jobs::{
+        controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
+        link::LinkMessage,
+        record::Node,
+    },
+    time::Time,
+};
+use slog::{Logger, crit, error, info, warn};
+use snafu::{ResultExt, Snafu};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+    time::sleep,
+};
+
+use crate::{
+    clock::{Clock, wall_now},
+    duty::{runtime, spawn},
+    front::{Front, Waiters},
+    link::{Arrival, Job, Links},
+    log, notes,
+    ring::{Inlet, Outbox, to_runtime, to_thread},
+    settings::Settings,
+    storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
+};
+
+/// Room in the duties' rings.
+const RING: usize = 8192;
+
+/// How many items control takes from its ring before it acts on them together.
+const BATCH: usize = 256;
+
+/// How many writes are synced at once.
+const WRITES: usize = 1024;
+
+/// How long control waits before it tries again to pass on what found no room.
+const RETRY: Duration = Duration::from_millis(2);
+
+/// The longest wait of control without a deadline.
+const IDLE: Duration = Duration::from_secs(1);
+
+/// Entries between two snapshots.
+const COMPACT: u64 = 4000;
+
+/// The agreement's heartbeat, and the least silence of a leader before an election.
+const HEARTBEAT: Duration = Duration::from_millis(200);
+const ELECTION: Duration = Duration::from_millis(900);
+
+/// How long a voter may be silent before a standby takes its place.
+const REPLACE: Duration = Duration::from_millis(2500);
+
+/// The part of a lease by which a worker's clock may be slow, as a divisor, and what timers may
+/// be late.
+const DRIFT: u32 = 40;
+const LATE: Duration = Duration::from_millis(150);
+
+/// A lease unless the settings allow less.
+const LEASE: Duration = Duration::from_millis(5000);
+
+/// How long a heartbeat is held at most: workers drop an answer that takes a second.
+const HOLD: Duration = Duration::from_millis(700);
+
+/// How long a controller that leaves goes on answering.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+/// Why a controller can't run.
+#[derive(Debug, Snafu)]
+pub enum ControllerError {
+    /// It has no data folder.
+    #[snafu(display("a controller needs \"data\": its log is on disk"))]
+    NoData,
+    /// Its data folder can't be used.
+    #[snafu(display("{source}"))]
+    Data {
+        /// What is wrong.
+        source: StoreError,
+    },
+    /// The newest snapshot can't be read.
+    #[snafu(display("the newest snapshot can't be read: {source}"))]
+    Snapshot {
+        /// What is wrong.
+        source: DecodeError,
+    },
+    /// A thread, a runtime or a listener can't be started.
+    #[snafu(display("can't start a duty: {source}"))]
+    Start {
+        /// What went wrong.
+        source: io::Error,
+    },
+    /// The disk failed while the controller ran.
+    #[snafu(display("the disk failed; see the log"))]
+    Disk,
+}
+
+/// What a front asks a controller by.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    events: Inlet<Event>,
+    waiters: Arc<Waiters<Told>>,
+    clock: Clock,
+    /// The log.
+    pub log: Logger,
+}
+
+/// An answer, and until when it may leave.
+#[derive(Debug)]
+struct Told {
+    answer: Answer,
+    until: Option<Time>,
+}
+
+impl Handle {
+    /// Asks the controller; nothing if it has no room or stops.
+    pub async fn ask(&self, event: impl FnOnce(Ticket) -> Event) -> Option<Answer> {
+        let waiter = self.waiters.wait();
+        self.events.offer(event(Ticket::Front(waiter.ticket))).ok()?;
+        let told = waiter.answer().await?;
+        // A process that slept in between may not give what it decided before.
+        let late = told.until.is_some_and(|until| self.clock.now() >= until);
+        Some(if late { Answer::Elsewhere(None) } else { told.answer })
+    }
+}
+
+/// Where control's outputs go.
+struct Outlets {
+    storage: Outbox<Write>,
+    links: Outbox<Job>,
+    front: Outbox<(u64, Told)>,
+    log: Logger,
+}
+
+impl Outlets {
+    fn deliver(&mut self, effect: Effect) {
+        match effect {
+            Effect::Send { to, message } => self.links.send(Job::Send { to, message }),
+            Effect::Store(write) => self.storage.send(write),
+            Effect::Answer { ticket: Ticket::Front(ticket), answer, until } => {
+                self.front.send((ticket, Told { answer, until }));
+            }
+            Effect::Answer { ticket: Ticket::Link { connection, number }, answer, .. } => {
+                if let Some(message) = link_answer(number, answer) {
+                    self.links.send(Job::Answer { connection, message });
+                }
+            }
+            Effect::Note(note) => notes::controller(&self.log, &note),
+        }
+    }
+
+    fn flush(&mut self) -> usize {
+        self.storage.flush() + self.links.flush() + self.front.flush()
+    }
+}
+
+/// The answer to a gateway's call as a message.
+fn link_answer(number: u64, answer: Answer) -> Option<LinkMessage> {
+    match answer {
+        Answer::Reply(reply) => Some(LinkMessage::Answer { number, reply }),
+        Answer::Elsewhere(leader) => {
+            let leader = leader.map(|node| node.peer);
+            Some(LinkMessage::Elsewhere { number, leader })
+        }
+        Answer::Standing(standing) => Some(LinkMessage::Standing(standing)),
+        Answer::Order(_) | Answer::Orders(_) | Answer::Noted => None,
+    }
+}
+
+/// Runs a controller until it is told to leave.
+///
+/// # Errors
+///
+/// [`ControllerError`] if it can't start or its disk fails.
+pub fn run(settings: &Settings, front: impl Front<Handle>) -> Result<(), ControllerError> {
+    let clock = Clock::start();
+    let journal = log::start(settings.log, &settings.name, clock);
+    let log = &journal.root;
+    let folder = settings.data.as_ref().ok_or(ControllerError::NoData)?;
+    let (me, store, recovered) = open(settings, folder, clock, log)?;
+    let config = config(settings, &me);
+    info!(log, "the controller starts"; "id" => me.id.0, "listen" => %me.listen,
+        "peer" => %me.peer, "founding" => settings.founding,
+        "entries" => recovered.entries.len(), "term" => recovered.hard.term.0);
+    let controller = Controller::new(config, recovered, clock.now()).context(SnapshotSnafu)?;
+
+    let (control, control_end) = to_thread("control", RING);
+    let (storage, storage_end) = to_thread("storage", RING);
+    let (links, links_end) = to_runtime("links", RING);
+    let (answers, answers_end) = to_runtime("front", RING);
+    let (fault, mut faults) = mpsc::channel(1);
+    let outlets = Outlets {
+        storage: Outbox::new(&storage),
+        links: Outbox::new(&links),
+        front: Outbox::new(&answers),
+        log: log.clone(),
+    };
+    spawn("control", move || run_control(&control_end, clock, controller, outlets))
+        .context(StartSnafu)?;
+    let (stored, disk_log) = (control.clone(), log.clone());
+    spawn("storage", move || {
+        if run_storage(&storage_end, &stored, store, &disk_log) {
+            fault.blocking_send(()).unwrap_or(());
+        }
+    })
+    .context(StartSnafu)?;
+    start_links(me.peer, links_end, control.clone(), log)?;
+
+    let waiters = Arc::new(Waiters::default());
+    let handle = Handle { events: control, waiters: waiters.clone(), clock, log: log.clone() };
+    let (stop, stopping) = watch::channel(false);
+    let front_log = log.clone();
+    let front_runtime = runtime().context(StartSnafu)?;
+    spawn("front", move || {
+        front_runtime.block_on(async move {
+            tokio::spawn(pass_answers(answers_end, waiters));
+            if let Err(error) = front.serve(handle, stopping).await {
+                crit!(front_log, "the front can't serve"; "error" => %error);
+                std::process::exit(1);
+            }
+        });
+    })
+    .context(StartSnafu)?;
+
+    runtime().context(StartSnafu)?.block_on(async {
+        let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
+        let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = reload.recv() => info!(log, "the settings are read again at the next start"),
+                _ = faults.recv() => return DiskSnafu.fail(),
+            }
+        }
+        info!(log, "the controller leaves");
+        stop.send_replace(true);
+        sleep(FAREWELL).await;
+        info!(log, "the controller has left");
+        Ok(())
+    })
+}
+
+async fn pass_answers(mut ring: mpsc::Receiver<(u64, Told)>, waiters: Arc<Waiters<Told>>) {
+    while let Some((ticket, told)) = ring.recv().await {
+        waiters.answer(ticket, told);
+    }
+}
+
+fn open(
+    settings: &Settings,
+    folder: &str,
+    clock: Clock,
+    log: &Logger,
+) -> Result<(Node, Store<Folder>, Recovered), ControllerError> {
+    let peer = settings.peer();
+    let founds = settings.founding && settings.seed_peers().contains(&peer);
+    let instance = if founds { founder(peer) } else { InstanceId(rand::random()) };
+    let fresh = Identity { instance, created: clock.wall() };
+    let opened = Store::open(Folder::new(folder), fresh, SEGMENT_MAX).context(DataSnafu)?;
+    if let Some(cut) = &opened.cut {
+        warn!(log, "a torn end of the log was cut";
+            "file" => &cut.name, "offset" => cut.offset, "bytes" => cut.bytes);
+    }
+    let me = Node {
+        id: opened.identity.instance,
+        peer,
+        listen: settings.listen,
+        centre: settings.centre.as_str().into(),
+    };
+    Ok((me, opened.store, opened.recovered))
+}
+
+/// The identity of a controller that founds a deployment: all founders must know each other's.
+fn founder(peer: SocketAddr) -> InstanceId {
+    let text = peer.to_string();
+    let low = u64::from(crc32c::crc32c(text.as_bytes()));
+    let high = u64::from(crc32c::crc32c_append(!0, text.as_bytes()));
+    InstanceId((high << u32::BITS) | low)
+}
+
+fn config(settings: &Settings, me: &Node) -> Config {
+    let founders = if settings.founding { settings.seed_peers() } else { Vec::new() };
+    let lease = LEASE.min(settings.lease_most);
+    Config {
+        me: me.clone(),
+        seeds: settings.seed_peers(),
+        founders: founders.into_iter().map(|peer| (founder(peer), peer)).collect(),
+        voters: 2 * settings.losses + 1,
+        compact: COMPACT,
+        timing: Timing {
+            lease,
+            lease_margin: lease / DRIFT + LATE,
+            hold: HOLD,
+            retain: settings.retain,
+        },
+        consensus: consensus::Config {
+            me: me.id,
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            max_batch_bytes: 1 << 20,
+            max_inflight: 64,
+            chunk_bytes: 256 << 10,
+            max_pending: 8192,
+            catch_up_margin: 1000,
+            replace_after: REPLACE,
+        },
+        seed: rand::random(),
+    }
+}
+
+fn start_links(
+    peer: SocketAddr,
+    ring: mpsc::Receiver<Job>,
+    control: Inlet<Event>,
+    log: &Logger,
+) -> Result<(), ControllerError> {
+    let arrive = move |arrival| {
+        let event = match arrival {
+            Arrival::Inbound { connection, message } => arrived(connection, message),
+            Arrival::Outbound { .. } | Arrival::Down(_) => None,
+        };
+        if let Some(event) = event {
+            // A message that finds no room is lost; its sender repeats it.
+            drop(control.push(event));
+        }
+    };
+    let links = Links::new(arrive, log.clone());
+    let (runtime, log) = (runtime().context(StartSnafu)?, log.clone());
+    spawn("links", move || {
+        runtime.block_on(async move {
+            match TcpListener::bind(peer).await {
+                Ok(listener) => links.run(ring, Some(listener)).await,
+                Err(error) => {
+                    crit!(log, "can't listen for instances"; "at" => %peer, "error" => %error);
+                    std::process::exit(1);
+                }
+            }
+        });
+    })
+    .map(drop)
+    .context(StartSnafu)
+}
+
+/// What a message from another instance is to control.
+fn arrived(connection: u64, message: LinkMessage) -> Option<Event> {
+    match message {
+        LinkMessage::Hello(node) => Some(Event::Hello(node)),
+        LinkMessage::Consensus { from, message } => Some(Event::Consensus { from, message }),
+        LinkMessage::Ask { number, call } => {
+            Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
+        }
+        LinkMessage::Probe => {
+            Some(Event::Probe { ticket: Ticket::Link { connection, number: 0 } })
+        }
+        LinkMessage::Answer { .. } | LinkMessage::Elsewhere { .. } | LinkMessage::Standing(_) => {
+            None
+        }
+    }
+}
+
+fn run_control(
+    ring: &Receiver<Event>,
+    clock: Clock,
+    mut controller: Controller,
+    mut outlets: Outlets,
+) {
+    let mut out = Vec::new();
+    let mut events = vec![Event::Timer];
+    loop {
+        controller.handle(clock.now(), wall_now(), events.drain(..), &mut out);
+        for effect in out.drain(..) {
+            outlets.deliver(effect);
+        }
+        let wait = match outlets.flush() {
+            0 => controller
+                .next_deadline()
+                .map_or(IDLE, |at| clock.now().until(at).min(IDLE)),
+            _ => RETRY,
+        };
+        match ring.recv_timeout(wait) {
+            Ok(event) => events.push(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        events.extend(ring.try_iter().take(BATCH - 1));
+    }
+}
+
+/// Runs until the ring is closed or the disk fails; whether it failed.
+fn run_storage(
+    ring: &Receiver<Write>,
+    control: &Inlet<Event>,
+    mut store: Store<Folder>,
+    log: &Logger,
+) -> bool {
+    while let Ok(first) = ring.recv() {
+        let mut writes = vec![first];
+        writes.extend(ring.try_iter().take(WRITES - 1));
+        let sequence = match store.write(&writes) {
+            Ok(sequence) => sequence,
+            Err(error) => {
+                error!(log, "the disk failed; the controller stops"; "error" => %error);
+                return true;
+            }
+        };
+        let mut event = Event::Stored { sequence };
+        while let Err(back) = control.push(event) {
+            event = back;
+            std::thread::sleep(RETRY);
+        }
+    }
+    false
+}
+
--- a/cli/src/log.rs
+++ b/runtime/src/log.rs
@@ -67,13 +67,13 @@
     }
 }
 
-/// The log as the settings want it; written to the standard error.
+/// The log as the settings want it; written to the standard output.
 pub fn start(settings: LogSettings, instance: &str, clock: Clock) -> Log {
     let level = LevelSwitch::new(settings.level);
     let (queue, guard) = match settings.format {
-        LogFormat::Json => queue(slog_json::Json::default(io::stderr()).fuse(), clock),
+        LogFormat::Json => queue(slog_json::Json::default(io::stdout()).fuse(), clock),
         LogFormat::Terminal => {
-            let decorator = slog_term::PlainDecorator::new(io::stderr());
+            let decorator = slog_term::PlainDecorator::new(io::stdout());
             queue(slog_term::FullFormat::new(decorator).build().fuse(), clock)
         }
     };
--- /dev/null
+++ b/runtime/src/settings.rs
@@ -0,0 +1,140 @@
+//! The settings of a deployment's roles, in JSON with comments.
+
+use std::{net::SocketAddr, time::Duration};
+
+use hickorylink_lib::{
+    document::{Document, ObjectView, ValueView},
+    finding::Findings,
+    settings::{LogFormat, LogLevel, LogSettings},
+};
+
+/// The environment variable that names the settings file.
+pub const SETTINGS_ENV: &str = "HICKORYLINK_NODE_FILE";
+
+const FIELDS: &[&str] = &[
+    "name",
+    "centre",
+    "listen",
+    "readiness",
+    "seeds",
+    "peer_port",
+    "founding",
+    "data",
+    "losses",
+    "lease_most_ms",
+    "retain_s",
+    "grace_s",
+    "log_level",
+];
+
+/// The longest lease by default, and the longest that may be set, in milliseconds.
+const LEASE_MS: u64 = 5000;
+const LEASE_MOST_MS: u64 = 60_000;
+
+/// How long jobs that have ended are kept by default, and at most, in seconds.
+const RETAIN_S: u64 = 120;
+const RETAIN_MOST_S: u64 = 86_400;
+
+/// How long an instance that is told to leave may take by default, and at most, in seconds.
+const GRACE_S: u64 = 6;
+const GRACE_MOST_S: u64 = 600;
+
+/// How many controllers may be lost at the same time, by default and at most.
+const LOSSES: u64 = 1;
+const LOSSES_MOST: u64 = 3;
+
+/// The settings of an instance of a deployment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// The instance's name.
+    pub name: String,
+    /// Its data centre.
+    pub centre: String,
+    /// Where it serves callers, or workers and operators.
+    pub listen: SocketAddr,
+    /// Where it says whether it is ready for callers, if it is asked.
+    pub readiness: Option<SocketAddr>,
+    /// Where some controllers serve workers and operators.
+    pub seeds: Vec<SocketAddr>,
+    /// The port at which instances reach each other; the same everywhere.
+    pub peer_port: u16,
+    /// Whether the deployment starts for the first time.
+    pub founding: bool,
+    /// The data folder, if the instance has a disk.
+    pub data: Option<String>,
+    /// How many controllers may be lost at the same time.
+    pub losses: usize,
+    /// The longest lease of a run.
+    pub lease_most: Duration,
+    /// How long jobs that have ended are kept.
+    pub retain: Duration,
+    /// How long the instance may take to leave.
+    pub grace: Duration,
+    /// What is logged.
+    pub log: LogSettings,
+}
+
+impl Settings {
+    /// Reads the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Everything that is wrong in it, with places.
+    pub fn parse(file: &str, text: &str) -> Result<Self, Findings> {
+        Document::read(file, text, |root| read(root.only(FIELDS)))
+    }
+
+    /// Where other instances reach this one.
+    pub fn peer(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.ip(), self.peer_port)
+    }
+
+    /// Where this instance reaches the seeds.
+    pub fn seed_peers(&self) -> Vec<SocketAddr> {
+        self.seeds.iter().map(|seed| SocketAddr::new(seed.ip(), self.peer_port)).collect()
+    }
+}
+
+fn read(root: ObjectView<'_, '_>) -> Option<Settings> {
+    let name = root.need("name").and_then(ValueView::text);
+    let centre = root.need("centre").and_then(ValueView::text);
+    let listen = root.need("listen").and_then(address);
+    let readiness = root.get("readiness").and_then(address);
+    let seeds = root.list("seeds").into_iter().filter_map(address).collect();
+    let peer_port = root.need("peer_port").and_then(|value| value.whole(1..=u64::from(u16::MAX)));
+    let founding = root.get("founding").and_then(ValueView::flag).unwrap_or(false);
+    let data = root.get("data").and_then(ValueView::text).map(str::to_owned);
+    let whole = |field, default, most| {
+        root.get(field).and_then(|value| value.whole(0..=most)).unwrap_or(default)
+    };
+    let losses = whole("losses", LOSSES, LOSSES_MOST);
+    let lease = whole("lease_most_ms", LEASE_MS, LEASE_MOST_MS);
+    let retain = whole("retain_s", RETAIN_S, RETAIN_MOST_S);
+    let grace = whole("grace_s", GRACE_S, GRACE_MOST_S);
+    let level = root.get("log_level").and_then(|value| value.choice(LogLevel::NAMES));
+    let level = level.and_then(LogLevel::from_name).unwrap_or(LogLevel::Info);
+    Some(Settings {
+        name: name?.to_owned(),
+        centre: centre?.to_owned(),
+        listen: listen?,
+        readiness,
+        seeds,
+        peer_port: u16::try_from(peer_port?).ok()?,
+        founding,
+        data,
+        losses: usize::try_from(losses).ok()?,
+        lease_most: Duration::from_millis(lease),
+        retain: Duration::from_secs(retain),
+        grace: Duration::from_secs(grace),
+        log: LogSettings { format: LogFormat::Json, level },
+    })
+}
+
+fn address(value: ValueView<'_, '_>) -> Option<SocketAddr> {
+    let text = value.text()?;
+    let address = text.parse().ok();
+    if address.is_none() {
+        value.report(format!("\"{text}\" is not an IP address with a port, as in 10.0.0.1:7001"));
+    }
+    address
+}
--- a/cli/tests/log.rs
+++ b/runtime/tests/log.rs
@@ -1,6 +1,6 @@
 //! The log: what is left out of it.
 
-use hickorylink_cli::log::limit::{LINES, Limiter, MESSAGES, OTHERS};
+use hickorylink_runtime::log::limit::{LINES, Limiter, MESSAGES, OTHERS};
 use hickorylink_lib::time::Time;
 
 const MILLI: u64 = 1_000_000;
--- a/cli/tests/storage/cases.rs
+++ b/runtime/tests/storage/cases.rs
@@ -1,6 +1,6 @@
 //! Single faults and what the store says about them.
 
-use hickorylink_cli::storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError};
+use hickorylink_runtime::storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError};
 use hickorylink_lib::{
     consensus::log::Write,
     ids::{Index, InstanceId},
--- a/cli/tests/storage/counts.rs
+++ b/runtime/tests/storage/counts.rs
@@ -1,6 +1,6 @@
 //! The file of the burn report's counts.
 
-use hickorylink_cli::storage::{
+use hickorylink_runtime::storage::{
     Disk,
     counts::{CountsFile, NAME},
 };
--- a/cli/tests/storage/fake.rs
+++ b/runtime/tests/storage/fake.rs
@@ -7,7 +7,7 @@
     rc::Rc,
 };
 
-use hickorylink_cli::storage::Disk;
+use hickorylink_runtime::storage::Disk;
 
 /// What a real disk writes whole or not at all, in bytes.
 const SECTOR: usize = 512;
--- a/cli/tests/storage/properties.rs
+++ b/runtime/tests/storage/properties.rs
@@ -2,7 +2,7 @@
 
 #![expect(clippy::needless_pass_by_value, reason = "quickcheck hands its values over")]
 
-use hickorylink_cli::storage::{Identity, Opened, Store, StoreError};
+use hickorylink_runtime::storage::{Identity, Opened, Store, StoreError};
 use hickorylink_lib::{ids::InstanceId, time::WallTime};
 use quickcheck::{Gen, QuickCheck, TestResult};
 
