jobs: let filling steps use what serving tasks leave, and pace them by learned pairs

Cause: a filling step looked for unreserved processors, while serving tasks use about half of theirs, and one pace a worker slowed harmless images with harmful ones.

Ruled out: the pace's thresholds; the tails were mostly far below their bounds.

Change: unused processors count 45% of what serving tasks reserve; the interference model learns harm by pair of images, placement avoids harmful pairs, and each filling run has its own pace.

--- a/lib/src/jobs/controller/compose.rs
+++ b/lib/src/jobs/controller/compose.rs
@@ -59,13 +59,12 @@
         worker.lease_until = worker.lease_until.max(lease_until);
         let mut stops = worker.strays.clone();
         let mut paces = Vec::new();
-        let pace = worker.pace;
         for (task, view) in &mut worker.runs {
             if view.stopping && view.listed {
                 stops.push((*task, view.run));
-            } else if view.fills() && view.listed && view.told_pace != pace {
-                view.told_pace = pace;
-                paces.push((*task, view.run, pace));
+            } else if view.fills() && view.listed && view.told_pace != view.pace {
+                view.told_pace = view.pace;
+                paces.push((*task, view.run, view.pace));
             }
         }
         let orders = Orders {
@@ -90,17 +89,16 @@
 
 /// Whether a worker is to be told to stop or to pace something.
 fn has_orders(worker: &Worker) -> bool {
-    let pace = worker.pace;
     !worker.strays.is_empty()
         || worker.runs.values().any(|view| {
-            view.listed && (view.stopping || (view.fills() && view.told_pace != pace))
+            view.listed && (view.stopping || (view.fills() && view.told_pace != view.pace))
         })
 }
 
 /// When the worker should send its next heartbeat.
 fn again(worker: &Worker, now: Time) -> Duration {
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
-    let unused = worker.free().millicores.saturating_sub(worker.wished);
+    let unused = worker.unused();
     if !worker.is_usable(now) || unused * 100 < capacity * ROOM {
         return AGAIN_FULL;
     }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -5,7 +5,7 @@
 use crate::{
     jobs::{
         controller::{Answer, Note, Ticket, lead::Lead},
-        fleet::{Open, RunView, Worker},
+        fleet::{FULL_PACE, Open, RunView, Worker},
         life::TaskPhase,
         model::{Run, TaskKey, WorkerNumber},
         pace,
@@ -43,7 +43,8 @@
         let listed = self.take_running(now, number, &report.running);
         self.reconcile(number, &listed);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
-        pace::adjust(worker, now);
+        self.pressure.learn(worker, now);
+        pace::adjust(worker, &self.pressure, now);
         evacuate(worker, now);
         stop_stuck(worker, now);
         let until = now + self.hold(number, now);
@@ -218,12 +219,10 @@
 
 /// Stops runs that stand still, and avoids their worker for a while.
 fn stop_stuck(worker: &mut Worker, now: Time) {
-    let full = worker.pace == crate::jobs::fleet::FULL_PACE;
     let mut stuck = false;
     for view in worker.runs.values_mut() {
         let runs = view.listed && !view.long_running && !view.stopping;
-        let paced = view.fills() && !full;
-        if runs && !paced && now.since(view.moved) > STILL + view.estimate / 2 {
+        if runs && view.told_pace == FULL_PACE && now.since(view.moved) > STILL + view.estimate / 2 {
             view.stopping = true;
             stuck = true;
         }
--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -12,6 +12,7 @@
         fleet::{Fleet, RunView, Worker},
         life::TaskPhase,
         model::{JobId, StepKey, TaskKey, WorkerNumber},
+        pace::Pressure,
         record::{Node, Record},
         state::{Change, State},
     },
@@ -43,6 +44,8 @@
     pub state: State,
     /// The workers.
     pub fleet: Fleet,
+    /// How images disturb each other.
+    pub pressure: Pressure,
     pub(super) epoch: Epoch,
     pub(super) timing: Timing,
     /// Steps with tasks that may start, in the order of their ranks.
@@ -89,6 +92,7 @@
     ) -> Self {
         let mut lead = Self {
             fleet: Fleet::default(),
+            pressure: Pressure::default(),
             ready: BTreeSet::new(),
             ranks: HashMap::new(),
             upcoming: BTreeSet::new(),
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -83,7 +83,8 @@
         for index in &waiting {
             let task = key.task(*index);
             let avoid = self.failed.get(&task).map_or(&[][..], Vec::as_slice);
-            let request = Request { service: &service, step, key, avoid };
+            let pressure = &self.pressure;
+            let request = Request { service: &service, step, key, avoid, pressure };
             let Some(number) = choose(&self.fleet, now, Reach::Open, &request) else { break };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
@@ -128,7 +129,8 @@
         let Some(run) = runs.max() else { return true };
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in waiting {
-            let request = Request { service, step, key: *key, avoid: &[] };
+            let pressure = &self.pressure;
+            let request = Request { service, step, key: *key, avoid: &[], pressure };
             let Some(number) = choose(&self.fleet, now, Reach::Live, &request) else { break };
             let task = key.task(*index);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -17,6 +17,10 @@
     time::Time,
 };
 
+/// The part of their reservation that tasks which serve users leave unused, in percent; their
+/// load swings around one half.
+const SERVING_IDLE: u64 = 45;
+
 /// What a run may do at its start, in percent.
 pub const FULL_PACE: u8 = 100;
 
@@ -53,16 +57,14 @@
     pub wished: u64,
     /// How many of them serve users.
     pub serving: u32,
+    /// What those reserve, in thousandths of a processor.
+    pub serving_reserved: u64,
     /// Runs that it lists and that it shouldn't run.
     pub strays: Vec<(TaskKey, Run)>,
     /// Ends up to this number were passed on for agreement.
     pub ended: u64,
     /// How its runs have ended lately.
     pub health: Health,
-    /// The share at which its filling runs work, in percent.
-    pub pace: u8,
-    /// When that share was changed last.
-    pub paced: Time,
 }
 
 /// What a worker said of itself.
@@ -126,6 +128,8 @@
     pub gauge: u64,
     /// Since when its response times have been above the bound.
     pub over: Option<Time>,
+    /// The share at which it should work, in percent.
+    pub pace: u8,
     /// The share that the worker was told, in percent.
     pub told_pace: u8,
 }
@@ -197,6 +201,7 @@
             moved: now,
             gauge: 0,
             over: None,
+            pace: FULL_PACE,
             told_pace: FULL_PACE,
         }
     }
@@ -227,11 +232,10 @@
             reserved: Resources::ZERO,
             wished: 0,
             serving: 0,
+            serving_reserved: 0,
             strays: Vec::new(),
             ended: 0,
             health: Health::default(),
-            pace: FULL_PACE,
-            paced: now,
         }
     }
 
@@ -255,7 +259,10 @@
         self.remove(&task);
         self.reserved = self.reserved.saturating_add(&view.reserved);
         self.wished += view.wished;
-        self.serving += u32::from(view.target.is_some());
+        if view.target.is_some() {
+            self.serving += 1;
+            self.serving_reserved += view.reserved.millicores;
+        }
         self.runs.insert(task, view);
     }
 
@@ -264,7 +271,10 @@
         let view = self.runs.remove(task)?;
         self.reserved = self.reserved.saturating_sub(&view.reserved);
         self.wished -= view.wished;
-        self.serving -= u32::from(view.target.is_some());
+        if view.target.is_some() {
+            self.serving -= 1;
+            self.serving_reserved -= view.reserved.millicores;
+        }
         Some(view)
     }
 
@@ -274,6 +284,12 @@
         capacity.saturating_sub(&self.reserved)
     }
 
+    /// What filling tasks may find unused, in thousandths of a processor.
+    pub fn unused(&self) -> u64 {
+        let idle = self.serving_reserved * SERVING_IDLE / 100;
+        (self.free().millicores + idle).saturating_sub(self.wished)
+    }
+
     /// How many of a step's tasks are there.
     pub fn count(&self, step: &StepKey) -> u32 {
         let range = step.task(0)..=step.task(u32::MAX);
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -1,74 +1,175 @@
 //! How fast filling tasks work beside tasks that serve users.
 //!
-//! A worker has one pace for all that fills there. It is cut at once where a tail nears its
-//! bound, and comes back in small steps while all tails are well below.
+//! A serving task's response times are explained by its own level and by the filling images beside
+//! it, as learned by [`Pressure`]. Each filling task gets the pace at which the tails beside it
+//! stay below their bounds; a tail that is above its bound all the same cuts the paces further,
+//! whatever the estimates say.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use crate::{
-    jobs::fleet::{FULL_PACE, Worker},
+    interference::model::{Exposure, Model, Observation},
+    jobs::{
+        fleet::{FULL_PACE, RunView, Worker},
+        model::{Image, TaskKey},
+    },
     time::Time,
 };
 
-/// Above this part of its bound, in percent, a tail counts as too long.
-const HIGH: u64 = 90;
+/// The part of its bound that a tail is aimed below.
+const AIM: f64 = 0.8;
 
-/// Below this part of its bound, in percent, a tail leaves room for a faster pace.
-const LOW: u64 = 70;
+/// A pair whose task of one processor lengthens tails by less than this, as a logarithm, counts
+/// as harmless.
+const HARMLESS: f64 = 0.06;
 
-/// A pace below this one is a stop.
-const LEAST: u8 = 10;
+/// A tail that was too long for this time stops all that may cause it, and after this time all
+/// that fills beside it: the users' bound is 5.5 s.
+const TOO_LONG: Duration = Duration::from_millis(1200);
+const MUCH_TOO_LONG: Duration = Duration::from_millis(2600);
 
-/// How much a pace rises at a time, in percent of full speed.
-const RISE: u8 = 15;
+/// Paces that differ by less aren't told, in percent.
+const STEP: u8 = 10;
 
-/// How long a change of the pace takes to show: the worker follows within 100 ms, and its figures
-/// are of the last half second.
-const SETTLE: Duration = Duration::from_millis(700);
+/// A smaller pace is a stop, in percent.
+const LEAST: f64 = 10.0;
 
-/// What the tails say about the pace.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Verdict {
-    /// A tail is too long.
-    Slower,
-    /// All tails leave room.
-    Faster,
-    /// Neither.
-    Keep,
+/// The load that is assumed of a serving task; workers don't report it.
+const LOAD: f64 = 0.5;
+
+/// Thousandths of a processor in a processor.
+const CORE: f64 = 1000.0;
+
+/// What is known of how images disturb each other.
+#[derive(Debug, Default)]
+pub struct Pressure {
+    model: Model,
+    serving: HashMap<Image, u32>,
+    filling: HashMap<Image, u32>,
+}
+
+impl Pressure {
+    /// By how much one processor of `filling` lengthens the tail of `serving`, as a logarithm.
+    pub fn harm(&self, serving: Option<&Image>, filling: Option<&Image>) -> f64 {
+        let serving = serving.and_then(|image| self.serving.get(image));
+        let filling = filling.and_then(|image| self.filling.get(image));
+        match (serving, filling) {
+            (Some(serving), Some(filling)) => self.model.mean(*serving, *filling),
+            _ => 0.0,
+        }
+    }
+
+    /// By how much a filling task of `image` with this wish lengthens the tails on a worker, as a
+    /// logarithm, summed over those that it harms.
+    pub fn cost(&self, worker: &Worker, image: Option<&Image>, wished: u64) -> f64 {
+        let serving = worker.runs.values().filter(|view| view.target.is_some());
+        let harms = serving.map(|view| self.harm(view.image.as_ref(), image));
+        harms.filter(|harm| *harm > HARMLESS).sum::<f64>() * wished as f64 / CORE
+    }
+
+    /// Learns from what a worker has just reported.
+    pub fn learn(&mut self, worker: &Worker, now: Time) {
+        let mut beside: Vec<Exposure> = Vec::new();
+        for view in worker.runs.values().filter(|view| view.fills() && view.listed) {
+            let Some(image) = &view.image else { continue };
+            let kind = number(&mut self.filling, image);
+            let amount = view.gauge as f32 / CORE as f32;
+            match beside.iter_mut().find(|exposure| exposure.kind == kind) {
+                Some(exposure) => exposure.amount += amount,
+                None => beside.push(Exposure { kind, amount }),
+            }
+        }
+        for view in worker.runs.values().filter(|view| view.listed && view.gauge > 0) {
+            let (Some(_), Some(image)) = (view.target, &view.image) else { continue };
+            let service = number(&mut self.serving, image);
+            self.model.learn(&Observation {
+                service,
+                taken: now,
+                latency: (view.gauge as f64).ln(),
+                load: LOAD,
+                beside: &beside,
+            });
+        }
+    }
 }
 
-/// Sets the worker's pace from the tails that it reported last.
-pub fn adjust(worker: &mut Worker, now: Time) {
+fn number(numbers: &mut HashMap<Image, u32>, image: &Image) -> u32 {
+    let next = u32::try_from(numbers.len()).unwrap_or(u32::MAX);
+    match numbers.get(image) {
+        Some(number) => *number,
+        None => *numbers.entry(image.clone()).or_insert(next),
+    }
+}
+
+/// Sets the paces on a worker from what it reported last.
+pub fn adjust(worker: &mut Worker, pressure: &Pressure, now: Time) {
     for view in worker.runs.values_mut() {
         let Some(target) = view.target else { continue };
         let over = view.listed && view.gauge > target;
         view.over = if over { view.over.or(Some(now)) } else { None };
     }
-    if worker.wished == 0 || worker.serving == 0 {
-        worker.pace = FULL_PACE;
+    if worker.wished == 0 {
         return;
     }
-    if now.since(worker.paced) < SETTLE {
-        return;
-    }
-    let pace = match verdict(worker) {
-        Verdict::Slower if worker.pace <= LEAST => 0,
-        Verdict::Slower => worker.pace / 2,
-        Verdict::Faster => worker.pace.saturating_add(RISE).min(FULL_PACE),
-        Verdict::Keep => return,
-    };
-    if pace != worker.pace {
-        worker.pace = pace;
-        worker.paced = now;
+    let paces: Vec<(TaskKey, u8)> = worker
+        .runs
+        .iter()
+        .filter(|(_, view)| view.fills())
+        .map(|(task, view)| (*task, pace(worker, view, pressure, now)))
+        .collect();
+    for (task, pace) in paces {
+        if let Some(view) = worker.runs.get_mut(&task)
+            && (view.pace.abs_diff(pace) >= STEP || (pace == 0) != (view.pace == 0))
+        {
+            view.pace = pace;
+        }
     }
 }
 
-fn verdict(worker: &Worker) -> Verdict {
+/// The pace of a filling task: the least that a tail beside it allows.
+fn pace(worker: &Worker, filling: &RunView, pressure: &Pressure, now: Time) -> u8 {
     let tails = worker.runs.values().filter(|view| view.listed);
-    let parts = tails.filter_map(|view| view.target.map(|target| view.gauge * 100 / target.max(1)));
-    match parts.max() {
-        Some(part) if part > HIGH => Verdict::Slower,
-        Some(part) if part >= LOW => Verdict::Keep,
-        Some(_) | None => Verdict::Faster,
+    let allowed = tails.filter_map(|view| {
+        let target = view.target?;
+        Some(allowed(worker, view, target, filling, pressure, now))
+    });
+    let least = allowed.fold(f64::from(FULL_PACE), f64::min);
+    if least < LEAST { 0 } else { least as u8 }
+}
+
+/// The pace of a filling task that one tail allows, in percent.
+fn allowed(
+    worker: &Worker,
+    serving: &RunView,
+    target: u64,
+    filling: &RunView,
+    pressure: &Pressure,
+    now: Time,
+) -> f64 {
+    let full = f64::from(FULL_PACE);
+    let over = serving.over.map(|since| now.since(since));
+    if over.is_some_and(|over| over > MUCH_TOO_LONG) {
+        return 0.0;
+    }
+    let image = serving.image.as_ref();
+    if pressure.harm(image, filling.image.as_ref()) <= HARMLESS {
+        return full;
+    }
+    if over.is_some_and(|over| over > TOO_LONG) {
+        return 0.0;
+    }
+    let fills = worker.runs.values().filter(|view| view.fills() && view.listed);
+    let (mut present, mut whole) = (0.0, 0.0);
+    for view in fills {
+        let harm = pressure.harm(image, view.image.as_ref());
+        if harm > HARMLESS {
+            present += harm * view.gauge as f64 / CORE;
+            whole += harm * view.wished as f64 / CORE;
+        }
     }
+    let own = (serving.gauge.max(1) as f64).ln() - present;
+    let room = (target as f64 * AIM).ln() - own;
+    let fair = if whole > 0.0 { (room / whole).clamp(0.0, 1.0) * full } else { full };
+    // An estimate that says otherwise than the tail is wrong.
+    if over.is_some() { fair.min(f64::from(filling.pace) / 2.0) } else { fair }
 }
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -4,6 +4,7 @@
     jobs::{
         fleet::{Fleet, Worker},
         model::{Step, StepKey, WorkerNumber},
+        pace::Pressure,
     },
     ids::ServiceName,
     time::Time,
@@ -12,9 +13,13 @@
 /// The part of its wish that a filling task must find unused, in percent.
 const FILL_SHARE: u64 = 80;
 
-/// What a neighbour that serves users costs a filling task's place, in thousandths of a
-/// processor.
-const SERVING_COST: u64 = 6000;
+/// What it costs a filling task's place to double the response times of a neighbour that serves
+/// users, in thousandths of a processor.
+const HARM_COST: f64 = 40_000.0;
+
+/// What it is worth to a task that serves users to find others of its image: the fewer images
+/// share a worker, the more filling tasks do no harm there. In thousandths of a processor.
+const SAME_IMAGE: u64 = 3000;
 
 /// A task that looks for a place.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +32,8 @@
     pub key: StepKey,
     /// Workers on which it has failed.
     pub avoid: &'a [WorkerNumber],
+    /// How images disturb each other.
+    pub pressure: &'a Pressure,
 }
 
 /// Which workers are looked at.
@@ -77,20 +84,20 @@
     }
     let far = step.rack.as_ref().is_some_and(|rack| !profile.labels.contains(rack));
     let remote = if far { REMOTE } else { 0 };
-    let unused = free.millicores.saturating_sub(worker.wished);
-    let capacity = profile.capacity.millicores;
-    let load = capacity.saturating_sub(unused);
+    let unused = worker.unused();
+    let load = profile.capacity.millicores.saturating_sub(unused);
     if step.traits.filling {
         let wish = step.needs.millicores;
-        let idle = worker.wished == 0 && free.millicores * 2 >= wish;
-        if unused * 100 < wish * FILL_SHARE && !idle {
+        if unused * 100 < wish * FILL_SHARE {
             return None;
         }
-        return Some(remote + load + u64::from(worker.serving) * SERVING_COST);
+        let harm = request.pressure.cost(worker, step.image.as_ref(), wish) * HARM_COST;
+        return Some(remote + load + harm as u64);
     }
     if step.serves() {
-        // Where few others fill and serve, its users are disturbed least.
-        return Some(remote + load + worker.wished);
+        let same = worker.runs.values().any(|view| view.target.is_some() && view.image == step.image);
+        let others = if same { 0 } else { SAME_IMAGE };
+        return Some(remote + load + others);
     }
     Some(remote + load)
 }
