jobs: share workers by image, and fill where it does no harm

Cause: 42% of the filling tasks stood beside a task that they harm, mostly at pace 0, and held their place there (trial with printed tails).

Change: a task that serves goes where its image is already, and not beside what harms it; a filling task goes only where it may work at 70% of its speed by the learned estimates; one that stands still for 0.9 s and saves its progress is stopped and goes elsewhere. Half of what serving tasks reserve counts as unused (was 45%): a trial showed filling tasks getting 0.9 of their wish on the fullest workers.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -45,6 +45,7 @@
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         self.pressure.learn(worker, now);
         pace::adjust(worker, &self.pressure, now);
+        pace::move_paused(worker, now);
         evacuate(worker, now);
         stop_stuck(worker, now);
         let until = now + self.hold(number, now);
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -19,7 +19,7 @@
 
 /// The part of their reservation that tasks which serve users leave unused, in percent; their
 /// load swings around one half.
-const SERVING_IDLE: u64 = 45;
+const SERVING_IDLE: u64 = 50;
 
 /// What a run may do at its start, in percent.
 pub const FULL_PACE: u8 = 100;
@@ -132,6 +132,8 @@
     pub pace: u8,
     /// The share that the worker was told, in percent.
     pub told_pace: u8,
+    /// Since when it should stand still.
+    pub paused: Option<Time>,
 }
 
 /// How a worker's runs have ended lately.
@@ -203,6 +205,7 @@
             over: None,
             pace: FULL_PACE,
             told_pace: FULL_PACE,
+            paused: None,
         }
     }
 
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -40,6 +40,23 @@
 /// Thousandths of a processor in a processor.
 const CORE: f64 = 1000.0;
 
+/// How a tail comes about, in logarithms.
+#[derive(Clone, Copy, Debug)]
+struct Tail {
+    /// How much filling tasks may lengthen it.
+    room: f64,
+    /// How much those that are there would at full pace.
+    whole: f64,
+}
+
+impl Tail {
+    /// The share at which all that harms it may work, with `more` that is to come.
+    fn share(&self, more: f64) -> f64 {
+        let whole = self.whole + more;
+        if whole > 0.0 { (self.room / whole).clamp(0.0, 1.0) } else { 1.0 }
+    }
+}
+
 /// What is known of how images disturb each other.
 #[derive(Debug, Default)]
 pub struct Pressure {
@@ -59,12 +76,39 @@
         }
     }
 
-    /// By how much a filling task of `image` with this wish lengthens the tails on a worker, as a
-    /// logarithm, summed over those that it harms.
-    pub fn cost(&self, worker: &Worker, image: Option<&Image>, wished: u64) -> f64 {
+    /// The share at which a filling task of `image` with this wish could work on a worker, beside
+    /// what fills there already, from 0 to 1.
+    pub fn room(&self, worker: &Worker, image: Option<&Image>, wished: u64) -> f64 {
         let serving = worker.runs.values().filter(|view| view.target.is_some());
-        let harms = serving.map(|view| self.harm(view.image.as_ref(), image));
-        harms.filter(|harm| *harm > HARMLESS).sum::<f64>() * wished as f64 / CORE
+        let rooms = serving.filter_map(|view| {
+            let harm = self.harm(view.image.as_ref(), image);
+            (harm > HARMLESS).then(|| self.tail(worker, view).share(harm * wished as f64 / CORE))
+        });
+        rooms.fold(1.0, f64::min)
+    }
+
+    /// By how much what fills on a worker would lengthen the tail of a task of `image`, as a
+    /// logarithm.
+    pub fn exposure(&self, worker: &Worker, image: Option<&Image>) -> f64 {
+        let fills = worker.runs.values().filter(|view| view.fills());
+        let harms = fills.map(|view| (self.harm(image, view.image.as_ref()), view.wished));
+        harms.filter(|(harm, _)| *harm > HARMLESS).map(|(h, w)| h * w as f64 / CORE).sum()
+    }
+
+    /// How a tail comes about.
+    fn tail(&self, worker: &Worker, serving: &RunView) -> Tail {
+        let image = serving.image.as_ref();
+        let (mut present, mut whole) = (0.0, 0.0);
+        for view in worker.runs.values().filter(|view| view.fills()) {
+            let harm = self.harm(image, view.image.as_ref());
+            if harm > HARMLESS {
+                present += harm * view.gauge as f64 / CORE;
+                whole += harm * view.wished as f64 / CORE;
+            }
+        }
+        let own = (serving.gauge.max(1) as f64).ln() - present;
+        let target = serving.target.unwrap_or(u64::MAX) as f64;
+        Tail { room: (target * AIM).ln() - own, whole }
     }
 
     /// Learns from what a worker has just reported.
@@ -101,6 +145,17 @@
     }
 }
 
+/// How long a task that saves its progress stands still before it is moved elsewhere.
+const PAUSE: Duration = Duration::from_millis(900);
+
+/// Stops the filling tasks that have stood still for long and can go on elsewhere.
+pub fn move_paused(worker: &mut Worker, now: Time) {
+    for view in worker.runs.values_mut() {
+        let long = view.paused.is_some_and(|since| now.since(since) > PAUSE);
+        view.stopping |= view.listed && view.checkpoints && long;
+    }
+}
+
 /// Sets the paces on a worker from what it reported last.
 pub fn adjust(worker: &mut Worker, pressure: &Pressure, now: Time) {
     for view in worker.runs.values_mut() {
@@ -121,6 +176,7 @@
         if let Some(view) = worker.runs.get_mut(&task)
             && (view.pace.abs_diff(pace) >= STEP || (pace == 0) != (view.pace == 0))
         {
+            view.paused = if pace == 0 { view.paused.or(Some(now)) } else { None };
             view.pace = pace;
         }
     }
@@ -130,8 +186,8 @@
 fn pace(worker: &Worker, filling: &RunView, pressure: &Pressure, now: Time) -> u8 {
     let tails = worker.runs.values().filter(|view| view.listed);
     let allowed = tails.filter_map(|view| {
-        let target = view.target?;
-        Some(allowed(worker, view, target, filling, pressure, now))
+        view.target?;
+        Some(allowed(worker, view, filling, pressure, now))
     });
     let least = allowed.fold(f64::from(FULL_PACE), f64::min);
     if least < LEAST { 0 } else { least as u8 }
@@ -141,7 +197,6 @@
 fn allowed(
     worker: &Worker,
     serving: &RunView,
-    target: u64,
     filling: &RunView,
     pressure: &Pressure,
     now: Time,
@@ -158,18 +213,7 @@
     if over.is_some_and(|over| over > TOO_LONG) {
         return 0.0;
     }
-    let fills = worker.runs.values().filter(|view| view.fills() && view.listed);
-    let (mut present, mut whole) = (0.0, 0.0);
-    for view in fills {
-        let harm = pressure.harm(image, view.image.as_ref());
-        if harm > HARMLESS {
-            present += harm * view.gauge as f64 / CORE;
-            whole += harm * view.wished as f64 / CORE;
-        }
-    }
-    let own = (serving.gauge.max(1) as f64).ln() - present;
-    let room = (target as f64 * AIM).ln() - own;
-    let fair = if whole > 0.0 { (room / whole).clamp(0.0, 1.0) * full } else { full };
+    let fair = pressure.tail(worker, serving).share(0.0) * full;
     // An estimate that says otherwise than the tail is wrong.
     if over.is_some() { fair.min(f64::from(filling.pace) / 2.0) } else { fair }
 }
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -13,13 +13,20 @@
 /// The part of its wish that a filling task must find unused, in percent.
 const FILL_SHARE: u64 = 80;
 
-/// What it costs a filling task's place to double the response times of a neighbour that serves
-/// users, in thousandths of a processor.
-const HARM_COST: f64 = 40_000.0;
+/// The share of its speed that a filling task must be able to work at, from 0 to 1.
+const FILL_PACE: f64 = 0.7;
 
-/// What it is worth to a task that serves users to find others of its image: the fewer images
-/// share a worker, the more filling tasks do no harm there. In thousandths of a processor.
-const SAME_IMAGE: u64 = 3000;
+/// What it costs to fill beside tasks that would bear no more, in thousandths of a processor.
+const HARM_COST: f64 = 20_000.0;
+
+/// What it costs a task that serves users to be the first of its image on a worker, and for each
+/// other image there, in thousandths of a processor: the fewer images share a worker, the more
+/// filling tasks do no harm there.
+const FIRST_OF_IMAGE: u64 = 8000;
+const OTHER_IMAGE: u64 = 4000;
+
+/// How much less than images the load counts for a task that serves users, as a divisor.
+const SERVING_LOAD: u64 = 8;
 
 /// A task that looks for a place.
 #[derive(Clone, Copy, Debug)]
@@ -91,13 +98,27 @@
         if unused * 100 < wish * FILL_SHARE {
             return None;
         }
-        let harm = request.pressure.cost(worker, step.image.as_ref(), wish) * HARM_COST;
-        return Some(remote + load + harm as u64);
+        let room = request.pressure.room(worker, step.image.as_ref(), wish);
+        if room < FILL_PACE {
+            return None;
+        }
+        return Some(remote + load + ((1.0 - room) * HARM_COST) as u64);
     }
     if step.serves() {
-        let same = worker.runs.values().any(|view| view.target.is_some() && view.image == step.image);
-        let others = if same { 0 } else { SAME_IMAGE };
-        return Some(remote + load + others);
+        return Some(remote + load / SERVING_LOAD + images(worker, request));
     }
     Some(remote + load)
 }
+
+/// What a place costs a task that serves users, by the images that it would share it with.
+fn images(worker: &Worker, request: &Request<'_>) -> u64 {
+    let image = request.step.image.as_ref();
+    let serving = worker.runs.values().filter(|view| view.target.is_some());
+    let mut others: Vec<_> = serving.map(|view| view.image.as_ref()).collect();
+    others.sort_unstable();
+    others.dedup();
+    let first = if others.contains(&image) { 0 } else { FIRST_OF_IMAGE };
+    let others = others.iter().filter(|other| **other != image).count() as u64;
+    let exposure = request.pressure.exposure(worker, image) * HARM_COST;
+    first + others * OTHER_IMAGE + exposure as u64
+}
