jobs: find each other by the log, wait for missing runs, cut paces sooner

Change: addresses are read from recovered entries, and controllers introduce themselves to all they know; a run must be missing twice; a run that is done after it was given up isn't acknowledged; tails are aimed at 70% of their bounds and paces cut at the first report above it.

--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -4,11 +4,7 @@
 
 use crate::{
     data,
-    jobs::{
-        config::Config,
-        life::JobPhase,
-        model::JobSpec,
-    },
+    jobs::{config::Config, life::JobPhase, model::JobSpec},
 };
 
 data! {
--- a/lib/src/jobs/config.rs
+++ b/lib/src/jobs/config.rs
@@ -102,9 +102,10 @@
     /// The queue that a call addresses, with what follows its prefix in the path: the longest
     /// prefix decides.
     pub fn route<'p>(&self, host: &str, path: &'p str) -> Option<(&Queue, &'p str)> {
-        let matching = self.queues.iter().filter(|queue| {
-            *queue.host == *host && path.starts_with(&*queue.prefix)
-        });
+        let matching = self
+            .queues
+            .iter()
+            .filter(|queue| *queue.host == *host && path.starts_with(&*queue.prefix));
         let queue = matching.max_by_key(|queue| queue.prefix.len())?;
         Some((queue, &path[queue.prefix.len()..]))
     }
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -27,7 +27,7 @@
         link::{LinkMessage, Standing},
         members::Keeper,
         orders::Orders,
-        record::{Batch, Node},
+        record::{Batch, Node, Record},
         report::Report,
         state::State,
     },
@@ -287,6 +287,30 @@
     answers: Vec<(Ticket, Answer)>,
 }
 
+/// Where the controllers are that recovered entries introduce.
+///
+/// Until a leader tells how far they are committed, these entries can't be applied; but without
+/// the addresses in them no leader could be elected once all controllers have restarted.
+fn introduced(entries: &[Entry]) -> BTreeMap<InstanceId, SocketAddr> {
+    let batches = entries.iter().filter_map(|entry| match &entry.payload {
+        Payload::Command(bytes) => postcard::from_bytes::<Batch>(bytes).ok(),
+        Payload::Empty | Payload::Members(_) => None,
+    });
+    let records = batches.flat_map(|batch| batch.records);
+    let nodes = records.filter_map(|record| match record {
+        Record::Node(node) => Some((node.id, node.peer)),
+        Record::Configure(_)
+        | Record::Submit { .. }
+        | Record::Cancel { .. }
+        | Record::Worker { .. }
+        | Record::Gone { .. }
+        | Record::Start { .. }
+        | Record::End { .. }
+        | Record::Forget { .. } => None,
+    });
+    nodes.collect()
+}
+
 /// One controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -319,13 +343,14 @@
             Some(snapshot) => (State::decode(&snapshot.state)?, snapshot.index),
             None => (State::default(), Index(0)),
         };
+        let mut addresses: BTreeMap<_, _> = config.founders.iter().copied().collect();
+        addresses.extend(committed.nodes.values().map(|node| (node.id, node.peer)));
+        addresses.extend(introduced(&recovered.entries));
         let mut voters: Vec<_> = config.founders.iter().map(|(id, _)| *id).collect();
         voters.sort_unstable();
         let founders = Members { voters, learners: Vec::new() };
         let consensus =
             Consensus::new(config.consensus.clone(), recovered, &founders, now, config.seed);
-        let mut addresses: BTreeMap<_, _> = config.founders.iter().copied().collect();
-        addresses.extend(committed.nodes.values().map(|node| (node.id, node.peer)));
         Ok(Self {
             keeper: Keeper::new(config.voters, now),
             hello: now,
@@ -481,7 +506,7 @@
     /// Introduces this controller to all others that it knows of.
     fn introduce(&self, out: &mut Vec<Effect>) {
         let mut peers: Vec<_> = self.config.seeds.clone();
-        peers.extend(self.committed.nodes.values().map(|node| node.peer));
+        peers.extend(self.addresses.values());
         peers.sort_unstable();
         peers.dedup();
         for to in peers.into_iter().filter(|peer| *peer != self.config.me.peer) {
@@ -629,9 +654,11 @@
             }
         });
         let all: Vec<_> = held.chain(waiting).collect();
-        out.extend(
-            all.into_iter().map(|(ticket, answer)| Effect::Answer { ticket, answer, until: None }),
-        );
+        out.extend(all.into_iter().map(|(ticket, answer)| Effect::Answer {
+            ticket,
+            answer,
+            until: None,
+        }));
     }
 
     /// Lets the leader place what waits, and proposes the records of this turn as one entry.
--- a/lib/src/jobs/controller/calls.rs
+++ b/lib/src/jobs/controller/calls.rs
@@ -94,13 +94,7 @@
         lead.answers.push((ticket, Answer::Reply(Reply::Cancelled)));
     }
 
-    pub(super) fn order(
-        &mut self,
-        now: Time,
-        ticket: Ticket,
-        order: Order,
-        out: &mut Vec<Effect>,
-    ) {
+    pub(super) fn order(&mut self, now: Time, ticket: Ticket, order: Order, out: &mut Vec<Effect>) {
         if !self.leads(now) {
             return self.refer(ticket, out);
         }
--- a/lib/src/jobs/controller/compose.rs
+++ b/lib/src/jobs/controller/compose.rs
@@ -15,6 +15,10 @@
 /// The time after which a worker without room sends its next heartbeat; an end brings one sooner.
 const AGAIN_FULL: Duration = Duration::from_millis(900);
 
+/// The time after which a worker sends its next heartbeat on which tasks fill beside tasks that
+/// serve.
+const AGAIN_MIXED: Duration = Duration::from_millis(150);
+
 /// The time after which a worker with room sends its next heartbeat.
 const AGAIN_SOON: Duration = Duration::from_millis(25);
 
@@ -22,6 +26,10 @@
 /// reports the end with its next one.
 const END_NEAR: Duration = Duration::from_millis(120);
 
+/// How long a heartbeat is held at most from a worker on which tasks fill beside tasks that serve:
+/// its next figures tell whether the paces are right.
+const HOLD_MIXED: Duration = Duration::from_millis(300);
+
 /// Less free than this part of a worker's processors, and it counts as full, in percent.
 const ROOM: u64 = 5;
 
@@ -29,12 +37,17 @@
     /// How long a worker's heartbeat is held open if nothing is to be told.
     pub(super) fn hold(&self, number: WorkerNumber, now: Time) -> Duration {
         let Some(worker) = self.fleet.workers.get(&number) else { return Duration::ZERO };
+        let most = if worker.serving > 0 && worker.wished > 0 {
+            self.timing.hold.min(HOLD_MIXED)
+        } else {
+            self.timing.hold
+        };
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
         let Some(next) = ends.filter(|end| *end > now).min() else {
-            return self.timing.hold;
+            return most;
         };
         let until = now.until(next);
-        if until < END_NEAR { Duration::ZERO } else { until.min(self.timing.hold) }
+        if until < END_NEAR { Duration::ZERO } else { until.min(most) }
     }
 
     /// Answers the heartbeats that wait no longer.
@@ -72,7 +85,7 @@
             lease: timing.lease,
             stops,
             paces,
-            acknowledged: worker.ended,
+            acknowledged: worker.acknowledged(),
             again: again(worker, now),
             starts: Vec::new(),
         };
@@ -99,6 +112,9 @@
 fn again(worker: &Worker, now: Time) -> Duration {
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
     let unused = worker.unused();
+    if worker.serving > 0 && worker.wished > 0 {
+        return AGAIN_MIXED;
+    }
     if !worker.is_usable(now) || unused * 100 < capacity * ROOM {
         return AGAIN_FULL;
     }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -94,6 +94,12 @@
         })
     }
 
+    /// Whether a task needs no further run.
+    fn is_settled(&self, task: &TaskKey) -> bool {
+        let open = self.state.jobs.get(&task.job).is_some_and(|job| job.phase.is_open());
+        !open || self.state.task(task).is_some_and(|held| held.phase == TaskPhase::Done)
+    }
+
     fn take_end(&mut self, now: Time, number: WorkerNumber, ended: &Ended) {
         let current = self.is_current(number, &ended.task, ended.run);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
@@ -105,6 +111,12 @@
             worker.remove(&ended.task);
         }
         if !current {
+            let done = ended.ending == Ending::Done && !self.is_settled(&ended.task);
+            if let Some(worker) = self.fleet.workers.get_mut(&number)
+                && done
+            {
+                worker.withheld.get_or_insert(ended.number);
+            }
             return;
         }
         match ended.ending {
@@ -166,6 +178,7 @@
                 view.moved = now;
             }
             view.listed = true;
+            view.missing = false;
             view.stopping |= !current;
             view.percent = row.percent;
             view.gauge = row.gauge;
@@ -177,18 +190,27 @@
     }
 
     /// Looks at the runs that the worker should list and doesn't: a start that didn't arrive is
-    /// sent again, for the answer that carried it was dropped.
+    /// sent again, for the answer that carried it was dropped. A run that was listed is given up
+    /// once it is missing twice; its end may come with the next heartbeat.
     fn reconcile(&mut self, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
-        let Some(worker) = self.fleet.workers.get(&number) else { return };
-        let missing = worker.runs.iter().filter(|(task, _)| !listed.contains(task));
-        let missing: Vec<_> = missing.map(|(task, view)| (*task, view.run, view.listed)).collect();
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
+        let missing: Vec<_> = missing
+            .map(|(task, view)| {
+                let twice = std::mem::replace(&mut view.missing, true);
+                (*task, view.run, view.listed, twice)
+            })
+            .collect();
         let mut again = Vec::new();
-        for (task, run, was_listed) in missing {
+        for (task, run, was_listed, twice) in missing {
             let current = self.is_current(number, &task, run);
             if current && !was_listed {
                 again.push(task);
                 continue;
             }
+            if current && !twice {
+                continue;
+            }
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
                 worker.remove(&task);
             }
@@ -223,7 +245,8 @@
     let mut stuck = false;
     for view in worker.runs.values_mut() {
         let runs = view.listed && !view.long_running && !view.stopping;
-        if runs && view.told_pace == FULL_PACE && now.since(view.moved) > STILL + view.estimate / 2 {
+        if runs && view.told_pace == FULL_PACE && now.since(view.moved) > STILL + view.estimate / 2
+        {
             view.stopping = true;
             stuck = true;
         }
--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -237,7 +237,8 @@
             return;
         };
         let Some(queue) = self.state.queue_of(job) else { return };
-        let long = job.spec.steps.get(usize::from(step.step)).is_some_and(|s| s.traits.long_running);
+        let long =
+            job.spec.steps.get(usize::from(step.step)).is_some_and(|s| s.traits.long_running);
         let begin = job.spec.due(step.round).unwrap_or(job.accepted);
         let objective = queue.objective(job.spec.longest_chain());
         let rank = Rank {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     jobs::{
-        controller::{Effect, Note, lead::{Lead, Turn}},
+        controller::{
+            Effect, Note,
+            lead::{Lead, Turn},
+        },
         fleet::RunView,
         life::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -18,12 +21,7 @@
 
 impl Lead {
     /// Places what waits and answers whom it concerns; gives what is to be agreed on.
-    pub(super) fn finish_turn(
-        &mut self,
-        now: Time,
-        wall: WallTime,
-        out: &mut Vec<Effect>,
-    ) -> Turn {
+    pub(super) fn finish_turn(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) -> Turn {
         self.wall = wall;
         self.begin_rounds();
         self.expire(now);
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -63,6 +63,8 @@
     pub strays: Vec<(TaskKey, Run)>,
     /// Ends up to this number were passed on for agreement.
     pub ended: u64,
+    /// Ends from this number on are never acknowledged; see [`Worker::acknowledged`].
+    pub withheld: Option<u64>,
     /// How its runs have ended lately.
     pub health: Health,
 }
@@ -118,6 +120,8 @@
     pub since: Time,
     /// Whether the worker has listed it.
     pub listed: bool,
+    /// Whether the worker has listed it before, and didn't in its last heartbeat.
+    pub missing: bool,
     /// Whether it is to be stopped.
     pub stopping: bool,
     /// How far it is, in percent, and since when.
@@ -198,6 +202,7 @@
             estimate: Duration::from_millis(step.estimate),
             since: now,
             listed: false,
+            missing: false,
             stopping: false,
             percent: 0,
             moved: now,
@@ -238,6 +243,7 @@
             serving_reserved: 0,
             strays: Vec::new(),
             ended: 0,
+            withheld: None,
             health: Health::default(),
         }
     }
@@ -299,6 +305,14 @@
         u32::try_from(self.runs.range(range).count()).unwrap_or(u32::MAX)
     }
 
+    /// Up to which number the worker's ends may be acknowledged.
+    ///
+    /// A run that was done after it had been given up counts for nothing: the task runs again.
+    /// Such an end isn't acknowledged, so that nobody takes it for the task's.
+    pub fn acknowledged(&self) -> u64 {
+        self.withheld.map_or(self.ended, |first| self.ended.min(first - 1))
+    }
+
     /// Whether something may be started there.
     pub fn is_usable(&self, now: Time) -> bool {
         let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves.is_none());
--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -206,7 +206,9 @@
 
     /// Sends a call to the leader, if one is known.
     fn send(&mut self, number: u64, out: &mut Vec<Effect>) {
-        let (Some(to), Some(pending)) = (self.leader, self.pending.get_mut(&number)) else { return };
+        let (Some(to), Some(pending)) = (self.leader, self.pending.get_mut(&number)) else {
+            return;
+        };
         pending.sent = Some(to);
         let message = LinkMessage::Ask { number, call: pending.call.clone() };
         out.push(Effect::Send { to, message });
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -89,9 +89,8 @@
             return None;
         }
         let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
-        let voters_in = |there: &DataCentre| {
-            voters.iter().filter(|voter| centre(voter) == Some(there)).count()
-        };
+        let voters_in =
+            |there: &DataCentre| voters.iter().filter(|voter| centre(voter) == Some(there)).count();
         let best = learners().min_by_key(|node| (voters_in(&node.centre), node.id))?;
         Some(Event::Promote { instance: best.id })
     }
--- a/lib/src/jobs/model.rs
+++ b/lib/src/jobs/model.rs
@@ -43,16 +43,7 @@
 
 /// A task: one of a step's tasks in one occurrence of a job.
 #[derive(
-    Clone,
-    Copy,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    serde::Serialize,
-    serde::Deserialize,
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
 )]
 pub struct TaskKey {
     /// The job.
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -17,7 +17,7 @@
 };
 
 /// The part of its bound that a tail is aimed below.
-const AIM: f64 = 0.8;
+const AIM: f64 = 0.7;
 
 /// A pair whose task of one processor lengthens tails by less than this, as a logarithm, counts
 /// as harmless.
@@ -25,8 +25,8 @@
 
 /// A tail that was too long for this time stops all that may cause it, and after this time all
 /// that fills beside it: the users' bound is 5.5 s.
-const TOO_LONG: Duration = Duration::from_millis(1200);
-const MUCH_TOO_LONG: Duration = Duration::from_millis(2600);
+const TOO_LONG: Duration = Duration::from_millis(500);
+const MUCH_TOO_LONG: Duration = Duration::from_millis(1200);
 
 /// Paces that differ by less aren't told, in percent.
 const STEP: u8 = 10;
@@ -207,13 +207,16 @@
         return 0.0;
     }
     let image = serving.image.as_ref();
+    let tail = pressure.tail(worker, serving);
     if pressure.harm(image, filling.image.as_ref()) <= HARMLESS {
-        return full;
+        // Nothing that is known to harm this tail is there, and yet it is too long.
+        let unexplained = over.is_some() && tail.whole <= 0.0;
+        return if unexplained { f64::from(filling.pace) / 2.0 } else { full };
     }
     if over.is_some_and(|over| over > TOO_LONG) {
         return 0.0;
     }
-    let fair = pressure.tail(worker, serving).share(0.0) * full;
+    let fair = tail.share(0.0) * full;
     // An estimate that says otherwise than the tail is wrong.
     if over.is_some() { fair.min(f64::from(filling.pace) / 2.0) } else { fair }
 }
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -1,12 +1,12 @@
 //! Where a task goes: which workers may run it, and which of them is best.
 
 use crate::{
+    ids::ServiceName,
     jobs::{
         fleet::{Fleet, Worker},
         model::{Step, StepKey, WorkerNumber},
         pace::Pressure,
     },
-    ids::ServiceName,
     time::Time,
 };
 
@@ -14,7 +14,7 @@
 const FILL_SHARE: u64 = 80;
 
 /// The share of its speed that a filling task must be able to work at, from 0 to 1.
-const FILL_PACE: f64 = 0.7;
+const FILL_PACE: f64 = 0.85;
 
 /// What it costs to fill beside tasks that would bear no more, in thousandths of a processor.
 const HARM_COST: f64 = 20_000.0;
@@ -53,7 +53,12 @@
 }
 
 /// The best worker for a task.
-pub fn choose(fleet: &Fleet, now: Time, reach: Reach, request: &Request<'_>) -> Option<WorkerNumber> {
+pub fn choose(
+    fleet: &Fleet,
+    now: Time,
+    reach: Reach,
+    request: &Request<'_>,
+) -> Option<WorkerNumber> {
     let near = |worker: &Worker| reach == Reach::Live || worker.open.is_some();
     let candidates = fleet.workers.iter().filter(|(_, worker)| near(worker));
     let costs = candidates.filter_map(|(number, worker)| {
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -14,7 +14,9 @@
     ids::{Incarnation, InstanceId, WorkerName},
     jobs::{
         config::{Config, Queue},
-        life::{JOB_CHART, JobEvent, JobPhase, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase},
+        life::{
+            JOB_CHART, JobEvent, JobPhase, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase,
+        },
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
         record::{Ending, Node, Record},
     },
@@ -257,14 +259,14 @@
             Ending::Done => TaskEvent::Done,
             Ending::Failed if lasting => TaskEvent::Interrupted,
             Ending::Failed => TaskEvent::Failed,
-            Ending::Stopped
-            | Ending::Lapsed
-            | Ending::Broken
-            | Ending::Alone
-            | Ending::Refused => TaskEvent::Interrupted,
+            Ending::Stopped | Ending::Lapsed | Ending::Broken | Ending::Alone | Ending::Refused => {
+                TaskEvent::Interrupted
+            }
         };
         // One member's end as done stands for its whole gang.
-        let indexes = if gang && ending == Ending::Done { 0..step.count } else {
+        let indexes = if gang && ending == Ending::Done {
+            0..step.count
+        } else {
             key.index..key.index.saturating_add(1)
         };
         let mut failed = 0;
@@ -412,9 +414,10 @@
             return None;
         }
         let spec = &self.spec;
-        let round = self.rounds.entry(key.round).or_insert_with(|| Round {
-            steps: spec.steps.iter().map(Progress::new).collect(),
-        });
+        let round = self
+            .rounds
+            .entry(key.round)
+            .or_insert_with(|| Round { steps: spec.steps.iter().map(Progress::new).collect() });
         let progress = round.steps.get_mut(usize::from(key.step))?;
         progress.tasks.get_mut(usize::try_from(key.index).ok()?)
     }
@@ -452,11 +455,8 @@
     /// Counts an occurrence if all its steps are done; whether it was the last one.
     fn finish_round(&mut self, round: u32) -> bool {
         let steps = 0..self.spec.steps.len();
-        let key = |step| StepKey {
-            job: JobId(0),
-            round,
-            step: u16::try_from(step).unwrap_or(u16::MAX),
-        };
+        let key =
+            |step| StepKey { job: JobId(0), round, step: u16::try_from(step).unwrap_or(u16::MAX) };
         if !steps.map(key).all(|key| self.is_done(&key)) {
             return false;
         }
--- /dev/null
+++ b/lib/tests/jobs/pace.rs
@@ -0,0 +1,117 @@
+//! How filling tasks are paced beside tasks that serve users.
+
+use std::time::Duration;
+
+use hickorylink_lib::{
+    ids::Incarnation,
+    jobs::{
+        fleet::{FULL_PACE, RunView, Worker},
+        model::{Image, JobId, Run, Step, TaskKey, Traits},
+        pace::{Pressure, adjust, move_paused},
+    },
+    time::Time,
+};
+
+use crate::world::{step, task};
+
+const TARGET: u64 = 150;
+
+fn serving(image: &str) -> Step {
+    let traits = Traits { long_running: true, ..Traits::default() };
+    Step { image: Some(Image::from(image)), target: Some(TARGET), traits, ..step(1) }
+}
+
+fn filling(image: &str) -> Step {
+    let traits = Traits { filling: true, checkpoints: true, ..Traits::default() };
+    Step { image: Some(Image::from(image)), traits, ..step(1) }
+}
+
+/// A worker with a serving task and a filling one.
+fn worker(fill: &str) -> (Worker, TaskKey, TaskKey) {
+    let now = Time::default();
+    let mut worker = Worker::unheard("w1".into(), Incarnation(1), now, now);
+    let (serve, fills) = (task(JobId(1), 0, 0), task(JobId(2), 0, 0));
+    worker.add(serve, RunView::new(&serving("desk"), Run(1), now));
+    worker.add(fills, RunView::new(&filling(fill), Run(1), now));
+    for view in worker.runs.values_mut() {
+        view.listed = true;
+    }
+    (worker, serve, fills)
+}
+
+fn report(worker: &mut Worker, serve: &TaskKey, tail: u64, fills: &TaskKey, used: u64) {
+    worker.runs.get_mut(serve).expect("it is there").gauge = tail;
+    worker.runs.get_mut(fills).expect("it is there").gauge = used;
+}
+
+/// What is known after 20 s in which `harmful` doubles the tails and `harmless` doesn't.
+fn learned() -> Pressure {
+    let mut pressure = Pressure::default();
+    for second in 0..100 {
+        let now = Time::from_millis(second * 200);
+        for (image, used, tail) in
+            [("harmful", 0, 50), ("harmful", 1000, 100), ("harmless", 1000, 50)]
+        {
+            let (mut worker, serve, fills) = worker(image);
+            report(&mut worker, &serve, tail, &fills, used);
+            pressure.learn(&worker, now);
+        }
+    }
+    pressure
+}
+
+#[test]
+fn only_what_harms_a_tail_is_paced() {
+    struct Case {
+        name: &'static str,
+        image: &'static str,
+        tail: u64,
+        used: u64,
+        want: std::ops::RangeInclusive<u8>,
+    }
+    let cases = [
+        Case { name: "room enough", image: "harmful", tail: 50, used: 1000, want: 100..=100 },
+        Case { name: "some room", image: "harmful", tail: 160, used: 1000, want: 1..=70 },
+        Case { name: "harmless", image: "harmless", tail: 120, used: 1000, want: 100..=100 },
+        Case { name: "unexplained", image: "harmless", tail: 400, used: 1000, want: 40..=60 },
+        Case { name: "no room", image: "harmful", tail: 900, used: 1000, want: 0..=0 },
+    ];
+    let pressure = learned();
+    for case in cases {
+        let (mut worker, serve, fills) = worker(case.image);
+        report(&mut worker, &serve, case.tail, &fills, case.used);
+        adjust(&mut worker, &pressure, Time::from_millis(30_000));
+        let pace = worker.runs[&fills].pace;
+        assert!(case.want.contains(&pace), "{}: {pace}", case.name);
+    }
+}
+
+#[test]
+fn all_that_fills_stops_long_before_harm_is_done() {
+    let pressure = learned();
+    let (mut worker, serve, fills) = worker("harmless");
+    let start = Time::from_millis(30_000);
+    let mut stopped = None;
+    for millis in (0..5500).step_by(300) {
+        let now = start + Duration::from_millis(millis);
+        report(&mut worker, &serve, 400, &fills, 1000);
+        adjust(&mut worker, &pressure, now);
+        if worker.runs[&fills].pace == 0 {
+            stopped.get_or_insert(millis);
+        }
+    }
+    assert!(stopped.is_some_and(|millis| millis < 2500), "{stopped:?}");
+    move_paused(&mut worker, start + Duration::from_millis(6000));
+    assert!(worker.runs[&fills].stopping, "it goes on elsewhere");
+}
+
+#[test]
+fn a_pace_comes_back_with_the_room() {
+    let pressure = learned();
+    let (mut worker, serve, fills) = worker("harmful");
+    for (millis, tail, used) in [(0, 900, 1000), (300, 60, 0), (600, 50, 0)] {
+        report(&mut worker, &serve, tail, &fills, used);
+        adjust(&mut worker, &pressure, Time::from_millis(30_000 + millis));
+    }
+    assert_eq!(worker.runs[&fills].pace, FULL_PACE);
+}
--- /dev/null
+++ b/lib/tests/jobs/recovery.rs
@@ -0,0 +1,78 @@
+//! What a controller knows after a restart, and who may lead.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hickorylink_lib::{
+    consensus::log::{Entry, HardState, Members, Payload, Recovered},
+    ids::{Index, InstanceId, Term},
+    jobs::{
+        controller::{Controller, Effect, Event},
+        link::LinkMessage,
+        record::{Batch, Record},
+    },
+    time::{Time, WallTime},
+};
+
+use crate::world::{config, node};
+
+/// Three controllers of which this one is the first; nobody told them of each other but the log.
+fn recovered() -> Recovered {
+    let nodes = [node(1, 1), node(2, 2), node(3, 3)];
+    let voters = nodes.iter().map(|node| node.id).collect();
+    let records = nodes.into_iter().map(Record::Node).collect();
+    let batch = Batch { origin: InstanceId(1), number: 1, records };
+    let bytes = postcard::to_allocvec(&batch).expect("it can be encoded");
+    let members = Members { voters, learners: Vec::new() };
+    let entry = |index, payload| Entry { index: Index(index), term: Term(1), payload };
+    Recovered {
+        hard: HardState { term: Term(1), vote: None },
+        snapshot: None,
+        entries: vec![
+            entry(1, Payload::Members(members)),
+            entry(2, Payload::Command(Bytes::from(bytes))),
+        ],
+    }
+}
+
+fn messages(until: Time) -> Vec<(std::net::SocketAddr, LinkMessage)> {
+    let now = Time::from_millis(1);
+    let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), now);
+    let mut controller = controller.expect("no snapshot");
+    let (mut now, mut sent) = (now, Vec::new());
+    while now < until {
+        now = now + Duration::from_millis(20);
+        let mut events = vec![Event::Timer];
+        while !events.is_empty() {
+            let mut out = Vec::new();
+            controller.handle(now, WallTime(1), events.drain(..), &mut out);
+            for effect in out {
+                match effect {
+                    Effect::Store(write) => {
+                        events.push(Event::Stored { sequence: write.sequence });
+                    }
+                    Effect::Send { to, message } => sent.push((to, message)),
+                    Effect::Answer { .. } | Effect::Note(_) => {}
+                }
+            }
+        }
+    }
+    sent
+}
+
+#[test]
+fn restarted_controllers_find_each_other_by_their_logs() {
+    let sent = messages(Time::from_millis(3000));
+    for other in [node(2, 2), node(3, 3)] {
+        let asked = sent.iter().any(|(to, message)| {
+            *to == other.peer && matches!(message, LinkMessage::Consensus { .. })
+        });
+        assert!(asked, "controller {} is asked for its vote", other.id);
+    }
+}
+
+#[test]
+fn a_restarted_controller_asks_for_no_vote_at_once() {
+    let sent = messages(Time::from_millis(800));
+    assert!(sent.iter().all(|(_, message)| matches!(message, LinkMessage::Hello(_))));
+}
--- /dev/null
+++ b/lib/tests/jobs/steps.rs
@@ -0,0 +1,141 @@
+//! What the options of steps come to.
+
+use hickorylink_lib::jobs::{
+    life::JobPhase,
+    model::{Run, Step, Traits},
+    record::Ending,
+};
+
+use crate::world::{FakeWorker, World, step, task};
+
+#[test]
+fn steps_wait_for_those_before_them() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    let second = Step { after: vec![0], ..step(1) };
+    let job = world.submit(7, vec![step(2), second]);
+    world.beat(&mut worker);
+    assert_eq!(worker.running.len(), 2);
+    worker.end(task(job, 0, 0), Ending::Done);
+    world.beat(&mut worker);
+    assert!(!worker.running.contains_key(&task(job, 1, 0)), "one task of the first step runs");
+    worker.end(task(job, 0, 1), Ending::Done);
+    world.beat(&mut worker);
+    assert!(worker.running.contains_key(&task(job, 1, 0)));
+    assert_eq!(world.phase(7), JobPhase::Active);
+    worker.end(task(job, 1, 0), Ending::Done);
+    world.beat(&mut worker);
+    assert_eq!(world.phase(7), JobPhase::Completed);
+}
+
+#[test]
+fn a_task_fails_its_job_after_its_attempts() {
+    struct Case {
+        name: &'static str,
+        endings: &'static [Ending],
+        want: JobPhase,
+    }
+    use Ending::{Done, Failed, Lapsed, Refused, Stopped};
+    let cases = [
+        Case {
+            name: "four failures",
+            endings: &[Failed, Failed, Failed, Failed],
+            want: JobPhase::Failed,
+        },
+        Case { name: "three failures", endings: &[Failed, Failed, Failed], want: JobPhase::Active },
+        Case {
+            name: "only failures count",
+            endings: &[Failed, Lapsed, Stopped, Refused, Failed, Failed, Done],
+            want: JobPhase::Completed,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let job = world.submit(7, vec![step(1)]);
+        for (at, ending) in case.endings.iter().enumerate() {
+            let mut worker = FakeWorker::new(&format!("w{at}"));
+            while worker.running.is_empty() {
+                world.beat(&mut worker);
+            }
+            let run = u32::try_from(at).expect("few") + 1;
+            assert_eq!(worker.started, [(task(job, 0, 0), Run(run))], "{}", case.name);
+            worker.end_all(*ending);
+            worker.leaving = Some(0);
+            world.beat(&mut worker);
+        }
+        assert_eq!(world.phase(7), case.want, "{}", case.name);
+    }
+}
+
+#[test]
+fn options_choose_the_workers() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+        on_first: usize,
+        on_second: usize,
+    }
+    let cases = [
+        Case { name: "as many as fit", step: step(6), on_first: 4, on_second: 2 },
+        Case {
+            name: "a label",
+            step: Step { label: Some("b".into()), ..step(2) },
+            on_first: 0,
+            on_second: 2,
+        },
+        Case {
+            name: "spread",
+            step: Step { spread: Some(1), ..step(4) },
+            on_first: 1,
+            on_second: 1,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        second.labels = vec!["b".to_owned(), "r2".to_owned()];
+        world.submit(7, vec![case.step]);
+        world.beat(&mut first);
+        world.beat(&mut second);
+        assert_eq!(first.running.len(), case.on_first, "{}", case.name);
+        assert_eq!(second.running.len(), case.on_second, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_gang_starts_whole_and_is_done_by_one_end() {
+    let mut world = World::new();
+    let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+    let gang = Traits { gang: true, ..Traits::default() };
+    let job = world.submit(7, vec![Step { traits: gang, ..step(6) }]);
+    world.beat(&mut first);
+    assert_eq!(first.running.len(), 0, "the others have no place yet");
+    world.beat(&mut second);
+    world.beat(&mut first);
+    world.beat(&mut second);
+    assert_eq!(first.running.len() + second.running.len(), 6);
+    let runs = first.running.values().chain(second.running.values());
+    assert!(runs.into_iter().all(|run| *run == Run(1)), "all carry the same number");
+    let any = *first.running.keys().next().expect("a member");
+    assert_eq!(any.job, job);
+    first.end(any, Ending::Done);
+    world.beat(&mut first);
+    assert_eq!(world.phase(7), JobPhase::Completed);
+}
+
+#[test]
+fn a_long_running_task_starts_again_however_it_ends() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    let lasting = Traits { long_running: true, ..Traits::default() };
+    let job = world.submit(7, vec![Step { traits: lasting, ..step(1) }]);
+    world.beat(&mut worker);
+    for ending in [Ending::Failed; 6] {
+        worker.end(task(job, 0, 0), ending);
+        while worker.running.is_empty() {
+            world.beat(&mut worker);
+        }
+    }
+    assert_eq!(worker.started.last(), Some(&(task(job, 0, 0), Run(7))));
+    assert_eq!(world.phase(7), JobPhase::Active);
+}
--- /dev/null
+++ b/lib/tests/jobs/world.rs
@@ -0,0 +1,316 @@
+//! A controller that agrees with itself, and workers that do as they are told.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use hickorylink_lib::{
+    consensus::{log::Recovered, port as consensus},
+    ids::{Incarnation, InstanceId},
+    jobs::{
+        call::{Action, Call, Order, OrderReply, Reply},
+        config::{Config as JobConfig, Queue, Service},
+        controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
+        life::JobPhase,
+        model::{JobId, JobSpec, Run, Step, TaskKey, Traits},
+        orders::Orders,
+        record::{Ending, Node},
+        report::{Ended, Report, Running},
+    },
+    resources::Resources,
+    time::{Time, WallTime},
+};
+
+pub(crate) const HOST: &str = "fold.example";
+pub(crate) const LEASE: Duration = Duration::from_secs(5);
+pub(crate) const MARGIN: Duration = Duration::from_millis(300);
+
+/// A controller alone.
+pub(crate) struct World {
+    pub(crate) controller: Controller,
+    pub(crate) now: Time,
+    pub(crate) answers: BTreeMap<u64, Answer>,
+    pub(crate) sent: Vec<Effect>,
+    next: u64,
+}
+
+pub(crate) fn address(text: &str) -> SocketAddr {
+    text.parse().expect("an address")
+}
+
+pub(crate) fn node(id: u64, host: u8) -> Node {
+    Node {
+        id: InstanceId(id),
+        peer: address(&format!("10.0.0.{host}:7000")),
+        listen: address(&format!("10.0.0.{host}:8000")),
+        centre: "akl-a".into(),
+    }
+}
+
+pub(crate) fn config(me: Node, founders: Vec<(InstanceId, SocketAddr)>) -> Config {
+    Config {
+        consensus: consensus::Config {
+            me: me.id,
+            heartbeat: Duration::from_millis(200),
+            election: Duration::from_millis(900),
+            max_batch_bytes: 1 << 20,
+            max_inflight: 64,
+            chunk_bytes: 1 << 18,
+            max_pending: 1000,
+            catch_up_margin: 100,
+            replace_after: Duration::from_millis(2500),
+        },
+        me,
+        seeds: Vec::new(),
+        founders,
+        voters: 1,
+        compact: 1000,
+        timing: Timing {
+            lease: LEASE,
+            lease_margin: MARGIN,
+            hold: Duration::from_millis(700),
+            retain: Duration::from_secs(120),
+        },
+        seed: 1,
+    }
+}
+
+impl World {
+    /// A controller that leads, with a queue `/fold/` of 4 attempts on service `desk`.
+    pub(crate) fn new() -> Self {
+        let me = node(1, 1);
+        let founders = vec![(me.id, me.peer)];
+        let now = Time::from_millis(1);
+        let controller = Controller::new(config(me, founders), Recovered::default(), now);
+        let controller = controller.expect("an empty state");
+        let mut world =
+            Self { controller, now, answers: BTreeMap::new(), sent: Vec::new(), next: 0 };
+        world.pass(Duration::from_secs(3));
+        assert!(world.controller.lead().is_some(), "the only controller leads");
+        let ticket = world.order(Order::Configure(Box::new(job_config(1))));
+        assert!(matches!(world.answers[&ticket], Answer::Order(OrderReply::Stored)));
+        world
+    }
+
+    /// Lets time pass, in steps as small as the agreement's heartbeat.
+    pub(crate) fn pass(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now = (self.now + Duration::from_millis(20)).min(end);
+            self.handle(vec![Event::Timer]);
+        }
+    }
+
+    pub(crate) fn handle(&mut self, mut events: Vec<Event>) {
+        let wall = WallTime(1_000_000 + self.now.as_nanos() / 1_000_000);
+        while !events.is_empty() {
+            let mut out = Vec::new();
+            self.controller.handle(self.now, wall, events.drain(..), &mut out);
+            for effect in out {
+                match effect {
+                    Effect::Store(write) => {
+                        events.push(Event::Stored { sequence: write.sequence });
+                    }
+                    Effect::Answer { ticket: Ticket::Front(ticket), answer, .. } => {
+                        let again = self.answers.insert(ticket, answer);
+                        assert!(again.is_none(), "ticket {ticket} was answered twice");
+                    }
+                    Effect::Answer { .. } | Effect::Send { .. } | Effect::Note(_) => {
+                        self.sent.push(effect);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(crate) fn ask(&mut self, event: impl FnOnce(Ticket) -> Event) -> u64 {
+        self.next += 1;
+        let ticket = self.next;
+        self.handle(vec![event(Ticket::Front(ticket))]);
+        ticket
+    }
+
+    pub(crate) fn order(&mut self, order: Order) -> u64 {
+        self.ask(|ticket| Event::Order { ticket, order })
+    }
+
+    pub(crate) fn call(&mut self, path: &str, action: Action) -> Reply {
+        let call = Call { host: HOST.into(), path: path.into(), action };
+        let ticket = self.ask(|ticket| Event::Call { ticket, call });
+        match &self.answers[&ticket] {
+            Answer::Reply(reply) => reply.clone(),
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub(crate) fn submit(&mut self, id: u64, steps: Vec<Step>) -> JobId {
+        let spec = JobSpec { text: "spec".into(), steps, schedule: None };
+        let reply = self.call(&path(id), Action::Submit(spec));
+        assert_eq!(reply, Reply::Accepted);
+        JobId(id)
+    }
+
+    pub(crate) fn phase(&mut self, id: u64) -> JobPhase {
+        match self.call(&path(id), Action::Show) {
+            Reply::Job(phase) => phase,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// A worker's heartbeat; what it is told at once or within the time that it may be held.
+    pub(crate) fn beat(&mut self, worker: &mut FakeWorker) -> Option<Orders> {
+        let report = Box::new(worker.report());
+        let ticket = self.ask(|ticket| Event::Heartbeat { ticket, report });
+        self.told(ticket).inspect(|orders| worker.obey(orders))
+    }
+
+    /// What was answered to a heartbeat; waits as long as it may be held.
+    pub(crate) fn told(&mut self, ticket: u64) -> Option<Orders> {
+        for _ in 0..50 {
+            match self.answers.get(&ticket) {
+                Some(Answer::Orders(orders)) => return Some(orders.clone()),
+                Some(_) => return None,
+                None => self.pass(Duration::from_millis(20)),
+            }
+        }
+        panic!("the heartbeat was held for too long");
+    }
+}
+
+pub(crate) fn path(id: u64) -> String {
+    format!("/fold/{}", JobId(id).hex())
+}
+
+pub(crate) fn job_config(version: u64) -> JobConfig {
+    JobConfig {
+        version,
+        queues: vec![Queue {
+            name: "fold".into(),
+            host: HOST.into(),
+            prefix: "/fold/".into(),
+            service: "desk".into(),
+            priority: 0,
+            attempts: 4,
+            slack: 2000,
+            target: 1000,
+            timeout: 3000,
+            advice: None,
+        }],
+        services: vec![Service { name: "desk".into(), guarded: true, standby: false }],
+        text: format!("{{\"version\":{version}}}").into(),
+    }
+}
+
+/// A step of `count` tasks of one processor that take a second.
+pub(crate) fn step(count: u32) -> Step {
+    Step {
+        count,
+        needs: Resources { millicores: 1000, memory_mib: 100, accelerators: 0 },
+        estimate: 1000,
+        after: Vec::new(),
+        label: None,
+        rack: None,
+        spread: None,
+        image: None,
+        target: None,
+        traits: Traits::default(),
+    }
+}
+
+/// A worker that does as it is told.
+#[derive(Clone, Debug)]
+pub(crate) struct FakeWorker {
+    pub(crate) name: String,
+    pub(crate) born: u64,
+    pub(crate) sequence: u64,
+    pub(crate) leaving: Option<u64>,
+    pub(crate) labels: Vec<String>,
+    pub(crate) running: BTreeMap<TaskKey, Run>,
+    pub(crate) ended: Vec<Ended>,
+    pub(crate) count: u64,
+    pub(crate) started: Vec<(TaskKey, Run)>,
+    pub(crate) stopped: BTreeSet<TaskKey>,
+}
+
+impl FakeWorker {
+    pub(crate) fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            born: 1,
+            sequence: 0,
+            leaving: None,
+            labels: vec!["a".to_owned(), "r1".to_owned()],
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            count: 0,
+            started: Vec::new(),
+            stopped: BTreeSet::new(),
+        }
+    }
+
+    /// The same machine after a crash.
+    pub(crate) fn reborn(&self) -> Self {
+        Self { born: self.born + 1, ..Self::new(&self.name) }
+    }
+
+    pub(crate) fn report(&mut self) -> Report {
+        self.sequence += 1;
+        Report {
+            name: self.name.as_str().into(),
+            born: Incarnation(self.born),
+            sequence: self.sequence,
+            address: format!("{}:1", self.name).into(),
+            service: "desk".into(),
+            centre: "akl-a".into(),
+            labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
+            capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
+            leaving: self.leaving,
+            running: self
+                .running
+                .iter()
+                .map(|(task, run)| Running {
+                    task: *task,
+                    run: *run,
+                    checkpoint: "".into(),
+                    percent: 1,
+                    gauge: 0,
+                })
+                .collect(),
+            ended: self.ended.clone(),
+        }
+    }
+
+    pub(crate) fn obey(&mut self, orders: &Orders) {
+        self.ended.retain(|ended| ended.number > orders.acknowledged);
+        for (task, run) in &orders.stops {
+            if self.running.get(task) == Some(run) {
+                self.end(*task, Ending::Stopped);
+                self.stopped.insert(*task);
+            }
+        }
+        for start in &orders.starts {
+            self.running.insert(start.task, start.run);
+            self.started.push((start.task, start.run));
+        }
+    }
+
+    pub(crate) fn end(&mut self, task: TaskKey, ending: Ending) {
+        let run = self.running.remove(&task).expect("the task runs");
+        self.count += 1;
+        let (number, checkpoint) = (self.count, "".into());
+        self.ended.push(Ended { number, task, run, ending, checkpoint });
+    }
+
+    pub(crate) fn end_all(&mut self, ending: Ending) {
+        let tasks: Vec<_> = self.running.keys().copied().collect();
+        for task in tasks {
+            self.end(task, ending);
+        }
+    }
+}
+
+pub(crate) fn task(job: JobId, step: u16, index: u32) -> TaskKey {
+    TaskKey { job, round: 0, step, index }
+}
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -360,9 +360,7 @@
         LinkMessage::Ask { number, call } => {
             Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
         }
-        LinkMessage::Probe => {
-            Some(Event::Probe { ticket: Ticket::Link { connection, number: 0 } })
-        }
+        LinkMessage::Probe => Some(Event::Probe { ticket: Ticket::Link { connection, number: 0 } }),
         LinkMessage::Answer { .. } | LinkMessage::Elsewhere { .. } | LinkMessage::Standing(_) => {
             None
         }
@@ -383,9 +381,7 @@
             outlets.deliver(effect);
         }
         let wait = match outlets.flush() {
-            0 => controller
-                .next_deadline()
-                .map_or(IDLE, |at| clock.now().until(at).min(IDLE)),
+            0 => controller.next_deadline().map_or(IDLE, |at| clock.now().until(at).min(IDLE)),
             _ => RETRY,
         };
         match ring.recv_timeout(wait) {
@@ -422,4 +418,3 @@
     }
     false
 }
-
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -197,11 +197,7 @@
     })
 }
 
-fn start_links(
-    ring: mpsc::Receiver<Job>,
-    gateway: Inlet<Event>,
-    log: &Logger,
-) -> io::Result<()> {
+fn start_links(ring: mpsc::Receiver<Job>, gateway: Inlet<Event>, log: &Logger) -> io::Result<()> {
     let arrive = move |arrival| {
         let event = match arrival {
             Arrival::Outbound { from, message } => Event::Received { from, message },
@@ -216,12 +212,7 @@
     spawn("links", move || runtime.block_on(links.run(ring, None))).map(drop)
 }
 
-fn run_gateway(
-    ring: &Receiver<Event>,
-    clock: Clock,
-    mut gateway: Gateway,
-    mut outlets: Outlets,
-) {
+fn run_gateway(ring: &Receiver<Event>, clock: Clock, mut gateway: Gateway, mut outlets: Outlets) {
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
     loop {
--- a/runtime/tests/log.rs
+++ b/runtime/tests/log.rs
@@ -1,7 +1,7 @@
 //! The log: what is left out of it.
 
-use hickorylink_runtime::log::limit::{LINES, Limiter, MESSAGES, OTHERS};
 use hickorylink_lib::time::Time;
+use hickorylink_runtime::log::limit::{LINES, Limiter, MESSAGES, OTHERS};
 
 const MILLI: u64 = 1_000_000;
 
--- a/runtime/tests/storage/cases.rs
+++ b/runtime/tests/storage/cases.rs
@@ -1,11 +1,11 @@
 //! Single faults and what the store says about them.
 
-use hickorylink_runtime::storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError};
 use hickorylink_lib::{
     consensus::log::Write,
     ids::{Index, InstanceId},
     time::WallTime,
 };
+use hickorylink_runtime::storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError};
 
 use crate::{
     fake::FakeDisk,
--- a/runtime/tests/storage/counts.rs
+++ b/runtime/tests/storage/counts.rs
@@ -1,13 +1,13 @@
 //! The file of the burn report's counts.
 
-use hickorylink_runtime::storage::{
-    Disk,
-    counts::{CountsFile, NAME},
-};
 use hickorylink_lib::{
     burn::{Burn, Snapshot},
     time::{Time, WallTime},
 };
+use hickorylink_runtime::storage::{
+    Disk,
+    counts::{CountsFile, NAME},
+};
 
 use crate::fake::{Dice, FakeDisk};
 
--- a/runtime/tests/storage/properties.rs
+++ b/runtime/tests/storage/properties.rs
@@ -2,8 +2,8 @@
 
 #![expect(clippy::needless_pass_by_value, reason = "quickcheck hands its values over")]
 
-use hickorylink_runtime::storage::{Identity, Opened, Store, StoreError};
 use hickorylink_lib::{ids::InstanceId, time::WallTime};
+use hickorylink_runtime::storage::{Identity, Opened, Store, StoreError};
 use quickcheck::{Gen, QuickCheck, TestResult};
 
 use crate::{
