--- a/lib/src/consensus.rs
+++ b/lib/src/consensus.rs
@@ -142,7 +142,7 @@
             self.run(&mut turn, trigger);
         }
         self.announce(turn.effects);
-        self.outbox.flush(self.log.last(), self.config.max_pending, turn.effects);
+        self.outbox.flush(now, self.log.last(), self.config.max_pending, turn.effects);
     }
 
     /// When the machine wants [`Event::Timer`] next.
@@ -180,7 +180,7 @@
                     return;
                 }
             }
-            Event::Stored { sequence } => self.outbox.stored(*sequence),
+            Event::Stored { sequence } => self.outbox.stored(turn.now, *sequence),
             Event::Timer
             | Event::Propose { .. }
             | Event::Read { .. }
--- a/lib/src/consensus/actions.rs
+++ b/lib/src/consensus/actions.rs
@@ -71,6 +71,7 @@
             Guard::Due => now >= self.deadline,
             Guard::Won => self.members().is_quorum(|voter| self.votes.contains(&voter)),
             Guard::QuorumHeard => self.quorum_heard(|silence| silence <= self.config.election, now),
+            Guard::Stalled => self.outbox.is_stalled(now, self.config.election),
             Guard::LeaderAlive => self.leader_alive(now),
             Guard::LeaderKnown => self.leader.is_some(),
             Guard::Room => self.has_room(),
--- a/lib/src/consensus/chart.rs
+++ b/lib/src/consensus/chart.rs
@@ -84,6 +84,8 @@
         Won = "won",
         /// A quorum answered within an election timeout.
         QuorumHeard = "quorum_heard",
+        /// Storage has synced nothing for an election timeout although writes wait.
+        Stalled = "stalled",
         /// A leader was heard within an election timeout.
         LeaderAlive = "leader_alive",
         /// The leader is known.
--- a/lib/src/consensus/outbox.rs
+++ b/lib/src/consensus/outbox.rs
@@ -1,6 +1,6 @@
 //! Writes on their way to storage, and the messages that wait for them.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, time::Duration};
 
 use crate::{
     consensus::{
@@ -9,6 +9,7 @@
         port::Effect,
     },
     ids::{Index, InstanceId},
+    time::Time,
 };
 
 /// Collects the writes of one event into one, and holds messages back until what they rest on
@@ -23,6 +24,8 @@
     writes: VecDeque<Pending>,
     durable: Index,
     held: VecDeque<Held>,
+    /// Since when storage has synced nothing although writes wait.
+    waiting: Option<Time>,
 }
 
 /// A write that isn't synced yet.
@@ -104,22 +107,35 @@
         self.held.push_back(Held { after, to, message });
     }
 
+    /// Whether storage has synced nothing for `span` although writes wait.
+    pub(super) fn is_stalled(&self, now: Time, span: Duration) -> bool {
+        self.waiting.is_some_and(|since| now.since(since) >= span)
+    }
+
     /// Notes that storage synced all writes up to `sequence`.
-    pub(super) fn stored(&mut self, sequence: u64) {
+    pub(super) fn stored(&mut self, now: Time, sequence: u64) {
         self.synced = self.synced.max(sequence.min(self.sequence));
         while let Some(write) = self.writes.front().filter(|write| write.sequence <= self.synced) {
             self.durable = write.last;
             self.writes.pop_front();
         }
+        self.waiting = (!self.writes.is_empty()).then_some(now);
     }
 
     /// Gives the write of this event and the messages that nothing holds back any more.
     ///
     /// `last` is the last entry of the log; at most `limit` messages are held back, and the
     /// oldest are dropped as if the network had lost them.
-    pub(super) fn flush(&mut self, last: Index, limit: usize, effects: &mut Vec<Effect>) {
+    pub(super) fn flush(
+        &mut self,
+        now: Time,
+        last: Index,
+        limit: usize,
+        effects: &mut Vec<Effect>,
+    ) {
         if let Some(write) = self.draft.take() {
             let (sequence, appends) = (write.sequence, !write.entries.is_empty());
+            self.waiting.get_or_insert(now);
             self.writes.push_back(Pending { sequence, last, appends });
             effects.push(Effect::Store(write));
         }
--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -312,3 +312,38 @@
         assert_eq!(solo.lease_until(), want.or(before), "{}", case.name);
     }
 }
+
+#[test]
+fn a_leader_whose_disk_stalls_gives_way() {
+    struct Case {
+        name: &'static str,
+        synced: bool,
+        want: Role,
+    }
+    let cases = [
+        Case { name: "a slow disk", synced: true, want: Role::Leader },
+        Case { name: "a disk that stalls", synced: false, want: Role::Follower },
+    ];
+    for case in cases {
+        let mut solo = Solo::leader(&members(&[1, 2, 3], &[]));
+        for ticket in 0..6 {
+            solo.propose(ticket);
+            solo.wait(ELECTION_MS / 4);
+            solo.feed(Event::Timer);
+            solo.acknowledge(1);
+            if case.synced {
+                solo.sync();
+            }
+        }
+        assert_eq!(solo.status().role, case.want, "{}", case.name);
+        // It doesn't stand for election either, until its disk goes on.
+        if !case.synced {
+            solo.take();
+            for _ in 0..8 {
+                solo.wait(ELECTION_MS);
+                solo.feed(Event::Timer);
+            }
+            assert_eq!(solo.sent(), [], "{}", case.name);
+        }
+    }
+}
--- a/lib/tests/consensus/rules.rs
+++ b/lib/tests/consensus/rules.rs
@@ -46,6 +46,8 @@
     ];
     for case in cases {
         let mut solo = Solo::new(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
+        // A member that has just restarted gives no vote at first.
+        solo.wait(ELECTION_MS);
         if let Some(before) = case.before {
             solo.hear(before, 5, Body::Vote { last: Index(9), last_term: Term(4) });
             solo.sync();
@@ -88,6 +90,7 @@
     ];
     for case in cases {
         let mut solo = Solo::new(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
+        solo.wait(ELECTION_MS);
         if let Some(silence) = case.heard {
             solo.hear(3, 2, heartbeat(0, 1));
             solo.wait(silence);
@@ -101,6 +104,32 @@
     }
 }
 
+#[test]
+fn a_member_that_has_restarted_votes_for_nobody_at_first() {
+    struct Case {
+        name: &'static str,
+        after: u64,
+        want: bool,
+    }
+    let cases = [
+        Case { name: "at once", after: 0, want: false },
+        Case { name: "just before", after: ELECTION_MS - 1, want: false },
+        Case { name: "after an election timeout", after: ELECTION_MS, want: true },
+    ];
+    for case in cases {
+        let (last, last_term) = (Index(3), Term(2));
+        let mut solo = Solo::new(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
+        solo.wait(case.after);
+        solo.hear(2, 3, Body::PreVote { last, last_term });
+        let answer = (InstanceId(2), Body::PreVoteAnswer { granted: case.want });
+        assert_eq!(solo.sent(), [answer], "{}: a pre-vote", case.name);
+        solo.hear(2, 5, Body::Vote { last, last_term });
+        solo.sync();
+        let granted = (InstanceId(2), Body::VoteAnswer { granted: true });
+        assert_eq!(solo.sent().contains(&granted), case.want, "{}: a vote", case.name);
+    }
+}
+
 #[test]
 fn a_member_that_is_cut_off_opens_no_term() {
     let mut solo = Solo::new(&members(&[1, 2, 3], &[]), &[1, 1, 2]);
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -35,7 +35,7 @@
     log, notes,
     ring::{Inlet, Outbox, to_runtime, to_thread},
     settings::Settings,
-    storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
+    storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError},
 };
 
 /// Room in the duties' rings.
@@ -50,6 +50,9 @@
 /// How long control waits before it tries again to pass on what found no room.
 const RETRY: Duration = Duration::from_millis(2);
 
+/// How long storage waits before it tries a disk again that refuses writes.
+const DISK_RETRY: Duration = Duration::from_millis(250);
+
 /// The longest wait of control without a deadline.
 const IDLE: Duration = Duration::from_secs(1);
 
@@ -101,9 +104,6 @@
         /// What went wrong.
         source: io::Error,
     },
-    /// The disk failed while the controller ran.
-    #[snafu(display("the disk failed; see the log"))]
-    Disk,
 }
 
 /// What a front asks a controller by.
@@ -199,7 +199,6 @@
     let (storage, storage_end) = to_thread("storage", RING);
     let (links, links_end) = to_runtime("links", RING);
     let (answers, answers_end) = to_runtime("front", RING);
-    let (fault, mut faults) = mpsc::channel(1);
     let outlets = Outlets {
         storage: Outbox::new(&storage),
         links: Outbox::new(&links),
@@ -209,12 +208,10 @@
     spawn("control", move || run_control(&control_end, clock, controller, outlets))
         .context(StartSnafu)?;
     let (stored, disk_log) = (control.clone(), log.clone());
-    spawn("storage", move || {
-        if run_storage(&storage_end, &stored, store, &disk_log) {
-            fault.blocking_send(()).unwrap_or(());
-        }
-    })
-    .context(StartSnafu)?;
+    let (path, fresh) = (folder.clone(), Identity { instance: me.id, created: clock.wall() });
+    let reopen = move || Store::open(Folder::new(&path), fresh, SEGMENT_MAX);
+    spawn("storage", move || run_storage(&storage_end, &stored, store, reopen, &disk_log))
+        .context(StartSnafu)?;
     start_links(me.peer, links_end, control.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
@@ -240,7 +237,6 @@
             tokio::select! {
                 _ = term.recv() => break,
                 _ = reload.recv() => info!(log, "the settings are read again at the next start"),
-                _ = faults.recv() => return DiskSnafu.fail(),
             }
         }
         info!(log, "the controller leaves");
@@ -393,21 +389,32 @@
     }
 }
 
-/// Runs until the ring is closed or the disk fails; whether it failed.
+/// Runs until the ring is closed.
+///
+/// A disk that refuses writes is tried again: the controller goes on as a member that can't vote
+/// meanwhile, and the others lead.
 fn run_storage(
     ring: &Receiver<Write>,
     control: &Inlet<Event>,
-    mut store: Store<Folder>,
+    store: Store<Folder>,
+    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
     log: &Logger,
-) -> bool {
+) {
+    let mut store = Some(store);
     while let Ok(first) = ring.recv() {
         let mut writes = vec![first];
         writes.extend(ring.try_iter().take(WRITES - 1));
-        let sequence = match store.write(&writes) {
-            Ok(sequence) => sequence,
-            Err(error) => {
-                error!(log, "the disk failed; the controller stops"; "error" => %error);
-                return true;
+        let sequence = loop {
+            match write(&mut store, &writes, &reopen) {
+                Ok(sequence) => break sequence,
+                Err(error) => {
+                    if store.is_some() {
+                        error!(log, "the disk fails; it is tried again"; "error" => %error);
+                    }
+                    // The store is opened anew: only that tells what has reached the disk.
+                    store = None;
+                    std::thread::sleep(DISK_RETRY);
+                }
             }
         };
         let mut event = Event::Stored { sequence };
@@ -416,5 +423,33 @@
             std::thread::sleep(RETRY);
         }
     }
-    false
+}
+
+/// Makes a batch durable, after opening the store if a failure has closed it; gives the number of
+/// its last write.
+fn write(
+    store: &mut Option<Store<Folder>>,
+    writes: &[Write],
+    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
+) -> Result<u64, StoreError> {
+    if let Some(open) = store {
+        return open.write(writes);
+    }
+    let opened = reopen()?;
+    let open = store.insert(opened.store);
+    match writes.last() {
+        Some(last) if holds(&opened.recovered, writes) => Ok(last.sequence),
+        Some(_) | None => open.write(writes),
+    }
+}
+
+/// Whether a batch that failed had reached the disk all the same; a batch does so whole or not.
+fn holds(recovered: &Recovered, writes: &[Write]) -> bool {
+    let last = writes.iter().rev().find_map(|write| write.entries.last());
+    last.is_some_and(|last| {
+        recovered
+            .entries
+            .last()
+            .is_some_and(|held| held.index == last.index && held.term == last.term)
+    })
 }
