standin: a stand-in of the platform, and a deployment as real processes in the tests

Workers that heartbeat and keep leases, requesters and operators drive three controllers and a gateway: the whole path with bad input, a leader that is killed, one that is frozen and wakes, and a restart of all with a lost disk.

Found while writing it: an operator's call without a timeout hangs on a frozen controller; the stand-in now moves on after a second, as the platform does.

--- /dev/null
+++ b/cli/tests/deployment/main.rs
@@ -0,0 +1,180 @@
+//! A deployment as real processes, with stand-ins for the platform's workers, requesters and
+//! operators.
+
+use std::{path::Path, time::Duration};
+
+use hickorylink_standin::{
+    cluster::eventually,
+    platform::{
+        Deployment, path,
+        worker::{Record, Worker},
+    },
+};
+use hyper::Method;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use tempfile::TempDir;
+
+/// A generous bound: nothing here is a timed verdict.
+const LIMIT: Duration = Duration::from_secs(60);
+
+struct World {
+    deployment: Deployment,
+    record: Record,
+    _workers: Vec<Worker>,
+    _folder: TempDir,
+}
+
+impl World {
+    async fn start() -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let program = Path::new(env!("CARGO_BIN_EXE_hickorylink"));
+        let deployment = Deployment::start(program, folder.path(), 3, 1).expect("it starts");
+        let record = Record::default();
+        let controllers = deployment.controllers();
+        let names = ["w1", "w2", "w3"];
+        let workers = names.map(|name| Worker::start(name, &controllers, &record));
+        let world = Self { deployment, record, _workers: workers.into(), _folder: folder };
+        let stored = eventually(LIMIT, async || {
+            world.deployment.configure(1).await.filter(|answer| answer.status == 200)
+        });
+        assert!(stored.await.is_some(), "a config is stored\n{}", world.logs());
+        world
+    }
+
+    fn logs(&self) -> String {
+        (0..4).map(|at| format!("--- {at}\n{}", self.deployment.log(at))).collect()
+    }
+
+    async fn submit(&self, ids: std::ops::Range<u64>) {
+        let steps = json!([
+            { "count": 3, "cpu": 500, "memMb": 10, "estimateMs": 200 },
+            { "count": 2, "cpu": 500, "memMb": 10, "estimateMs": 200, "after": [0] },
+        ]);
+        for id in ids {
+            assert!(self.deployment.submit(id, &steps).await, "job {id}\n{}", self.logs());
+        }
+    }
+
+    async fn completed(&self, ids: std::ops::Range<u64>) {
+        for id in ids {
+            let state = eventually(LIMIT, async || {
+                self.deployment.state(id).await.filter(|state| state == "completed")
+            });
+            assert!(state.await.is_some(), "job {id} is completed\n{}", self.logs());
+        }
+    }
+
+    /// Every task was done once, and none ran in two places.
+    fn check(&self, tasks: usize) {
+        assert_eq!(self.record.doubled(), None);
+        let mut done: Vec<_> =
+            self.record.runs().into_iter().filter(|run| run.done).map(|run| run.task).collect();
+        done.sort_unstable();
+        let all = done.len();
+        done.dedup();
+        assert_eq!((all, done.len()), (tasks, tasks), "each task is done once");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_are_carried_out_from_end_to_end() {
+    let world = World::start().await;
+    world.submit(1..9).await;
+    world.completed(1..9).await;
+    world.check(8 * 5);
+
+    struct Case {
+        name: &'static str,
+        method: Method,
+        path: String,
+        body: &'static str,
+        status: u16,
+    }
+    let cases = [
+        Case { name: "no queue", method: Method::GET, path: "/x/".into(), body: "", status: 404 },
+        Case { name: "no job", method: Method::GET, path: path(99), body: "", status: 410 },
+        Case { name: "a count", method: Method::GET, path: "/fold/".into(), body: "", status: 200 },
+        Case { name: "cut short", method: Method::POST, path: path(99), body: "{", status: 400 },
+        Case { name: "the same", method: Method::POST, path: path(1), body: SAME, status: 200 },
+        Case {
+            name: "an end stands",
+            method: Method::DELETE,
+            path: path(1),
+            body: "",
+            status: 200,
+        },
+        Case { name: "a method", method: Method::PATCH, path: path(1), body: "", status: 405 },
+    ];
+    for case in cases {
+        let answer = world.deployment.call(0, case.method, &case.path, case.body).await;
+        assert_eq!(answer.expect("an answer").status, case.status, "{}", case.name);
+    }
+    assert_eq!(world.deployment.state(1).await.as_deref(), Some("completed"));
+    let refused = world.deployment.order(Method::PUT, "{\"version\":9".into()).await;
+    assert_eq!(refused.expect("an answer").status, 400, "a config that is cut short");
+    let held = world.deployment.order(Method::GET, "".into()).await.expect("an answer");
+    assert!(String::from_utf8_lossy(&held.body).contains("\"version\":1"));
+}
+
+const SAME: &str = r#"{"spec":"s","steps":[{"count":1}]}"#;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_that_dies_loses_and_doubles_nothing() {
+    let mut world = World::start().await;
+    world.submit(1..6).await;
+    let leader = world.deployment.leader().expect("one leads");
+    world.deployment.kill(leader).expect("it is killed");
+    world.submit(6..12).await;
+    world.completed(1..12).await;
+    world.deployment.launch(leader).expect("it starts again");
+    world.check(11 * 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_frozen_leader_wakes_and_does_no_harm() {
+    let world = World::start().await;
+    world.submit(1..6).await;
+    let leader = world.deployment.leader().expect("one leads");
+    world.deployment.signal(leader, Signal::SIGSTOP).expect("it freezes");
+    let next = eventually(LIMIT, async || world.deployment.leader().filter(|now| *now != leader));
+    assert!(next.await.is_some(), "another one leads\n{}", world.logs());
+    let stored = eventually(LIMIT, async || world.deployment.configure(2).await);
+    assert!(stored.await.is_some(), "a config is stored meanwhile");
+    world.deployment.signal(leader, Signal::SIGCONT).expect("it wakes");
+    let read = world.deployment.order(Method::GET, "".into()).await;
+    if let Some(held) = read.filter(|answer| answer.status == 200) {
+        let held = String::from_utf8_lossy(&held.body).into_owned();
+        assert!(held.contains("\"version\":2"), "an older version is shown: {held}");
+    }
+    world.submit(6..9).await;
+    world.completed(1..9).await;
+    world.check(8 * 5);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn all_controllers_restart_and_one_has_lost_its_disk() {
+    let mut world = World::start().await;
+    world.submit(1..6).await;
+    world.completed(1..6).await;
+    for at in 0..3 {
+        world.deployment.kill(at).expect("it is killed");
+    }
+    world.deployment.lose_disk(0).expect("its disk is emptied");
+    for at in 0..3 {
+        world.deployment.launch(at).expect("it starts again");
+    }
+    world.submit(6..9).await;
+    world.completed(1..9).await;
+    world.check(8 * 5);
+    // The one without a disk takes part again: another one may be lost now.
+    let back = eventually(LIMIT, async || {
+        let log = world.deployment.log(0);
+        log.contains("\"role\":\"follower\"").then_some(())
+    });
+    assert!(back.await.is_some(), "it votes again\n{}", world.logs());
+    world.deployment.kill(1).expect("it is killed");
+    world.submit(9..12).await;
+    world.completed(9..12).await;
+    world.check(11 * 5);
+}
--- a/standin/src/cluster.rs
+++ b/standin/src/cluster.rs
@@ -36,7 +36,7 @@
 const WORKER_KEY: &str = "workers-demo-key";
 
 /// How often a condition is looked at while it is waited for.
-const LOOK: Duration = Duration::from_millis(50);
+pub(crate) const LOOK: Duration = Duration::from_millis(50);
 
 /// An instance of the system.
 #[derive(Debug)]
@@ -79,7 +79,12 @@
 /// The next port to try; several clusters of a process share it.
 static NEXT_PORT: LazyLock<AtomicU16> = LazyLock::new(|| AtomicU16::new(rand::random_range(PORTS)));
 
-fn free_address() -> io::Result<SocketAddr> {
+/// An address on this machine that nobody listens on.
+///
+/// # Errors
+///
+/// There is none.
+pub fn free_address() -> io::Result<SocketAddr> {
     for _ in PORTS {
         let next = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
         let port = PORTS.start + next % (PORTS.end - PORTS.start);
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod journal;
 pub mod measure;
 pub mod net;
+pub mod platform;
 pub mod relay;
 pub mod worker;
--- a/standin/src/net.rs
+++ b/standin/src/net.rs
@@ -44,6 +44,8 @@
     pub status: u16,
     /// What became of the work, if the answer says so.
     pub outcome: Option<String>,
+    /// Where to ask instead, if the answer says so.
+    pub location: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -85,7 +87,10 @@
     let (mut sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.context(BrokenSnafu)?;
     let connection = tokio::spawn(async move { drop(connection.await) });
-    let mut request = Request::builder().method(method).uri(path).header("host", to.to_string());
+    let mut request = Request::builder().method(method).uri(path);
+    if !headers.iter().any(|(name, _)| *name == "host") {
+        request = request.header("host", to.to_string());
+    }
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
@@ -94,8 +99,10 @@
     let status = response.status().as_u16();
     let outcome = response.headers().get(OUTCOME_HEADER);
     let outcome = outcome.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let location = response.headers().get("location");
+    let location = location.and_then(|value| value.to_str().ok()).map(str::to_owned);
     let body = response.into_body().collect().await.context(BrokenSnafu)?.to_bytes();
     drop(sender);
     connection.abort();
-    Ok(Answer { status, outcome, body })
+    Ok(Answer { status, outcome, location, body })
 }
--- /dev/null
+++ b/standin/src/platform.rs
@@ -0,0 +1,270 @@
+//! A stand-in for the users' platform: a deployment's processes, its workers, and calls of its
+//! requesters and operators.
+
+use std::{
+    fs::{self, File},
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use hyper::Method;
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+use serde_json::{Value, json};
+use tokio::time::timeout;
+
+use crate::{
+    cluster::free_address,
+    net::{self, Answer, CallError},
+};
+
+pub mod worker;
+
+/// The host by which requesters address the deployment.
+pub const HOST: &str = "desk.example";
+
+/// The service of the stand-in workers.
+pub const SERVICE: &str = "desk";
+
+/// How long an operator waits for an answer before it asks another controller.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// A deployment: controllers first, then gateways.
+#[derive(Debug)]
+pub struct Deployment {
+    program: PathBuf,
+    folder: PathBuf,
+    controllers: usize,
+    members: Vec<Member>,
+}
+
+#[derive(Debug)]
+struct Member {
+    listen: SocketAddr,
+    child: Option<Child>,
+}
+
+impl Deployment {
+    /// Starts controllers and gateways, each at an address of its own on the loopback network.
+    ///
+    /// # Errors
+    ///
+    /// A file can't be written or a process can't be started.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        controllers: usize,
+        gateways: usize,
+    ) -> io::Result<Self> {
+        let (port, peer_port) = (free_address()?.port(), free_address()?.port());
+        let host = |at: usize| Ipv4Addr::new(127, 0, 1, u8::try_from(at + 1).unwrap_or(u8::MAX));
+        let members: Vec<_> = (0..controllers + gateways)
+            .map(|at| Member { listen: (IpAddr::V4(host(at)), port).into(), child: None })
+            .collect();
+        let mut deployment =
+            Self { program: program.to_owned(), folder: folder.to_owned(), controllers, members };
+        for at in 0..controllers + gateways {
+            deployment.write_settings(at, peer_port, true)?;
+            deployment.launch(at)?;
+        }
+        Ok(deployment)
+    }
+
+    fn write_settings(&self, at: usize, peer_port: u16, founding: bool) -> io::Result<()> {
+        let seeds: Vec<_> = self.controllers().iter().map(ToString::to_string).collect();
+        let mut settings = json!({
+            "name": format!("member-{at}"),
+            "centre": format!("centre-{}", at % 3),
+            "listen": self.members[at].listen.to_string(),
+            "seeds": seeds,
+            "peer_port": peer_port,
+        });
+        if at < self.controllers {
+            settings["founding"] = founding.into();
+            settings["data"] = self.data(at).display().to_string().into();
+        }
+        fs::write(self.settings(at), settings.to_string())
+    }
+
+    fn settings(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("{at}.jsonc"))
+    }
+
+    fn data(&self, at: usize) -> PathBuf {
+        self.folder.join(format!("data-{at}"))
+    }
+
+    /// Starts a member that doesn't run.
+    ///
+    /// # Errors
+    ///
+    /// The process can't be started.
+    pub fn launch(&mut self, at: usize) -> io::Result<()> {
+        let role = if at < self.controllers { "controller" } else { "gateway" };
+        let path = self.folder.join(format!("{at}.log"));
+        let log = File::options().create(true).append(true).open(path)?;
+        let child = Command::new(&self.program)
+            .args([role, "--settings"])
+            .arg(self.settings(at))
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.members[at].child = Some(child);
+        Ok(())
+    }
+
+    /// Ends a member at once, as a crash would.
+    ///
+    /// # Errors
+    ///
+    /// It can't be ended.
+    pub fn kill(&mut self, at: usize) -> io::Result<()> {
+        if let Some(mut child) = self.members[at].child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        Ok(())
+    }
+
+    /// Sends a member a signal.
+    ///
+    /// # Errors
+    ///
+    /// It doesn't run.
+    pub fn signal(&self, at: usize, signal: Signal) -> io::Result<()> {
+        let child = self.members[at].child.as_ref().ok_or(io::ErrorKind::NotFound)?;
+        let id = i32::try_from(child.id()).map_err(io::Error::other)?;
+        kill(Pid::from_raw(id), signal).map_err(io::Error::from)
+    }
+
+    /// Empties the disk of a controller that doesn't run; it starts as one of a deployment that
+    /// exists.
+    ///
+    /// # Errors
+    ///
+    /// Its folder can't be removed or its settings can't be written.
+    pub fn lose_disk(&self, at: usize) -> io::Result<()> {
+        fs::remove_dir_all(self.data(at))?;
+        let text = fs::read_to_string(self.settings(at))?;
+        fs::write(self.settings(at), text.replace("\"founding\":true", "\"founding\":false"))
+    }
+
+    /// What a member logged.
+    pub fn log(&self, at: usize) -> String {
+        fs::read_to_string(self.folder.join(format!("{at}.log"))).unwrap_or_default()
+    }
+
+    /// The controller that led last by what the controllers logged.
+    pub fn leader(&self) -> Option<usize> {
+        let epochs = (0..self.controllers).filter_map(|at| {
+            let log = self.log(at);
+            let lines = log.lines().filter(|line| line.contains("this controller leads"));
+            let epochs = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+            Some((epochs.filter_map(|line| line["epoch"].as_u64()).max()?, at))
+        });
+        epochs.max().map(|(_, at)| at)
+    }
+
+    /// Where the controllers serve workers and operators.
+    pub fn controllers(&self) -> Vec<SocketAddr> {
+        self.members[..self.controllers].iter().map(|member| member.listen).collect()
+    }
+
+    /// Puts a config in force: one queue at `/fold/`; gives the first clear answer.
+    pub async fn configure(&self, version: u64) -> Option<Answer> {
+        let config = json!({
+            "version": version,
+            "routes": [{
+                "name": "fold", "host": HOST, "pathPrefix": "/fold/", "kind": "unsafe",
+                "timeoutMs": 3000, "targetLatencyMs": 1000, "priority": 0,
+                "service": SERVICE, "maxAttempts": 4, "slackFactor": 2.0,
+            }],
+            "services": [{ "name": SERVICE, "rejectsOverload": true }],
+        });
+        self.order(Method::PUT, config.to_string().into()).await
+    }
+
+    /// An operator's call about the config, to all controllers in turn until one answers clearly.
+    pub async fn order(&self, method: Method, body: Bytes) -> Option<Answer> {
+        for at in self.controllers() {
+            let mut to = at;
+            for _ in 0..3 {
+                let path = "/hickorylink/config";
+                let sent = net::send(to, method.clone(), path, &[], body.clone());
+                let Ok(Ok(answer)) = timeout(PATIENCE, sent).await else { break };
+                match answer.status {
+                    307 => match answer.location.as_deref().and_then(address_of) {
+                        Some(next) => to = next,
+                        None => break,
+                    },
+                    200..=499 => return Some(answer),
+                    _ => break,
+                }
+            }
+        }
+        None
+    }
+
+    /// A requester's call through a gateway.
+    ///
+    /// # Errors
+    ///
+    /// No whole answer came.
+    pub async fn call(
+        &self,
+        gateway: usize,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Result<Answer, CallError> {
+        let to = self.members[self.controllers + gateway].listen;
+        net::send(to, method, path, &[("host", HOST)], Bytes::from(body.to_owned())).await
+    }
+
+    /// Submits a job of these steps, again until there is a clear answer; whether it was accepted.
+    pub async fn submit(&self, id: u64, steps: &Value) -> bool {
+        let body = json!({ "spec": "stand-in", "steps": steps }).to_string();
+        for _ in 0..100 {
+            match self.call(0, Method::POST, &path(id), &body).await {
+                Ok(answer) if answer.status == 200 => return true,
+                Ok(answer) if (400..500).contains(&answer.status) => return false,
+                Ok(_) | Err(_) => tokio::time::sleep(crate::cluster::LOOK).await,
+            }
+        }
+        false
+    }
+
+    /// The state of a job, if it could be learned.
+    pub async fn state(&self, id: u64) -> Option<String> {
+        let answer = self.call(0, Method::GET, &path(id), "").await.ok()?;
+        let body: Value = serde_json::from_slice(&answer.body).ok()?;
+        body["state"].as_str().map(str::to_owned)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for at in 0..self.members.len() {
+            // A child that has ended can't be ended again, which is as well.
+            drop(self.kill(at));
+        }
+    }
+}
+
+/// Where a job is addressed.
+pub fn path(id: u64) -> String {
+    format!("/fold/{id:016x}")
+}
+
+/// The address in a redirect's target.
+pub fn address_of(location: &str) -> Option<SocketAddr> {
+    let rest = location.strip_prefix("http://")?;
+    rest.split('/').next()?.parse().ok()
+}
