--- a/lib/src/jobs/life.rs
+++ b/lib/src/jobs/life.rs
@@ -47,8 +47,10 @@
     }
 
     /// Where a task stands.
+    #[derive(Default)]
     pub enum TaskPhase {
         /// It has no run.
+        #[default]
         Waiting = "waiting",
         /// A run was recorded; it may be running.
         Running = "running",
--- a/lib/src/jobs/link.rs
+++ b/lib/src/jobs/link.rs
@@ -1,6 +1,6 @@
 //! Messages between the instances of a deployment.
 
-use std::net::SocketAddr;
+use core::net::SocketAddr;
 
 use crate::{
     consensus::message::Message,
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -1,6 +1,6 @@
 //! What the controllers' log is made of.
 
-use std::net::SocketAddr;
+use core::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -95,12 +95,6 @@
     }
 }
 
-impl Default for TaskPhase {
-    fn default() -> Self {
-        Self::Waiting
-    }
-}
-
 /// What a record brought about, for the controller that leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
--- a/lib/tests/jobs/properties.rs
+++ b/lib/tests/jobs/properties.rs
@@ -56,7 +56,7 @@
     }
 }
 
-fn run(happenings: &[Happening]) -> Result<(), String> {
+fn run(happenings: Vec<Happening>) -> Result<(), String> {
     let mut world = World::new();
     let job = world.submit(7, vec![step(3), Step { after: vec![0], ..step(2) }]);
     let mut workers: Vec<Leased> = (0..WORKERS)
@@ -64,7 +64,7 @@
         .collect();
     let mut done: BTreeMap<TaskKey, Run> = BTreeMap::new();
     for happening in happenings {
-        match *happening {
+        match happening {
             Happening::Pass(millis) => {
                 world.pass(Duration::from_millis(millis.into()));
                 let now = world.now;
@@ -131,7 +131,7 @@
 #[test]
 fn a_task_never_runs_in_two_places() {
     fn property(happenings: Vec<Happening>) -> Result<(), String> {
-        run(&happenings)
+        run(happenings)
     }
     QuickCheck::new().tests(150).quickcheck(property as fn(Vec<Happening>) -> Result<(), String>);
 }
@@ -143,8 +143,8 @@
         world.submit(7, vec![step(3), Step { after: vec![0], ..step(2) }]);
         let mut workers: Vec<_> =
             (0..WORKERS).map(|at| FakeWorker::new(&format!("w{at}"))).collect();
-        for happening in happenings.iter().take(30) {
-            match *happening {
+        for happening in happenings.into_iter().take(30) {
+            match happening {
                 Happening::Beat(at) => drop(world.beat(&mut workers[at])),
                 Happening::Crash(at) => workers[at] = workers[at].reborn(),
                 Happening::Deaf(at) => {
