jobs: least work first among what can be in time; late jobs take the best place there is

Ruled out: a leak of reservations; the tasks were ready, and workers with room were asked.

Tests seen failing first: an_image_that_harms_everywhere_starves_no_job; the_least_work_goes_first_among_what_can_be_in_time brings about the order.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -4,7 +4,7 @@
     jobs::{
         controller::{
             Effect, Note,
-            lead::{Lead, Turn},
+            lead::{Lead, Outlook, Turn},
         },
         fleet::RunView,
         life::TaskPhase,
@@ -76,13 +76,14 @@
         if step.traits.gang {
             return self.place_gang(now, &key, step, &service, &waiting);
         }
+        let outlook = self.ranks.get(&key).map_or(Outlook::InTime, |rank| rank.outlook);
         let mut started = 0;
         let mut last = None;
         for index in &waiting {
             let task = key.task(*index);
             let avoid = self.failed.get(&task).map_or(&[][..], Vec::as_slice);
             let pressure = &self.pressure;
-            let request = Request { service: &service, step, key, avoid, pressure };
+            let request = Request { service: &service, step, key, avoid, pressure, outlook };
             let Some(number) = choose(&self.fleet, now, Reach::Open, &request) else { break };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
@@ -128,7 +129,8 @@
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in waiting {
             let pressure = &self.pressure;
-            let request = Request { service, step, key: *key, avoid: &[], pressure };
+            let outlook = Outlook::InTime;
+            let request = Request { service, step, key: *key, avoid: &[], pressure, outlook };
             let Some(number) = choose(&self.fleet, now, Reach::Live, &request) else { break };
             let task = key.task(*index);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -3,6 +3,7 @@
 use crate::{
     ids::ServiceName,
     jobs::{
+        controller::lead::Outlook,
         fleet::{Fleet, Worker},
         model::{Step, StepKey, WorkerNumber},
         pace::Pressure,
@@ -13,7 +14,9 @@
 /// The part of its wish that a filling task must find unused, in percent.
 const FILL_SHARE: u64 = 80;
 
-/// The share of its speed that a filling task must be able to work at, from 0 to 1.
+/// The share of its speed that a filling task must be able to work at, from 0 to 1, while its job
+/// can still be in time. After that it takes the best place that there is, so that no image
+/// starves because it harms its neighbours everywhere.
 const FILL_PACE: f64 = 0.85;
 
 /// What it costs to fill beside tasks that would bear no more, in thousandths of a processor.
@@ -41,6 +44,8 @@
     pub avoid: &'a [WorkerNumber],
     /// How images disturb each other.
     pub pressure: &'a Pressure,
+    /// Whether its job can still be in time.
+    pub outlook: Outlook,
 }
 
 /// Which workers are looked at.
@@ -104,7 +109,7 @@
             return None;
         }
         let room = request.pressure.room(worker, step.image.as_ref(), wish);
-        if room < FILL_PACE {
+        if request.outlook == Outlook::InTime && room < FILL_PACE {
             return None;
         }
         return Some(remote + load + ((1.0 - room) * HARM_COST) as u64);
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -95,6 +95,18 @@
     }
 }
 
+/// What is left to do of an occurrence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// The duration of the longest chain of steps that aren't done, in milliseconds.
+    pub chain: u64,
+    /// The work of all tasks that aren't done, in milliseconds of a processor.
+    pub work: u64,
+}
+
+/// Thousandths in a processor.
+const MILLICORES: u64 = 1000;
+
 /// What a record brought about, for the controller that leads.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -436,6 +448,22 @@
         self.progress(key).is_some_and(|progress| progress.done >= count)
     }
 
+    /// What is left to do of an occurrence, by the customer's estimates.
+    pub fn left(&self, round: u32) -> Left {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        let mut work = 0;
+        for (at, step) in self.spec.steps.iter().enumerate() {
+            let progress = self.rounds.get(&round).and_then(|round| round.steps.get(at));
+            let done = progress.map_or(0, |progress| progress.done);
+            let tasks = u64::from(step.count.saturating_sub(done));
+            let begin = step.after.iter().filter_map(|at| ends.get(usize::from(*at))).max();
+            let own = if tasks > 0 { step.estimate } else { 0 };
+            ends.push(begin.copied().unwrap_or(0) + own);
+            work += tasks * step.estimate * step.needs.millicores / MILLICORES;
+        }
+        Left { chain: ends.into_iter().max().unwrap_or(0), work }
+    }
+
     /// Whether all steps before this one are done, and it has tasks without a run.
     pub fn is_ready(&self, key: &StepKey) -> bool {
         let Some(step) = self.spec.steps.get(usize::from(key.step)) else { return false };
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -5,14 +5,16 @@
 use hickorylink_lib::{
     ids::Incarnation,
     jobs::{
-        fleet::{FULL_PACE, RunView, Worker},
-        model::{Image, JobId, Run, Step, TaskKey, Traits},
+        controller::lead::Outlook,
+        fleet::{FULL_PACE, Fleet, RunView, Worker},
+        model::{Image, JobId, Run, Step, TaskKey, Traits, WorkerNumber},
         pace::{Pressure, adjust, move_paused},
+        place::{Reach, Request, choose},
     },
     time::Time,
 };
 
-use crate::world::{step, task};
+use crate::world::{FakeWorker, step, task};
 
 const TARGET: u64 = 150;
 
@@ -116,3 +118,40 @@
     }
     assert_eq!(worker.runs[&fills].pace, FULL_PACE);
 }
+
+#[test]
+fn an_image_that_harms_everywhere_starves_no_job() {
+    struct Case {
+        name: &'static str,
+        image: &'static str,
+        outlook: Outlook,
+        want: bool,
+    }
+    let cases = [
+        Case { name: "harmless", image: "harmless", outlook: Outlook::InTime, want: true },
+        Case { name: "harmful", image: "harmful", outlook: Outlook::InTime, want: false },
+        Case { name: "harmful and late", image: "harmful", outlook: Outlook::Late, want: true },
+        Case { name: "overdue", image: "harmful", outlook: Outlook::Overdue, want: true },
+    ];
+    let pressure = learned();
+    for case in cases {
+        let now = Time::from_millis(30_000);
+        let (mut worker, serve, fills) = worker("harmless");
+        report(&mut worker, &serve, 140, &fills, 1000);
+        worker.describe(now, &FakeWorker::new("w1").report());
+        let mut fleet = Fleet::default();
+        fleet.insert(WorkerNumber(1), worker);
+        let service = "desk".into();
+        let step = filling(case.image);
+        let request = Request {
+            service: &service,
+            step: &step,
+            key: task(JobId(3), 0, 0).step_key(),
+            avoid: &[],
+            pressure: &pressure,
+            outlook: case.outlook,
+        };
+        let place = choose(&fleet, now, Reach::Live, &request);
+        assert_eq!(place.is_some(), case.want, "{}", case.name);
+    }
+}
--- a/lib/tests/jobs/steps.rs
+++ b/lib/tests/jobs/steps.rs
@@ -1,5 +1,7 @@
 //! What the options of steps come to.
 
+use std::time::Duration;
+
 use hickorylink_lib::jobs::{
     life::JobPhase,
     model::{Run, Step, Traits},
@@ -139,3 +141,35 @@
     assert_eq!(worker.started.last(), Some(&(task(job, 0, 0), Run(7))));
     assert_eq!(world.phase(7), JobPhase::Active);
 }
+
+#[test]
+fn the_least_work_goes_first_among_what_can_be_in_time() {
+    struct Case {
+        name: &'static str,
+        wait: Duration,
+    }
+    let cases = [
+        Case { name: "both in time", wait: Duration::ZERO },
+        // The large job is late by then, and the small one isn't.
+        Case { name: "the large one late", wait: Duration::from_secs(4) },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let large = world.submit(1, vec![step(8)]);
+        world.pass(case.wait);
+        let small = world.submit(2, vec![step(2)]);
+        let mut worker = FakeWorker::new("w1");
+        world.beat(&mut worker);
+        let count = |job| worker.running.keys().filter(|task| task.job == job).count();
+        assert_eq!((count(small), count(large)), (2, 2), "{}", case.name);
+    }
+    // What is late waits for what isn't, however little work it is.
+    let mut world = World::new();
+    let late = world.submit(1, vec![step(1)]);
+    world.pass(Duration::from_secs(4));
+    let timely = world.submit(2, vec![step(4)]);
+    let mut worker = FakeWorker::new("w1");
+    world.beat(&mut worker);
+    let first = worker.running.keys().all(|task| task.job == timely);
+    assert!(first && !worker.running.keys().any(|task| task.job == late));
+}
