jobs: hear the last ends of a worker that leaves; split what grew

Ruled out: the lease (it had 1.5 s and more left), a change of leader (none near), a worker born again.

Change: a farewell's list of ends counts before the worker is given up; a worker that is leaving is never held, and one with runs past their estimates for 250 ms at most. Moves without a change of behaviour: the controller's port and settings, the progress of jobs, and the storage duty have files of their own.

Tests seen failing first: the_last_ends_of_a_worker_that_leaves_count, a_worker_that_leaves_is_never_held.

--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -17,6 +17,7 @@
 pub mod orders;
 pub mod pace;
 pub mod place;
+pub mod progress;
 pub mod record;
 pub mod report;
 pub mod state;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -16,19 +16,16 @@
     consensus::{
         Consensus,
         chart::Role,
-        log::{Entry, Members, Payload, Recovered, Snapshot, Write},
-        message::Message,
+        log::{Entry, Members, Payload, Recovered, Snapshot},
         port as consensus,
     },
-    ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
+    ids::{Epoch, Index, InstanceId},
     jobs::{
-        call::{Call, Order, OrderReply, Reply},
+        call::{OrderReply, Reply},
         controller::lead::Lead,
         link::{LinkMessage, Standing},
-        members::Keeper,
-        orders::Orders,
-        record::{Batch, Node, Record},
-        report::Report,
+        members::{Keeper, introduced},
+        record::{Batch, Node},
         state::State,
     },
     time::{Time, WallTime, earliest},
@@ -36,250 +33,20 @@
 
 mod calls;
 mod compose;
+pub mod config;
 mod heartbeat;
 pub mod lead;
+pub mod port;
 mod schedule;
 
+pub use self::{
+    config::{Config, Timing},
+    port::{Answer, Effect, Event, Note, Ticket},
+};
+
 /// How often a controller introduces itself to the others.
 const HELLO: Duration = Duration::from_secs(1);
 
-/// What a controller is told at its start.
-#[derive(Clone, Debug)]
-pub struct Config {
-    /// This controller.
-    pub me: Node,
-    /// Controllers to call first: their addresses for other instances.
-    pub seeds: Vec<SocketAddr>,
-    /// The first voters of a deployment that starts for the first time; empty otherwise.
-    pub founders: Vec<(InstanceId, SocketAddr)>,
-    /// How many voters are aimed at.
-    pub voters: usize,
-    /// How many entries are applied between two snapshots.
-    pub compact: u64,
-    /// The times that the leader works with.
-    pub timing: Timing,
-    /// Settings of the agreement.
-    pub consensus: consensus::Config,
-    /// Seeds what is drawn at random.
-    pub seed: u64,
-}
-
-/// The times that a leader works with.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// How long runs may go on without a heartbeat that is answered.
-    pub lease: Duration,
-    /// What a worker's slow clock and a late timer may add to a lease.
-    pub lease_margin: Duration,
-    /// How long a heartbeat is held open at most.
-    pub hold: Duration,
-    /// How long the states of jobs that have ended are kept.
-    pub retain: Duration,
-}
-
-/// Who waits for an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Ticket {
-    /// A request to this controller.
-    Front(u64),
-    /// A call that came over a connection from another instance.
-    Link {
-        /// The connection.
-        connection: u64,
-        /// The call.
-        number: u64,
-    },
-}
-
-/// Something that happened.
-#[derive(Debug)]
-pub enum Event {
-    /// The deadline that was asked for has come.
-    Timer,
-    /// Another controller introduced itself.
-    Hello(Node),
-    /// A message of the agreement.
-    Consensus {
-        /// The sender.
-        from: InstanceId,
-        /// The message.
-        message: Message,
-    },
-    /// Storage synced all writes up to this one.
-    Stored {
-        /// The number of the last synced write.
-        sequence: u64,
-    },
-    /// A customer's call.
-    Call {
-        /// Who waits.
-        ticket: Ticket,
-        /// The call.
-        call: Call,
-    },
-    /// An operator's order.
-    Order {
-        /// Who waits.
-        ticket: Ticket,
-        /// The order.
-        order: Order,
-    },
-    /// A worker's heartbeat.
-    Heartbeat {
-        /// Who waits.
-        ticket: Ticket,
-        /// What it says.
-        report: Box<Report>,
-    },
-    /// A worker is gone by its own word.
-    Leave {
-        /// Who waits.
-        ticket: Ticket,
-        /// The worker.
-        name: WorkerName,
-        /// Its incarnation, if it was said.
-        born: Option<Incarnation>,
-    },
-    /// A gateway asks how this controller stands.
-    Probe {
-        /// Who waits.
-        ticket: Ticket,
-    },
-}
-
-/// What somebody is told.
-#[derive(Clone, Debug)]
-pub enum Answer {
-    /// To a customer's call.
-    Reply(Reply),
-    /// To an operator's order.
-    Order(OrderReply),
-    /// To a heartbeat.
-    Orders(Orders),
-    /// To a heartbeat that changes nothing, or to a worker that left.
-    Noted,
-    /// Another controller leads, perhaps.
-    Elsewhere(Option<Node>),
-    /// To a gateway's probe.
-    Standing(Standing),
-}
-
-/// Something to do.
-#[derive(Debug)]
-pub enum Effect {
-    /// Send a message; it may be lost.
-    Send {
-        /// The addressee.
-        to: SocketAddr,
-        /// The message.
-        message: LinkMessage,
-    },
-    /// Make a write durable and answer with [`Event::Stored`].
-    Store(Write),
-    /// Tell who waits.
-    Answer {
-        /// Who.
-        ticket: Ticket,
-        /// What.
-        answer: Answer,
-        /// After this time the answer must not leave any more: another controller may lead.
-        until: Option<Time>,
-    },
-    /// Write a line to the log.
-    Note(Note),
-}
-
-/// A line for the log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Note {
-    /// The role in the agreement changed.
-    Role {
-        /// The role now.
-        role: Role,
-        /// The term.
-        term: Term,
-        /// The leader, if it is known.
-        leader: Option<InstanceId>,
-    },
-    /// This controller begins to lead.
-    Leading {
-        /// The fencing token.
-        epoch: Epoch,
-        /// Jobs that go on.
-        jobs: usize,
-        /// Runs whose workers must be heard or waited out.
-        runs: usize,
-    },
-    /// A configuration is in force.
-    Configured {
-        /// Its version.
-        version: u64,
-        /// How many queues it has.
-        queues: usize,
-    },
-    /// A job was accepted, has ended or was refused.
-    Job {
-        /// Its number.
-        id: String,
-        /// What became of it.
-        what: &'static str,
-        /// Its queue.
-        queue: String,
-        /// Milliseconds since it was accepted.
-        age_ms: u64,
-    },
-    /// Tasks of a step were started.
-    Started {
-        /// The step.
-        step: String,
-        /// How many.
-        tasks: u32,
-        /// How many of its tasks still wait.
-        waiting: u32,
-        /// The last worker chosen.
-        worker: String,
-    },
-    /// A run ended otherwise than as done.
-    Ended {
-        /// The task.
-        task: String,
-        /// The run.
-        run: u32,
-        /// How.
-        ending: &'static str,
-        /// The worker.
-        worker: String,
-    },
-    /// A worker was heard first, is leaving or is lost.
-    Worker {
-        /// Its name.
-        name: String,
-        /// What became of it.
-        what: &'static str,
-        /// Milliseconds since it was heard.
-        silent_ms: u64,
-        /// Runs there.
-        runs: usize,
-    },
-    /// The members of the agreement change.
-    Members {
-        /// How.
-        change: String,
-    },
-    /// An entry or a snapshot can't be read.
-    Unreadable {
-        /// Its position.
-        index: Index,
-        /// Why.
-        reason: String,
-    },
-    /// The agreement's chart has no rule for what happened.
-    Unhandled {
-        /// What.
-        reason: String,
-    },
-}
-
 /// Answers that wait for a proposal to be committed.
 #[derive(Debug)]
 struct Waiting {
@@ -287,30 +54,6 @@
     answers: Vec<(Ticket, Answer)>,
 }
 
-/// Where the controllers are that recovered entries introduce.
-///
-/// Until a leader tells how far they are committed, these entries can't be applied; but without
-/// the addresses in them no leader could be elected once all controllers have restarted.
-fn introduced(entries: &[Entry]) -> BTreeMap<InstanceId, SocketAddr> {
-    let batches = entries.iter().filter_map(|entry| match &entry.payload {
-        Payload::Command(bytes) => postcard::from_bytes::<Batch>(bytes).ok(),
-        Payload::Empty | Payload::Members(_) => None,
-    });
-    let records = batches.flat_map(|batch| batch.records);
-    let nodes = records.filter_map(|record| match record {
-        Record::Node(node) => Some((node.id, node.peer)),
-        Record::Configure(_)
-        | Record::Submit { .. }
-        | Record::Cancel { .. }
-        | Record::Worker { .. }
-        | Record::Gone { .. }
-        | Record::Start { .. }
-        | Record::End { .. }
-        | Record::Forget { .. } => None,
-    });
-    nodes.collect()
-}
-
 /// One controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -440,10 +183,10 @@
                     Some(_) | None => self.refer(ticket, out),
                 }
             }
-            Event::Leave { ticket, name, born } => {
+            Event::Leave { ticket, name, born, ended } => {
                 let leads = self.leads(now);
                 match &mut self.lead {
-                    Some(lead) if leads => lead.leave(now, ticket, &name, born),
+                    Some(lead) if leads => lead.leave(now, ticket, (&name, born), &ended),
                     Some(_) | None => self.refer(ticket, out),
                 }
             }
--- a/lib/src/jobs/controller/compose.rs
+++ b/lib/src/jobs/controller/compose.rs
@@ -22,6 +22,10 @@
 /// The time after which a worker with room sends its next heartbeat.
 const AGAIN_SOON: Duration = Duration::from_millis(25);
 
+/// The time after which a worker that is leaving sends its next heartbeat: what ends there must be
+/// heard before it is gone.
+const AGAIN_LEAVING: Duration = Duration::from_millis(200);
+
 /// A run that is expected to end within this time keeps a heartbeat from being held: the worker
 /// reports the end with its next one.
 const END_NEAR: Duration = Duration::from_millis(120);
@@ -30,6 +34,9 @@
 /// its next figures tell whether the paces are right.
 const HOLD_MIXED: Duration = Duration::from_millis(300);
 
+/// How long a heartbeat is held at most while a run is past its estimate: it may end any time.
+const HOLD_OVERDUE: Duration = Duration::from_millis(250);
+
 /// Less free than this part of a worker's processors, and it counts as full, in percent.
 const ROOM: u64 = 5;
 
@@ -42,7 +49,11 @@
         } else {
             self.timing.hold
         };
+        if worker.profile.as_ref().is_some_and(|profile| profile.leaves.is_some()) {
+            return Duration::ZERO;
+        }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
+        let most = if ends.clone().any(|end| end <= now) { most.min(HOLD_OVERDUE) } else { most };
         let Some(next) = ends.filter(|end| *end > now).min() else {
             return most;
         };
@@ -110,6 +121,9 @@
 
 /// When the worker should send its next heartbeat.
 fn again(worker: &Worker, now: Time) -> Duration {
+    if worker.profile.as_ref().is_some_and(|profile| profile.leaves.is_some()) {
+        return AGAIN_LEAVING;
+    }
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
     let unused = worker.unused();
     if worker.serving > 0 && worker.wished > 0 {
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -100,7 +100,8 @@
         !open || self.state.task(task).is_some_and(|held| held.phase == TaskPhase::Done)
     }
 
-    fn take_end(&mut self, now: Time, number: WorkerNumber, ended: &Ended) {
+    /// Takes a run's end in, once.
+    pub(super) fn take_end(&mut self, now: Time, number: WorkerNumber, ended: &Ended) {
         let current = self.is_current(number, &ended.task, ended.run);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         if ended.number <= worker.ended {
--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -15,6 +15,7 @@
         model::{JobId, StepKey, TaskKey, WorkerNumber},
         pace::Pressure,
         record::{Node, Record},
+        report::Ended,
         state::{Change, Job, State},
     },
     time::{Time, WallTime, earliest},
@@ -363,19 +364,22 @@
         self.unsettled = true;
     }
 
-    /// A worker is gone by its own word.
+    /// A worker is gone by its own word; what it still says of ends counts.
     pub(super) fn leave(
         &mut self,
         now: Time,
         ticket: Ticket,
-        name: &WorkerName,
-        born: Option<Incarnation>,
+        (name, born): (&WorkerName, Option<Incarnation>),
+        ended: &[Ended],
     ) {
         let number = self.fleet.find(name).filter(|number| {
             let worker = self.fleet.workers.get(number);
             worker.is_some_and(|worker| born.is_none_or(|born| born == worker.born))
         });
         if let Some(number) = number {
+            for ended in ended {
+                self.take_end(now, number, ended);
+            }
             self.lose(now, number, "left");
         }
         self.answers.push((ticket, Answer::Noted));
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -1,11 +1,14 @@
 //! Who of the controllers votes: the leader brings in those that introduce themselves.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use crate::{
-    consensus::port::{Event, Status},
+    consensus::{
+        log::{Entry, Payload},
+        port::{Event, Status},
+    },
     ids::{DataCentre, InstanceId},
-    jobs::record::Node,
+    jobs::record::{Batch, Node, Record},
     time::Time,
 };
 
@@ -95,3 +98,27 @@
         Some(Event::Promote { instance: best.id })
     }
 }
+
+/// Where the controllers are that recovered entries introduce.
+///
+/// Until a leader tells how far they are committed, these entries can't be applied; but without
+/// the addresses in them no leader could be elected once all controllers have restarted.
+pub fn introduced(entries: &[Entry]) -> BTreeMap<InstanceId, SocketAddr> {
+    let batches = entries.iter().filter_map(|entry| match &entry.payload {
+        Payload::Command(bytes) => postcard::from_bytes::<Batch>(bytes).ok(),
+        Payload::Empty | Payload::Members(_) => None,
+    });
+    let records = batches.flat_map(|batch| batch.records);
+    let nodes = records.filter_map(|record| match record {
+        Record::Node(node) => Some((node.id, node.peer)),
+        Record::Configure(_)
+        | Record::Submit { .. }
+        | Record::Cancel { .. }
+        | Record::Worker { .. }
+        | Record::Gone { .. }
+        | Record::Start { .. }
+        | Record::End { .. }
+        | Record::Forget { .. } => None,
+    });
+    nodes.collect()
+}
--- /dev/null
+++ b/lib/src/jobs/progress.rs
@@ -0,0 +1,148 @@
+//! How far jobs, steps and tasks are, as their charts say.
+
+use crate::jobs::{
+    life::{JOB_CHART, JobEvent, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase},
+    model::{JobId, Run, Step, StepKey, TaskKey, WorkerNumber},
+    state::{Job, Progress, Round, Task},
+};
+
+/// What is left to do of an occurrence.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// The duration of the longest chain of steps that aren't done, in milliseconds.
+    pub chain: u64,
+    /// The work of all tasks that aren't done, in milliseconds of a processor.
+    pub work: u64,
+}
+
+/// Thousandths in a processor.
+const MILLICORES: u64 = 1000;
+
+/// What a record says about a task.
+pub(super) struct Input<'a> {
+    pub(super) event: TaskEvent,
+    pub(super) run: Run,
+    pub(super) worker: WorkerNumber,
+    pub(super) checkpoint: &'a str,
+}
+
+impl Task {
+    /// Takes a step of the chart; whether the phase changed.
+    pub(super) fn step_chart(&mut self, input: &Input<'_>) -> bool {
+        let holds = |guard| match guard {
+            TaskGuard::NextRun => input.run > self.run,
+            TaskGuard::CurrentRun => input.run == self.run,
+        };
+        let step = TASK_CHART.step(self.phase, input.event, holds);
+        let step = step.expect("the chart handles every event in every state");
+        let moved = step.to != self.phase;
+        for action in step.actions {
+            match action {
+                TaskAction::RecordStart => (self.run, self.worker) = (input.run, input.worker),
+                TaskAction::KeepCheckpoint if input.checkpoint.is_empty() => {}
+                TaskAction::KeepCheckpoint => self.checkpoint = input.checkpoint.into(),
+                TaskAction::CountFailure => self.failed += 1,
+                TaskAction::CountDone => self.checkpoint = Box::default(),
+            }
+        }
+        self.phase = step.to;
+        moved
+    }
+}
+
+impl Progress {
+    pub(super) fn new(step: &Step) -> Self {
+        let tasks = vec![Task::default(); usize::try_from(step.count).unwrap_or(0)];
+        Self { tasks, done: 0 }
+    }
+
+    /// Ends the runs on a worker that is gone; whether there were any.
+    pub(super) fn lose(&mut self, worker: WorkerNumber) -> bool {
+        let mut any = false;
+        for task in &mut self.tasks {
+            if task.phase == TaskPhase::Running && task.worker == worker {
+                let (event, run) = (TaskEvent::Interrupted, task.run);
+                any |= task.step_chart(&Input { event, run, worker, checkpoint: "" });
+            }
+        }
+        any
+    }
+}
+
+impl Job {
+    pub(super) fn step_chart(&mut self, event: JobEvent) {
+        let step = JOB_CHART.step(self.phase, event, |_| true);
+        self.phase = step.expect("the chart handles every event in every state").to;
+    }
+
+    pub(super) fn task_mut(&mut self, key: &TaskKey) -> Option<&mut Task> {
+        if key.round >= self.spec.rounds() {
+            return None;
+        }
+        let spec = &self.spec;
+        let round = self
+            .rounds
+            .entry(key.round)
+            .or_insert_with(|| Round { steps: spec.steps.iter().map(Progress::new).collect() });
+        let progress = round.steps.get_mut(usize::from(key.step))?;
+        progress.tasks.get_mut(usize::try_from(key.index).ok()?)
+    }
+
+    pub(super) fn progress(&self, key: &StepKey) -> Option<&Progress> {
+        self.rounds.get(&key.round)?.steps.get(usize::from(key.step))
+    }
+
+    pub(super) fn recount(&mut self, key: &StepKey) {
+        let round = self.rounds.get_mut(&key.round);
+        let Some(progress) = round.and_then(|round| round.steps.get_mut(usize::from(key.step)))
+        else {
+            return;
+        };
+        let done = progress.tasks.iter().filter(|task| task.phase == TaskPhase::Done).count();
+        progress.done = u32::try_from(done).unwrap_or(u32::MAX);
+    }
+
+    /// Whether all tasks of a step are done.
+    pub(super) fn is_done(&self, key: &StepKey) -> bool {
+        let count = self.spec.steps.get(usize::from(key.step)).map_or(0, |step| step.count);
+        self.progress(key).is_some_and(|progress| progress.done >= count)
+    }
+
+    /// What is left to do of an occurrence, by the customer's estimates.
+    pub fn left(&self, round: u32) -> Left {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        let mut work = 0;
+        for (at, step) in self.spec.steps.iter().enumerate() {
+            let progress = self.rounds.get(&round).and_then(|round| round.steps.get(at));
+            let done = progress.map_or(0, |progress| progress.done);
+            let tasks = u64::from(step.count.saturating_sub(done));
+            let begin = step.after.iter().filter_map(|at| ends.get(usize::from(*at))).max();
+            let own = if tasks > 0 { step.estimate } else { 0 };
+            ends.push(begin.copied().unwrap_or(0) + own);
+            work += tasks * step.estimate * step.needs.millicores / MILLICORES;
+        }
+        Left { chain: ends.into_iter().max().unwrap_or(0), work }
+    }
+
+    /// Whether all steps before this one are done, and it has tasks without a run.
+    pub fn is_ready(&self, key: &StepKey) -> bool {
+        let Some(step) = self.spec.steps.get(usize::from(key.step)) else { return false };
+        let before = step.after.iter().all(|at| self.is_done(&StepKey { step: *at, ..*key }));
+        let waits = self.progress(key).is_none_or(|progress| {
+            progress.tasks.iter().any(|task| task.phase == TaskPhase::Waiting)
+        });
+        before && waits
+    }
+
+    /// Counts an occurrence if all its steps are done; whether it was the last one.
+    pub(super) fn finish_round(&mut self, round: u32) -> bool {
+        let steps = 0..self.spec.steps.len();
+        let key =
+            |step| StepKey { job: JobId(0), round, step: u16::try_from(step).unwrap_or(u16::MAX) };
+        if !steps.map(key).all(|key| self.is_done(&key)) {
+            return false;
+        }
+        self.done += 1;
+        self.done >= self.spec.rounds()
+    }
+}
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use hickorylink_lib::jobs::{controller::Event, life::JobPhase, model::Run, record::Ending};
+use hickorylink_lib::{
+    ids::Incarnation,
+    jobs::{controller::Event, life::JobPhase, model::Run, record::Ending},
+};
 
 use crate::world::{FakeWorker, LEASE, MARGIN, World, step, task};
 
@@ -117,3 +120,29 @@
     }
     assert_eq!(worker.started, []);
 }
+
+#[test]
+fn the_last_ends_of_a_worker_that_leaves_count() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    let job = world.submit(7, vec![step(1)]);
+    world.beat(&mut worker);
+    world.beat(&mut worker);
+    worker.end(task(job, 0, 0), Ending::Done);
+    let (name, born) = (worker.name.as_str().into(), Some(Incarnation(worker.born)));
+    let ended = worker.ended.clone();
+    world.ask(|ticket| Event::Leave { ticket, name, born, ended });
+    assert_eq!(world.phase(7), JobPhase::Completed);
+}
+
+#[test]
+fn a_worker_that_leaves_is_never_held() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.submit(7, vec![step(1)]);
+    world.beat(&mut worker);
+    worker.leaving = Some(2000);
+    let before = world.now;
+    world.beat(&mut worker).expect("orders");
+    assert_eq!(world.now, before, "it is answered at once");
+}
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -18,7 +18,7 @@
     },
     time::Time,
 };
-use slog::{Logger, crit, error, info, warn};
+use slog::{Logger, crit, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
     net::TcpListener,
@@ -32,10 +32,10 @@
     duty::{runtime, spawn},
     front::{Front, Waiters},
     link::{Arrival, Job, Links},
-    log, notes,
+    log, notes, persist,
     ring::{Inlet, Outbox, to_runtime, to_thread},
     settings::Settings,
-    storage::{Folder, Identity, Opened, SEGMENT_MAX, Store, StoreError},
+    storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
 };
 
 /// Room in the duties' rings.
@@ -44,15 +44,9 @@
 /// How many items control takes from its ring before it acts on them together.
 const BATCH: usize = 256;
 
-/// How many writes are synced at once.
-const WRITES: usize = 1024;
-
 /// How long control waits before it tries again to pass on what found no room.
 const RETRY: Duration = Duration::from_millis(2);
 
-/// How long storage waits before it tries a disk again that refuses writes.
-const DISK_RETRY: Duration = Duration::from_millis(250);
-
 /// The longest wait of control without a deadline.
 const IDLE: Duration = Duration::from_secs(1);
 
@@ -211,7 +205,7 @@
     let (stored, disk_log) = (control.clone(), log.clone());
     let (path, fresh) = (folder.clone(), Identity { instance: me.id, created: clock.wall() });
     let reopen = move || Store::open(Folder::new(&path), fresh, SEGMENT_MAX);
-    spawn("storage", move || run_storage(&storage_end, &stored, store, reopen, &disk_log))
+    spawn("storage", move || persist::run(&storage_end, &stored, store, reopen, &disk_log))
         .context(StartSnafu)?;
     start_links(me.peer, links_end, control.clone(), log)?;
 
@@ -389,68 +383,3 @@
         events.extend(ring.try_iter().take(BATCH - 1));
     }
 }
-
-/// Runs until the ring is closed.
-///
-/// A disk that refuses writes is tried again: the controller goes on as a member that can't vote
-/// meanwhile, and the others lead.
-fn run_storage(
-    ring: &Receiver<Write>,
-    control: &Inlet<Event>,
-    store: Store<Folder>,
-    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
-    log: &Logger,
-) {
-    let mut store = Some(store);
-    while let Ok(first) = ring.recv() {
-        let mut writes = vec![first];
-        writes.extend(ring.try_iter().take(WRITES - 1));
-        let sequence = loop {
-            match write(&mut store, &writes, &reopen) {
-                Ok(sequence) => break sequence,
-                Err(error) => {
-                    if store.is_some() {
-                        error!(log, "the disk fails; it is tried again"; "error" => %error);
-                    }
-                    // The store is opened anew: only that tells what has reached the disk.
-                    store = None;
-                    std::thread::sleep(DISK_RETRY);
-                }
-            }
-        };
-        let mut event = Event::Stored { sequence };
-        while let Err(back) = control.push(event) {
-            event = back;
-            std::thread::sleep(RETRY);
-        }
-    }
-}
-
-/// Makes a batch durable, after opening the store if a failure has closed it; gives the number of
-/// its last write.
-fn write(
-    store: &mut Option<Store<Folder>>,
-    writes: &[Write],
-    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
-) -> Result<u64, StoreError> {
-    if let Some(open) = store {
-        return open.write(writes);
-    }
-    let opened = reopen()?;
-    let open = store.insert(opened.store);
-    match writes.last() {
-        Some(last) if holds(&opened.recovered, writes) => Ok(last.sequence),
-        Some(_) | None => open.write(writes),
-    }
-}
-
-/// Whether a batch that failed had reached the disk all the same; a batch does so whole or not.
-fn holds(recovered: &Recovered, writes: &[Write]) -> bool {
-    let last = writes.iter().rev().find_map(|write| write.entries.last());
-    last.is_some_and(|last| {
-        recovered
-            .entries
-            .last()
-            .is_some_and(|held| held.index == last.index && held.term == last.term)
-    })
-}
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod link;
 pub mod log;
 pub mod notes;
+pub mod persist;
 pub mod ring;
 pub mod settings;
 pub mod storage;
