runtime: controllers and gateways serve their metrics

Cause: the roles of a deployment had logs only; counters and latency histograms were served by the older daemon alone.

Change: `metrics` in the settings names an address; a registry per role takes in the notes that the log gets, answers, calls with their durations, and how the rings stand. The ring metrics, the histogram's buckets and the text format are shared with the daemon's metrics, which lost its own copies.

Shown by: metrics_count_what_happened (cli, test deployment) reads them from real processes. It couldn't pass before: nothing listened.

--- a/cli/src/front/state.rs
+++ b/cli/src/front/state.rs
@@ -6,6 +6,7 @@
     api::RAN,
     instance::port::{Answer, Question},
 };
+use hickorylink_runtime::metrics::CONTENT_TYPE;
 use poem::{Request, Response, handler, http::StatusCode, web::Data};
 use serde_json::json;
 
@@ -27,11 +28,8 @@
 /// All metrics in the text format.
 #[handler]
 pub(crate) fn metrics(Data(desk): Data<&Arc<Desk>>) -> Response {
-    let gauges = desk.rings.gauges();
-    match desk.metrics.encode(&gauges) {
-        Ok(text) => Response::builder()
-            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
-            .body(text),
+    match desk.metrics.encode(&desk.rings.readings()) {
+        Ok(text) => Response::builder().content_type(CONTENT_TYPE).body(text),
         Err(error) => {
             Problem::not_run(StatusCode::INTERNAL_SERVER_ERROR, "metrics", error.to_string()).into()
         }
--- a/cli/src/mail.rs
+++ b/cli/src/mail.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     duty::{counts::Save, peers::Post, router::Job as RouterJob, scheduler::Job},
-    ring::{Gauge, Inlet, Outbox, note_backlog},
+    ring::{Gauge, Inlet, Outbox, Reading, note_backlog},
 };
 
 /// What the front is told.
@@ -59,18 +59,18 @@
 }
 
 impl Rings {
-    /// What is counted of every ring.
-    pub fn gauges(&self) -> Vec<(Arc<Gauge>, usize)> {
+    /// How every ring stands.
+    pub fn readings(&self) -> Vec<Reading> {
         vec![
-            (self.council.gauge().clone(), self.council.len()),
-            (self.storage.gauge().clone(), self.storage.len()),
-            (self.scheduler.gauge().clone(), self.scheduler.len()),
-            (self.router.gauge().clone(), self.router.len()),
-            (self.front.gauge().clone(), self.front.len()),
-            (self.peers.gauge().clone(), self.peers.len()),
-            (self.dispatch.gauge().clone(), self.dispatch.len()),
-            (self.counts.gauge().clone(), self.counts.len()),
-            (self.notes.gauge().clone(), self.notes.len()),
+            self.council.reading(),
+            self.storage.reading(),
+            self.scheduler.reading(),
+            self.router.reading(),
+            self.front.reading(),
+            self.peers.reading(),
+            self.dispatch.reading(),
+            self.counts.reading(),
+            self.notes.reading(),
         ]
     }
 }
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -1,36 +1,21 @@
 //! The instance's metrics, in the OpenMetrics text format.
 
-use std::{
-    fmt,
-    sync::{
-        Arc,
-        atomic::{AtomicI64, AtomicU64, Ordering},
-    },
-    time::Duration,
-};
+use std::{fmt, sync::atomic::AtomicU64, time::Duration};
 
 use hickorylink_lib::{
     ids::{CustomerName, ServiceName},
     instance::port::Note,
 };
+use hickorylink_runtime::{
+    metrics::{PREFIX, Rings, Value, latencies, signed, text},
+    ring::Reading,
+};
 use prometheus_client::{
-    encoding::{EncodeLabelSet, text::encode},
-    metrics::{
-        counter::Counter,
-        family::Family,
-        gauge::Gauge as Value,
-        histogram::{Histogram, exponential_buckets},
-    },
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
     registry::Registry,
 };
 
-use crate::ring::Gauge;
-
-/// The shortest latency that the histogram tells apart, in seconds, and its buckets: each is
-/// twice as wide as the one before, up to two minutes.
-const LATENCY_LEAST: f64 = 0.000_5;
-const LATENCY_BUCKETS: u16 = 18;
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
     customer: String,
@@ -43,11 +28,6 @@
     service: String,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct RingLabels {
-    ring: &'static str,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ListLabels {
     list: &'static str,
@@ -63,14 +43,11 @@
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<ServiceLabels, Histogram>,
-    ring_items: Family<RingLabels, Value>,
-    ring_capacity: Family<RingLabels, Value>,
-    ring_full: Family<RingLabels, Value>,
-    ring_shed: Family<RingLabels, Value>,
+    rings: Rings,
     revision: Family<ListLabels, Value>,
     epoch: Family<CentreLabels, Value>,
-    term: Value<i64, AtomicI64>,
-    leads: Value<i64, AtomicI64>,
+    term: Value,
+    leads: Value,
     task_events: Counter<u64, AtomicU64>,
     unreadable: Counter<u64, AtomicU64>,
     unhandled: Counter<u64, AtomicU64>,
@@ -87,15 +64,10 @@
 impl Default for Metrics {
     fn default() -> Self {
         let mut metrics = Self {
-            registry: Registry::with_prefix("hickorylink"),
+            registry: Registry::with_prefix(PREFIX),
             requests: Family::default(),
-            latency: Family::new_with_constructor(|| {
-                Histogram::new(exponential_buckets(LATENCY_LEAST, 2.0, LATENCY_BUCKETS))
-            }),
-            ring_items: Family::default(),
-            ring_capacity: Family::default(),
-            ring_full: Family::default(),
-            ring_shed: Family::default(),
+            latency: Family::new_with_constructor(latencies),
+            rings: Rings::default(),
             revision: Family::default(),
             epoch: Family::default(),
             term: Value::default(),
@@ -120,10 +92,7 @@
             "Time from a request's arrival to its answer",
             self.latency.clone(),
         );
-        r.register("ring_items", "Items in a duty's ring", self.ring_items.clone());
-        r.register("ring_capacity_items", "Room in a duty's ring", self.ring_capacity.clone());
-        r.register("ring_full", "Times a ring was full for a duty", self.ring_full.clone());
-        r.register("ring_shed", "Work from outside that was turned away", self.ring_shed.clone());
+        self.rings.register(r);
         r.register("list_revision", "Revision of a list in force here", self.revision.clone());
         r.register("centre_epoch", "Epoch of a data centre as known here", self.epoch.clone());
         r.register("council_term", "Term of the council", self.term.clone());
@@ -188,23 +157,8 @@
     /// # Errors
     ///
     /// A value can't be written.
-    pub fn encode(&self, rings: &[(Arc<Gauge>, usize)]) -> Result<String, fmt::Error> {
-        for (gauge, items) in rings {
-            let labels = RingLabels { ring: gauge.name };
-            let set = |family: &Family<RingLabels, Value>, value: u64| {
-                family.get_or_create(&labels).set(signed(value));
-            };
-            set(&self.ring_items, *items as u64);
-            set(&self.ring_capacity, gauge.capacity as u64);
-            set(&self.ring_full, gauge.full.load(Ordering::Relaxed));
-            set(&self.ring_shed, gauge.shed.load(Ordering::Relaxed));
-        }
-        let mut text = String::new();
-        encode(&mut text, &self.registry)?;
-        Ok(text)
+    pub fn encode(&self, rings: &[Reading]) -> Result<String, fmt::Error> {
+        self.rings.set(rings);
+        text(&self.registry)
     }
 }
-
-fn signed(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -117,6 +117,51 @@
     assert!(String::from_utf8_lossy(&held.body).contains("\"version\":1"));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn metrics_count_what_happened() {
+    let world = World::start().await;
+    world.submit(1..5).await;
+    world.completed(1..5).await;
+    let refused = world.deployment.call(0, Method::GET, "/x/", "").await.expect("an answer");
+    assert_eq!(refused.status, 404);
+
+    /// A line that a member's metrics hold, with the least that its value may be.
+    struct Case {
+        line: &'static str,
+        least: f64,
+    }
+    let leader = [
+        Case { line: "hickorylink_leads", least: 1.0 },
+        Case { line: "hickorylink_jobs", least: 4.0 },
+        Case { line: "hickorylink_workers", least: 3.0 },
+        Case { line: "hickorylink_config_version", least: 1.0 },
+        Case { line: "hickorylink_task_starts_total", least: 20.0 },
+        Case { line: "hickorylink_job_changes_total{state=\"accepted\"}", least: 4.0 },
+        Case { line: "hickorylink_job_age_seconds_count{state=\"completed\"}", least: 4.0 },
+        Case { line: "hickorylink_answers_total{answer=\"orders\"}", least: 4.0 },
+        Case { line: "hickorylink_commit_duration_seconds_count", least: 4.0 },
+        Case { line: "hickorylink_ring_capacity_items{ring=\"control\"}", least: 1.0 },
+    ];
+    let gateway = [
+        Case { line: "hickorylink_ready", least: 1.0 },
+        Case { line: "hickorylink_leader_found_total", least: 1.0 },
+        Case { line: "hickorylink_calls_total{call=\"submit\",reply=\"accepted\"}", least: 4.0 },
+        Case { line: "hickorylink_calls_total{call=\"show\",reply=\"no_queue\"}", least: 1.0 },
+        Case { line: "hickorylink_call_duration_seconds_count{call=\"submit\"}", least: 4.0 },
+    ];
+    let led = world.deployment.leader().expect("one leads");
+    for (at, cases) in [(led, &leader[..]), (3, &gateway[..])] {
+        let text = world.deployment.metrics(at).await.expect("metrics");
+        for case in cases {
+            let value = text.lines().find_map(|line| {
+                let (name, value) = line.rsplit_once(' ')?;
+                (name == case.line).then(|| value.parse::<f64>().expect("a number"))
+            });
+            assert!(value.is_some_and(|value| value >= case.least), "{}\n{text}", case.line);
+        }
+    }
+}
+
 const SAME: &str = r#"{"spec":"s","steps":[{"count":1}]}"#;
 
 #[tokio::test(flavor = "multi_thread")]
--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -51,6 +51,34 @@
     }
 }
 
+impl Action {
+    /// Its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Show => "show",
+            Self::Cancel => "cancel",
+        }
+    }
+}
+
+impl Reply {
+    /// Its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Accepted => "accepted",
+            Self::Job(_) => "job",
+            Self::NoJob => "no_job",
+            Self::Cancelled => "cancelled",
+            Self::Pending(_) => "pending",
+            Self::NoQueue => "no_queue",
+            Self::Invalid(_) => "invalid",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// What an operator wants.
 #[derive(Clone, Debug)]
 pub enum Order {
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -51,6 +51,8 @@
 #[derive(Debug)]
 struct Waiting {
     number: u64,
+    since: Time,
+    records: usize,
     answers: Vec<(Ticket, Answer)>,
 }
 
@@ -348,8 +350,10 @@
             return;
         }
         while self.waiting.front().is_some_and(|waiting| waiting.number <= batch.number) {
-            let waiting = self.waiting.pop_front().into_iter().flat_map(|w| w.answers);
-            for (ticket, answer) in waiting {
+            let Some(waiting) = self.waiting.pop_front() else { return };
+            let (records, took) = (waiting.records, now.since(waiting.since));
+            out.push(Effect::Note(Note::Committed { records, took }));
+            for (ticket, answer) in waiting.answers {
                 self.answer(now, ticket, answer, out);
             }
         }
@@ -414,8 +418,9 @@
         if !turn.records.is_empty() {
             self.proposals += 1;
             let number = self.proposals;
+            let (since, records) = (now, turn.records.len());
+            self.waiting.push_back(Waiting { number, since, records, answers: turn.answers });
             let batch = Batch { origin: self.config.me.id, number, records: turn.records };
-            self.waiting.push_back(Waiting { number, answers: turn.answers });
             let command = Bytes::from(crate::codec::extend(Vec::new(), &batch));
             let ticket = crate::ids::Ticket(number);
             self.agree(now, consensus::Event::Propose { ticket, command });
--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -181,6 +181,11 @@
         earliest(open.map(|open| open.until).min(), Some(self.look))
     }
 
+    /// How many steps have tasks that wait for a place.
+    pub fn waiting_steps(&self) -> usize {
+        self.ready.len()
+    }
+
     /// Everyone who waits for this leader.
     pub(super) fn into_tickets(self) -> Vec<Ticket> {
         let open = self.fleet.workers.values().filter_map(|worker| worker.open);
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -1,6 +1,6 @@
 //! What goes into a controller and what comes out of it.
 
-use core::net::SocketAddr;
+use core::{net::SocketAddr, time::Duration};
 
 use crate::{
     consensus::{chart::Role, log::Write, message::Message},
@@ -104,6 +104,23 @@
     Standing(Standing),
 }
 
+impl Answer {
+    /// Its name in metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Reply(reply) => reply.name(),
+            Self::Order(OrderReply::Stored) => "stored",
+            Self::Order(OrderReply::Config(_)) => "config",
+            Self::Order(OrderReply::NoConfig) => "no_config",
+            Self::Order(OrderReply::Unknown) => "unknown",
+            Self::Orders(_) => "orders",
+            Self::Noted => "noted",
+            Self::Elsewhere(_) => "elsewhere",
+            Self::Standing(_) => "standing",
+        }
+    }
+}
+
 /// Something to do.
 #[derive(Debug)]
 pub enum Effect {
@@ -125,11 +142,11 @@
         /// After this time the answer must not leave any more: another controller may lead.
         until: Option<Time>,
     },
-    /// Write a line to the log.
+    /// Tell the log and the metrics.
     Note(Note),
 }
 
-/// A line for the log.
+/// What the log and the metrics are told.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Note {
     /// The role in the agreement changed.
@@ -178,6 +195,15 @@
         waiting: u32,
         /// The last worker chosen.
         worker: String,
+        /// Milliseconds since the job was accepted or its occurrence was due.
+        age_ms: u64,
+    },
+    /// A proposal was committed; counted only.
+    Committed {
+        /// How many records it holds.
+        records: usize,
+        /// How long it took.
+        took: Duration,
     },
     /// A run ended otherwise than as done.
     Ended {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -171,7 +171,11 @@
         if started == 0 {
             return;
         }
+        let job = self.state.jobs.get(&key.job);
+        let begun = job.map(|job| job.spec.due(key.round).unwrap_or(job.accepted));
+        let age_ms = begun.map_or(0, |begun| self.wall.0.saturating_sub(begun.0));
         self.notes.push(Note::Started {
+            age_ms,
             step: key.to_string(),
             tasks: u32::try_from(started).unwrap_or(u32::MAX),
             waiting: u32::try_from(left).unwrap_or(u32::MAX),
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -32,7 +32,9 @@
     duty::{runtime, spawn},
     front::{Front, Waiters},
     link::{Arrival, Job, Links},
-    log, notes, persist,
+    log,
+    metrics::{self, controller::Metrics},
+    notes, persist,
     ring::{Inlet, Outbox, to_runtime, to_thread},
     settings::Settings,
     storage::{Folder, Identity, SEGMENT_MAX, Store, StoreError},
@@ -135,11 +137,15 @@
     storage: Outbox<Write>,
     links: Outbox<Job>,
     front: Outbox<(u64, Told)>,
+    metrics: Arc<Metrics>,
     log: Logger,
 }
 
 impl Outlets {
     fn deliver(&mut self, effect: Effect) {
+        if let Effect::Answer { answer, .. } = &effect {
+            self.metrics.answer(answer);
+        }
         match effect {
             Effect::Send { to, message } => self.links.send(Job::Send { to, message }),
             Effect::Store(write) => self.storage.send(write),
@@ -151,7 +157,10 @@
                     self.links.send(Job::Answer { connection, message });
                 }
             }
-            Effect::Note(note) => notes::controller(&self.log, &note),
+            Effect::Note(note) => {
+                self.metrics.note(&note);
+                notes::controller(&self.log, &note);
+            }
         }
     }
 
@@ -194,12 +203,19 @@
     let (storage, storage_end) = to_thread("storage", RING);
     let (links, links_end) = to_runtime("links", RING);
     let (answers, answers_end) = to_runtime("front", RING);
+    let metrics = Arc::new(Metrics::default());
     let outlets = Outlets {
         storage: Outbox::new(&storage),
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
+        metrics: metrics.clone(),
         log: log.clone(),
     };
+    let rings = (control.clone(), storage, links, answers);
+    let readings = move || {
+        let (control, storage, links, answers) = &rings;
+        [control.reading(), storage.reading(), links.reading(), answers.reading()]
+    };
     spawn("control", move || run_control(&control_end, clock, controller, outlets))
         .context(StartSnafu)?;
     let (stored, disk_log) = (control.clone(), log.clone());
@@ -226,6 +242,10 @@
     .context(StartSnafu)?;
 
     runtime().context(StartSnafu)?.block_on(async {
+        if let Some(at) = settings.metrics {
+            let text = move || metrics.encode(&readings());
+            metrics::spawn(at, text, log.clone());
+        }
         let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
         let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
         loop {
@@ -371,6 +391,7 @@
         for effect in out.drain(..) {
             outlets.deliver(effect);
         }
+        outlets.metrics.hold(&controller);
         let wait = match outlets.flush() {
             0 => controller.next_deadline().map_or(IDLE, |at| clock.now().until(at).min(IDLE)),
             _ => RETRY,
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -28,7 +28,9 @@
     duty::{runtime, spawn},
     front::{Front, Waiters},
     link::{Arrival, Job, Links},
-    log, notes,
+    log,
+    metrics::{self, gateway::Metrics},
+    notes,
     ring::{Inlet, Outbox, to_runtime, to_thread},
     settings::Settings,
 };
@@ -66,6 +68,8 @@
     waiters: Arc<Waiters<Reply>>,
     ready: Arc<AtomicBool>,
     leaving: Arc<AtomicBool>,
+    metrics: Arc<Metrics>,
+    clock: Clock,
     /// The log.
     pub log: Logger,
 }
@@ -73,6 +77,13 @@
 impl Handle {
     /// Passes a call on and waits for its answer.
     pub async fn call(&self, call: Call, patience: Duration) -> Reply {
+        let (action, since) = (call.action.name(), self.clock.now());
+        let reply = self.pass_on(call, patience).await;
+        self.metrics.call(action, &reply, self.clock.now().since(since));
+        reply
+    }
+
+    async fn pass_on(&self, call: Call, patience: Duration) -> Reply {
         let waiter = self.waiters.wait();
         let event = Event::Call { ticket: waiter.ticket, call, patience };
         if self.events.offer(event).is_err() {
@@ -97,6 +108,7 @@
     links: Outbox<Job>,
     front: Outbox<(u64, Reply)>,
     ready: Arc<AtomicBool>,
+    metrics: Arc<Metrics>,
     log: Logger,
 }
 
@@ -106,8 +118,14 @@
             Effect::Send { to, message } => self.links.send(Job::Send { to, message }),
             Effect::Close(to) => self.links.send(Job::Close(to)),
             Effect::Reply { ticket, reply } => self.front.send((ticket, reply)),
-            Effect::Ready(ready) => self.ready.store(ready, Ordering::Relaxed),
-            Effect::Note(note) => notes::gateway(&self.log, &note),
+            Effect::Ready(ready) => {
+                self.metrics.ready(ready);
+                self.ready.store(ready, Ordering::Relaxed);
+            }
+            Effect::Note(note) => {
+                self.metrics.note(&note);
+                notes::gateway(&self.log, &note);
+            }
         }
     }
 }
@@ -130,12 +148,16 @@
     let (links, links_end) = to_runtime("links", RING);
     let (answers, mut answers_end) = to_runtime::<(u64, Reply)>("front", RING);
     let ready = Arc::new(AtomicBool::new(false));
+    let metrics = Arc::new(Metrics::default());
     let outlets = Outlets {
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
         ready: ready.clone(),
+        metrics: metrics.clone(),
         log: log.clone(),
     };
+    let rings = (gateway.clone(), links, answers);
+    let readings = move || [rings.0.reading(), rings.1.reading(), rings.2.reading()];
     let machine = Gateway::new(settings.seed_peers(), clock.now());
     spawn("gateway", move || run_gateway(&gateway_end, clock, machine, outlets))
         .context(GatewaySnafu)?;
@@ -148,6 +170,8 @@
         waiters: waiters.clone(),
         ready,
         leaving: leaving.clone(),
+        metrics: metrics.clone(),
+        clock,
         log: log.clone(),
     };
     let (stop, stopping) = watch::channel(false);
@@ -170,6 +194,10 @@
     .context(GatewaySnafu)?;
 
     runtime().context(GatewaySnafu)?.block_on(async {
+        if let Some(at) = settings.metrics {
+            let text = move || metrics.encode(&readings());
+            metrics::spawn(at, text, log.clone());
+        }
         let mut term = signal(SignalKind::terminate()).context(GatewaySnafu)?;
         let mut hangup = signal(SignalKind::hangup()).context(GatewaySnafu)?;
         loop {
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod gateway;
 pub mod link;
 pub mod log;
+pub mod metrics;
 pub mod notes;
 pub mod persist;
 pub mod ring;
--- /dev/null
+++ b/runtime/src/metrics.rs
@@ -0,0 +1,122 @@
+//! Metrics in the OpenMetrics text format, and the address where they are served.
+
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::atomic::{AtomicI64, Ordering},
+};
+
+use poem::{Response, Route, Server, endpoint::make_sync, http::StatusCode, listener::TcpListener};
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+use slog::{Logger, error};
+
+use crate::ring::Reading;
+
+pub mod controller;
+pub mod gateway;
+
+/// Where metrics are served.
+const PATH: &str = "/metrics";
+
+/// The format of the metrics.
+pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// What all metrics' names begin with.
+pub const PREFIX: &str = "hickorylink";
+
+/// The shortest latency that histograms tell apart, in seconds, and their buckets: each is twice
+/// as wide as the one before, up to two minutes.
+const LATENCY_LEAST: f64 = 0.000_5;
+const LATENCY_BUCKETS: u16 = 18;
+
+/// A value that goes up and down.
+pub type Value = Gauge<i64, AtomicI64>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RingLabels {
+    ring: &'static str,
+}
+
+/// What is told of the rings between duties.
+#[derive(Debug, Default)]
+pub struct Rings {
+    items: Family<RingLabels, Value>,
+    capacity: Family<RingLabels, Value>,
+    full: Family<RingLabels, Value>,
+    shed: Family<RingLabels, Value>,
+}
+
+impl Rings {
+    /// Adds them to a registry.
+    pub fn register(&self, registry: &mut Registry) {
+        registry.register("ring_items", "Items in a duty's ring", self.items.clone());
+        registry.register("ring_capacity_items", "Room in a duty's ring", self.capacity.clone());
+        registry.register("ring_full", "Times a ring was full for a duty", self.full.clone());
+        registry.register("ring_shed", "Work from outside turned away", self.shed.clone());
+    }
+
+    /// Takes over how the rings stand.
+    pub fn set(&self, readings: &[Reading]) {
+        for reading in readings {
+            let gauge = &reading.gauge;
+            let labels = RingLabels { ring: gauge.name };
+            let set = |family: &Family<RingLabels, Value>, value: u64| {
+                family.get_or_create(&labels).set(signed(value));
+            };
+            set(&self.items, reading.items as u64);
+            set(&self.capacity, gauge.capacity as u64);
+            set(&self.full, gauge.full.load(Ordering::Relaxed));
+            set(&self.shed, gauge.shed.load(Ordering::Relaxed));
+        }
+    }
+}
+
+/// An empty histogram of latencies in seconds.
+pub fn latencies() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_LEAST, 2.0, LATENCY_BUCKETS))
+}
+
+/// A count as a gauge's value.
+pub fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+/// Writes a registry in the text format.
+///
+/// # Errors
+///
+/// A value can't be written.
+pub fn text(registry: &Registry) -> Result<String, fmt::Error> {
+    let mut text = String::new();
+    encode(&mut text, registry)?;
+    Ok(text)
+}
+
+/// Serves what `text` gives at `/metrics`, beside the current task.
+pub fn spawn(
+    at: SocketAddr,
+    text: impl Fn() -> Result<String, fmt::Error> + Send + Sync + 'static,
+    log: Logger,
+) {
+    let page = make_sync(move |_| match text() {
+        Ok(text) => Response::builder().content_type(CONTENT_TYPE).body(text),
+        Err(error) => {
+            Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).body(error.to_string())
+        }
+    });
+    tokio::spawn(async move {
+        let server = Server::new(TcpListener::bind(at));
+        if let Err(error) = server.run(Route::new().at(PATH, page)).await {
+            error!(log, "can't serve metrics"; "at" => %at, "error" => %error);
+        }
+    });
+}
--- /dev/null
+++ b/runtime/src/metrics/controller.rs
@@ -0,0 +1,182 @@
+//! What a controller counts.
+
+use std::{fmt, sync::atomic::AtomicU64, time::Duration};
+
+use hickorylink_lib::{
+    consensus::chart::Role,
+    jobs::controller::{Answer, Controller, Note},
+};
+use prometheus_client::{
+    encoding::EncodeLabelSet,
+    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    registry::Registry,
+};
+
+use crate::{
+    metrics::{PREFIX, Rings, Value, latencies, signed, text},
+    ring::Reading,
+};
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnswerLabels {
+    answer: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StateLabels {
+    state: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct EndingLabels {
+    ending: &'static str,
+}
+
+/// All metrics of a controller.
+pub struct Metrics {
+    registry: Registry,
+    rings: Rings,
+    answers: Family<AnswerLabels, Counter>,
+    jobs: Family<StateLabels, Counter>,
+    ages: Family<StateLabels, Histogram>,
+    starts: Counter<u64, AtomicU64>,
+    start_wait: Histogram,
+    ends: Family<EndingLabels, Counter>,
+    workers: Family<StateLabels, Counter>,
+    records: Counter<u64, AtomicU64>,
+    commits: Histogram,
+    faults: Counter<u64, AtomicU64>,
+    version: Value,
+    term: Value,
+    leads: Value,
+    held_jobs: Value,
+    waiting_steps: Value,
+    live_workers: Value,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix(PREFIX),
+            rings: Rings::default(),
+            answers: Family::default(),
+            jobs: Family::default(),
+            ages: Family::new_with_constructor(latencies),
+            starts: Counter::default(),
+            start_wait: latencies(),
+            ends: Family::default(),
+            workers: Family::default(),
+            records: Counter::default(),
+            commits: latencies(),
+            faults: Counter::default(),
+            version: Value::default(),
+            term: Value::default(),
+            leads: Value::default(),
+            held_jobs: Value::default(),
+            waiting_steps: Value::default(),
+            live_workers: Value::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        self.rings.register(r);
+        r.register("answers", "Answers to calls, orders and heartbeats", self.answers.clone());
+        r.register("job_changes", "Jobs that came into a state", self.jobs.clone());
+        r.register(
+            "job_age_seconds",
+            "Time from a job's acceptance until it came into a state",
+            self.ages.clone(),
+        );
+        r.register("task_starts", "Tasks that were given a place", self.starts.clone());
+        r.register(
+            "start_wait_seconds",
+            "Time from a job's acceptance until tasks of it were given places",
+            self.start_wait.clone(),
+        );
+        r.register("run_ends", "Runs that ended, by how", self.ends.clone());
+        r.register("worker_changes", "What became of workers", self.workers.clone());
+        r.register("records", "Records that were committed", self.records.clone());
+        r.register(
+            "commit_duration_seconds",
+            "Time from a proposal until it was committed",
+            self.commits.clone(),
+        );
+        r.register("faults", "Entries or events that can't be handled", self.faults.clone());
+        r.register("config_version", "Version of the configuration", self.version.clone());
+        r.register("term", "Term of the agreement", self.term.clone());
+        r.register("leads", "Whether this controller leads", self.leads.clone());
+        r.register("jobs", "Jobs that are held", self.held_jobs.clone());
+        r.register("waiting_steps", "Steps with tasks to be placed", self.waiting_steps.clone());
+        r.register("workers", "Workers that are known", self.live_workers.clone());
+    }
+
+    /// Counts an answer.
+    pub fn answer(&self, answer: &Answer) {
+        self.answers.get_or_create(&AnswerLabels { answer: answer.name() }).inc();
+    }
+
+    /// Takes in what a controller noted.
+    pub fn note(&self, note: &Note) {
+        match note {
+            Note::Role { role, term, .. } => {
+                self.term.set(signed(term.0));
+                self.leads.set(i64::from(*role == Role::Leader));
+            }
+            Note::Configured { version, .. } => drop(self.version.set(signed(*version))),
+            Note::Job { what, age_ms, .. } => {
+                let labels = StateLabels { state: what };
+                self.jobs.get_or_create(&labels).inc();
+                self.ages.get_or_create(&labels).observe(seconds(*age_ms));
+            }
+            Note::Started { tasks, age_ms, .. } => {
+                self.starts.inc_by(u64::from(*tasks));
+                self.start_wait.observe(seconds(*age_ms));
+            }
+            Note::Ended { ending, .. } => {
+                self.ends.get_or_create(&EndingLabels { ending }).inc();
+            }
+            Note::Worker { what, .. } => {
+                self.workers.get_or_create(&StateLabels { state: what }).inc();
+            }
+            Note::Committed { records, took } => {
+                self.records.inc_by(*records as u64);
+                self.commits.observe(took.as_secs_f64());
+            }
+            Note::Unreadable { .. } | Note::Unhandled { .. } => drop(self.faults.inc()),
+            Note::Leading { .. } | Note::Members { .. } => {}
+        }
+    }
+
+    /// Takes over what a controller holds.
+    pub fn hold(&self, controller: &Controller) {
+        let lead = controller.lead();
+        self.held_jobs.set(signed(controller.committed().jobs.len() as u64));
+        self.waiting_steps.set(signed(lead.map_or(0, |lead| lead.waiting_steps() as u64)));
+        self.live_workers.set(signed(lead.map_or(0, |lead| lead.fleet.workers.len() as u64)));
+    }
+
+    /// Writes all metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// A value can't be written.
+    pub fn encode(&self, rings: &[Reading]) -> Result<String, fmt::Error> {
+        self.rings.set(rings);
+        text(&self.registry)
+    }
+}
+
+fn seconds(millis: u64) -> f64 {
+    Duration::from_millis(millis).as_secs_f64()
+}
--- a/runtime/src/notes.rs
+++ b/runtime/src/notes.rs
@@ -20,10 +20,11 @@
         Note::Job { id, what, queue, age_ms } => {
             info!(log, "job"; "id" => id, "state" => what, "queue" => queue, "age_ms" => age_ms);
         }
-        Note::Started { step, tasks, waiting, worker } => {
+        Note::Started { step, tasks, waiting, worker, age_ms } => {
             debug!(log, "tasks start"; "step" => step, "tasks" => tasks, "waiting" => waiting,
-                "worker" => worker);
+                "worker" => worker, "age_ms" => age_ms);
         }
+        Note::Committed { .. } => {}
         Note::Ended { task, run, ending, worker } => {
             info!(log, "a run ended"; "task" => task, "run" => run, "ending" => ending,
                 "worker" => worker);
--- a/runtime/src/ring.rs
+++ b/runtime/src/ring.rs
@@ -33,6 +33,15 @@
     pub shed: AtomicU64,
 }
 
+/// How a ring stands, for the metrics.
+#[derive(Clone, Debug)]
+pub struct Reading {
+    /// What is counted of it.
+    pub gauge: Arc<Gauge>,
+    /// How many items are in it.
+    pub items: usize,
+}
+
 /// The sending end of a ring.
 #[derive(Debug)]
 pub struct Inlet<T> {
@@ -134,6 +143,11 @@
     pub fn gauge(&self) -> &Arc<Gauge> {
         &self.gauge
     }
+
+    /// How the ring stands.
+    pub fn reading(&self) -> Reading {
+        Reading { gauge: self.gauge.clone(), items: self.len() }
+    }
 }
 
 /// What one duty has yet to pass on to another.
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -16,6 +16,7 @@
     "centre",
     "listen",
     "readiness",
+    "metrics",
     "seeds",
     "peer_port",
     "founding",
@@ -54,6 +55,8 @@
     pub listen: SocketAddr,
     /// Where it says whether it is ready for callers, if it is asked.
     pub readiness: Option<SocketAddr>,
+    /// Where it serves its metrics, if it does.
+    pub metrics: Option<SocketAddr>,
     /// Where some controllers serve workers and operators.
     pub seeds: Vec<SocketAddr>,
     /// The port at which instances reach each other; the same everywhere.
@@ -100,6 +103,7 @@
     let centre = root.need("centre").and_then(ValueView::text);
     let listen = root.need("listen").and_then(address);
     let readiness = root.get("readiness").and_then(address);
+    let metrics = root.get("metrics").and_then(address);
     let seeds = root.list("seeds").into_iter().filter_map(address).collect();
     let peer_port = root.need("peer_port").and_then(|value| value.whole(1..=u64::from(u16::MAX)));
     let founding = root.get("founding").and_then(ValueView::flag).unwrap_or(false);
@@ -118,6 +122,7 @@
         centre: centre?.to_owned(),
         listen: listen?,
         readiness,
+        metrics,
         seeds,
         peer_port: u16::try_from(peer_port?).ok()?,
         founding,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -41,6 +41,7 @@
     program: PathBuf,
     folder: PathBuf,
     controllers: usize,
+    metrics_port: u16,
     members: Vec<Member>,
 }
 
@@ -62,13 +63,15 @@
         controllers: usize,
         gateways: usize,
     ) -> io::Result<Self> {
-        let (port, peer_port) = (free_address()?.port(), free_address()?.port());
+        let ports = [(); 3].map(|()| free_address().map(|address| address.port()));
+        let [port, peer_port, metrics_port] = ports;
+        let (port, peer_port, metrics_port) = (port?, peer_port?, metrics_port?);
         let host = |at: usize| Ipv4Addr::new(127, 0, 1, u8::try_from(at + 1).unwrap_or(u8::MAX));
         let members: Vec<_> = (0..controllers + gateways)
             .map(|at| Member { listen: (IpAddr::V4(host(at)), port).into(), child: None })
             .collect();
-        let mut deployment =
-            Self { program: program.to_owned(), folder: folder.to_owned(), controllers, members };
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        let mut deployment = Self { program, folder, controllers, metrics_port, members };
         for at in 0..controllers + gateways {
             deployment.write_settings(at, peer_port, true)?;
             deployment.launch(at)?;
@@ -82,6 +85,7 @@
             "name": format!("member-{at}"),
             "centre": format!("centre-{}", at % 3),
             "listen": self.members[at].listen.to_string(),
+            "metrics": self.metrics_address(at).to_string(),
             "seeds": seeds,
             "peer_port": peer_port,
         });
@@ -172,6 +176,21 @@
         epochs.max().map(|(_, at)| at)
     }
 
+    fn metrics_address(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.members[at].listen.ip(), self.metrics_port)
+    }
+
+    /// The metrics of a member.
+    ///
+    /// # Errors
+    ///
+    /// No whole answer came.
+    pub async fn metrics(&self, at: usize) -> Result<String, CallError> {
+        let to = self.metrics_address(at);
+        let answer = net::send(to, Method::GET, "/metrics", &[], Bytes::new()).await?;
+        Ok(String::from_utf8_lossy(&answer.body).into_owned())
+    }
+
     /// Where the controllers serve workers and operators.
     pub fn controllers(&self) -> Vec<SocketAddr> {
         self.members[..self.controllers].iter().map(|member| member.listen).collect()
