jobs: a filling task takes only a place where it can work at full speed

Cause: under load, a third of the filling tasks stood paused.

Change: all filling tasks wait for a place at full speed; an overdue job of which nothing runs starts one task at the best place.

Tests: the case 'harmful and late' asked for the opposite and is replaced; that an overdue job still gets a task started is tested on a whole controller and was seen failing without the exception.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -9,7 +9,7 @@
         fleet::RunView,
         life::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
-        place::{Reach, Request, choose},
+        place::{Reach, Request, Terms, choose},
         record::Record,
     },
     time::{Time, WallTime},
@@ -76,14 +76,17 @@
         if step.traits.gang {
             return self.place_gang(now, &key, step, &service, &waiting);
         }
-        let outlook = self.ranks.get(&key).map_or(Outlook::InTime, |rank| rank.outlook);
+        // An overdue job of which nothing runs may start one task anywhere.
+        let overdue = self.ranks.get(&key).is_some_and(|rank| rank.outlook == Outlook::Overdue);
+        let starves = overdue && !job.runs(key.round);
         let mut started = 0;
         let mut last = None;
         for index in &waiting {
             let task = key.task(*index);
             let avoid = self.failed.get(&task).map_or(&[][..], Vec::as_slice);
             let pressure = &self.pressure;
-            let request = Request { service: &service, step, key, avoid, pressure, outlook };
+            let terms = if starves && started == 0 { Terms::Any } else { Terms::FullSpeed };
+            let request = Request { service: &service, step, key, avoid, pressure, terms };
             let Some(number) = choose(&self.fleet, now, Reach::Open, &request) else { break };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
@@ -129,8 +132,8 @@
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in waiting {
             let pressure = &self.pressure;
-            let outlook = Outlook::InTime;
-            let request = Request { service, step, key: *key, avoid: &[], pressure, outlook };
+            let terms = Terms::FullSpeed;
+            let request = Request { service, step, key: *key, avoid: &[], pressure, terms };
             let Some(number) = choose(&self.fleet, now, Reach::Live, &request) else { break };
             let task = key.task(*index);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -3,7 +3,6 @@
 use crate::{
     ids::ServiceName,
     jobs::{
-        controller::lead::Outlook,
         fleet::{Fleet, Worker},
         model::{Step, StepKey, WorkerNumber},
         pace::Pressure,
@@ -14,11 +13,6 @@
 /// The part of its wish that a filling task must find unused, in percent.
 const FILL_SHARE: u64 = 80;
 
-/// The share of its speed that a filling task must be able to work at, from 0 to 1, while its job
-/// can still be in time. After that it takes the best place that there is, so that no image
-/// starves because it harms its neighbours everywhere.
-const FILL_PACE: f64 = 0.85;
-
 /// What it costs to fill beside tasks that would bear no more, in thousandths of a processor.
 const HARM_COST: f64 = 20_000.0;
 
@@ -44,8 +38,18 @@
     pub avoid: &'a [WorkerNumber],
     /// How images disturb each other.
     pub pressure: &'a Pressure,
-    /// Whether its job can still be in time.
-    pub outlook: Outlook,
+    /// How good the place must be.
+    pub terms: Terms,
+}
+
+/// How good a place a filling task takes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Terms {
+    /// One where it can work at its full speed: a task that is slowed down as soon as it has
+    /// started only takes the place of one that isn't.
+    FullSpeed,
+    /// The best that there is, so that no job starves whose image harms its neighbours everywhere.
+    Any,
 }
 
 /// Which workers are looked at.
@@ -109,7 +113,7 @@
             return None;
         }
         let room = request.pressure.room(worker, step.image.as_ref(), wish);
-        if request.outlook == Outlook::InTime && room < FILL_PACE {
+        if request.terms == Terms::FullSpeed && room < 1.0 {
             return None;
         }
         return Some(remote + load + ((1.0 - room) * HARM_COST) as u64);
--- a/lib/src/jobs/progress.rs
+++ b/lib/src/jobs/progress.rs
@@ -124,6 +124,12 @@
         Left { chain: ends.into_iter().max().unwrap_or(0), work }
     }
 
+    /// Whether any task of an occurrence has a run.
+    pub fn runs(&self, round: u32) -> bool {
+        let steps = self.rounds.get(&round).map_or(&[][..], |round| &round.steps);
+        steps.iter().flat_map(|step| &step.tasks).any(|task| task.phase == TaskPhase::Running)
+    }
+
     /// Whether all steps before this one are done, and it has tasks without a run.
     pub fn is_ready(&self, key: &StepKey) -> bool {
         let Some(step) = self.spec.steps.get(usize::from(key.step)) else { return false };
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -5,16 +5,16 @@
 use hickorylink_lib::{
     ids::Incarnation,
     jobs::{
-        controller::lead::Outlook,
         fleet::{FULL_PACE, Fleet, RunView, Worker},
         model::{Image, JobId, Run, Step, TaskKey, Traits, WorkerNumber},
         pace::{Pressure, adjust, move_paused},
-        place::{Reach, Request, choose},
+        place::{Reach, Request, Terms, choose},
     },
+    resources::Resources,
     time::Time,
 };
 
-use crate::world::{FakeWorker, step, task};
+use crate::world::{FakeWorker, World, step, task};
 
 const TARGET: u64 = 150;
 
@@ -120,18 +120,17 @@
 }
 
 #[test]
-fn an_image_that_harms_everywhere_starves_no_job() {
+fn a_filling_task_takes_a_slow_place_only_to_keep_its_job_from_starving() {
     struct Case {
         name: &'static str,
         image: &'static str,
-        outlook: Outlook,
+        terms: Terms,
         want: bool,
     }
     let cases = [
-        Case { name: "harmless", image: "harmless", outlook: Outlook::InTime, want: true },
-        Case { name: "harmful", image: "harmful", outlook: Outlook::InTime, want: false },
-        Case { name: "harmful and late", image: "harmful", outlook: Outlook::Late, want: true },
-        Case { name: "overdue", image: "harmful", outlook: Outlook::Overdue, want: true },
+        Case { name: "harmless", image: "harmless", terms: Terms::FullSpeed, want: true },
+        Case { name: "harmful", image: "harmful", terms: Terms::FullSpeed, want: false },
+        Case { name: "harmful, starving", image: "harmful", terms: Terms::Any, want: true },
     ];
     let pressure = learned();
     for case in cases {
@@ -149,9 +148,47 @@
             key: task(JobId(3), 0, 0).step_key(),
             avoid: &[],
             pressure: &pressure,
-            outlook: case.outlook,
+            terms: case.terms,
         };
         let place = choose(&fleet, now, Reach::Live, &request);
         assert_eq!(place.is_some(), case.want, "{}", case.name);
     }
 }
+
+#[test]
+fn an_overdue_job_of_which_nothing_runs_gets_one_task_started() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.beat(&mut worker);
+    let serve = task(world.submit(1, vec![serving("desk")]), 0, 0);
+    let fill = task(world.submit(2, vec![filling("harmful")]), 0, 0);
+    for beat in 0..60 {
+        let (used, tail) = if beat % 2 == 0 { (1000, 140) } else { (0, 50) };
+        worker.gauges = [(serve, tail), (fill, used)].into();
+        world.beat(&mut worker);
+        world.pass(Duration::from_millis(20));
+    }
+    // A task of three processors would lengthen the tail far beyond its bound.
+    let job = world.submit(
+        3,
+        vec![Step {
+            count: 2,
+            needs: Resources { millicores: 3000, ..step(1).needs },
+            ..filling("harmful")
+        }],
+    );
+    let started = |worker: &FakeWorker| {
+        let tasks = worker.started.iter().filter(|(task, _)| task.job == job);
+        tasks.map(|(task, _)| *task).collect::<std::collections::BTreeSet<_>>().len()
+    };
+    let beat_for = |world: &mut World, worker: &mut FakeWorker, tenths| {
+        for _ in 0..tenths {
+            world.beat(worker);
+            world.pass(Duration::from_millis(100));
+        }
+    };
+    beat_for(&mut world, &mut worker, 10);
+    assert_eq!(started(&worker), 0, "it waits for a place where it does no harm");
+    beat_for(&mut world, &mut worker, 150);
+    assert_eq!(started(&worker), 1, "it doesn't starve");
+}
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -230,6 +230,7 @@
     pub(crate) running: BTreeMap<TaskKey, Run>,
     pub(crate) ended: Vec<Ended>,
     pub(crate) count: u64,
+    pub(crate) gauges: BTreeMap<TaskKey, u64>,
     pub(crate) started: Vec<(TaskKey, Run)>,
     pub(crate) stopped: BTreeSet<TaskKey>,
 }
@@ -245,6 +246,7 @@
             running: BTreeMap::new(),
             ended: Vec::new(),
             count: 0,
+            gauges: BTreeMap::new(),
             started: Vec::new(),
             stopped: BTreeSet::new(),
         }
@@ -275,7 +277,7 @@
                     run: *run,
                     checkpoint: "".into(),
                     percent: 1,
-                    gauge: 0,
+                    gauge: self.gauges.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
             ended: self.ended.clone(),
