jobs: long-running steps choose among all workers that live

Cause: tasks that serve users were placed on workers whose heartbeats happened to wait for an answer.

Change: a long-running step looks at all workers heard within 1.8 s; the start leaves with the next heartbeat. Gangs, which did so already, no longer count a worker that is silent for longer.

Test: tasks_that_serve_gather_by_image..., seen failing.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -79,6 +79,8 @@
         // An overdue job of which nothing runs may start one task anywhere.
         let overdue = self.ranks.get(&key).is_some_and(|rank| rank.outlook == Outlook::Overdue);
         let starves = overdue && !job.runs(key.round);
+        // What runs for long is worth the best place, also if its worker must be waited for.
+        let reach = if step.traits.long_running { Reach::Live } else { Reach::Open };
         let mut started = 0;
         let mut last = None;
         for index in &waiting {
@@ -87,7 +89,7 @@
             let pressure = &self.pressure;
             let terms = if starves && started == 0 { Terms::Any } else { Terms::FullSpeed };
             let request = Request { service: &service, step, key, avoid, pressure, terms };
-            let Some(number) = choose(&self.fleet, now, Reach::Open, &request) else { break };
+            let Some(number) = choose(&self.fleet, now, reach, &request) else { break };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
             started += 1;
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -1,5 +1,7 @@
 //! Where a task goes: which workers may run it, and which of them is best.
 
+use std::time::Duration;
+
 use crate::{
     ids::ServiceName,
     jobs::{
@@ -57,10 +59,14 @@
 pub enum Reach {
     /// Those whose heartbeat waits for an answer: a start leaves at once.
     Open,
-    /// All that live: a start leaves with the next heartbeat.
+    /// All that were heard lately: a start leaves with the next heartbeat.
     Live,
 }
 
+/// How long a worker may be silent and count as live: the longest time between two heartbeats,
+/// held for 0.7 s and asked for again after 0.9 s, and a little for the way.
+const LIVE: Duration = Duration::from_millis(1800);
+
 /// The best worker for a task.
 pub fn choose(
     fleet: &Fleet,
@@ -68,7 +74,10 @@
     reach: Reach,
     request: &Request<'_>,
 ) -> Option<WorkerNumber> {
-    let near = |worker: &Worker| reach == Reach::Live || worker.open.is_some();
+    let near = |worker: &Worker| match reach {
+        Reach::Open => worker.open.is_some(),
+        Reach::Live => worker.open.is_some() || now.since(worker.heard) < LIVE,
+    };
     let candidates = fleet.workers.iter().filter(|(_, worker)| near(worker));
     let costs = candidates.filter_map(|(number, worker)| {
         Some((cost(worker, now, request)? + avoided(*number, request), *number))
--- a/lib/tests/jobs/steps.rs
+++ b/lib/tests/jobs/steps.rs
@@ -173,3 +173,29 @@
     let first = worker.running.keys().all(|task| task.job == timely);
     assert!(first && !worker.running.keys().any(|task| task.job == late));
 }
+
+#[test]
+fn tasks_that_serve_gather_by_image_on_workers_that_are_heard_lately() {
+    let mut world = World::new();
+    let mut workers = ["w1", "w2", "w3"].map(FakeWorker::new);
+    for worker in &mut workers {
+        world.beat(worker);
+    }
+    let traits = Traits { long_running: true, ..Traits::default() };
+    let serving =
+        |image: &str| Step { image: Some(image.into()), target: Some(100), traits, ..step(2) };
+    // Nobody waits for an answer when the jobs come, and the third worker is silent by then.
+    world.pass(Duration::from_millis(1200));
+    world.beat(&mut workers[0]);
+    world.beat(&mut workers[1]);
+    world.submit(1, vec![serving("one")]);
+    world.submit(2, vec![serving("two")]);
+    world.beat(&mut workers[0]);
+    world.beat(&mut workers[1]);
+    let images = workers.map(|worker| {
+        let jobs: std::collections::BTreeSet<_> =
+            worker.running.keys().map(|task| task.job.0).collect();
+        (jobs, worker.running.len())
+    });
+    assert_eq!(images, [([1].into(), 2), ([2].into(), 2), ([].into(), 0)]);
+}
