jobs: learn harm from what a tail differs from its step's level

Cause: the load of a serving step swings by a factor of three within seconds, for all its tasks at once.

Change: each step's own level is followed with a memory of 300 ms, over all its tasks; the model learns from what a tail differs from it.

--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -300,6 +300,7 @@
         }
         self.upcoming.retain(|(_, job, _)| *job != id);
         self.failed.retain(|task, _| task.job != id);
+        self.pressure.forget(id);
         let tasks = first.task(0)..=last.task(u32::MAX);
         for worker in self.fleet.workers.values_mut() {
             for (_, view) in worker.runs.range_mut(tasks.clone()) {
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -1,7 +1,7 @@
 //! How fast filling tasks work beside tasks that serve users.
 //!
-//! A serving task's response times are explained by its own level and by the filling images beside
-//! it, as learned by [`Pressure`]. Each filling task gets the pace at which the tails beside it
+//! A serving task's response times are explained by its step's level and by the filling images
+//! beside it, as learned by [`Pressure`]. Each filling task gets the pace at which the tails beside it
 //! stay below their bounds; a tail that is above its bound all the same cuts the paces further,
 //! whatever the estimates say.
 
@@ -11,7 +11,7 @@
     interference::model::{Exposure, Model, Observation},
     jobs::{
         fleet::{FULL_PACE, RunView, Worker},
-        model::{Image, TaskKey},
+        model::{Image, JobId, StepKey, TaskKey},
     },
     time::Time,
 };
@@ -62,10 +62,32 @@
     }
 }
 
+/// How long the tails of a step would be without the tasks that fill beside them, as a logarithm.
+///
+/// The load of all tasks of a step swings together, and a tail may triple with it. What a tail
+/// differs from its step's level is due to its neighbours.
+#[derive(Clone, Copy, Debug)]
+struct Level {
+    tail: f64,
+    at: Time,
+}
+
+/// How long a step's level is remembered; its load swings within seconds.
+const LEVEL_MEMORY: Duration = Duration::from_millis(300);
+
+impl Level {
+    fn follow(&mut self, own: f64, now: Time) {
+        let passed = now.since(self.at).as_secs_f64();
+        self.tail += (own - self.tail) * passed / (LEVEL_MEMORY.as_secs_f64() + passed);
+        self.at = now;
+    }
+}
+
 /// What is known of how images disturb each other.
 #[derive(Debug, Default)]
 pub struct Pressure {
     model: Model,
+    levels: HashMap<StepKey, Level>,
     serving: HashMap<Image, u32>,
     filling: HashMap<Image, u32>,
 }
@@ -137,18 +159,23 @@
                 None => beside.push(Exposure { kind, amount }),
             }
         }
-        for view in worker.runs.values().filter(|view| view.listed && view.gauge > 0) {
+        for (task, view) in worker.runs.iter().filter(|(_, view)| view.listed && view.gauge > 0) {
             let (Some(_), Some(image)) = (view.target, &view.image) else { continue };
             let service = number(&mut self.serving, image);
-            self.model.learn(&Observation {
-                service,
-                taken: now,
-                latency: (view.gauge as f64).ln(),
-                load: LOAD,
-                beside: &beside,
-            });
+            let tail = (view.gauge as f64).ln();
+            let own = tail - self.model.harm_of(service, &beside);
+            let level = self.levels.entry(task.step_key()).or_insert(Level { tail: own, at: now });
+            let latency = tail - level.tail;
+            level.follow(own, now);
+            let (taken, load, beside) = (now, LOAD, &beside[..]);
+            self.model.learn(&Observation { service, taken, latency, load, beside });
         }
     }
+
+    /// Forgets the levels of a job's steps.
+    pub fn forget(&mut self, job: JobId) {
+        self.levels.retain(|step, _| step.job != job);
+    }
 }
 
 fn number(numbers: &mut HashMap<Image, u32>, image: &Image) -> u32 {
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -108,6 +108,34 @@
     assert!(worker.runs[&fills].stopping, "it goes on elsewhere");
 }
 
+#[test]
+fn a_load_that_swings_is_not_taken_for_harm() {
+    let mut pressure = Pressure::default();
+    let step = filling("harmless");
+    let fills = task(JobId(2), 0, 0);
+    for beat in 0..200_u64 {
+        // Six tasks of one step, whose tails swing together by a factor of three within 5 s; what
+        // fills beside one of them comes and goes with their load.
+        let now = Time::from_millis(beat * 100);
+        let load = (beat as f64 / 50.0 * std::f64::consts::TAU).sin();
+        let tail = (70.0 * (0.55 * load).exp()) as u64;
+        for index in 0..6 {
+            let used = if index == 0 && load > 0.0 { 1000 } else { 0 };
+            let mut worker = Worker::unheard("w".into(), Incarnation(1), now, now);
+            let serve = task(JobId(1), 0, index);
+            worker.add(serve, RunView::new(&serving("desk"), Run(1), now));
+            worker.add(fills, RunView::new(&step, Run(1), now));
+            for view in worker.runs.values_mut() {
+                view.listed = true;
+            }
+            report(&mut worker, &serve, tail, &fills, used);
+            pressure.learn(&worker, now);
+        }
+    }
+    let harm = |image: &str| pressure.harm(Some(&"desk".into()), Some(&image.into()));
+    assert!(harm("harmless") < 0.06, "{}", harm("harmless"));
+}
+
 #[test]
 fn a_pace_comes_back_with_the_room() {
     let pressure = learned();
