jobs: a job that can't start for 2 s on an idle service starts anywhere

Change: the queue remembers since when a step waits; after 2 s on an idle service, one task of a job of which nothing runs starts at the best place.

--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -55,6 +55,14 @@
     Overdue,
 }
 
+/// A step that waits for places.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Queued {
+    pub(super) rank: Rank,
+    /// Since when, by the wall clock.
+    pub(super) since: WallTime,
+}
+
 /// How many times its objective a job may take and still be worth something.
 const LATE: u64 = 3;
 
@@ -74,7 +82,7 @@
     pub(super) timing: Timing,
     /// Steps with tasks that may start, in the order of their ranks.
     pub(super) ready: BTreeSet<(Rank, StepKey)>,
-    pub(super) ranks: HashMap<StepKey, Rank>,
+    pub(super) queued: HashMap<StepKey, Queued>,
     /// Occurrences that aren't due yet.
     pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
     /// Workers on which tasks have failed.
@@ -118,7 +126,7 @@
             fleet: Fleet::default(),
             pressure: Pressure::default(),
             ready: BTreeSet::new(),
-            ranks: HashMap::new(),
+            queued: HashMap::new(),
             upcoming: BTreeSet::new(),
             failed: HashMap::new(),
             outgoing: BTreeMap::new(),
@@ -267,16 +275,16 @@
         };
         let Some(queue) = self.state.queue_of(job) else { return };
         let rank = rank(job, queue, &step, self.wall);
-        if let Some(old) = self.ranks.insert(step, rank) {
-            self.ready.remove(&(old, step));
-        }
+        let queued = self.queued.entry(step).or_insert(Queued { rank, since: self.wall });
+        let old = std::mem::replace(&mut queued.rank, rank);
+        self.ready.remove(&(old, step));
         self.ready.insert((rank, step));
         self.unsettled = true;
     }
 
     /// Ranks all steps that wait anew: with time, jobs get late and their work gets less.
     fn rerank(&mut self) {
-        let steps: Vec<_> = self.ranks.keys().copied().collect();
+        let steps: Vec<_> = self.queued.keys().copied().collect();
         for step in steps {
             self.enqueue(step);
         }
@@ -284,8 +292,8 @@
 
     /// Takes a step from the queue.
     pub(super) fn dequeue(&mut self, step: &StepKey) {
-        if let Some(rank) = self.ranks.remove(step) {
-            self.ready.remove(&(rank, *step));
+        if let Some(queued) = self.queued.remove(step) {
+            self.ready.remove(&(queued.rank, *step));
         }
     }
 
@@ -294,7 +302,7 @@
         let first = StepKey { job: id, round: 0, step: 0 };
         let last = StepKey { job: id, round: u32::MAX, step: u16::MAX };
         let steps: Vec<_> =
-            self.ranks.keys().filter(|key| (first..=last).contains(key)).copied().collect();
+            self.queued.keys().filter(|key| (first..=last).contains(key)).copied().collect();
         for step in steps {
             self.dequeue(&step);
         }
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -1,6 +1,7 @@
 //! Placing what waits, at the end of each turn.
 
 use crate::{
+    ids::ServiceName,
     jobs::{
         controller::{
             Effect, Note,
@@ -19,6 +20,10 @@
 /// next one.
 const MISSES: usize = 200;
 
+/// How long a step may wait for a place at full speed while its service is idle, in milliseconds:
+/// users take a job for lost that doesn't run for 3 s.
+const STARVES: u64 = 2000;
+
 impl Lead {
     /// Places what waits and answers whom it concerns; gives what is to be agreed on.
     pub(super) fn finish_turn(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) -> Turn {
@@ -40,7 +45,7 @@
         let open = self.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         self.ready.clear();
-        self.ranks.clear();
+        self.queued.clear();
         self.upcoming.clear();
         for id in open {
             self.admit(id);
@@ -76,9 +81,7 @@
         if step.traits.gang {
             return self.place_gang(now, &key, step, &service, &waiting);
         }
-        // An overdue job of which nothing runs may start one task anywhere.
-        let overdue = self.ranks.get(&key).is_some_and(|rank| rank.outlook == Outlook::Overdue);
-        let starves = overdue && !job.runs(key.round);
+        let starves = !job.runs(key.round) && self.starves(&key, &service);
         // What runs for long is worth the best place, also if its worker must be waited for.
         let reach = if step.traits.long_running { Reach::Live } else { Reach::Open };
         let mut started = 0;
@@ -100,6 +103,16 @@
         left == 0
     }
 
+    /// Whether a step of a job that doesn't run may start one task anywhere: it is overdue, or it
+    /// has waited while the workers had room for it.
+    fn starves(&self, key: &StepKey, service: &ServiceName) -> bool {
+        self.queued.get(key).is_some_and(|queued| {
+            let waited = self.wall.0.saturating_sub(queued.since.0);
+            queued.rank.outlook == Outlook::Overdue
+                || waited > STARVES && self.fleet.is_idle(service)
+        })
+    }
+
     /// The tasks of a step that have no run.
     fn waiting(&self, key: &StepKey, step: &Step) -> Vec<u32> {
         match self.state.progress(key) {
@@ -122,7 +135,7 @@
         now: Time,
         key: &StepKey,
         step: &Step,
-        service: &crate::ids::ServiceName,
+        service: &ServiceName,
         waiting: &[u32],
     ) -> bool {
         // A member that still runs has yet to be told that its gang has broken.
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -299,6 +299,15 @@
         (self.free().millicores + idle).saturating_sub(self.wished)
     }
 
+    /// What is in use as far as it is known, in thousandths of a processor: what filling tasks
+    /// reported, what serving tasks use on average, and what all others reserve.
+    pub fn used(&self) -> u64 {
+        let fills = self.runs.values().filter(|view| view.fills());
+        let filled: u64 = fills.map(|view| view.gauge.min(view.wished)).sum();
+        let idle = self.serving_reserved * SERVING_IDLE / 100;
+        filled + self.reserved.millicores.saturating_sub(idle)
+    }
+
     /// How many of a step's tasks are there.
     pub fn count(&self, step: &StepKey) -> u32 {
         let range = step.task(0)..=step.task(u32::MAX);
@@ -326,6 +335,19 @@
         self.names.get(name).copied()
     }
 
+    /// Whether less than half of a service's processors are in use.
+    pub fn is_idle(&self, service: &ServiceName) -> bool {
+        let (mut used, mut capacity) = (0, 0);
+        for worker in self.workers.values() {
+            let Some(profile) = &worker.profile else { continue };
+            if profile.service == *service {
+                used += worker.used();
+                capacity += profile.capacity.millicores;
+            }
+        }
+        used * 2 < capacity
+    }
+
     /// Adds an incarnation.
     pub fn insert(&mut self, number: WorkerNumber, worker: Worker) {
         let newest = self.find(&worker.name).and_then(|known| self.workers.get(&known));
