jobs: what asks for no less than what was refused isn't looked for again

Cause: under a backlog, each turn looked at all open workers for up to 200 steps that find no place, each with the tails beside every place; at 350 workers and 700 starts a second that is more than a leader's processor.

Change: a turn remembers which requests found no place, by service, image and needs; a request for as much of the same image breaks off at once. Refusals for a label or a spread are not remembered, since they say nothing of others.

Test: what_asks_for_no_less_than_what_was_refused_is_refused.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -10,7 +10,7 @@
         fleet::RunView,
         life::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
-        place::{Reach, Request, Terms, choose},
+        place::{Reach, Refusals, Request, Terms, choose},
         record::Record,
     },
     time::{Time, WallTime},
@@ -54,9 +54,10 @@
 
     fn place(&mut self, now: Time) {
         let mut misses = 0;
+        let mut refusals = Refusals::default();
         let ready: Vec<StepKey> = self.ready.iter().map(|(_, step)| *step).collect();
         for key in ready {
-            if self.place_step(now, key) {
+            if self.place_step(now, key, &mut refusals) {
                 self.dequeue(&key);
                 continue;
             }
@@ -68,7 +69,7 @@
     }
 
     /// Places what it can of a step; whether nothing of it waits any more.
-    fn place_step(&mut self, now: Time, key: StepKey) -> bool {
+    fn place_step(&mut self, now: Time, key: StepKey, refusals: &mut Refusals) -> bool {
         let Some(job) = self.state.jobs.get(&key.job).filter(|job| job.phase.is_open()) else {
             return true;
         };
@@ -92,7 +93,13 @@
             let pressure = &self.pressure;
             let terms = if starves && started == 0 { Terms::Any } else { Terms::FullSpeed };
             let request = Request { service: &service, step, key, avoid, pressure, terms };
-            let Some(number) = choose(&self.fleet, now, reach, &request) else { break };
+            if refusals.covers(&request) {
+                break;
+            }
+            let Some(number) = choose(&self.fleet, now, reach, &request) else {
+                refusals.add(&request);
+                break;
+            };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
             started += 1;
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -6,9 +6,10 @@
     ids::ServiceName,
     jobs::{
         fleet::{Fleet, Worker},
-        model::{Step, StepKey, WorkerNumber},
+        model::{Image, Step, StepKey, WorkerNumber},
         pace::Pressure,
     },
+    resources::Resources,
     time::Time,
 };
 
@@ -67,6 +68,54 @@
 /// held for 0.7 s and asked for again after 0.9 s, and a little for the way.
 const LIVE: Duration = Duration::from_millis(1800);
 
+/// Requests that found no place: until something ends, whatever asks for as much finds none
+/// either, and needn't look at all workers.
+#[derive(Debug, Default)]
+pub struct Refusals {
+    known: Vec<Refusal>,
+}
+
+#[derive(Debug)]
+struct Refusal {
+    service: ServiceName,
+    filling: bool,
+    image: Option<Image>,
+    needs: Resources,
+}
+
+impl Refusals {
+    /// Remembers a request, unless it was refused for an option of its own step.
+    pub fn add(&mut self, request: &Request<'_>) {
+        let step = request.step;
+        if step.label.is_some() || step.spread.is_some() || !Self::compares(request) {
+            return;
+        }
+        self.known.push(Refusal {
+            service: request.service.clone(),
+            filling: step.traits.filling,
+            image: step.image.clone(),
+            needs: step.needs,
+        });
+    }
+
+    /// Whether a request can't find a place either.
+    pub fn covers(&self, request: &Request<'_>) -> bool {
+        let step = request.step;
+        Self::compares(request)
+            && self.known.iter().any(|refusal| {
+                refusal.service == *request.service
+                    && refusal.filling == step.traits.filling
+                    && refusal.image == step.image
+                    && step.needs.fits(&refusal.needs)
+            })
+    }
+
+    /// Whether requests of this kind look at the same workers on the same terms.
+    fn compares(request: &Request<'_>) -> bool {
+        request.terms == Terms::FullSpeed && !request.step.traits.long_running
+    }
+}
+
 /// The best worker for a task.
 pub fn choose(
     fleet: &Fleet,
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -8,7 +8,7 @@
         fleet::{FULL_PACE, Fleet, RunView, Worker},
         model::{Image, JobId, Run, Step, TaskKey, Traits, WorkerNumber},
         pace::{Pressure, adjust, move_paused},
-        place::{Reach, Request, Terms, choose},
+        place::{Reach, Refusals, Request, Terms, choose},
     },
     resources::Resources,
     time::Time,
@@ -227,3 +227,38 @@
         assert_eq!(tasks.len(), case.started, "{}", case.name);
     }
 }
+
+#[test]
+fn what_asks_for_no_less_than_what_was_refused_is_refused() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+        terms: Terms,
+        want: bool,
+    }
+    let needs = |millicores, memory_mib| Resources { millicores, memory_mib, accelerators: 0 };
+    let like = |needs| Step { needs, ..filling("one") };
+    let spread = Step { spread: Some(1), ..like(needs(900, 100)) };
+    let full = Terms::FullSpeed;
+    let cases = [
+        Case { name: "as much", step: like(needs(1000, 100)), terms: full, want: true },
+        Case { name: "more", step: like(needs(1500, 200)), terms: full, want: true },
+        Case { name: "less memory", step: like(needs(1500, 50)), terms: full, want: false },
+        Case { name: "less processor", step: like(needs(900, 100)), terms: full, want: false },
+        Case { name: "another image", step: filling("two"), terms: full, want: false },
+        Case { name: "not filling", step: step(1), terms: full, want: false },
+        Case { name: "anywhere", step: like(needs(1000, 100)), terms: Terms::Any, want: false },
+    ];
+    let (service, pressure) = ("desk".into(), Pressure::default());
+    let key = task(JobId(3), 0, 0).step_key();
+    let (service, pressure) = (&service, &pressure);
+    let base = Request { service, step: &spread, key, avoid: &[], pressure, terms: full };
+    let mut refusals = Refusals::default();
+    // Refused for its spread alone: that says nothing of others.
+    refusals.add(&base);
+    refusals.add(&Request { step: &like(needs(1000, 100)), ..base });
+    for case in &cases {
+        let covered = refusals.covers(&Request { step: &case.step, terms: case.terms, ..base });
+        assert_eq!(covered, case.want, "{}", case.name);
+    }
+}
