runtime: test the storage duty on a disk that refuses writes

The duty takes any disk now, and a table of cases drives it with the fake one: a sync that fails once, and a disk that is full over two more attempts. Each entry is held once, and control is told of all. Not seen failing: it was written after the code.

--- a/runtime/src/persist.rs
+++ b/runtime/src/persist.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     ring::Inlet,
-    storage::{Folder, Opened, Store, StoreError},
+    storage::{Disk, Opened, Store, StoreError},
 };
 
 /// How many writes are synced at once.
@@ -27,11 +27,11 @@
 ///
 /// A disk that refuses writes is tried again: the controller goes on as a member that can't vote
 /// meanwhile, and the others lead.
-pub fn run(
+pub fn run<D: Disk>(
     ring: &Receiver<Write>,
     control: &Inlet<Event>,
-    store: Store<Folder>,
-    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
+    store: Store<D>,
+    reopen: impl Fn() -> Result<Opened<D>, StoreError>,
     log: &Logger,
 ) {
     let mut store = Some(store);
@@ -61,10 +61,10 @@
 
 /// Makes a batch durable, after opening the store if a failure has closed it; gives the number of
 /// its last write.
-fn write(
-    store: &mut Option<Store<Folder>>,
+fn write<D: Disk>(
+    store: &mut Option<Store<D>>,
     writes: &[Write],
-    reopen: impl Fn() -> Result<Opened<Folder>, StoreError>,
+    reopen: impl Fn() -> Result<Opened<D>, StoreError>,
 ) -> Result<u64, StoreError> {
     if let Some(open) = store {
         return open.write(writes);
--- a/runtime/tests/storage.rs
+++ b/runtime/tests/storage.rs
@@ -6,6 +6,8 @@
 mod counts;
 #[path = "storage/fake.rs"]
 mod fake;
+#[path = "storage/faults.rs"]
+mod faults;
 #[path = "storage/model.rs"]
 mod model;
 #[path = "storage/properties.rs"]
