--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -18,6 +18,7 @@
 pub mod pace;
 pub mod place;
 pub mod progress;
+pub mod rank;
 pub mod record;
 pub mod report;
 pub mod state;
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -5,12 +5,13 @@
     jobs::{
         controller::{
             Effect, Note,
-            lead::{Lead, Outlook, Turn},
+            lead::{Lead, Turn},
         },
         fleet::RunView,
         life::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
         place::{Reach, Refusals, Request, Terms, choose},
+        rank::Outlook,
         record::Record,
     },
     time::{Time, WallTime},
