--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -56,7 +56,7 @@
 
 /// How long the instance goes on beating and voting after its last request, so that others
 /// learn that it left.
-const FAREWELL: Duration = Duration::from_millis(600);
+const DRAIN: Duration = Duration::from_millis(600);
 
 /// How long an instance that leaves waits for its counts to be saved.
 const LAST_SAVE: Duration = Duration::from_secs(2);
@@ -291,7 +291,7 @@
                 // Nothing comes if the duty couldn't be started; its channel is closed then.
                 drop(tokio::time::timeout(LAST_SAVE, saved.recv()).await);
             }
-            tokio::time::sleep(FAREWELL).await;
+            tokio::time::sleep(DRAIN).await;
             info!(log, "the instance has left");
             Ok(())
         })
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -24,7 +24,7 @@
         call::{OrderReply, Reply},
         controller::lead::Lead,
         link::{LinkMessage, Standing},
-        members::{Keeper, introduced},
+        members::{Membership, introduced},
         record::{Batch, Node},
         state::State,
     },
@@ -68,7 +68,7 @@
     lead: Option<Lead>,
     waiting: VecDeque<Waiting>,
     proposals: u64,
-    keeper: Keeper,
+    membership: Membership,
     hello: Time,
     effects: Vec<consensus::Effect>,
 }
@@ -97,7 +97,7 @@
         let consensus =
             Consensus::new(config.consensus.clone(), recovered, &founders, now, config.seed);
         Ok(Self {
-            keeper: Keeper::new(config.voters, now),
+            membership: Membership::new(config.voters, now),
             hello: now,
             lead: None,
             waiting: VecDeque::new(),
@@ -130,7 +130,7 @@
     /// When [`Event::Timer`] is due.
     pub fn next_deadline(&self) -> Option<Time> {
         let own = match &self.lead {
-            Some(lead) => earliest(lead.next_deadline(), Some(self.keeper.next_deadline())),
+            Some(lead) => earliest(lead.next_deadline(), Some(self.membership.next_deadline())),
             None => None,
         };
         earliest(earliest(own, Some(self.hello)), self.consensus.next_deadline())
@@ -163,7 +163,7 @@
             Event::Timer => {}
             Event::Hello(node) => {
                 self.addresses.insert(node.id, node.peer);
-                self.keeper.hear(now, &node);
+                self.membership.hear(now, &node);
                 if let Some(lead) = &mut self.lead {
                     lead.introduce(&node);
                 }
@@ -236,9 +236,9 @@
             self.introduce(out);
         }
         if self.lead.is_some() {
-            self.keeper.hear(now, &self.config.me);
+            self.membership.hear(now, &self.config.me);
             let status = self.consensus.status();
-            for event in self.keeper.tick(now, &status, &self.committed.nodes) {
+            for event in self.membership.tick(now, &status, &self.committed.nodes) {
                 if !matches!(event, consensus::Event::Standbys { .. }) {
                     let change = format!("{event:?}");
                     out.push(Effect::Note(Note::Members { change }));
--- a/lib/src/jobs/controller/compose.rs
+++ b/lib/src/jobs/controller/compose.rs
@@ -32,28 +32,28 @@
 
 /// How long a heartbeat is held at most from a worker on which tasks fill beside tasks that serve:
 /// its next figures tell whether the paces are right.
-const HOLD_MIXED: Duration = Duration::from_millis(300);
+const POLL_MIXED: Duration = Duration::from_millis(300);
 
 /// How long a heartbeat is held at most while a run is past its estimate: it may end any time.
-const HOLD_OVERDUE: Duration = Duration::from_millis(250);
+const POLL_OVERDUE: Duration = Duration::from_millis(250);
 
 /// Less free than this part of a worker's processors, and it counts as full, in percent.
 const ROOM: u64 = 5;
 
 impl Lead {
     /// How long a worker's heartbeat is held open if nothing is to be told.
-    pub(super) fn hold(&self, number: WorkerNumber, now: Time) -> Duration {
+    pub(super) fn poll_wait(&self, number: WorkerNumber, now: Time) -> Duration {
         let Some(worker) = self.fleet.workers.get(&number) else { return Duration::ZERO };
         let most = if worker.serving > 0 && worker.wished > 0 {
-            self.timing.hold.min(HOLD_MIXED)
+            self.timing.poll_wait.min(POLL_MIXED)
         } else {
-            self.timing.hold
+            self.timing.poll_wait
         };
         if worker.profile.as_ref().is_some_and(|profile| profile.leaves.is_some()) {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
-        let most = if ends.clone().any(|end| end <= now) { most.min(HOLD_OVERDUE) } else { most };
+        let most = if ends.clone().any(|end| end <= now) { most.min(POLL_OVERDUE) } else { most };
         let Some(next) = ends.filter(|end| *end > now).min() else {
             return most;
         };
--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -35,7 +35,7 @@
     /// What a worker's slow clock and a late timer may add to a lease.
     pub lease_margin: Duration,
     /// How long a heartbeat is held open at most.
-    pub hold: Duration,
+    pub poll_wait: Duration,
     /// How long the states of jobs that have ended are kept.
     pub retain: Duration,
 }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -48,7 +48,7 @@
         pace::move_paused(worker, now);
         evacuate(worker, now);
         stop_stuck(worker, now);
-        let until = now + self.hold(number, now);
+        let until = now + self.poll_wait(number, now);
         if let Some(worker) = self.fleet.workers.get_mut(&number) {
             worker.open = Some(Open { ticket, since: now, until });
         }
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -21,13 +21,13 @@
 
 /// The controllers that were heard.
 #[derive(Debug)]
-pub struct Keeper {
+pub struct Membership {
     wanted: usize,
     look: Time,
     heard: BTreeMap<InstanceId, (Node, Time)>,
 }
 
-impl Keeper {
+impl Membership {
     /// Aims at `wanted` voters.
     pub fn new(wanted: usize, now: Time) -> Self {
         Self { wanted, look: now, heard: BTreeMap::new() }
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -12,7 +12,7 @@
     jobs::{
         controller::{Controller, Effect, Event},
         link::LinkMessage,
-        members::Keeper,
+        members::Membership,
         record::{Batch, Record},
         state::State,
     },
@@ -99,15 +99,15 @@
         for node in [node(1, 1), node(2, 2), node(3, 3), new.clone()] {
             state.apply(&Record::Node(node), &mut changes);
         }
-        let mut keeper = Keeper::new(3, now);
+        let mut membership = Membership::new(3, now);
         for heard in [node(1, 1), node(2, 2), new] {
-            keeper.hear(now, &heard);
+            membership.hear(now, &heard);
         }
         let voters = vec![InstanceId(1), InstanceId(2), InstanceId(3)];
         let members = Members { voters, learners: vec![InstanceId(9)] };
         let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), now);
         let status = Status { members, ..controller.expect("no snapshot").status() };
-        let events = keeper.tick(now, &status, &state.nodes);
+        let events = membership.tick(now, &status, &state.nodes);
         let replace = ConsensusEvent::ReplaceVoter { lost: InstanceId(3), by: InstanceId(9) };
         assert_eq!(events.contains(&replace), case.want, "{}", case.name);
     }
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -72,10 +72,10 @@
 const LEASE: Duration = Duration::from_millis(6800);
 
 /// How long a heartbeat is held at most: workers drop an answer that takes a second.
-const HOLD: Duration = Duration::from_millis(700);
+const POLL_WAIT: Duration = Duration::from_millis(700);
 
 /// How long a controller that leaves goes on answering.
-const FAREWELL: Duration = Duration::from_millis(300);
+const DRAIN: Duration = Duration::from_millis(300);
 
 /// Why a controller can't run.
 #[derive(Debug, Snafu)]
@@ -256,7 +256,7 @@
         }
         info!(log, "the controller leaves");
         stop.send_replace(true);
-        sleep(FAREWELL).await;
+        sleep(DRAIN).await;
         info!(log, "the controller has left");
         Ok(())
     })
@@ -312,7 +312,7 @@
         timing: Timing {
             lease,
             lease_margin: lease / DRIFT + LATE,
-            hold: HOLD,
+            poll_wait: POLL_WAIT,
             retain: settings.retain,
         },
         consensus: consensus::Config {
@@ -391,7 +391,7 @@
         for effect in out.drain(..) {
             outlets.deliver(effect);
         }
-        outlets.metrics.hold(&controller);
+        outlets.metrics.observe(&controller);
         let wait = match outlets.flush() {
             0 => controller.next_deadline().map_or(IDLE, |at| clock.now().until(at).min(IDLE)),
             _ => RETRY,
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -159,7 +159,7 @@
     }
 
     /// Takes over what a controller holds.
-    pub fn hold(&self, controller: &Controller) {
+    pub fn observe(&self, controller: &Controller) {
         let lead = controller.lead();
         self.held_jobs.set(signed(controller.committed().jobs.len() as u64));
         self.waiting_steps.set(signed(lead.map_or(0, |lead| lead.waiting_steps() as u64)));
