jobs: many steps that fit nowhere hide none that fits

Cause: a turn gave up after 200 steps without a place, always the same 200 by their rank, so that a backlog of steps that fit nowhere kept all others from starting.

Change: only looks at all workers count towards the bound; what is refused like another request costs no look.

Test: many_steps_that_fit_nowhere_hide_none_that_fits, seen failing.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -17,9 +17,9 @@
     time::{Time, WallTime},
 };
 
-/// How many steps that find no place are looked at in one turn before the others wait for the
-/// next one.
-const MISSES: usize = 200;
+/// How often all workers are looked at in vain in one turn before what is left waits for the next
+/// one.
+const MISSES: u32 = 200;
 
 /// How long a step may wait for a place at full speed while its service is idle, in milliseconds:
 /// users take a job for lost that doesn't run for 3 s.
@@ -54,16 +54,13 @@
     }
 
     fn place(&mut self, now: Time) {
-        let mut misses = 0;
         let mut refusals = Refusals::default();
         let ready: Vec<StepKey> = self.ready.iter().map(|(_, step)| *step).collect();
         for key in ready {
             if self.place_step(now, key, &mut refusals) {
                 self.dequeue(&key);
-                continue;
             }
-            misses += 1;
-            if misses > MISSES {
+            if refusals.looks() > MISSES {
                 return;
             }
         }
@@ -81,7 +78,11 @@
         let Some(step) = spec.steps.get(usize::from(key.step)) else { return true };
         let waiting = self.waiting(&key, step);
         if step.traits.gang {
-            return self.place_gang(now, &key, step, &service, &waiting);
+            let placed = self.place_gang(now, &key, step, &service, &waiting);
+            if !placed {
+                refusals.count();
+            }
+            return placed;
         }
         let starves = !job.runs(key.round) && self.starves(&key, &service);
         // What runs for long is worth the best place, also if its worker must be waited for.
--- a/lib/src/jobs/place.rs
+++ b/lib/src/jobs/place.rs
@@ -73,6 +73,7 @@
 #[derive(Debug, Default)]
 pub struct Refusals {
     known: Vec<Refusal>,
+    looks: u32,
 }
 
 #[derive(Debug)]
@@ -86,6 +87,7 @@
 impl Refusals {
     /// Remembers a request, unless it was refused for an option of its own step.
     pub fn add(&mut self, request: &Request<'_>) {
+        self.count();
         let step = request.step;
         if step.label.is_some() || step.spread.is_some() || !Self::compares(request) {
             return;
@@ -98,6 +100,16 @@
         });
     }
 
+    /// Counts a request that looked at all workers in vain.
+    pub fn count(&mut self) {
+        self.looks += 1;
+    }
+
+    /// How many requests looked at all workers in vain.
+    pub fn looks(&self) -> u32 {
+        self.looks
+    }
+
     /// Whether a request can't find a place either.
     pub fn covers(&self, request: &Request<'_>) -> bool {
         let step = request.step;
--- a/lib/tests/jobs/steps.rs
+++ b/lib/tests/jobs/steps.rs
@@ -2,10 +2,13 @@
 
 use std::time::Duration;
 
-use hickorylink_lib::jobs::{
-    life::JobPhase,
-    model::{Run, Step, Traits},
-    record::Ending,
+use hickorylink_lib::{
+    jobs::{
+        life::JobPhase,
+        model::{Run, Step, Traits},
+        record::Ending,
+    },
+    resources::Resources,
 };
 
 use crate::world::{FakeWorker, World, step, task};
@@ -199,3 +202,17 @@
     });
     assert_eq!(images, [([1].into(), 2), ([2].into(), 2), ([].into(), 0)]);
 }
+
+#[test]
+fn many_steps_that_fit_nowhere_hide_none_that_fits() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.beat(&mut worker);
+    let large = Resources { memory_mib: 5000, ..step(1).needs };
+    for id in 1..=300 {
+        world.submit(id, vec![Step { needs: large, estimate: 1, ..step(1) }]);
+    }
+    let job = world.submit(301, vec![step(1)]);
+    world.beat(&mut worker);
+    assert!(worker.running.contains_key(&task(job, 0, 0)));
+}
