--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -15,6 +15,8 @@
 use serde_json::json;
 use tempfile::TempDir;
 
+mod soak;
+
 /// A generous bound: nothing here is a timed verdict.
 const LIMIT: Duration = Duration::from_secs(60);
 
@@ -27,9 +29,14 @@
 
 impl World {
     async fn start() -> Self {
+        Self::start_with(3, 1).await
+    }
+
+    async fn start_with(controllers: usize, gateways: usize) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let program = Path::new(env!("CARGO_BIN_EXE_hickorylink"));
-        let deployment = Deployment::start(program, folder.path(), 3, 1).expect("it starts");
+        let deployment = Deployment::start(program, folder.path(), controllers, gateways);
+        let deployment = deployment.expect("it starts");
         let record = Record::default();
         let controllers = deployment.controllers();
         let names = ["w1", "w2", "w3"];
@@ -43,7 +50,9 @@
     }
 
     fn logs(&self) -> String {
-        (0..4).map(|at| format!("--- {at}\n{}", self.deployment.log(at))).collect()
+        (0..self.deployment.members())
+            .map(|at| format!("--- {at}\n{}", self.deployment.log(at)))
+            .collect()
     }
 
     async fn submit(&self, ids: std::ops::Range<u64>) {
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -160,6 +160,11 @@
         fs::write(self.settings(at), text.replace("\"founding\":true", "\"founding\":false"))
     }
 
+    /// How many members there are.
+    pub fn members(&self) -> usize {
+        self.members.len()
+    }
+
     /// What a member logged.
     pub fn log(&self, at: usize) -> String {
         fs::read_to_string(self.folder.join(format!("{at}.log"))).unwrap_or_default()
