jobs: look for idle services ten times a second, not for each step

Under a backlog, each step of a job that waits summed over all workers. The look for lapsed leases notes the idle services too. No change of what is decided but for the 100 ms.

--- a/lib/src/jobs/controller/lead.rs
+++ b/lib/src/jobs/controller/lead.rs
@@ -6,7 +6,7 @@
 };
 
 use crate::{
-    ids::{Epoch, Incarnation, WorkerName},
+    ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{Answer, Effect, Note, Ticket, Timing},
         fleet::{Fleet, RunView, Worker},
@@ -44,6 +44,8 @@
     /// Steps with tasks that may start, in the order of their ranks.
     pub(super) ready: BTreeSet<(Rank, StepKey)>,
     pub(super) queued: HashMap<StepKey, Queued>,
+    /// Services of which less than half was in use at the last look.
+    pub(super) idle: Vec<ServiceName>,
     /// Occurrences that aren't due yet.
     pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
     /// Workers on which tasks have failed.
@@ -88,6 +90,7 @@
             pressure: Pressure::default(),
             ready: BTreeSet::new(),
             queued: HashMap::new(),
+            idle: Vec::new(),
             upcoming: BTreeSet::new(),
             failed: HashMap::new(),
             outgoing: BTreeMap::new(),
@@ -290,6 +293,7 @@
         self.look = now + LOOK;
         self.unsettled = true;
         self.rerank();
+        self.idle = self.fleet.idle_services();
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.heard) > FORGET_WORKER;
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -118,7 +118,7 @@
         self.queued.get(key).is_some_and(|queued| {
             let waited = self.wall.0.saturating_sub(queued.since.0);
             queued.rank.outlook == Outlook::Overdue
-                || waited > STARVES && self.fleet.is_idle(service)
+                || waited > STARVES && self.idle.contains(service)
         })
     }
 
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -335,17 +335,17 @@
         self.names.get(name).copied()
     }
 
-    /// Whether less than half of a service's processors are in use.
-    pub fn is_idle(&self, service: &ServiceName) -> bool {
-        let (mut used, mut capacity) = (0, 0);
+    /// The services of which less than half of the processors are in use.
+    pub fn idle_services(&self) -> Vec<ServiceName> {
+        let mut services: BTreeMap<&ServiceName, (u64, u64)> = BTreeMap::new();
         for worker in self.workers.values() {
             let Some(profile) = &worker.profile else { continue };
-            if profile.service == *service {
-                used += worker.used();
-                capacity += profile.capacity.millicores;
-            }
+            let (used, capacity) = services.entry(&profile.service).or_default();
+            *used += worker.used();
+            *capacity += profile.capacity.millicores;
         }
-        used * 2 < capacity
+        let idle = services.into_iter().filter(|(_, (used, capacity))| used * 2 < *capacity);
+        idle.map(|(service, _)| service.clone()).collect()
     }
 
     /// Adds an incarnation.
