--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -202,7 +202,7 @@
     metrics.note(&Note::Policy { plans: Revision(1), usage: Revision(1) });
     metrics.note(&Note::Epoch { centre: "akl-a".into(), epoch: Epoch(1), holder: None });
     let (ring, _) = to_thread::<()>("council", 1);
-    let text = metrics.encode(&[(ring.gauge().clone(), 0)]).expect("metrics can be written");
+    let text = metrics.encode(&[ring.reading()]).expect("metrics can be written");
     let names = text.lines().filter_map(|line| line.strip_prefix("# HELP hickorylink_"));
     let names: BTreeSet<_> = names.filter_map(|line| line.split(' ').next()).collect();
     let rows = page.lines().filter_map(|line| line.strip_prefix("| `"));
