cli: a test plays the page on failed calls

A refused call, a failed job and a call whose fate is unknown are brought about with real processes, and explained by the lines that docs/OPERATIONS.md names. The stand-in's tasks can fail.

--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tempfile::TempDir;
 
+mod operations;
 mod soak;
 
 /// A generous bound: nothing here is a timed verdict.
--- /dev/null
+++ b/cli/tests/deployment/operations.rs
@@ -0,0 +1,100 @@
+//! docs/OPERATIONS.md: three kinds of failed calls, and the way from their ids to their causes.
+
+use hickorylink_standin::{
+    cluster::eventually,
+    platform::{Deployment, path, worker::FAILS},
+};
+use hyper::Method;
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+
+use crate::{LIMIT, World};
+
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+
+/// The gateway, after three controllers.
+const GATEWAY: usize = 3;
+
+/// The lines of some members that name an id, or have this message if none is given.
+fn lines(deployment: &Deployment, members: &[usize], message: &str, id: &str) -> Vec<Value> {
+    assert!(PAGE.contains(message), "the page names '{message}'");
+    let logs: Vec<_> = members.iter().map(|at| deployment.log(*at)).collect();
+    let lines = logs.iter().flat_map(|log| log.lines()).filter(|line| line.contains(id));
+    let lines = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.filter(|line| line["msg"] == message).collect()
+}
+
+fn body(text: &str) -> String {
+    json!({ "spec": text, "steps": [{ "count": 1, "cpu": 100, "memMb": 10 }] }).to_string()
+}
+
+fn hex(id: u64) -> String {
+    format!("{id:016x}")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refused_call_is_explained_by_its_gateway() {
+    let mut world = World::start().await;
+    world.submit(1..2).await;
+    for at in 0..GATEWAY {
+        world.deployment.kill(at).expect("it is killed");
+    }
+    let refused = eventually(LIMIT, async || {
+        let answer = world.deployment.call(0, Method::POST, &path(7), &body("x")).await.ok()?;
+        (answer.status == 503).then_some(())
+    });
+    assert!(refused.await.is_some(), "{}", world.logs());
+    let given_up = lines(&world.deployment, &[GATEWAY], "a call was given up", &hex(7));
+    assert!(given_up.iter().any(|line| line["told"] == "not run"), "{given_up:?}");
+    let lost = lines(&world.deployment, &[GATEWAY], "the leader is lost", "");
+    assert!(!lost.is_empty() && lost[0]["why"].is_string(), "{lost:?}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_job_is_explained_by_its_runs() {
+    let world = World::start().await;
+    let sent = world.deployment.call(0, Method::POST, &path(8), &body(FAILS)).await;
+    assert_eq!(sent.expect("an answer").status, 200);
+    let failed = eventually(LIMIT, async || {
+        world.deployment.state(8).await.filter(|state| state == "failed")
+    });
+    assert!(failed.await.is_some(), "{}", world.logs());
+    let all = [0, 1, 2];
+    let states = lines(&world.deployment, &all, "job", &hex(8));
+    let states: Vec<_> = states.iter().filter_map(|line| line["state"].as_str()).collect();
+    assert_eq!(states, ["accepted", "failed"]);
+    let ends = lines(&world.deployment, &all, "a run ended", &hex(8));
+    assert_eq!(ends.len(), 4, "as many as the queue has attempts: {ends:?}");
+    assert!(ends.iter().all(|end| end["ending"] == "failed" && end["worker"].is_string()));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_whose_fate_is_unknown_is_explained_by_both() {
+    let world = World::start().await;
+    world.submit(1..2).await;
+    // The call reaches a leader that stands still, and no other one can be elected.
+    let signal = |signal| {
+        for at in 0..GATEWAY {
+            world.deployment.signal(at, signal).expect("it runs");
+        }
+    };
+    signal(Signal::SIGSTOP);
+    let answer = world.deployment.call(0, Method::POST, &path(9), &body("x")).await;
+    signal(Signal::SIGCONT);
+    assert_eq!(answer.expect("an answer").status, 504, "{}", world.logs());
+    let given_up = lines(&world.deployment, &[GATEWAY], "a call was given up", &hex(9));
+    assert!(given_up.iter().any(|line| line["told"] == "unknown"), "{given_up:?}");
+    // Submitting it again is safe, and the controllers say what became of it.
+    let again = eventually(LIMIT, async || {
+        let answer = world.deployment.call(0, Method::POST, &path(9), &body("x")).await.ok()?;
+        (answer.status == 200).then_some(())
+    });
+    assert!(again.await.is_some(), "{}", world.logs());
+    let done = eventually(LIMIT, async || {
+        world.deployment.state(9).await.filter(|state| state == "completed")
+    });
+    assert!(done.await.is_some(), "{}", world.logs());
+    let states = lines(&world.deployment, &[0, 1, 2], "job", &hex(9));
+    assert!(states.iter().any(|line| line["state"] == "accepted"), "{states:?}");
+    assert_eq!(world.record.doubled(), None);
+}
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -1,7 +1,7 @@
 //! A stand-in worker: it heartbeats, does what it is told, and stops by its lease.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::{Duration, Instant},
@@ -19,6 +19,9 @@
 /// How long a task works.
 const WORK: Duration = Duration::from_millis(200);
 
+/// Tasks that are handed this text fail once their work is over.
+pub const FAILS: &str = "this task fails";
+
 /// An answer that takes longer is dropped.
 const ANSWER: Duration = Duration::from_secs(1);
 
@@ -91,6 +94,7 @@
             sequence: 0,
             ends: 0,
             running: BTreeMap::new(),
+            failing: BTreeSet::new(),
             finished: Vec::new(),
             lease: Instant::now(),
         };
@@ -108,6 +112,8 @@
     ends: u64,
     /// Task, with its run, its place in the record and when it is done.
     running: BTreeMap<String, (u64, usize, Instant)>,
+    /// Those of them that will fail.
+    failing: BTreeSet<String>,
     finished: Vec<(u64, Value)>,
     lease: Instant,
 }
@@ -162,7 +168,12 @@
             .map(|(task, (run, place, end))| (task.clone(), *run, *place, *end <= now))
             .collect();
         for (task, run, place, done) in ended {
-            self.end(&task, run, place, if done { "done" } else { "lapsed" });
+            let how = match done {
+                true if self.failing.contains(&task) => "failed",
+                true => "done",
+                false => "lapsed",
+            };
+            self.end(&task, run, place, how);
         }
     }
 
@@ -207,6 +218,9 @@
             if self.running.contains_key(task) {
                 continue;
             }
+            if row[2].as_str() == Some(FAILS) {
+                self.failing.insert(task.to_owned());
+            }
             let (now, mut runs) = (Instant::now(), self.record.lock());
             self.running.insert(task.to_owned(), (run, runs.len(), now + WORK));
             let (task, worker) = (task.to_owned(), self.name.clone());
