--- a/cli/tests/deployment/soak.rs
+++ b/cli/tests/deployment/soak.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use serde_json::{Value, json};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::World;
 
@@ -33,6 +33,9 @@
 const DOWN: std::ops::Range<u64> = 50..2500;
 const PAUSE: std::ops::Range<u64> = 0..1500;
 
+/// How long a caller waits for an answer.
+const PATIENCE: Duration = Duration::from_secs(3);
+
 /// What a controller without its disk needs to take part again.
 const CATCH_UP: Duration = Duration::from_secs(4);
 
@@ -77,13 +80,15 @@
         let mut refused = true;
         for attempt in 0..4 {
             let at = (usize::try_from(id).unwrap_or(0) + attempt) % GATEWAYS;
-            match deployment.call(at, Method::POST, &path(id), &body).await {
-                Ok(answer) if answer.status == 200 => {
+            let place = path(id);
+            let call = deployment.call(at, Method::POST, &place, &body);
+            match timeout(PATIENCE, call).await {
+                Ok(Ok(answer)) if answer.status == 200 => {
                     self.accepted.insert(id);
                     return;
                 }
-                Ok(answer) if answer.status == 503 => {}
-                Ok(_) | Err(_) => refused = false,
+                Ok(Ok(answer)) if answer.status == 503 => {}
+                Ok(Ok(_) | Err(_)) | Err(_) => refused = false,
             }
             sleep(Duration::from_millis(100)).await;
         }
@@ -93,38 +98,35 @@
     }
 }
 
-/// Strikes a member for a while.
-async fn strike(deployment: &mut Deployment, fault: Fault, at: usize, down: Duration) {
+/// Begins to disturb a member.
+fn strike(deployment: &mut Deployment, fault: Fault, at: usize) {
     match fault {
-        Fault::Freeze => {
-            deployment.signal(at, Signal::SIGSTOP).expect("it runs");
-            sleep(down).await;
-            deployment.signal(at, Signal::SIGCONT).expect("it runs");
-            return;
-        }
+        Fault::Freeze => deployment.signal(at, Signal::SIGSTOP).expect("it runs"),
+        Fault::Leave => deployment.signal(at, Signal::SIGTERM).expect("it runs"),
         Fault::Reload => {
             for _ in 0..2 {
                 deployment.signal(at, Signal::SIGHUP).expect("it runs");
             }
-            return;
         }
-        Fault::Leave => {
-            deployment.signal(at, Signal::SIGTERM).expect("it runs");
-            sleep(down).await;
+        Fault::Kill | Fault::Wipe => deployment.kill(at).expect("it is killed"),
+    }
+}
+
+/// Ends what disturbs a member.
+async fn relieve(deployment: &mut Deployment, fault: Fault, at: usize) {
+    match fault {
+        Fault::Freeze => deployment.signal(at, Signal::SIGCONT).expect("it runs"),
+        Fault::Reload => {}
+        Fault::Kill | Fault::Leave => {
             deployment.kill(at).expect("it is ended");
+            deployment.launch(at).expect("it starts again");
         }
-        Fault::Kill | Fault::Wipe => {
-            deployment.kill(at).expect("it is killed");
-            sleep(down).await;
+        Fault::Wipe => {
+            deployment.lose_disk(at).expect("its disk is emptied");
+            deployment.launch(at).expect("it starts again");
+            sleep(CATCH_UP).await;
         }
     }
-    if matches!(fault, Fault::Wipe) {
-        deployment.lose_disk(at).expect("its disk is emptied");
-    }
-    deployment.launch(at).expect("it starts again");
-    if matches!(fault, Fault::Wipe) {
-        sleep(CATCH_UP).await;
-    }
 }
 
 /// The version that a read shows, if any controller is sure of one.
@@ -160,7 +162,9 @@
         let pause = Duration::from_millis(dice.random_range(PAUSE));
         println!("seed {seed}, fault {number}: {fault:?} at {at} for {down:?}");
         told.submit(&world.deployment).await;
-        strike(&mut world.deployment, fault, at, down).await;
+        strike(&mut world.deployment, fault, at);
+        let (_, ()) = tokio::join!(sleep(down), told.submit(&world.deployment));
+        relieve(&mut world.deployment, fault, at).await;
         told.submit(&world.deployment).await;
         let next = version + 1;
         if world.deployment.configure(next).await.is_some_and(|answer| answer.status == 200) {
@@ -177,6 +181,8 @@
         });
         assert!(state.await.is_some(), "seed {seed}: job {id} isn't completed\n{}", world.logs());
     }
+    let (accepted, refused) = (told.accepted.len(), told.refused.len());
+    println!("seed {seed}: {accepted} jobs accepted, {refused} refused");
     check(&told, &world.record, seed);
     assert!(!told.accepted.is_empty(), "seed {seed}: nothing was accepted");
 }
