--- a/cli/tests/deployment/soak.rs
+++ b/cli/tests/deployment/soak.rs
@@ -68,7 +68,7 @@
 }
 
 impl Told {
-    /// Submits a job at one gateway after the other; gives up after a few attempts.
+    /// Submits a job, and if its caller is patient, at one gateway after the other.
     async fn submit(&mut self, deployment: &Deployment) {
         self.next += 1;
         let id = self.next;
@@ -78,7 +78,9 @@
         ]);
         let body = json!({ "spec": "soak", "steps": steps }).to_string();
         let mut refused = true;
-        for attempt in 0..4 {
+        // Two callers of three don't ask again: what they are told of a refusal must stay true.
+        let attempts = if id % 3 == 0 { 4 } else { 1 };
+        for attempt in 0..attempts {
             let at = (usize::try_from(id).unwrap_or(0) + attempt) % GATEWAYS;
             let place = path(id);
             let call = deployment.call(at, Method::POST, &place, &body);
