--- a/cli/tests/deployment/soak.rs
+++ b/cli/tests/deployment/soak.rs
@@ -79,7 +79,7 @@
         let body = json!({ "spec": "soak", "steps": steps }).to_string();
         let mut refused = true;
         // Two callers of three don't ask again: what they are told of a refusal must stay true.
-        let attempts = if id % 3 == 0 { 4 } else { 1 };
+        let attempts = if id.is_multiple_of(3) { 4 } else { 1 };
         for attempt in 0..attempts {
             let at = (usize::try_from(id).unwrap_or(0) + attempt) % GATEWAYS;
             let place = path(id);
