tests: long-running tasks are at work whenever there is room, under random disturbances

Users: a task that lasts doesn't run, with room for it. The random schedules of the jobs' tests had no long-running tasks and no notion of room, so nothing in the repository could show it.

Six workers that keep a heartbeat outstanding, with leases as deployed (6.8 s and 0.32 s), live through silent crashes, partitions, lost responses, slow and failing workers, workers that leave, restarts of the controller, changed and dropped configurations, bursts and cancelled jobs. A task counts as missed as the users count: away for 3 s, from 6 s after its last run and 4 s after the last disturbance, with room for it twice over.

--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -7,5 +7,6 @@
 mod pace;
 mod properties;
 mod recovery;
+mod standing;
 mod steps;
 mod world;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -38,6 +38,7 @@
     pub(crate) sent: Vec<Effect>,
     /// What storage would recover.
     stored: Recovered,
+    lease: (Duration, Duration),
     next: u64,
 }
 
@@ -82,17 +83,28 @@
     }
 }
 
+/// The only controller of a deployment.
+fn controller(lease: Duration, margin: Duration, stored: Recovered, now: Time) -> Controller {
+    let me = node(1, 1);
+    let founders = vec![(me.id, me.peer)];
+    let mut config = config(me, founders);
+    (config.timing.lease, config.timing.lease_margin) = (lease, margin);
+    Controller::new(config, stored, now).expect("the snapshot can be decoded")
+}
+
 impl World {
     /// Creates a controller that leads, with a queue `/fold/` on service `desk` whose jobs fail
     /// after 4 failures of a task.
     pub(crate) fn new() -> Self {
-        let me = node(1, 1);
-        let founders = vec![(me.id, me.peer)];
+        Self::with_lease(LEASE, MARGIN)
+    }
+
+    /// The same with other leases and their margin.
+    pub(crate) fn with_lease(lease: Duration, margin: Duration) -> Self {
         let now = Time::from_millis(1);
-        let controller = Controller::new(config(me, founders), Recovered::default(), now);
-        let controller = controller.expect("there is no snapshot to decode");
         let mut world = Self {
-            controller,
+            controller: controller(lease, margin, Recovered::default(), now),
+            lease: (lease, margin),
             now,
             answers: BTreeMap::new(),
             sent: Vec::new(),
@@ -109,10 +121,8 @@
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
-        let me = node(1, 1);
-        let founders = vec![(me.id, me.peer)];
-        let controller = Controller::new(config(me, founders), self.stored.clone(), self.now);
-        self.controller = controller.expect("the snapshot can be decoded");
+        let (lease, margin) = self.lease;
+        self.controller = controller(lease, margin, self.stored.clone(), self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
@@ -285,6 +295,8 @@
     pub(crate) stopped: BTreeSet<TaskKey>,
     /// The checkpoint of all its runs.
     pub(crate) checkpoint: String,
+    /// The processors that each run was started with, in millicores.
+    pub(crate) loads: BTreeMap<TaskKey, u64>,
 }
 
 impl FakeWorker {
@@ -302,6 +314,7 @@
             started: Vec::new(),
             stopped: BTreeSet::new(),
             checkpoint: String::new(),
+            loads: BTreeMap::new(),
         }
     }
 
@@ -347,6 +360,8 @@
         }
         for start in &response.starts {
             self.running.insert(start.task, start.run);
+            let step = start.spec.steps.get(usize::from(start.task.step));
+            self.loads.insert(start.task, step.map_or(0, |step| step.needs.millicores));
             self.started.push((start.task, start.run));
         }
     }
