jobs: a search for places that hasn't reached the last step doesn't begin again

Callers: a long-running task may stay away although there is room for it, for as long as many steps wait that no worker can run (jobs that can never be done, or a label that no worker has).

Cause: a turn evaluates at most 20,000 workers, and the next one goes on with the steps that weren't tried. But every 300 ms all steps count as untried, whether the search has reached the last one or not. A search that takes longer begins again at the head, and the steps at the end, where long-running tasks stand, are never reached.

Ruled out: the cache of unplaceable requests hides nothing here, since requests with a label aren't kept in it.

Change: all steps are tried again only once a round has considered all of them.

Evidence: steps_that_no_worker_can_run_hide_no_long_running_task failed before with 370 workers and 1,500 such steps, and with 5,500 workers and 400 (the task has no run after 2 s), and passes now.

--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -70,8 +70,11 @@
     ended: BTreeSet<(Time, JobId)>,
     next_expiry: Time,
     next_forget: Time,
-    /// When all workers are considered for all waiting steps again.
+    /// When all workers are considered for all waiting steps again, unless the search is still in
+    /// progress.
     next_retry: Time,
+    /// Whether the last round of placement considered all waiting steps.
+    pub(super) search_ended: bool,
     /// The wall clock of the current turn.
     pub(super) wall: WallTime,
 }
@@ -112,6 +115,7 @@
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
             next_retry: now,
+            search_ended: true,
             state,
             epoch,
             timing,
@@ -297,7 +301,8 @@
         }
         self.next_expiry = now + EXPIRY_INTERVAL;
         self.rerank();
-        if now >= self.next_retry {
+        // A search that begins again before it has reached the last step would never reach it.
+        if now >= self.next_retry && self.search_ended {
             self.next_retry = now + RETRY_INTERVAL;
             self.waiting.retry_all();
         }
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -57,8 +57,10 @@
         let mut round = Round::new(&self.fleet, now, &self.changed);
         let steps: Vec<WaitingStep> =
             self.waiting.iter().filter(|step| round.may_fit(step)).copied().collect();
+        self.search_ended = true;
         for step in steps {
             if round.is_exhausted() {
+                self.search_ended = false;
                 return;
             }
             if round.may_fit(&step) && self.place_step(now, &step, &mut round) {
--- a/lib/tests/jobs/load.rs
+++ b/lib/tests/jobs/load.rs
@@ -217,3 +217,36 @@
         assert_eq!(moved > 0, case.want > 0, "{}: {moved} were stopped", case.name);
     }
 }
+
+/// Guards against long-running tasks that wait forever behind steps that no worker can run: each of
+/// these is evaluated on all workers, and the search starts again at the head of the queue before it
+/// has reached the end.
+#[test]
+fn steps_that_no_worker_can_run_hide_no_long_running_task() {
+    struct Case {
+        name: &'static str,
+        workers: usize,
+        hopeless: u64,
+    }
+    let cases = [
+        Case { name: "hundreds of workers", workers: 370, hopeless: 1500 },
+        Case { name: "the size to design for", workers: 5500, hopeless: 400 },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let names = (0..case.workers).map(|at| format!("w{at}"));
+        let mut workers: Vec<_> = names.map(|name| FakeWorker::new(&name)).collect();
+        heartbeat_all(&mut world, &mut workers, 0);
+        let hopeless =
+            (1..=case.hopeless).map(|id| (id, Step { label: Some("none".into()), ..step(1) }));
+        let lasting = case.hopeless + 1;
+        submit_all(&mut world, hopeless.chain([(lasting, long_running(1))]));
+        for round in 1..=10 {
+            world.advance(Duration::from_millis(200));
+            heartbeat_all(&mut world, &mut workers, round);
+        }
+        let leader = world.controller.leader().expect("the controller leads");
+        let started = leader.state.task(&task(JobId(lasting), 0, 0));
+        assert_eq!(started.map(|task| task.run), Some(Run(1)), "{}", case.name);
+    }
+}
