jobs: a changed configuration doesn't restart the time for which steps have waited

Callers: a job of which nothing runs, with most of its service idle, is started at any speed after 2 s. While configurations come in quicker succession it never is, and nothing of it runs.

Cause: each configuration rebuilds the queue of waiting steps, and a rebuilt step waits since now.

Change: the rebuilt queue takes over since when its steps have waited.

Evidence: the case "idle worker, changing configuration" of one_task_of_a_starving_job_starts_at_any_speed started no task before and starts one now.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -42,15 +42,17 @@
         Proposal { records, answers }
     }
 
-    /// Rebuilds the queue after a change of the queues' priorities or services.
+    /// Rebuilds the queue after a change of the queues' priorities or services. A step keeps the time
+    /// for which it has waited.
     pub(super) fn requeue(&mut self) {
         let open = self.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
-        self.waiting.clear();
+        let before = std::mem::take(&mut self.waiting);
         self.upcoming.clear();
         for id in open {
             self.admit_job(id);
         }
+        self.waiting.keep_ages(&before);
     }
 
     fn place_waiting(&mut self, now: Time) {
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -120,9 +120,12 @@
         self.order.values_mut().for_each(|step| step.tried = false);
     }
 
-    /// Removes all steps.
-    pub fn clear(&mut self) {
-        self.order.clear();
-        self.ranks.clear();
+    /// Takes over since when the steps have waited in an earlier queue.
+    pub fn keep_ages(&mut self, before: &Self) {
+        for step in self.order.values_mut() {
+            if let Some((_, earlier)) = before.get(&step.key) {
+                step.since = earlier.since;
+            }
+        }
     }
 }
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -5,6 +5,7 @@
 use hickorylink_lib::{
     ids::Incarnation,
     jobs::{
+        call::OperatorRequest,
         fleet::{FULL_PACE_PERCENT, Fleet, RunView, Worker},
         model::{Image, JobId, Run, Step, StepOptions, TaskKey, WorkerNumber},
         pace::{Interference, adjust_paces, stop_paused},
@@ -15,7 +16,7 @@
     time::Time,
 };
 
-use crate::world::{FakeWorker, World, step, task};
+use crate::world::{FakeWorker, World, job_config, step, task};
 
 const TARGET_MS: u64 = 150;
 
@@ -212,22 +213,34 @@
     }
 }
 
+/// Guards against jobs that wait forever because each change of the configuration restarts the time
+/// for which they have waited.
 #[test]
 fn one_task_of_a_starving_job_starts_at_any_speed() {
     /// The worker has four processors. `others` is the number of additional tasks of one processor
     /// each, `started` the number of tasks of the job that have started after `heartbeats`
-    /// heartbeats at intervals of at least 0.1 s.
+    /// heartbeats at intervals of at least 0.1 s. `changes` tells whether the operator changes the
+    /// configuration after each of them.
     struct Case {
         name: &'static str,
         others: u32,
-        heartbeats: u32,
+        heartbeats: usize,
+        changes: bool,
         started: usize,
     }
+    let case = |name, others, heartbeats, changes, started| Case {
+        name,
+        others,
+        heartbeats,
+        changes,
+        started,
+    };
     let cases = [
-        Case { name: "not waiting for long", others: 0, heartbeats: 2, started: 0 },
-        Case { name: "idle worker", others: 0, heartbeats: 16, started: 1 },
-        Case { name: "busy worker", others: 2, heartbeats: 4, started: 0 },
-        Case { name: "busy worker, overdue job", others: 2, heartbeats: 150, started: 1 },
+        case("not waiting for long", 0, 2, false, 0),
+        case("idle worker", 0, 16, false, 1),
+        case("idle worker, changing configuration", 0, 16, true, 1),
+        case("busy worker", 2, 4, false, 0),
+        case("busy worker, overdue job", 2, 150, false, 1),
     ];
     for case in cases {
         let mut world = World::new();
@@ -249,9 +262,12 @@
         // latency above its target.
         let needs = Resources { millicores: 600, ..step(1).needs };
         let job = world.submit(4, vec![Step { count: 2, needs, ..opportunistic("harmful") }]);
-        for _ in 0..case.heartbeats {
+        for version in (2..).take(case.heartbeats) {
             world.heartbeat(&mut worker);
             world.advance(Duration::from_millis(100));
+            if case.changes {
+                world.operator_request(OperatorRequest::Configure(Box::new(job_config(version))));
+            }
         }
         let tasks = worker.started.iter().map(|(task, _)| *task);
         let tasks: std::collections::BTreeSet<_> = tasks.filter(|task| task.job == job).collect();
