jobs: a heartbeat that was held up doesn't make a worker that is gone look alive

The network sends what a cut has held up again at growing intervals, so a heartbeat may arrive seconds after its sender has gone. The leader took it for a sign of life, 1.8 s long, and adopted the worker again if it had given it up. Class of fault: the arrival of a message is taken for the time of what it says.

Change: the workers' heartbeats tell their clock. The offset between it and the leader's clock shows how long a heartbeat was in transit. One that took over 1 s can't be answered any more, since its worker has dropped the request by then. Its ends still count, but it renews nothing, attracts no starts and adopts no worker. The offset is kept for 300 s after a worker was removed. A clock that stopped, as that of a suspended machine does, is believed at the fourth heartbeat in a row with the same delay. A heartbeat from the address of a worker with a later incarnation is outdated, with or without a clock.

Evidence: a_late_heartbeat_of_a_worker_that_is_gone_attracts_no_starts failed before in each of its cases (without the clock: "its lease has run out", 0 of 2 jobs started elsewhere; without the check of the address: "another worker has its address", 0 of 2). A new leader doesn't know the offsets yet: the first heartbeat that it gets of a worker counts as timely.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Heartbeats: reconciles what a worker reports with the leader's decisions.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
     jobs::{
@@ -18,6 +18,9 @@
 impl Leader {
     /// Handles a heartbeat. It is answered at the end of this turn or held open.
     pub(super) fn heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
+        if self.fleet.is_late(now, report) {
+            return self.late_heartbeat(now, ticket, report);
+        }
         let Some(number) = self.identify(now, report) else {
             self.answers.push((ticket, Answer::Acknowledged));
             return;
@@ -60,6 +63,30 @@
         self.changed.insert(number);
     }
 
+    /// Handles a heartbeat whose response would be dropped. Its ends count, but it doesn't show that
+    /// the worker is still up.
+    fn late_heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
+        self.answers.push((ticket, Answer::Acknowledged));
+        let known = self.fleet.find(&report.name).and_then(|number| {
+            let worker = self.fleet.workers.get(&number)?;
+            let newer = worker.incarnation == report.incarnation
+                && (worker.profile.is_none() || report.sequence > worker.sequence);
+            newer.then(|| (number, now.since(worker.last_heartbeat)))
+        });
+        let silent = known.map_or(Duration::ZERO, |(_, silent)| silent);
+        self.log_events.push(LogEvent::Worker {
+            name: report.name.to_string(),
+            state: "sent a heartbeat that arrived too late",
+            silent_ms: u64::try_from(silent.as_millis()).unwrap_or(u64::MAX),
+            runs: report.running.len(),
+        });
+        if let Some((number, _)) = known {
+            for ended in &report.ended {
+                self.process_end(now, number, ended);
+            }
+        }
+    }
+
     /// The number of the worker's incarnation, assigned if the incarnation is new; `None` for an
     /// outdated incarnation.
     fn identify(&mut self, now: Time, report: &Report) -> Option<WorkerNumber> {
@@ -74,13 +101,17 @@
             self.remove_worker(now, number, "was born again");
         }
         let workers = self.fleet.workers.iter();
-        let replaced = workers.filter(|(_, worker)| {
+        let neighbours = workers.filter(|(_, worker)| {
             let profile = worker.profile.as_ref();
             profile.is_some_and(|profile| profile.address == report.address)
-                && worker.incarnation < report.incarnation
         });
-        let replaced: Vec<_> = replaced.map(|(number, _)| *number).collect();
-        for number in replaced {
+        let (replaced, heirs): (Vec<_>, Vec<_>) = neighbours
+            .map(|(number, worker)| (*number, worker.incarnation))
+            .partition(|(_, incarnation)| *incarnation < report.incarnation);
+        if !heirs.is_empty() {
+            return None;
+        }
+        for (number, _) in replaced {
             self.remove_worker(now, number, "was replaced at its address");
         }
         let number = WorkerNumber(self.state.last_worker.0 + 1);
@@ -273,7 +304,7 @@
 }
 
 /// How long a run at full pace may go without progress, in addition to half its estimate.
-const STALL_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(2500);
+const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// Stops runs without progress and avoids their worker for a while.
 fn stop_stalled(worker: &mut Worker, now: Time) {
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -325,6 +325,7 @@
         if now >= self.next_forget {
             self.next_forget = now + FORGET_INTERVAL;
             self.forget_jobs(now);
+            self.fleet.forget_transits(now);
         }
     }
 
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -14,6 +14,7 @@
         model::{Image, Label, Run, Step, StepKey, TaskKey, WorkerNumber},
         neighbours::Neighbours,
         report::Report,
+        transit::Transit,
     },
     resources::Resources,
     time::Time,
@@ -37,10 +38,25 @@
     /// The workers by their numbers.
     pub workers: BTreeMap<WorkerNumber, Worker>,
     names: HashMap<WorkerName, WorkerNumber>,
+    /// The transit of the heartbeats of the last incarnation of each worker, known or removed.
+    transits: HashMap<WorkerName, IncarnationTransit>,
     /// The deadlines of the held heartbeats.
     deadlines: BTreeSet<(Time, WorkerNumber)>,
 }
 
+/// The transit of the heartbeats of one incarnation of a worker.
+#[derive(Debug)]
+struct IncarnationTransit {
+    incarnation: Incarnation,
+    transit: Transit,
+    /// When the last heartbeat arrived.
+    arrived: Time,
+}
+
+/// How long the transit of heartbeats is kept after the last one. The network may deliver one of a
+/// worker that is gone until then.
+const TRANSIT_RETENTION: Duration = Duration::from_secs(300);
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -351,6 +367,31 @@
         self.names.get(name).copied()
     }
 
+    /// Whether a heartbeat was in transit for so long that its worker no longer waits for the response.
+    pub fn is_late(&mut self, now: Time, report: &Report) -> bool {
+        let Some(clock) = report.clock else { return false };
+        match self.transits.get_mut(&report.name) {
+            Some(known) if known.incarnation == report.incarnation => {
+                known.arrived = now;
+                return known.transit.is_late(now, clock);
+            }
+            Some(known) if known.incarnation > report.incarnation => return false,
+            Some(_) | None => {}
+        }
+        let transit = IncarnationTransit {
+            incarnation: report.incarnation,
+            transit: Transit::new(now, clock),
+            arrived: now,
+        };
+        self.transits.insert(report.name.clone(), transit);
+        false
+    }
+
+    /// Forgets the transit of heartbeats of workers that haven't been heard for a long time.
+    pub fn forget_transits(&mut self, now: Time) {
+        self.transits.retain(|_, known| now.since(known.arrived) < TRANSIT_RETENTION);
+    }
+
     /// The services that use less than half of their processors.
     pub fn idle_services(&self) -> Vec<ServiceName> {
         let mut services: BTreeMap<&ServiceName, (u64, u64)> = BTreeMap::new();
--- a/lib/src/jobs/report.rs
+++ b/lib/src/jobs/report.rs
@@ -1,5 +1,7 @@
 //! What a worker reports in its heartbeat.
 
+use std::time::Duration;
+
 use crate::{
     data,
     ids::{DataCentre, Incarnation, ServiceName, WorkerName},
@@ -19,6 +21,8 @@
         pub incarnation: Incarnation,
         /// The sequence number of the heartbeat; it increases within an incarnation.
         pub sequence: u64,
+        /// The worker's monotonic clock when it sent the heartbeat; `None` if it doesn't say.
+        pub clock: Option<Duration>,
         /// The address that other processes reach it at. Live workers never share an address.
         pub address: Box<str>,
         /// The service that it belongs to.
--- /dev/null
+++ b/lib/src/jobs/transit.rs
@@ -0,0 +1,63 @@
+//! How long heartbeats were in transit.
+//!
+//! The clock of a worker and that of the leader have different origins. The fastest heartbeats tell
+//! the offset between them, and how much later than these another one has arrived is the time that it
+//! was held up.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// Workers drop a response that arrives later than this after they have sent the heartbeat.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The clock of a worker may be slower than the leader's by one part in this many.
+const MAX_DRIFT_DIVISOR: u32 = 40;
+
+/// Delays that differ by less than this are the same.
+const SAME_DELAY: Duration = Duration::from_millis(250);
+
+/// The number of heartbeats in a row with the same delay after which the worker's clock is taken to
+/// have stopped for that time, as that of a suspended machine does.
+const MAX_DELAYED: u32 = 4;
+
+/// The offset between the clocks of a worker and of the leader.
+#[derive(Clone, Copy, Debug)]
+pub struct Transit {
+    /// The leader's time at which a heartbeat arrived that wasn't held up.
+    arrived: Time,
+    /// The worker's clock in that heartbeat.
+    sent: Duration,
+    /// The delay of the last heartbeat that was late, and the number in a row with this delay.
+    delayed: Option<(Duration, u32)>,
+}
+
+impl Transit {
+    /// The offset that the first heartbeat of an incarnation shows.
+    pub fn new(now: Time, clock: Duration) -> Self {
+        Self { arrived: now, sent: clock, delayed: None }
+    }
+
+    /// Whether a heartbeat that arrives now, with this clock of the worker, is so late that the worker
+    /// no longer waits for the response. It may have gone down meanwhile.
+    pub fn is_late(&mut self, now: Time, clock: Duration) -> bool {
+        let elapsed = now.since(self.arrived);
+        let delay = elapsed.saturating_sub(clock.saturating_sub(self.sent));
+        let drift = elapsed / MAX_DRIFT_DIVISOR;
+        if delay <= RESPONSE_TIMEOUT + drift {
+            if delay <= drift {
+                (self.arrived, self.sent) = (now, clock);
+            }
+            self.delayed = None;
+            return false;
+        }
+        let before = self.delayed.filter(|(before, _)| before.abs_diff(delay) < SAME_DELAY);
+        let count = before.map_or(1, |(_, count)| count + 1);
+        self.delayed = Some((delay, count));
+        if count < MAX_DELAYED {
+            return true;
+        }
+        *self = Self::new(now, clock);
+        false
+    }
+}
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -1,6 +1,6 @@
 //! Leases: a task never starts again while its previous run may still be executing.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
 use hickorylink_lib::{
     ids::Incarnation,
@@ -9,7 +9,9 @@
         lifecycle::JobPhase,
         model::{Run, Step, StepOptions},
         record::Ending,
+        report::Report,
     },
+    time::Time,
 };
 
 use crate::world::{FakeWorker, LEASE, MARGIN, World, step, task};
@@ -99,6 +101,64 @@
     assert!(world.response(ticket).is_none());
 }
 
+/// Guards against tasks that wait for a lease on a worker that is gone: a heartbeat that was held up by
+/// a partition makes it look alive.
+#[test]
+fn a_late_heartbeat_of_a_worker_that_is_gone_attracts_no_starts() {
+    struct Case {
+        name: &'static str,
+        /// Whether the worker's heartbeats tell its clock.
+        clock: bool,
+        lose: fn(&mut World, &mut FakeWorker),
+        /// The number of the two jobs that start elsewhere within 2 s.
+        want: usize,
+    }
+    let replaced = |world: &mut World, worker: &mut FakeWorker| {
+        let mut heir = FakeWorker { incarnation: worker.incarnation + 1, ..FakeWorker::new("w3") };
+        heir.labels.clear();
+        let address = worker.report().address;
+        let report = Box::new(Report { address, ..heir.report() });
+        world.send(|ticket| Event::Heartbeat { ticket, report });
+    };
+    let expired = |world: &mut World, _: &mut FakeWorker| {
+        world.advance(LEASE + MARGIN + Duration::from_secs(1));
+    };
+    let silent = |world: &mut World, _: &mut FakeWorker| {
+        world.advance(LEASE - Duration::from_secs(2));
+    };
+    let cases = [
+        Case { name: "another worker has its address", clock: false, lose: replaced, want: 2 },
+        Case { name: "its lease has run out", clock: true, lose: expired, want: 2 },
+        Case { name: "its lease is about to run out", clock: true, lose: silent, want: 1 },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let options = StepOptions { long_running: true, ..StepOptions::default() };
+        let lasting = |id| (id, vec![Step { label: Some("r1".into()), options, ..step(1) }]);
+        let (id, steps) = lasting(7);
+        world.submit(id, steps);
+        let start = world.now;
+        let clock = |now: Time| case.clock.then(|| now.since(start));
+        first.clock = clock(world.now);
+        world.heartbeat(&mut first).expect("a response");
+        assert_eq!(first.started.len(), 1, "{}", case.name);
+        first.clock = clock(world.now);
+        let late = Box::new(first.report());
+        (case.lose)(&mut world, &mut first);
+        world.send(|ticket| Event::Heartbeat { ticket, report: late });
+        let (id, steps) = lasting(8);
+        let other = world.submit(id, steps);
+        let end = world.now + Duration::from_secs(2);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        let jobs: BTreeSet<_> = second.started.iter().map(|(task, _)| task.job).collect();
+        assert_eq!(jobs.len(), case.want, "{}: {jobs:?}", case.name);
+        assert!(jobs.contains(&other), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_task_that_was_lost_with_its_worker_continues_from_its_checkpoint() {
     struct Case {
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -9,4 +9,5 @@
 mod recovery;
 mod standing;
 mod steps;
+mod transit;
 mod world;
--- a/lib/tests/jobs/standing.rs
+++ b/lib/tests/jobs/standing.rs
@@ -10,6 +10,7 @@
         controller::{Answer, Event},
         model::{JobId, Label, Run, Step, StepOptions, TaskKey},
         record::Ending,
+        report::Report,
     },
     resources::Resources,
     time::Time,
@@ -39,6 +40,9 @@
 /// How long a member of a gang waits for the others.
 const GANG_WAIT: Duration = Duration::from_secs(3);
 
+/// How long a worker that is gone stays away.
+const GONE_TIME: Duration = Duration::from_secs(30);
+
 /// The number of workers.
 const WORKERS: usize = 6;
 
@@ -59,6 +63,9 @@
     Crash(usize, u16),
     /// The worker is partitioned from the controller for this time, in milliseconds.
     Cut(usize, u16),
+    /// The worker is partitioned from the controller for this time, in milliseconds, and crashes
+    /// behind the partition.
+    Gone(usize, u16),
     /// The tail latencies on all workers with its label are several times as high for this time, in
     /// milliseconds.
     Slow(usize, u16),
@@ -113,9 +120,10 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let worker = usize::arbitrary(g) % WORKERS;
         let span = 200 + u16::arbitrary(g) % 9000;
-        match u8::arbitrary(g) % 19 {
+        match u8::arbitrary(g) % 22 {
             16 => Self::Lossy(worker, span),
             17 => Self::Leave(worker, span),
+            19..=21 => Self::Gone(worker, span),
             18 => Self::Burst(u8::arbitrary(g) % 40),
             0..=2 => Self::Crash(worker, span),
             3 | 4 => Self::Cut(worker, span),
@@ -143,6 +151,12 @@
     grey_until: Time,
     lossy_until: Time,
     leaves: Option<(Time, u16)>,
+    /// When it crashes for good.
+    gone_at: Option<Time>,
+    /// When its process started.
+    born: Time,
+    /// Heartbeats that are held up by a partition, and when they arrive.
+    held_up: Vec<(Time, Report)>,
     /// When each run began.
     since: BTreeMap<(TaskKey, Run), Time>,
 }
@@ -162,6 +176,9 @@
             grey_until: now,
             lossy_until: now,
             leaves: None,
+            gone_at: None,
+            born: now,
+            held_up: Vec::new(),
             since: BTreeMap::new(),
         }
     }
@@ -174,6 +191,7 @@
         let labels = self.worker.labels.clone();
         self.worker = FakeWorker { labels, ..self.worker.restarted() };
         (self.ticket, self.down_until, self.next) = (None, until, until);
+        self.born = until;
         self.since.clear();
     }
 
@@ -199,6 +217,14 @@
     fn exchange(&mut self, world: &mut World) {
         let now = world.now;
         if now < self.cut_until {
+            if now >= self.next {
+                // It is sent again at growing intervals, and arrives with the first one after the
+                // partition, also if the worker is gone by then.
+                let arrives = self.cut_until + self.cut_until.since(now);
+                let report = self.report(now);
+                self.held_up.push((arrives, report));
+                self.next = now + RESPONSE_TIMEOUT;
+            }
             return;
         }
         if let Some((at, span)) = self.leaves
@@ -232,11 +258,27 @@
             }
         }
         if self.ticket.is_none() && now >= self.next {
-            let report = Box::new(self.worker.report());
+            let report = Box::new(self.report(now));
             let ticket = world.send(|ticket| Event::Heartbeat { ticket, report });
             self.ticket = Some((ticket, now));
         }
     }
+
+    fn report(&mut self, now: Time) -> Report {
+        self.worker.clock = Some(now.since(self.born));
+        self.worker.report()
+    }
+
+    /// Delivers the heartbeats that were held up.
+    fn deliver(&mut self, world: &mut World) {
+        let now = world.now;
+        let (due, later) = self.held_up.drain(..).partition(|(arrives, _)| *arrives <= now);
+        self.held_up = later;
+        for (_, report) in due {
+            let report = Box::new(report);
+            world.send(|ticket| Event::Heartbeat { ticket, report });
+        }
+    }
 }
 
 /// A long-running job and when each of its tasks was at work last.
@@ -301,6 +343,11 @@
                 self.machines[at].cut_until = until(span);
                 self.disturbed = self.disturbed.max(until(span));
             }
+            Fault::Gone(at, span) => {
+                self.machines[at].cut_until = until(span);
+                self.machines[at].gone_at = Some(now + Duration::from_millis(span.into()) / 2);
+                self.disturbed = self.disturbed.max(until(span));
+            }
             Fault::Slow(at, span) => {
                 for machine in
                     self.machines.iter_mut().skip(at % LABELS.len()).step_by(LABELS.len())
@@ -394,6 +441,11 @@
             self.configure(true);
         }
         for machine in &mut self.machines {
+            machine.deliver(&mut self.world);
+            if machine.gone_at.is_some_and(|at| at <= now) {
+                machine.gone_at = None;
+                machine.crash(now + GONE_TIME);
+            }
             if machine.is_up(now) {
                 machine.run(now, &self.durations);
                 machine.exchange(&mut self.world);
--- /dev/null
+++ b/lib/tests/jobs/transit.rs
@@ -0,0 +1,82 @@
+//! How long heartbeats were in transit.
+
+use std::time::Duration;
+
+use hickorylink_lib::{jobs::transit::Transit, time::Time};
+
+/// Guards against heartbeats that count although their worker may be gone.
+#[test]
+fn a_heartbeat_is_late_if_its_worker_no_longer_waits() {
+    /// The heartbeats are pairs of when they were sent and how long they took, in milliseconds; the
+    /// worker's clock is behind by `drift` percent.
+    struct Case {
+        name: &'static str,
+        heartbeats: &'static [(u64, u64)],
+        drift: u64,
+        want: &'static [bool],
+    }
+    let cases = [
+        Case {
+            name: "timely",
+            heartbeats: &[(0, 5), (900, 300), (1800, 5), (2700, 700)],
+            drift: 0,
+            want: &[false; 4],
+        },
+        Case {
+            name: "held up",
+            heartbeats: &[(0, 5), (900, 5), (1800, 6000), (8000, 5)],
+            drift: 0,
+            want: &[false, false, true, false],
+        },
+        Case {
+            name: "a first one that was slow",
+            heartbeats: &[(0, 900), (1000, 5), (2000, 1500)],
+            drift: 0,
+            want: &[false, false, true],
+        },
+        Case {
+            name: "silent for long, with a slow clock",
+            heartbeats: &[(0, 5), (100_000, 900), (101_000, 5), (102_000, 4000)],
+            drift: 2,
+            want: &[false, false, false, true],
+        },
+        Case {
+            name: "several held up by the same partition",
+            heartbeats: &[(0, 5), (1000, 7000), (2000, 6000), (3000, 6000)],
+            drift: 0,
+            want: &[false, true, true, true],
+        },
+        Case {
+            name: "a clock that stopped while the machine was suspended",
+            heartbeats: &[
+                (0, 5),
+                (1000, 5000),
+                (2500, 5000),
+                (4000, 5000),
+                (5500, 5000),
+                (6000, 5000),
+            ],
+            drift: 0,
+            want: &[false, true, true, true, false, false],
+        },
+    ];
+    for case in cases {
+        let mut transit: Option<Transit> = None;
+        let late: Vec<bool> = case
+            .heartbeats
+            .iter()
+            .map(|(sent, took)| {
+                let now = Time::from_millis(sent + took);
+                let clock = Duration::from_millis(sent * (100 - case.drift) / 100);
+                match &mut transit {
+                    Some(transit) => transit.is_late(now, clock),
+                    None => {
+                        transit = Some(Transit::new(now, clock));
+                        false
+                    }
+                }
+            })
+            .collect();
+        assert_eq!(late, case.want, "{}", case.name);
+    }
+}
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -295,6 +295,8 @@
     pub(crate) stopped: BTreeSet<TaskKey>,
     /// The checkpoint of all its runs.
     pub(crate) checkpoint: String,
+    /// Its clock; `None` if its heartbeats don't say.
+    pub(crate) clock: Option<Duration>,
     /// The processors that each run was started with, in millicores.
     pub(crate) loads: BTreeMap<TaskKey, u64>,
 }
@@ -314,6 +316,7 @@
             started: Vec::new(),
             stopped: BTreeSet::new(),
             checkpoint: String::new(),
+            clock: None,
             loads: BTreeMap::new(),
         }
     }
@@ -329,6 +332,7 @@
             name: self.name.as_str().into(),
             incarnation: Incarnation(self.incarnation),
             sequence: self.sequence,
+            clock: self.clock,
             address: format!("{}:1", self.name).into(),
             service: "desk".into(),
             centre: "akl-a".into(),
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -97,6 +97,7 @@
             running: BTreeMap::new(),
             failing: BTreeSet::new(),
             finished: Vec::new(),
+            started: Instant::now(),
             lease: Instant::now(),
         };
         Self { task: tokio::spawn(incarnation.run()) }
@@ -120,6 +121,8 @@
     failing: BTreeSet<String>,
     /// Ended tasks whose report isn't acknowledged yet, with their numbers.
     finished: Vec<(u64, Value)>,
+    /// When it started, by its monotonic clock.
+    started: Instant,
     /// When the lease expires.
     lease: Instant,
 }
@@ -193,6 +196,10 @@
         runs[index].completed = outcome == "done";
     }
 
+    fn clock_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
     fn heartbeat(&self) -> Value {
         let running: Vec<_> =
             self.running.iter().map(|(task, (run, _, _))| json!([task, run, "", 1, 0])).collect();
@@ -200,7 +207,7 @@
         json!({
             "service": SERVICE, "address": format!("{}:1", self.name), "zone": "centre-0",
             "version": "v1", "slots": 8, "state": "ready", "born": self.born,
-            "seqNum": self.sequence, "labels": ["a", "r1"],
+            "seqNum": self.sequence, "clockMs": self.clock_ms(), "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 },
             "running": running, "finished": finished,
         })
