jobs: the first heartbeat to a new leader doesn't show that the worker is still up

Change: the offset counts once a second heartbeat has shown the same.

Left: two heartbeats that were held up for the same time, to a leader that knows neither.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -11,6 +11,7 @@
         pace,
         record::{Ending, Record},
         report::{Ended, Report, Running},
+        transit::Arrival,
     },
     time::Time,
 };
@@ -18,7 +19,8 @@
 impl Leader {
     /// Handles a heartbeat. It is answered at the end of this turn or held open.
     pub(super) fn heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
-        if self.fleet.is_late(now, report) {
+        let arrival = self.fleet.arrive(now, report);
+        if arrival == Arrival::Late {
             return self.late_heartbeat(now, ticket, report);
         }
         let Some(number) = self.identify(now, report) else {
@@ -33,6 +35,7 @@
         let was_leaving =
             worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
         worker.update_profile(now, report);
+        worker.confirmed = arrival == Arrival::Timely;
         if report.leaving.is_some() && !was_leaving {
             let (name, runs) = (worker.name.to_string(), worker.runs.len());
             let state = "is leaving";
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -49,7 +49,7 @@
             self.timing.max_hold
         };
         let leaving = worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
-        if leaving || worker.departed.is_some() {
+        if leaving || worker.departed.is_some() || !worker.confirmed {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
@@ -132,6 +132,9 @@
     if worker.serving > 0 && worker.demand > 0 {
         return MIXED_INTERVAL;
     }
+    if !worker.confirmed {
+        return FREE_INTERVAL;
+    }
     if !worker.is_usable(now) || unused * 100 < capacity * FULL_BELOW_PERCENT {
         return FULL_INTERVAL;
     }
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -14,7 +14,7 @@
         model::{Image, Label, Run, Step, StepKey, TaskKey, WorkerNumber},
         neighbours::Neighbours,
         report::Report,
-        transit::Transit,
+        transit::{Arrival, Transit},
     },
     resources::Resources,
     time::Time,
@@ -48,7 +48,8 @@
 #[derive(Debug)]
 struct IncarnationTransit {
     incarnation: Incarnation,
-    transit: Transit,
+    /// `None` if its heartbeats don't tell its clock.
+    transit: Option<Transit>,
     /// When the last heartbeat arrived.
     arrived: Time,
 }
@@ -70,6 +71,8 @@
     pub sequence: u64,
     /// When that heartbeat arrived.
     pub last_heartbeat: Time,
+    /// Whether that heartbeat is known to have been timely.
+    pub confirmed: bool,
     /// The time until which the worker may still execute its runs, by this controller's clock.
     pub lease_until: Time,
     /// The heartbeat that is held open until there is something to send.
@@ -222,6 +225,7 @@
             profile: None,
             sequence: 0,
             last_heartbeat: now,
+            confirmed: true,
             lease_until,
             held: None,
             runs: BTreeMap::new(),
@@ -352,7 +356,7 @@
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
         let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_none());
-        stays && self.departed.is_none() && self.health.is_healthy(now)
+        stays && self.confirmed && self.departed.is_none() && self.health.is_healthy(now)
     }
 }
 
@@ -367,24 +371,31 @@
         self.names.get(name).copied()
     }
 
-    /// Whether a heartbeat was in transit for so long that its worker no longer waits for the response.
-    pub fn is_late(&mut self, now: Time, report: &Report) -> bool {
-        let Some(clock) = report.clock else { return false };
+    /// Classifies a heartbeat by the time that it was in transit. Without the worker's clock that isn't
+    /// known; the first heartbeat after a worker was removed may then be one that was held up.
+    pub fn arrive(&mut self, now: Time, report: &Report) -> Arrival {
+        let is_removed = !self.names.contains_key(&report.name);
         match self.transits.get_mut(&report.name) {
             Some(known) if known.incarnation == report.incarnation => {
                 known.arrived = now;
-                return known.transit.is_late(now, clock);
+                return match (&mut known.transit, report.clock) {
+                    (Some(transit), Some(clock)) => transit.arrive(now, clock),
+                    (Some(_) | None, None | Some(_)) if is_removed => Arrival::Unconfirmed,
+                    (Some(_) | None, None | Some(_)) => Arrival::Timely,
+                };
             }
-            Some(known) if known.incarnation > report.incarnation => return false,
+            Some(known) if known.incarnation > report.incarnation => return Arrival::Timely,
             Some(_) | None => {}
         }
         let transit = IncarnationTransit {
             incarnation: report.incarnation,
-            transit: Transit::new(now, clock),
+            transit: report.clock.map(|clock| Transit::new(now, clock)),
             arrived: now,
         };
+        let arrival =
+            if transit.transit.is_some() { Arrival::Unconfirmed } else { Arrival::Timely };
         self.transits.insert(report.name.clone(), transit);
-        false
+        arrival
     }
 
     /// Forgets the transit of heartbeats of workers that haven't been heard for a long time.
--- a/lib/src/jobs/transit.rs
+++ b/lib/src/jobs/transit.rs
@@ -21,6 +21,17 @@
 /// have stopped for that time, as that of a suspended machine does.
 const MAX_DELAYED: u32 = 4;
 
+/// What the arrival of a heartbeat says of its worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// The worker waits for the response.
+    Timely,
+    /// Not known: the offset of the clocks is that of a single heartbeat, which may have been held up.
+    Unconfirmed,
+    /// The worker no longer waits for the response, and it may have gone down meanwhile.
+    Late,
+}
+
 /// The offset between the clocks of a worker and of the leader.
 #[derive(Clone, Copy, Debug)]
 pub struct Transit {
@@ -28,6 +39,8 @@
     arrived: Time,
     /// The worker's clock in that heartbeat.
     sent: Duration,
+    /// Whether a second heartbeat has shown the same offset.
+    confirmed: bool,
     /// The delay of the last heartbeat that was late, and the number in a row with this delay.
     delayed: Option<(Duration, u32)>,
 }
@@ -35,29 +48,33 @@
 impl Transit {
     /// The offset that the first heartbeat of an incarnation shows.
     pub fn new(now: Time, clock: Duration) -> Self {
-        Self { arrived: now, sent: clock, delayed: None }
+        Self { arrived: now, sent: clock, confirmed: false, delayed: None }
     }
 
-    /// Whether a heartbeat that arrives now, with this clock of the worker, is so late that the worker
-    /// no longer waits for the response. It may have gone down meanwhile.
-    pub fn is_late(&mut self, now: Time, clock: Duration) -> bool {
-        let elapsed = now.since(self.arrived);
-        let delay = elapsed.saturating_sub(clock.saturating_sub(self.sent));
+    /// Classifies a heartbeat that arrives now, with this clock of the worker.
+    pub fn arrive(&mut self, now: Time, clock: Duration) -> Arrival {
+        let (elapsed, passed) = (now.since(self.arrived), clock.saturating_sub(self.sent));
+        if !self.confirmed {
+            let confirmed = elapsed.abs_diff(passed) < SAME_DELAY;
+            *self = Self { confirmed, ..Self::new(now, clock) };
+            return if confirmed { Arrival::Timely } else { Arrival::Unconfirmed };
+        }
+        let delay = elapsed.saturating_sub(passed);
         let drift = elapsed / MAX_DRIFT_DIVISOR;
         if delay <= RESPONSE_TIMEOUT + drift {
             if delay <= drift {
                 (self.arrived, self.sent) = (now, clock);
             }
             self.delayed = None;
-            return false;
+            return Arrival::Timely;
         }
         let before = self.delayed.filter(|(before, _)| before.abs_diff(delay) < SAME_DELAY);
         let count = before.map_or(1, |(_, count)| count + 1);
         self.delayed = Some((delay, count));
         if count < MAX_DELAYED {
-            return true;
+            return Arrival::Late;
         }
-        *self = Self::new(now, clock);
-        false
+        *self = Self { confirmed: true, ..Self::new(now, clock) };
+        Arrival::Timely
     }
 }
