jobs: opportunistic tasks that last start at any speed once they have waited

Cause: such a task starts below full speed only if nothing of its job runs, and only one does, since a job that ends is served by its first task making way. Each task that lasts has users of its own.

The case "long-running job" of one_task_of_a_starving_job_starts_at_any_speed started 1 of 2 tasks before and 2 now.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -14,6 +14,7 @@
         placement::{Request, SpeedRequirement},
         rank::Lateness,
         record::Record,
+        state::Job,
         waiting::WaitingStep,
     },
     time::{Time, WallTime},
@@ -88,14 +89,14 @@
         if step.options.gang {
             return self.place_gang(now, waiting, (step, &service), &indexes, round);
         }
-        let starving = !job.is_running(key.occurrence) && self.is_starving(&key, &service);
+        let starving = self.starving_tasks(job, step, &key, &service);
         let mut started = 0;
         let mut last = None;
         for index in &indexes {
             let task = key.task(*index);
             let avoid = self.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
             let interference = &self.interference;
-            let speed = if starving && started == 0 {
+            let speed = if started < starving {
                 SpeedRequirement::Any
             } else {
                 SpeedRequirement::FullSpeed
@@ -113,15 +114,24 @@
         still_waiting == 0
     }
 
-    /// Whether a step is overdue, or has waited longer than `STARVATION_MS` while its service has
-    /// free capacity. If no task of its occurrence runs, one of its tasks may then start at any
-    /// speed.
-    fn is_starving(&self, key: &StepKey, service: &ServiceName) -> bool {
-        self.waiting.get(key).is_some_and(|(rank, step)| {
-            let waited = self.wall.0.saturating_sub(step.since.0);
-            rank.lateness == Lateness::Overdue
-                || waited > STARVATION_MS && self.idle_services.contains(service)
-        })
+    /// The number of tasks that may start at any speed: one, if the step is overdue or has waited
+    /// longer than `STARVATION_MS` while its service has free capacity, and no task of its occurrence
+    /// runs. Each task that lasts has users of its own, so all of them may after that time.
+    fn starving_tasks(
+        &self,
+        job: &Job,
+        step: &Step,
+        key: &StepKey,
+        service: &ServiceName,
+    ) -> usize {
+        let Some((rank, waiting)) = self.waiting.get(key) else { return 0 };
+        let waited = self.wall.0.saturating_sub(waiting.since.0) > STARVATION_MS;
+        if step.options.long_running {
+            return if waited { usize::MAX } else { 0 };
+        }
+        let starving =
+            rank.lateness == Lateness::Overdue || waited && self.idle_services.contains(service);
+        usize::from(starving && !job.is_running(key.occurrence))
     }
 
     /// The indexes of the step's tasks without a current run.
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -219,28 +219,32 @@
 fn one_task_of_a_starving_job_starts_at_any_speed() {
     /// The worker has four processors. `others` is the number of additional tasks of one processor
     /// each, `started` the number of tasks of the job that have started after `heartbeats`
-    /// heartbeats at intervals of at least 0.1 s. `changes` tells whether the operator changes the
-    /// configuration after each of them.
+    /// heartbeats at intervals of at least 0.1 s.
     struct Case {
         name: &'static str,
         others: u32,
         heartbeats: usize,
-        changes: bool,
+        job: Job,
         started: usize,
     }
-    let case = |name, others, heartbeats, changes, started| Case {
-        name,
-        others,
-        heartbeats,
-        changes,
-        started,
-    };
+    #[derive(PartialEq)]
+    enum Job {
+        Ends,
+        /// The operator changes the configuration after each heartbeat.
+        EndsWhileConfigurationsChange,
+        Lasts,
+    }
+    use Job::{Ends, EndsWhileConfigurationsChange, Lasts};
+    let case =
+        |name, others, heartbeats, job, started| Case { name, others, heartbeats, job, started };
     let cases = [
-        case("not waiting for long", 0, 2, false, 0),
-        case("idle worker", 0, 16, false, 1),
-        case("idle worker, changing configuration", 0, 16, true, 1),
-        case("busy worker", 2, 4, false, 0),
-        case("busy worker, overdue job", 2, 150, false, 1),
+        case("not waiting for long", 0, 2, Ends, 0),
+        case("idle worker", 0, 16, Ends, 1),
+        case("idle worker, changing configuration", 0, 16, EndsWhileConfigurationsChange, 1),
+        case("busy worker", 2, 4, Ends, 0),
+        case("busy worker, overdue job", 2, 150, Ends, 1),
+        case("long-running job, not waiting for long", 0, 2, Lasts, 0),
+        case("long-running job", 0, 16, Lasts, 2),
     ];
     for case in cases {
         let mut world = World::new();
@@ -261,11 +265,13 @@
         // Together with the running opportunistic task, the tasks of this job would raise the tail
         // latency above its target.
         let needs = Resources { millicores: 600, ..step(1).needs };
-        let job = world.submit(4, vec![Step { count: 2, needs, ..opportunistic("harmful") }]);
+        let mut waiting = Step { count: 2, needs, ..opportunistic("harmful") };
+        waiting.options.long_running = case.job == Lasts;
+        let job = world.submit(4, vec![waiting]);
         for version in (2..).take(case.heartbeats) {
             world.heartbeat(&mut worker);
             world.advance(Duration::from_millis(100));
-            if case.changes {
+            if case.job == EndsWhileConfigurationsChange {
                 world.operator_request(OperatorRequest::Configure(Box::new(job_config(version))));
             }
         }
