jobs: a failing test for late heartbeats of workers that are gone

A task that lasts was away for 13.8 s.

Cause: a heartbeat that a partition has delayed arrives after its sender crashed and was removed. Leader::identify adds the worker again; for 1.8 s it counts as live and gets starts, which wait for a whole lease.

--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -9,6 +9,7 @@
         lifecycle::JobPhase,
         model::{Run, Step, StepOptions},
         record::Ending,
+        report::Report,
     },
 };
 
@@ -99,6 +100,44 @@
     assert!(world.response(ticket).is_none());
 }
 
+/// Guards against tasks that wait for a lease on a worker that is gone (LOST on kowhai-fold).
+#[test]
+fn a_late_heartbeat_of_a_worker_that_is_gone_attracts_no_starts() {
+    struct Case {
+        name: &'static str,
+        lose: fn(&mut World, &mut FakeWorker),
+    }
+    let replaced = |world: &mut World, worker: &mut FakeWorker| {
+        let mut heir = FakeWorker { incarnation: worker.incarnation + 1, ..FakeWorker::new("w3") };
+        heir.labels.clear();
+        let address = worker.report().address;
+        let report = Box::new(Report { address, ..heir.report() });
+        world.send(|ticket| Event::Heartbeat { ticket, report });
+    };
+    let silent = |world: &mut World, _: &mut FakeWorker| {
+        world.advance(LEASE + MARGIN + Duration::from_secs(1));
+    };
+    let cases = [
+        Case { name: "another worker has its address", lose: replaced },
+        Case { name: "its lease has run out", lose: silent },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let options = StepOptions { long_running: true, ..StepOptions::default() };
+        let job = world.submit(7, vec![Step { label: Some("r1".into()), options, ..step(1) }]);
+        world.heartbeat(&mut first).expect("a response");
+        let late = Box::new(first.report());
+        (case.lose)(&mut world, &mut first);
+        world.send(|ticket| Event::Heartbeat { ticket, report: late });
+        let end = world.now + Duration::from_secs(2);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        assert_eq!(second.started, [(task(job, 0, 0), Run(2))], "{}", case.name);
+    }
+}
+
 #[test]
 fn a_task_that_was_lost_with_its_worker_continues_from_its_checkpoint() {
     struct Case {
