jobs: the first heartbeat to a new leader renews no lease

A heartbeat that was held up may be the first that a new leader gets of a worker, shortly before it would have given the worker up. Its answer granted another lease, so the tasks of a worker that was gone waited for two.

The case "another leader has taken over, its lease is about to run out" failed with 1 of 2 jobs started elsewhere, and passes now.

Two heartbeats confirm each other if their delays differ by less than 500 ms; after four that don't, the next one counts, so that a busy leader doesn't withhold leases from workers that are alive.

--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -81,9 +81,16 @@
         let (timing, epoch) = (self.timing, self.epoch);
         let Some(held) = self.fleet.release(number) else { return };
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
-        let starts = self.pending_starts.remove(&number).unwrap_or_default();
-        let lease_until = held.since + timing.lease + timing.lease_margin;
-        worker.lease_until = worker.lease_until.max(lease_until);
+        let starts = match worker.confirmed {
+            true => self.pending_starts.remove(&number).unwrap_or_default(),
+            false => Vec::new(),
+        };
+        // A worker that may be gone must not keep its runs for another lease.
+        let lease = worker.confirmed.then_some(timing.lease);
+        if let Some(lease) = lease {
+            let until = held.since + lease + timing.lease_margin;
+            worker.lease_until = worker.lease_until.max(until);
+        }
         let mut stops = worker.orphans.clone();
         let mut paces = Vec::new();
         for (task, view) in &mut worker.runs {
@@ -96,7 +103,7 @@
         }
         let mut response = HeartbeatResponse {
             epoch,
-            lease: timing.lease,
+            lease,
             stops,
             paces,
             acknowledged: worker.acknowledged(),
--- a/lib/src/jobs/response.rs
+++ b/lib/src/jobs/response.rs
@@ -12,8 +12,8 @@
 pub struct HeartbeatResponse {
     /// The fencing token of the leader.
     pub epoch: Epoch,
-    /// The duration of the lease, counted from when the heartbeat was sent.
-    pub lease: Duration,
+    /// The duration of the lease, counted from when the heartbeat was sent; `None` renews no lease.
+    pub lease: Option<Duration>,
     /// Runs to start.
     pub starts: Vec<RunStart>,
     /// Runs to stop.
--- a/lib/src/jobs/transit.rs
+++ b/lib/src/jobs/transit.rs
@@ -14,6 +14,13 @@
 /// The clock of a worker may be slower than the leader's by one part in this many.
 const MAX_DRIFT_DIVISOR: u32 = 40;
 
+/// The difference between the delays of two heartbeats in a row up to which they confirm each other.
+const CONFIRMING_DIFFERENCE: Duration = Duration::from_millis(500);
+
+/// The number of heartbeats in a row without confirmation after which the next one counts as confirmed:
+/// the delays on a busy leader may vary for a while.
+const MAX_UNCONFIRMED: u32 = 4;
+
 /// Delays that differ by less than this are the same.
 const SAME_DELAY: Duration = Duration::from_millis(250);
 
@@ -39,8 +46,9 @@
     arrived: Time,
     /// The worker's clock in that heartbeat.
     sent: Duration,
-    /// Whether a second heartbeat has shown the same offset.
-    confirmed: bool,
+    /// The number of heartbeats in a row that haven't confirmed the offset; `None` once it is
+    /// confirmed.
+    unconfirmed: Option<u32>,
     /// The delay of the last heartbeat that was late, and the number in a row with this delay.
     delayed: Option<(Duration, u32)>,
 }
@@ -48,15 +56,17 @@
 impl Transit {
     /// The offset that the first heartbeat of an incarnation shows.
     pub fn new(now: Time, clock: Duration) -> Self {
-        Self { arrived: now, sent: clock, confirmed: false, delayed: None }
+        Self { arrived: now, sent: clock, unconfirmed: Some(1), delayed: None }
     }
 
     /// Classifies a heartbeat that arrives now, with this clock of the worker.
     pub fn arrive(&mut self, now: Time, clock: Duration) -> Arrival {
         let (elapsed, passed) = (now.since(self.arrived), clock.saturating_sub(self.sent));
-        if !self.confirmed {
-            let confirmed = elapsed.abs_diff(passed) < SAME_DELAY;
-            *self = Self { confirmed, ..Self::new(now, clock) };
+        if let Some(count) = self.unconfirmed {
+            let same = elapsed.abs_diff(passed) < CONFIRMING_DIFFERENCE;
+            let confirmed = same || count >= MAX_UNCONFIRMED;
+            let unconfirmed = (!confirmed).then_some(count + 1);
+            *self = Self { unconfirmed, ..Self::new(now, clock) };
             return if confirmed { Arrival::Timely } else { Arrival::Unconfirmed };
         }
         let delay = elapsed.saturating_sub(passed);
@@ -74,7 +84,7 @@
         if count < MAX_DELAYED {
             return Arrival::Late;
         }
-        *self = Self { confirmed: true, ..Self::new(now, clock) };
+        *self = Self { unconfirmed: None, ..Self::new(now, clock) };
         Arrival::Timely
     }
 }
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -130,8 +130,18 @@
         world.restart();
         world.advance(LEASE + MARGIN + Duration::from_secs(1));
     };
+    let takeover_in_time = |world: &mut World, _: &mut FakeWorker| {
+        world.restart();
+        world.advance(LEASE + MARGIN - Duration::from_millis(500));
+    };
     let cases = [
         Case { name: "another leader has taken over", clock: true, lose: takeover, want: 2 },
+        Case {
+            name: "another leader has taken over, its lease is about to run out",
+            clock: true,
+            lose: takeover_in_time,
+            want: 2,
+        },
         Case { name: "another worker has its address", clock: false, lose: replaced, want: 2 },
         Case { name: "its lease has run out", clock: true, lose: expired, want: 2 },
         Case { name: "its lease has run out, no clock", clock: false, lose: expired, want: 2 },
