--- a/lib/tests/jobs/steps.rs
+++ b/lib/tests/jobs/steps.rs
@@ -131,6 +131,42 @@
     assert_eq!(world.phase(7), JobPhase::Completed);
 }
 
+/// Guards against gangs that stand for ever: a member that was given up before another one reported
+/// that they are done was left waiting, and a gang starts only as a whole.
+#[test]
+fn a_gang_is_done_although_a_member_was_given_up() {
+    struct Case {
+        name: &'static str,
+        options: StepOptions,
+        want: JobPhase,
+    }
+    let gang = StepOptions { gang: true, ..StepOptions::default() };
+    let cases = [
+        Case { name: "a gang", options: gang, want: JobPhase::Completed },
+        Case { name: "no gang", options: StepOptions::default(), want: JobPhase::Active },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        world.heartbeat(&mut first);
+        world.heartbeat(&mut second);
+        world.submit(7, vec![Step { options: case.options, ..step(6) }]);
+        while first.running.len() + second.running.len() < 6 {
+            world.heartbeat(&mut first);
+            world.heartbeat(&mut second);
+        }
+        world.heartbeat(&mut first);
+        world.heartbeat(&mut second);
+        // All members are done, but the second worker crashes before it reports its ends.
+        first.end_all(Ending::Done);
+        let mut restarted = FakeWorker { leaving: Some(60_000), ..second.restarted() };
+        world.heartbeat(&mut restarted);
+        first.leaving = Some(60_000);
+        world.heartbeat(&mut first);
+        assert_eq!(world.phase(7), case.want, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_long_running_task_restarts_after_any_number_of_failures() {
     let mut world = World::new();
