jobs: runs that are being stopped count against their worker's room

Cause: a worker's reserved resources were the sum of the views of its runs, one a task. An older run of a task that was placed on the same worker again was dropped from that sum when the newer run's view was added (also by the trial placement of a gang), a run of a forgotten job never was in it, and a run that was being stopped left it as soon as one heartbeat listed neither the run nor its end.

Ruled out: runs of cancelled jobs that stay listed (a guard, passed before), and a takeover (runs are restored before the worker is usable, and its first heartbeat lists the others).

Change: orphans carry what they reserve and are part of the sum until their end is listed or they are missing twice; a run of an unknown job takes the whole worker, as its needs aren't known.

Evidence: capacity::a_run_that_is_being_stopped_occupies_its_room. On the code before, the cases "lapsed", "gang, lapsed", "cancelled and missing once" and "forgotten" started more than fits; "cancelled" passed and stays as a guard, as does a_worker_that_grows_back_is_used_at_once.

Conclusion: room is free when the end is listed, whatever the reason of the stop.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -5,9 +5,9 @@
 use crate::{
     jobs::{
         controller::{Answer, LogEvent, Ticket, leader::Leader},
-        fleet::{FULL_PACE_PERCENT, HeldHeartbeat, RunView, Worker},
+        fleet::{FULL_PACE_PERCENT, HeldHeartbeat, Orphan, RunView, Worker},
         lifecycle::TaskPhase,
-        model::{Run, TaskKey, WorkerNumber},
+        model::{Run, Step, TaskKey, WorkerNumber},
         pace,
         record::{Ending, Record},
         report::{Ended, Report, Running},
@@ -122,6 +122,7 @@
         if worker.runs.get(&ended.task).is_some_and(|view| view.run == ended.run) {
             worker.remove(&ended.task);
         }
+        worker.remove_orphan(&ended.task, ended.run);
         if !current {
             let done = ended.ending == Ending::Done && !self.is_settled(&ended.task);
             if let Some(worker) = self.fleet.workers.get_mut(&number)
@@ -182,7 +183,7 @@
         running: &[Running],
     ) -> BTreeSet<TaskKey> {
         let mut listed = BTreeSet::new();
-        let mut orphans = Vec::new();
+        let mut orphans = BTreeSet::new();
         for row in running {
             let current = self.is_current(number, &row.task, row.run);
             let spec = self.state.step(&row.task.step_key());
@@ -191,7 +192,9 @@
             if known.is_some_and(|run| run != row.run) {
                 // An older run of a task that is to start on this worker again must not mask the
                 // new run.
-                orphans.push((row.task, row.run));
+                let reserved = spec.map_or(worker.capacity(), Step::reserved);
+                worker.add_orphan(row.task, row.run, Orphan { reserved, missing: false });
+                orphans.insert((row.task, row.run));
                 continue;
             }
             if known.is_none()
@@ -200,8 +203,11 @@
                 // The run occupies resources until it ends, even if it has to be stopped.
                 worker.add(row.task, RunView::new(spec, row.run, now));
             }
+            let reserved = worker.capacity();
             let Some(view) = worker.runs.get_mut(&row.task) else {
-                orphans.push((row.task, row.run));
+                // What a run of an unknown job reserves isn't known.
+                worker.add_orphan(row.task, row.run, Orphan { reserved, missing: false });
+                orphans.insert((row.task, row.run));
                 continue;
             };
             listed.insert(row.task);
@@ -218,14 +224,15 @@
             view.gauge = row.gauge;
         }
         if let Some(worker) = self.fleet.workers.get_mut(&number) {
-            worker.orphans = orphans;
+            worker.expire_orphans(&orphans);
         }
         listed
     }
 
     /// Handles runs that are missing from the worker's list. A start that never appeared was lost
     /// with its answer and is sent again. A run that was listed before is given up if it is missing
-    /// from two heartbeats in a row, since its end may still come with the next one.
+    /// from two heartbeats in a row, since its end may still come with the next one and its room is
+    /// free only then.
     fn reconcile(&mut self, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
@@ -242,7 +249,7 @@
                 lost_starts.push(task);
                 continue;
             }
-            if current && !was_missing {
+            if was_listed && !was_missing {
                 continue;
             }
             let worker = self.fleet.workers.get_mut(&number);
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -84,7 +84,7 @@
         let starts = self.pending_starts.remove(&number).unwrap_or_default();
         let lease_until = held.since + timing.lease + timing.lease_margin;
         worker.lease_until = worker.lease_until.max(lease_until);
-        let mut stops = worker.orphans.clone();
+        let mut stops: Vec<_> = worker.orphans.keys().copied().collect();
         let mut paces = Vec::new();
         for (task, view) in &mut worker.runs {
             if view.stopping && view.listed {
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -60,7 +60,7 @@
     pub held: Option<HeldHeartbeat>,
     /// The runs that it lists, and those that it was sent.
     pub runs: BTreeMap<TaskKey, RunView>,
-    /// The sum of what these runs reserve.
+    /// The sum of what these runs and the orphans reserve.
     pub reserved: Resources,
     /// The processors that its opportunistic runs request, in millicores.
     pub demand: u64,
@@ -70,8 +70,8 @@
     pub serving_reserved: u64,
     /// The processors that its serving runs use at their present load, in millicores; an estimate.
     pub serving_used: u64,
-    /// Runs that the worker lists but should not execute.
-    pub orphans: Vec<(TaskKey, Run)>,
+    /// Runs that the worker lists but should not execute, and that aren't among `runs`.
+    pub orphans: BTreeMap<(TaskKey, Run), Orphan>,
     /// The number of the last reported end that was processed.
     pub last_end: u64,
     /// Ends from this number on are never acknowledged; see [`Worker::acknowledged`].
@@ -113,6 +113,16 @@
     pub until: Time,
 }
 
+/// A run that a worker lists but should not execute: an older run of a task that starts on the worker
+/// again, or a run of an unknown job. It occupies its room until it has been stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Orphan {
+    /// The resources that it reserves.
+    pub reserved: Resources,
+    /// Whether it was absent from the last heartbeat.
+    pub missing: bool,
+}
+
 /// The leader's view of a run on a worker.
 #[derive(Debug)]
 pub struct RunView {
@@ -214,7 +224,7 @@
             serving: 0,
             serving_reserved: 0,
             serving_used: 0,
-            orphans: Vec::new(),
+            orphans: BTreeMap::new(),
             last_end: 0,
             withheld: None,
             departed: None,
@@ -242,9 +252,15 @@
         }
     }
 
-    /// Adds a run.
+    /// Adds a run. An older run of the task that the worker still lists becomes an orphan.
     pub fn add(&mut self, task: TaskKey, view: RunView) {
-        self.remove(&task);
+        if let Some(older) = self.remove(&task)
+            && older.listed
+            && older.run != view.run
+        {
+            let orphan = Orphan { reserved: older.reserved, missing: older.missing };
+            self.add_orphan(task, older.run, orphan);
+        }
         self.reserved = self.reserved.saturating_add(&view.reserved);
         self.demand += view.demand;
         if view.target_latency.is_some() {
@@ -268,12 +284,41 @@
         Some(view)
     }
 
+    /// Adds an orphan.
+    pub fn add_orphan(&mut self, task: TaskKey, run: Run, orphan: Orphan) {
+        self.remove_orphan(&task, run);
+        self.reserved = self.reserved.saturating_add(&orphan.reserved);
+        self.orphans.insert((task, run), orphan);
+    }
+
+    /// Removes an orphan.
+    pub fn remove_orphan(&mut self, task: &TaskKey, run: Run) -> Option<Orphan> {
+        let orphan = self.orphans.remove(&(*task, run))?;
+        self.reserved = self.reserved.saturating_sub(&orphan.reserved);
+        Some(orphan)
+    }
+
+    /// Marks the orphans that the worker doesn't list, and removes those that were missing before.
+    pub fn expire_orphans(&mut self, listed: &BTreeSet<(TaskKey, Run)>) {
+        let missing: Vec<_> =
+            self.orphans.keys().filter(|key| !listed.contains(key)).copied().collect();
+        for (task, run) in missing {
+            if let Some(orphan) = self.orphans.get_mut(&(task, run))
+                && !std::mem::replace(&mut orphan.missing, true)
+            {
+                continue;
+            }
+            self.remove_orphan(&task, run);
+        }
+    }
+
     /// The resources that aren't reserved; zero before the first heartbeat.
     pub fn free(&self) -> Resources {
         self.capacity().saturating_sub(&self.reserved)
     }
 
-    fn capacity(&self) -> Resources {
+    /// Its total resources; zero before the first heartbeat.
+    pub fn capacity(&self) -> Resources {
         self.profile.as_ref().map_or(Resources::ZERO, |profile| profile.capacity)
     }
 
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -1,6 +1,7 @@
 //! Tests of jobs: the replicated state, controllers and gateways.
 
 mod calls;
+mod capacity;
 mod gateway;
 mod leases;
 mod load;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -277,6 +277,7 @@
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
     pub(crate) labels: Vec<String>,
+    pub(crate) capacity: Resources,
     pub(crate) running: BTreeMap<TaskKey, Run>,
     pub(crate) ended: Vec<Ended>,
     pub(crate) end_count: u64,
@@ -295,6 +296,7 @@
             sequence: 0,
             leaving: None,
             labels: vec!["a".to_owned(), "r1".to_owned()],
+            capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
             running: BTreeMap::new(),
             ended: Vec::new(),
             end_count: 0,
@@ -320,7 +322,7 @@
             service: "desk".into(),
             centre: "akl-a".into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
-            capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
+            capacity: self.capacity,
             leaving: self.leaving,
             running: self
                 .running
