controllers: starts that no longer fit a shrunk worker are withdrawn

Cause: the starts that a worker hasn't listed were sent with the answer to its next heartbeat whatever that heartbeat reported. They are starts for a live worker that wait for its next heartbeat (tasks that last, gangs), and starts whose answer was lost.

Ruled out: starts placed on a held heartbeat (they are placed by what it reports), memory and accelerators left out of the sum (they are in it), a takeover, a late heartbeat with an older capacity (its sequence number is old).

Change: such starts are checked against the reported capacity. A start that was never sent is withdrawn at once with an end record, so that its task waits again; one that may have been received is given up as a listed run is, when it is missing twice, since its end may still come. The other members of its gang are stopped, or they would wait in vain and end as alone. A worker that runs more than it has in any dimension gets no starts.

Evidence: the tables and the property in capacity.rs and capacity_properties.rs.

Conclusion: a start leaves only if it fits what the heartbeat that it answers reports.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -32,6 +32,7 @@
 };
 
 mod calls;
+mod capacity;
 pub mod config;
 mod heartbeat;
 pub mod leader;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     jobs::{
-        controller::{Answer, LogEvent, Ticket, leader::Leader},
+        controller::{Answer, LogEvent, Ticket, capacity::UnlistedStart, leader::Leader},
         fleet::{FULL_PACE_PERCENT, HeldHeartbeat, Orphan, RunView, Worker},
         lifecycle::TaskPhase,
         model::{Run, Step, TaskKey, WorkerNumber},
@@ -39,7 +39,7 @@
             self.process_end(now, number, ended);
         }
         let listed = self.process_running(now, number, &report.running);
-        self.reconcile(number, &listed);
+        self.reconcile(now, number, &listed);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let slow = self.interference.is_slow(worker, now);
         self.interference.learn(worker, now);
@@ -214,7 +214,7 @@
             if !view.listed || view.percent != row.percent {
                 view.progressed_at = now;
             }
-            view.listed = true;
+            (view.sent, view.listed) = (true, true);
             view.missing = false;
             view.stopping |= !current;
             view.percent = row.percent;
@@ -230,10 +230,10 @@
     }
 
     /// Handles runs that are missing from the worker's list. A start that never appeared was lost
-    /// with its answer and is sent again. A run that was listed before is given up if it is missing
+    /// with its answer and is sent again if it still fits. A run that was listed before is given up if it is missing
     /// from two heartbeats in a row, since its end may still come with the next one and its room is
     /// free only then.
-    fn reconcile(&mut self, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
+    fn reconcile(&mut self, now: Time, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
         let missing: Vec<_> = missing
@@ -242,11 +242,11 @@
                 (*task, view.run, view.listed, was_missing)
             })
             .collect();
-        let mut lost_starts = Vec::new();
+        let mut unlisted = Vec::new();
         for (task, run, was_listed, was_missing) in missing {
             let current = self.is_current(number, &task, run);
             if current && !was_listed {
-                lost_starts.push(task);
+                unlisted.push(UnlistedStart { task, was_missing });
                 continue;
             }
             if was_listed && !was_missing {
@@ -259,10 +259,11 @@
                 self.record_lost_run(task, run, checkpoint);
             }
         }
-        if lost_starts.is_empty() {
+        let starts = self.select_starts(now, number, &unlisted);
+        if starts.is_empty() {
             self.pending_starts.remove(&number);
         } else {
-            self.pending_starts.insert(number, lost_starts);
+            self.pending_starts.insert(number, starts);
         }
     }
 }
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -141,7 +141,8 @@
             for (key, task) in job.runs(*id) {
                 let Some(spec) = job.spec.steps.get(usize::from(key.step)) else { continue };
                 if let Some(worker) = self.fleet.workers.get_mut(&task.worker) {
-                    worker.add(key, RunView::new(spec, task.run, now));
+                    let view = RunView::new(spec, task.run, now);
+                    worker.add(key, RunView { sent: true, ..view });
                     runs += 1;
                 }
             }
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -106,6 +106,8 @@
         for key in starts {
             let Some(job) = self.state.jobs.get(&key.job) else { continue };
             let Some(task) = self.state.task(&key) else { continue };
+            let Some(view) = worker.runs.get_mut(&key) else { continue };
+            (view.sent, view.missing) = (true, false);
             let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
             response.starts.push(RunStart { task: key, run: task.run, spec, checkpoint });
         }
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -144,6 +144,8 @@
     pub estimate: Duration,
     /// When it was sent to the worker or first listed by it.
     pub since: Time,
+    /// Whether the worker may have received its start.
+    pub sent: bool,
     /// Whether the worker has listed it at least once.
     pub listed: bool,
     /// Whether it was absent from the last heartbeat.
@@ -181,6 +183,7 @@
             image: step.image.clone(),
             estimate: Duration::from_millis(step.estimate),
             since: now,
+            sent: false,
             listed: false,
             missing: false,
             stopping: false,
@@ -317,6 +320,11 @@
         self.capacity().saturating_sub(&self.reserved)
     }
 
+    /// Whether its runs reserve more than it has. It may have shrunk since they were started.
+    pub fn is_overcommitted(&self) -> bool {
+        !self.capacity().fits(&self.reserved)
+    }
+
     /// Its total resources; zero before the first heartbeat.
     pub fn capacity(&self) -> Resources {
         self.profile.as_ref().map_or(Resources::ZERO, |profile| profile.capacity)
@@ -381,7 +389,7 @@
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
         let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_none());
-        stays && self.departed.is_none() && self.health.is_healthy(now)
+        stays && !self.is_overcommitted() && self.departed.is_none() && self.health.is_healthy(now)
     }
 }
 
--- a/lib/tests/jobs/capacity.rs
+++ b/lib/tests/jobs/capacity.rs
@@ -9,11 +9,12 @@
         model::{Run, Step, StepOptions, TaskKey},
         record::Ending,
         report::{Ended, Running},
+        response::HeartbeatResponse,
     },
     resources::Resources,
 };
 
-use crate::world::{FakeWorker, LEASE, MARGIN, World, path, step};
+use crate::world::{FakeWorker, LEASE, MARGIN, World, path, step, task};
 
 const WHOLE: Resources = Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 };
 
@@ -26,6 +27,178 @@
     Step { options: StepOptions { gang: true, ..StepOptions::default() }, ..step(count) }
 }
 
+/// Sends a heartbeat whose response is lost.
+fn lose_response(world: &mut World, worker: &mut FakeWorker) -> Option<HeartbeatResponse> {
+    let report = Box::new(worker.report());
+    let ticket = world.send(|ticket| Event::Heartbeat { ticket, report });
+    world.response(ticket)
+}
+
+/// Lets both workers send heartbeats for a while.
+fn exchange(world: &mut World, workers: &mut [&mut FakeWorker], span: Duration) {
+    let end = world.now + span;
+    while world.now < end {
+        for worker in &mut *workers {
+            world.heartbeat(worker);
+        }
+    }
+}
+
+/// Regression: starts that were decided before a worker shrank were sent after it.
+#[test]
+fn a_start_that_no_longer_fits_is_not_sent() {
+    #[derive(Clone, Copy)]
+    enum Way {
+        /// The start waits for the worker's next heartbeat.
+        Waiting,
+        /// The response with the start is lost.
+        Lost,
+    }
+    struct Case {
+        name: &'static str,
+        step: Step,
+        way: Way,
+        before: Resources,
+        after: Resources,
+        /// The tasks that the worker starts after it has shrunk.
+        want: usize,
+    }
+    let memory = Resources { memory_mib: 150, ..WHOLE };
+    let with_accelerators = Resources { accelerators: 4, ..WHOLE };
+    let accelerated = Resources { accelerators: 1, ..step(1).needs };
+    let cases = [
+        Case {
+            name: "waiting, fewer processors",
+            step: lasting(4),
+            way: Way::Waiting,
+            before: WHOLE,
+            after: Resources { millicores: 2500, ..WHOLE },
+            want: 2,
+        },
+        Case {
+            name: "waiting, less memory",
+            step: lasting(4),
+            way: Way::Waiting,
+            before: WHOLE,
+            after: memory,
+            want: 1,
+        },
+        Case {
+            name: "waiting, fewer accelerators",
+            step: Step { needs: accelerated, ..lasting(4) },
+            way: Way::Waiting,
+            before: with_accelerators,
+            after: Resources { accelerators: 3, ..WHOLE },
+            want: 3,
+        },
+        Case {
+            name: "waiting, no capacity",
+            step: lasting(4),
+            way: Way::Waiting,
+            before: WHOLE,
+            after: Resources::ZERO,
+            want: 0,
+        },
+        Case {
+            name: "waiting, same capacity",
+            step: lasting(4),
+            way: Way::Waiting,
+            before: WHOLE,
+            after: WHOLE,
+            want: 4,
+        },
+        Case {
+            name: "lost, fewer processors",
+            step: step(4),
+            way: Way::Lost,
+            before: WHOLE,
+            after: Resources { millicores: 2500, ..WHOLE },
+            want: 2,
+        },
+        Case {
+            name: "lost, less memory",
+            step: step(4),
+            way: Way::Lost,
+            before: WHOLE,
+            after: memory,
+            want: 1,
+        },
+        Case {
+            name: "lost, no capacity",
+            step: step(4),
+            way: Way::Lost,
+            before: WHOLE,
+            after: Resources::ZERO,
+            want: 0,
+        },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        first.capacity = case.before;
+        second.capacity = case.before;
+        let count = case.step.count as usize;
+        match case.way {
+            Way::Waiting => {
+                world.heartbeat(&mut first).expect("a response");
+                world.submit(7, vec![case.step]);
+            }
+            Way::Lost => {
+                world.submit(7, vec![case.step]);
+                let response = lose_response(&mut world, &mut first).expect("a response");
+                assert_eq!(response.starts.len(), count, "{}", case.name);
+            }
+        }
+        first.capacity = case.after;
+        world.heartbeat(&mut first).expect("a response");
+        assert_eq!(first.started.len(), case.want, "{}", case.name);
+        exchange(&mut world, &mut [&mut first, &mut second], Duration::from_secs(3));
+        assert_eq!(first.started.len(), case.want, "{}: later", case.name);
+        assert_eq!(second.started.len(), count - case.want, "{}: elsewhere", case.name);
+    }
+}
+
+/// Regression: the other members of a gang waited for one whose start was withdrawn, and gave up.
+#[test]
+fn a_gang_that_no_longer_fits_starts_elsewhere_as_a_whole() {
+    struct Case {
+        name: &'static str,
+        /// Whether the other member has started before the worker shrinks.
+        started: bool,
+    }
+    let cases = [
+        Case { name: "no member has started", started: false },
+        Case { name: "the other member waits", started: true },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let one = Resources { millicores: 1000, ..WHOLE };
+        (first.capacity, second.capacity) = (one, one);
+        world.heartbeat(&mut first).expect("a response");
+        world.heartbeat(&mut second).expect("a response");
+        let job = world.submit(7, vec![gang(2)]);
+        if case.started {
+            world.heartbeat(&mut second).expect("a response");
+            assert_eq!(second.running.len(), 1, "{}", case.name);
+        }
+        first.capacity = Resources { millicores: 500, ..WHOLE };
+        world.heartbeat(&mut first).expect("a response");
+        world.heartbeat(&mut second).expect("a response");
+        assert_eq!(first.started, [], "{}", case.name);
+        assert_eq!(second.running.len(), 0, "{}: the other member is stopped", case.name);
+        let mut third = FakeWorker::new("w3");
+        let workers = &mut [&mut first, &mut second, &mut third];
+        exchange(&mut world, workers, Duration::from_secs(2));
+        let members = [task(job, 0, 0), task(job, 0, 1)];
+        let runs = [&second, &third].into_iter().flat_map(|worker| &worker.running);
+        let runs: Vec<_> = runs.collect();
+        assert_eq!(runs.len(), 2, "{}: {runs:?}", case.name);
+        assert!(runs.iter().all(|(member, _)| members.contains(member)), "{}", case.name);
+        assert_eq!(runs[0].1, runs[1].1, "{}: the members share a run number", case.name);
+    }
+}
+
 /// Regression: the room of a run that is being stopped was used as soon as a newer run of its task
 /// was placed on the same worker, or the run was missing from one heartbeat.
 #[test]
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod capacity;
+mod capacity_properties;
 mod gateway;
 mod leases;
 mod load;
