controllers: a worker's change of capacity is logged

What callers saw: nothing told an operator that a worker had shrunk or grown; a start that was withdrawn for it would have had no cause in the log.

Change: a line `a worker's capacity changed` with the capacity before and after, what its runs reserve and how many they are, and a state of worker_changes_total.

Evidence: capacity::a_change_of_capacity_is_logged_once; the event didn't exist before.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -29,6 +29,17 @@
         }
         let was_leaving =
             worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        if let Some(profile) = &worker.profile
+            && profile.capacity != report.capacity
+        {
+            self.log_events.push(LogEvent::Resized {
+                name: worker.name.to_string(),
+                before: profile.capacity,
+                after: report.capacity,
+                reserved: worker.reserved,
+                runs: worker.runs.len(),
+            });
+        }
         worker.update_profile(now, report);
         if report.leaving.is_some() && !was_leaving {
             let (name, runs) = (worker.name.to_string(), worker.runs.len());
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -12,6 +12,7 @@
         report::{Ended, Report},
         response::HeartbeatResponse,
     },
+    resources::Resources,
     time::Time,
 };
 
@@ -227,6 +228,19 @@
         /// The number of its runs.
         runs: usize,
     },
+    /// A worker reports another capacity than before.
+    Resized {
+        /// Its name.
+        name: String,
+        /// The capacity that it had.
+        before: Resources,
+        /// The capacity that it has now.
+        after: Resources,
+        /// The resources that its runs reserve.
+        reserved: Resources,
+        /// The number of its runs.
+        runs: usize,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/lib/tests/jobs/capacity.rs
+++ b/lib/tests/jobs/capacity.rs
@@ -5,7 +5,7 @@
 use hickorylink_lib::{
     jobs::{
         call::{Action, Reply},
-        controller::Event,
+        controller::{Effect, Event, LogEvent},
         model::{Run, Step, StepOptions, TaskKey},
         record::Ending,
         report::{Ended, Running},
@@ -290,3 +290,24 @@
     world.heartbeat(&mut worker).expect("a response");
     assert_eq!(worker.started.len(), 4);
 }
+
+#[test]
+fn a_change_of_capacity_is_logged_once() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.submit(7, vec![lasting(2)]);
+    world.heartbeat(&mut worker);
+    world.heartbeat(&mut worker);
+    let half = Resources { millicores: 1000, ..WHOLE };
+    for capacity in [half, half, WHOLE] {
+        worker.capacity = capacity;
+        world.heartbeat(&mut worker).expect("a response");
+    }
+    let changes = world.sent.iter().filter_map(|effect| {
+        let Effect::LogEvent(event) = effect else { return None };
+        let LogEvent::Resized { name, before, after, reserved, runs } = event else { return None };
+        Some((name.as_str(), *before, *after, reserved.millicores, *runs))
+    });
+    let want = [("w1", WHOLE, half, 2000, 2), ("w1", half, WHOLE, 2000, 2)];
+    assert_eq!(changes.collect::<Vec<_>>(), want);
+}
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -3,6 +3,7 @@
 use hickorylink_lib::{
     ids::InstanceId,
     jobs::{controller, gateway},
+    resources::Resources,
 };
 use slog::{Logger, debug, error, info, warn};
 
@@ -36,6 +37,10 @@
             info!(log, "worker"; "name" => name, "state" => state, "silent_ms" => silent_ms,
                 "runs" => runs);
         }
+        LogEvent::Resized { name, before, after, reserved, runs } => {
+            info!(log, "a worker's capacity changed"; "name" => name, "before" => amounts(before),
+                "after" => amounts(after), "reserved" => amounts(reserved), "runs" => runs);
+        }
         LogEvent::Members { change } => info!(log, "members change"; "change" => change),
         LogEvent::MembersCommitted { voters, learners } => {
             info!(log, "members changed"; "voters" => ids(voters), "learners" => ids(learners));
@@ -49,6 +54,12 @@
     }
 }
 
+/// The amounts of all resources.
+fn amounts(resources: &Resources) -> String {
+    let Resources { millicores, memory_mib, accelerators } = resources;
+    format!("{millicores} millicores, {memory_mib} MiB, {accelerators} accelerators")
+}
+
 /// Identities separated by spaces.
 fn ids(instances: &[InstanceId]) -> String {
     let ids: Vec<_> = instances.iter().map(|id| id.0.to_string()).collect();
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -151,6 +151,9 @@
             LogEvent::Worker { state, .. } => {
                 self.workers.get_or_create(&StateLabels { state }).inc();
             }
+            LogEvent::Resized { .. } => {
+                self.workers.get_or_create(&StateLabels { state: "was resized" }).inc();
+            }
             LogEvent::Committed { records, took } => {
                 self.records.inc_by(*records as u64);
                 self.commits.observe(took.as_secs_f64());
