jobs: a task that lasts and is starting up counts as disrupted

The users call a task that lasts at work when its percent is 100.

Cause: a further task of a step could be moved as soon as the one moved before was listed by its new worker, while it was still starting up, so more tasks than the step allows could be away at once (AVAIL).

Change: a task that lasts counts as at work once its progress is 100%.

Evidence: load::serving_tasks_leave_a_slow_worker_within_their_disruption_allowance has the case "tasks that start up"; before, 2 were stopped at once. The tasks of the simulated workers reported 1% for ever; the progress is now a field, 100% in the cases that were there before, which otherwise stay as they were.

--- a/lib/src/jobs/controller/relocate.rs
+++ b/lib/src/jobs/controller/relocate.rs
@@ -62,9 +62,7 @@
         let away = (0..).zip(&progress.tasks).filter(|(index, task)| {
             let worker = self.fleet.workers.get(&task.worker);
             let view = worker.and_then(|worker| worker.runs.get(&key.task(*index)));
-            let at_work = view.is_some_and(|view| {
-                view.run == task.run && view.listed && !view.missing && !view.stopping
-            });
+            let at_work = view.is_some_and(|view| view.run == task.run && view.is_at_work());
             task.phase != TaskPhase::Running || !at_work
         });
         u32::try_from(away.count()).unwrap_or(u32::MAX)
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -31,6 +31,9 @@
 /// The pace of a run that isn't throttled, in percent. All runs start at this pace.
 pub const FULL_PACE_PERCENT: u8 = 100;
 
+/// The progress of a long-running task that has started up, in percent.
+const AT_WORK_PERCENT: u8 = 100;
+
 /// All known workers.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -198,6 +201,12 @@
         }
     }
 
+    /// Whether the worker executes it. A long-running task is at work once it has started up.
+    pub fn is_at_work(&self) -> bool {
+        let started = !self.long_running || self.percent == AT_WORK_PERCENT;
+        self.listed && !self.missing && !self.stopping && started
+    }
+
     /// Whether it uses only idle processors.
     pub fn is_opportunistic(&self) -> bool {
         self.demand > 0
--- a/lib/tests/jobs/load.rs
+++ b/lib/tests/jobs/load.rs
@@ -165,25 +165,36 @@
 }
 
 /// Pattern: a worker turns slow without going down, while the tasks of its steps elsewhere don't.
+/// Regression: a task that was starting up didn't count as disrupted.
 #[test]
 fn serving_tasks_leave_a_slow_worker_within_their_disruption_allowance() {
     struct Case {
         name: &'static str,
         slow: &'static [usize],
         disruptable: u32,
+        /// The progress of all tasks; they are at work at 100.
+        percent: u8,
         /// The number of tasks that are stopped at the same time, at most.
         want: usize,
     }
     let cases = [
-        Case { name: "no slow worker", slow: &[], disruptable: 2, want: 0 },
-        Case { name: "one task at a time", slow: &[0], disruptable: 1, want: 1 },
-        Case { name: "two tasks at a time", slow: &[0], disruptable: 2, want: 2 },
-        Case { name: "no disruption allowed", slow: &[0], disruptable: 0, want: 0 },
-        Case { name: "all workers alike", slow: &[0, 1, 2, 3], disruptable: 2, want: 0 },
+        Case { name: "no slow worker", slow: &[], disruptable: 2, percent: 100, want: 0 },
+        Case { name: "one task at a time", slow: &[0], disruptable: 1, percent: 100, want: 1 },
+        Case { name: "two tasks at a time", slow: &[0], disruptable: 2, percent: 100, want: 2 },
+        Case { name: "no disruption allowed", slow: &[0], disruptable: 0, percent: 100, want: 0 },
+        Case { name: "tasks that start up", slow: &[0], disruptable: 2, percent: 60, want: 0 },
+        Case {
+            name: "all workers alike",
+            slow: &[0, 1, 2, 3],
+            disruptable: 2,
+            percent: 100,
+            want: 0,
+        },
     ];
     for case in cases {
         let mut world = World::new();
         let mut workers: Vec<_> = (0..4).map(|at| FakeWorker::new(&format!("w{at}"))).collect();
+        workers.iter_mut().for_each(|worker| worker.percent = case.percent);
         let options = StepOptions {
             long_running: true,
             disruptable: case.disruptable,
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -284,6 +284,8 @@
     pub(crate) gauges: BTreeMap<TaskKey, u64>,
     pub(crate) started: Vec<(TaskKey, Run)>,
     pub(crate) stopped: BTreeSet<TaskKey>,
+    /// The progress of all its runs.
+    pub(crate) percent: u8,
     /// The checkpoint of all its runs.
     pub(crate) checkpoint: String,
 }
@@ -303,6 +305,7 @@
             gauges: BTreeMap::new(),
             started: Vec::new(),
             stopped: BTreeSet::new(),
+            percent: 1,
             checkpoint: String::new(),
         }
     }
@@ -331,7 +334,7 @@
                     task: *task,
                     run: *run,
                     checkpoint: self.checkpoint.as_str().into(),
-                    percent: 1,
+                    percent: self.percent,
                     gauge: self.gauges.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
