jobs: runs leave a worker that has shrunk below what it runs

A worker that has less than its runs reserve serves its tenants worse than others with room would.

Cause: only opportunistic runs reacted to a smaller capacity, by their paces.

Change: once the excess has lasted for a second, runs are stopped as far as other workers have room for them: opportunistic ones with checkpoints, then others with checkpoints, then tasks that last as far as their steps may be disrupted. Runs without checkpoints end sooner where they are, and members of gangs would take the whole gang along; both stay. What is being stopped counts until its end is listed.

Evidence: overcommit::runs_leave_a_worker_that_has_shrunk. Before, its first case failed (nothing left). The cases in which nothing may leave (no room, no disruption allowed, brief) guard the limits.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -37,6 +37,7 @@
 mod heartbeat;
 pub mod leader;
 pub mod port;
+mod relieve;
 mod relocate;
 mod respond;
 mod round;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -64,6 +64,7 @@
         if worker.health.slow {
             self.relocate(now, number, was_slow);
         }
+        self.relieve(now, number);
         let until = now + self.hold_time(number, now);
         if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
             self.answers.push((older.ticket, Answer::Acknowledged));
--- a/lib/src/jobs/controller/relocate.rs
+++ b/lib/src/jobs/controller/relocate.rs
@@ -46,14 +46,24 @@
     /// Whether another worker has room for a task of the step, and the step allows a further task to
     /// be disrupted. The slow worker itself is no candidate.
     fn may_move(&self, pool: &Pool, key: &StepKey) -> bool {
-        let Some(job) = self.state.jobs.get(&key.job) else { return false };
-        let Some(queue) = self.state.queue_of(job) else { return false };
-        let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return false };
+        self.may_disrupt(key) && self.destination(pool, key).is_some()
+    }
+
+    /// Whether the step allows a further task to be disrupted.
+    pub(super) fn may_disrupt(&self, key: &StepKey) -> bool {
+        let step = self.state.step(key);
+        step.is_some_and(|step| self.disrupted(key) < step.options.disruptable)
+    }
+
+    /// The best worker of the pool for a task of the step.
+    pub(super) fn destination(&self, pool: &Pool, key: &StepKey) -> Option<WorkerNumber> {
+        let job = self.state.jobs.get(&key.job)?;
+        let queue = self.state.queue_of(job)?;
+        let step = job.spec.steps.get(usize::from(key.step))?;
         let (service, interference) = (&queue.service, &self.interference);
         let speed = SpeedRequirement::FullSpeed;
         let request = Request { service, step, key: *key, avoid: &[], interference, speed };
-        self.disrupted(key) < step.options.disruptable
-            && choose_worker(&self.fleet, pool, &request, &mut 0).is_some()
+        choose_worker(&self.fleet, pool, &request, &mut 0)
     }
 
     /// The number of a step's tasks that aren't at work.
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -82,6 +82,8 @@
     /// When its runs are given up after it has left; `None` if it hasn't left. Until then, a
     /// heartbeat that its leave message overtook may still report their ends.
     pub departed: Option<Time>,
+    /// Since when its runs have reserved more than it has, or when some were last moved away for it.
+    pub excess_since: Option<Time>,
     /// A summary of its runs for placement.
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
@@ -240,6 +242,7 @@
             last_end: 0,
             withheld: None,
             departed: None,
+            excess_since: None,
             neighbours: Neighbours::default(),
             health: Health::default(),
         }
@@ -334,6 +337,14 @@
         !self.capacity().fits(&self.reserved)
     }
 
+    /// What its runs reserve beyond its capacity, without those that are being stopped.
+    pub fn excess(&self) -> Resources {
+        let staying = self.runs.values().filter(|view| !view.stopping);
+        let reserved =
+            staying.fold(Resources::ZERO, |sum, view| sum.saturating_add(&view.reserved));
+        reserved.saturating_sub(&self.capacity())
+    }
+
     /// Its total resources; zero before the first heartbeat.
     pub fn capacity(&self) -> Resources {
         self.profile.as_ref().map_or(Resources::ZERO, |profile| profile.capacity)
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -136,6 +136,16 @@
         }
     }
 
+    /// Takes the room that a task with this demand needs from a member.
+    pub fn take(&mut self, number: WorkerNumber, demand: &Demand) {
+        if let Ok(at) = self.members.binary_search_by_key(&number, |(member, _)| *member) {
+            let room = &mut self.members[at].1;
+            let processors = demand.unreserved + demand.reserved.millicores;
+            room.free = room.free.saturating_sub(&demand.reserved);
+            room.unused = room.unused.saturating_sub(processors);
+        }
+    }
+
     /// Computes the bound of all rooms again, after some of them have shrunk.
     pub fn tighten(&mut self) {
         let rooms = self.members.iter().map(|(_, room)| room);
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod gateway;
 mod leases;
 mod load;
+mod overcommit;
 mod pace;
 mod properties;
 mod recovery;
