--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -11,7 +11,7 @@
     jobs::{
         controller::Ticket,
         health::Health,
-        model::{Image, Label, Run, Step, StepKey, TaskKey, WorkerNumber},
+        model::{Label, Run, StepKey, TaskKey, WorkerNumber},
         neighbours::Neighbours,
         report::Report,
     },
@@ -19,6 +19,10 @@
     time::Time,
 };
 
+mod run_view;
+
+pub use self::run_view::{FULL_PACE_PERCENT, Orphan, RunView};
+
 /// The percentage of their reserved processors that serving tasks are assumed to use until their
 /// load is known.
 const ASSUMED_LOAD_PERCENT: u64 = 50;
@@ -28,12 +32,6 @@
 /// rise steeply once all processors are in use.
 const MAX_USED_PERCENT: u64 = 104;
 
-/// The pace of a run that isn't throttled, in percent. All runs start at this pace.
-pub const FULL_PACE_PERCENT: u8 = 100;
-
-/// The progress of a long-running task that has started up, in percent.
-const AT_WORK_PERCENT: u8 = 100;
-
 /// All known workers.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -118,108 +116,6 @@
     pub until: Time,
 }
 
-/// A run that a worker lists but should not execute: an older run of a task that starts on the worker
-/// again, or a run of an unknown job. It occupies its room until it has been stopped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Orphan {
-    /// The resources that it reserves.
-    pub reserved: Resources,
-    /// Whether it was absent from the last heartbeat.
-    pub missing: bool,
-}
-
-/// The leader's view of a run on a worker.
-#[derive(Debug)]
-pub struct RunView {
-    /// The number of the run.
-    pub run: Run,
-    /// The resources that it reserves.
-    pub reserved: Resources,
-    /// The processors that it requests without a reservation, in millicores.
-    pub demand: u64,
-    /// The target latency in milliseconds; `None` unless it is a serving run.
-    pub target_latency: Option<u64>,
-    /// Whether it runs until its job is cancelled.
-    pub long_running: bool,
-    /// Whether it saves checkpoints.
-    pub checkpoints: bool,
-    /// The image that it executes.
-    pub image: Option<Image>,
-    /// The customer's estimate of its duration.
-    pub estimate: Duration,
-    /// When it was sent to the worker or first listed by it.
-    pub since: Time,
-    /// Whether the worker may have received its start.
-    pub sent: bool,
-    /// Whether the worker has listed it at least once.
-    pub listed: bool,
-    /// Whether it was absent from the last heartbeat.
-    pub missing: bool,
-    /// Whether the worker has to stop it.
-    pub stopping: bool,
-    /// Its progress, in percent.
-    pub percent: u8,
-    /// When its progress changed last.
-    pub progressed_at: Time,
-    /// The latest checkpoint that the worker has listed; empty if there is none.
-    pub checkpoint: Box<str>,
-    /// Its last gauge; see [`Running::gauge`](crate::jobs::report::Running::gauge).
-    pub gauge: u64,
-    /// Since when its latency has been above the target.
-    pub over_since: Option<Time>,
-    /// The pace that it should have, in percent.
-    pub pace: u8,
-    /// The pace that was last sent to the worker, in percent.
-    pub sent_pace: u8,
-    /// Since when its pace has been 0.
-    pub paused_since: Option<Time>,
-}
-
-impl RunView {
-    /// A run of `step` that was sent to the worker or listed by it for the first time.
-    pub fn new(step: &Step, run: Run, now: Time) -> Self {
-        Self {
-            run,
-            reserved: step.reserved(),
-            demand: if step.options.opportunistic { step.needs.millicores } else { 0 },
-            target_latency: if step.options.long_running { step.target_latency } else { None },
-            long_running: step.options.long_running,
-            checkpoints: step.options.checkpoints,
-            image: step.image.clone(),
-            estimate: Duration::from_millis(step.estimate),
-            since: now,
-            sent: false,
-            listed: false,
-            missing: false,
-            stopping: false,
-            percent: 0,
-            progressed_at: now,
-            checkpoint: Box::default(),
-            gauge: 0,
-            over_since: None,
-            pace: FULL_PACE_PERCENT,
-            sent_pace: FULL_PACE_PERCENT,
-            paused_since: None,
-        }
-    }
-
-    /// Whether the worker executes it. A long-running task is at work once it has started up.
-    pub fn is_at_work(&self) -> bool {
-        let started = !self.long_running || self.percent == AT_WORK_PERCENT;
-        self.listed && !self.missing && !self.stopping && started
-    }
-
-    /// Whether it uses only idle processors.
-    pub fn is_opportunistic(&self) -> bool {
-        self.demand > 0
-    }
-
-    /// When it is expected to end; `None` for a long-running task.
-    pub fn expected_end(&self) -> Option<Time> {
-        (!self.long_running).then(|| self.since + self.estimate)
-    }
-}
-
 impl Worker {
     /// An incarnation without a heartbeat to this leader yet; its lease may last until
     /// `lease_until`.
