controllers: a gang is stopped if a worker refuses one of its members

A worker that guards its capacity and has shrunk after its last heartbeat refuses a start; the other members of the gang would wait for it and end as alone (GANG).

Cause: a refusal concerned the refused member only, and a gang is placed again once none of its members runs.

Change: the other members are stopped, as if the start had been withdrawn.

Evidence: capacity::a_gang_that_no_longer_fits_starts_elsewhere_as_a_whole, case "the worker refuses"; before, the other member ran on.

--- a/lib/src/jobs/controller/capacity.rs
+++ b/lib/src/jobs/controller/capacity.rs
@@ -101,7 +101,7 @@
     }
 
     /// Stops the members of a gang of which one doesn't start: they would wait for it in vain.
-    fn stop_gang(&mut self, now: Time, key: &StepKey) {
+    pub(super) fn stop_gang(&mut self, now: Time, key: &StepKey) {
         let Some(progress) = self.state.progress(key) else { return };
         let members = (0..).zip(&progress.tasks);
         let running = members.filter(|(_, task)| task.phase == TaskPhase::Running);
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -162,6 +162,11 @@
             self.log_events.push(LogEvent::Ended { task, run, ending, worker: name });
         }
         self.record_end(now, ended.task, ended.run, ended.ending, &ended.checkpoint);
+        let key = ended.task.step_key();
+        let gang = self.state.step(&key).is_some_and(|step| step.options.gang);
+        if ended.ending == Ending::Refused && gang {
+            self.stop_gang(now, &key);
+        }
     }
 
     /// Records the end of a run. If that ends the job, schedules its removal.
--- a/lib/tests/jobs/capacity.rs
+++ b/lib/tests/jobs/capacity.rs
@@ -158,17 +158,21 @@
     }
 }
 
-/// Regression: the other members of a gang waited for one whose start was withdrawn, and gave up.
+/// Regression: the other members of a gang waited for one whose start was withdrawn or refused, and
+/// gave up.
 #[test]
 fn a_gang_that_no_longer_fits_starts_elsewhere_as_a_whole() {
     struct Case {
         name: &'static str,
         /// Whether the other member has started before the worker shrinks.
         started: bool,
+        /// Whether the worker refuses the start, since it has shrunk after it reported its capacity.
+        refused: bool,
     }
     let cases = [
-        Case { name: "no member has started", started: false },
-        Case { name: "the other member waits", started: true },
+        Case { name: "no member has started", started: false, refused: false },
+        Case { name: "the other member waits", started: true, refused: false },
+        Case { name: "the worker refuses", started: true, refused: true },
     ];
     for case in cases {
         let mut world = World::new();
@@ -182,6 +186,11 @@
             world.heartbeat(&mut second).expect("a response");
             assert_eq!(second.running.len(), 1, "{}", case.name);
         }
+        if case.refused {
+            world.heartbeat(&mut first).expect("a response");
+            first.end_all(Ending::Refused);
+            first.started.clear();
+        }
         first.capacity = Resources { millicores: 500, ..WHOLE };
         world.heartbeat(&mut first).expect("a response");
         world.heartbeat(&mut second).expect("a response");
