scheduler: a start isn't sent again to a worker that has shrunk

What callers saw: not seen. In `serve`, a worker that shrinks evicts what no longer fits.

Cause: an attempt whose start command the worker didn't list was sent again while its announcement was handled, and evicted at the end of it: the worker got the start and the stop together, and ran more than it had until the stop took effect.

Ruled out: a start that isn't recorded yet (evicted, its record yields), the choice of a worker (free room saturates, an overcommitted worker isn't in the index), growth (applied after a lease).

Change: while the worker is overcommitted, such a start waits for the next announcement; it is sent once it fits, unless it is evicted. Attempts that can't be evicted are still sent again, since nothing but the worker's report leads from "starting" back to the queue.

Evidence: workers::starts_on_their_way_are_not_sent_to_a_worker_that_has_shrunk; before, the case "starting" got Start and Stop. "recording" and a_worker_that_has_shrunk_gets_what_fits passed at once and stay as guards.

--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -265,6 +265,11 @@
                 false if rebooted => PhaseEvent::Lost,
                 true | false => PhaseEvent::Unlisted,
             };
+            // It is started once it fits or evicted to make room.
+            let on_its_way = event == PhaseEvent::Unlisted && phase == Phase::Starting;
+            if on_its_way && self.fleet[slot].overcommitted() && self.is_evictable(id) {
+                continue;
+            }
             self.step_attempt(now, id, event, EventData::None, effects);
         }
     }
--- a/lib/src/scheduler/preempt.rs
+++ b/lib/src/scheduler/preempt.rs
@@ -207,6 +207,12 @@
         attempts
     }
 
+    /// Whether a task has an attempt that can be evicted.
+    pub(super) fn is_evictable(&self, id: TaskId) -> bool {
+        let task = self.tasks.get(id);
+        task.is_some_and(|task| task.current().is_some_and(|current| is_evictable(task, current)))
+    }
+
     /// The resources of attempts on a worker that were told to stop.
     fn stopping(&self, slot: WorkerSlot) -> Resources {
         let attempts = self.fleet[slot].allocations.keys().filter_map(|id| self.tasks.get(*id));
--- a/lib/tests/scheduler/workers.rs
+++ b/lib/tests/scheduler/workers.rs
@@ -110,6 +110,61 @@
     }
 }
 
+/// Regression: the start of an attempt was sent again to a worker that had shrunk, together with the
+/// command to stop it.
+#[test]
+fn starts_on_their_way_are_not_sent_to_a_worker_that_has_shrunk() {
+    #[derive(Clone, Copy, PartialEq, Eq)]
+    enum Phase {
+        /// The start isn't recorded yet.
+        Recording,
+        /// The command was sent, and the worker doesn't list the attempt.
+        Starting,
+    }
+    struct Case {
+        name: &'static str,
+        phase: Phase,
+        capacity: Resources,
+        want: bool,
+    }
+    let (small, large) = (resources(1, 128), LARGE_WORKER);
+    let cases = [
+        Case { name: "recording", phase: Phase::Recording, capacity: small, want: false },
+        Case { name: "starting", phase: Phase::Starting, capacity: small, want: false },
+        Case { name: "recording, same", phase: Phase::Recording, capacity: large, want: true },
+        Case { name: "starting, same", phase: Phase::Starting, capacity: large, want: true },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        harness.announce(announcement_of("w1", LARGE_WORKER)).expect("a lease");
+        harness.open_task(task(1, "ann", resources(2, 2)));
+        if case.phase == Phase::Starting {
+            assert_eq!(harness.record_starts(), [(attempt(1, 1), "w1".into())], "{}", case.name);
+        }
+        harness.take_commands();
+        harness.advance(Duration::from_secs(2));
+        harness.announce(announcement_of("w1", case.capacity)).expect("a lease");
+        harness.record_starts();
+        let commands = harness.take_commands();
+        let started =
+            commands.iter().any(|(_, command)| matches!(command, WorkerCommand::Start(_)));
+        assert_eq!(started, case.want, "{}: {commands:?}", case.name);
+    }
+}
+
+#[test]
+fn a_worker_that_has_shrunk_gets_what_fits() {
+    let mut harness = Harness::new();
+    harness.announce(announcement_of("w1", LARGE_WORKER)).expect("a lease");
+    harness.announce(announcement_of("w1", resources(3, 8))).expect("a lease");
+    harness.announce(announcement_of("w2", LARGE_WORKER)).expect("a lease");
+    harness.announce(announcement_of("w2", resources(1, 8))).expect("a lease");
+    for id in 1..=3 {
+        harness.open_task(task(id, "ann", resources(2, 2)));
+    }
+    assert_eq!(harness.record_starts(), [(attempt(1, 1), "w1".into())]);
+}
+
 #[test]
 fn a_worker_that_fails_everything_is_quarantined() {
     struct Case {
