controllers: a start that waits isn't sent to a worker that leaves

What callers saw: not seen; the users allow such a start for a while after the worker said that it leaves.

Cause: the same as that of starts on shrunk workers. A start for a live worker waits for its next heartbeat, and was sent with the answer to it even if that heartbeat said that the worker leaves. A task that lasts was then stopped at once and had its start twice.

Change: such a start is withdrawn like one that doesn't fit.

Evidence: leases::a_leaving_worker_receives_no_starts is now a table; the former test is its first case. The case "long-running, placed before" failed before: the task was started.

--- a/lib/src/jobs/controller/capacity.rs
+++ b/lib/src/jobs/controller/capacity.rs
@@ -34,8 +34,8 @@
 }
 
 impl Leader {
-    /// The starts to send to a worker, of those that it hasn't listed. The others no longer fit the
-    /// capacity that it reports: they are withdrawn, and their tasks wait again.
+    /// The starts to send to a worker, of those that it hasn't listed. The others are withdrawn, since
+    /// they no longer fit the capacity that it reports or it leaves, and their tasks wait again.
     pub(super) fn select_starts(
         &mut self,
         now: Time,
@@ -65,7 +65,7 @@
         for start in unlisted {
             let Some(view) = worker.runs.get(&start.task) else { continue };
             let total = reserved.saturating_add(&view.reserved);
-            if !view.stopping && worker.capacity().fits(&total) {
+            if !view.stopping && !worker.is_leaving() && worker.capacity().fits(&total) {
                 reserved = total;
                 selection.fitting.push(start.task);
                 continue;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -27,8 +27,7 @@
             self.answers.push((ticket, Answer::Acknowledged));
             return;
         }
-        let was_leaving =
-            worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        let was_leaving = worker.is_leaving();
         if let Some(profile) = &worker.profile
             && profile.capacity != report.capacity
         {
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -48,8 +48,7 @@
         } else {
             self.timing.max_hold
         };
-        let leaving = worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
-        if leaving || worker.departed.is_some() {
+        if worker.is_leaving() || worker.departed.is_some() {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
@@ -126,7 +125,7 @@
 
 /// The time until the worker's next heartbeat.
 fn next_heartbeat(worker: &Worker, now: Time) -> Duration {
-    if worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some()) {
+    if worker.is_leaving() {
         return LEAVING_INTERVAL;
     }
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -302,10 +302,19 @@
         self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
+    /// Whether it has announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some())
+    }
+
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
-        let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_none());
-        stays && !self.is_overcommitted() && self.departed.is_none() && self.health.is_healthy(now)
+        let heard = self.profile.is_some();
+        heard
+            && !self.is_leaving()
+            && !self.is_overcommitted()
+            && self.departed.is_none()
+            && self.health.is_healthy(now)
     }
 }
 
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -192,16 +192,38 @@
     assert_eq!(world.phase(7), JobPhase::Completed);
 }
 
+/// Regression: a start that waited for a worker's next heartbeat was sent although that heartbeat said
+/// that the worker leaves.
 #[test]
 fn a_leaving_worker_receives_no_starts() {
-    let mut world = World::new();
-    let mut worker = FakeWorker::new("w1");
-    worker.leaving = Some(2000);
-    world.submit(7, vec![step(1)]);
-    for _ in 0..3 {
-        world.heartbeat(&mut worker);
+    struct Case {
+        name: &'static str,
+        long_running: bool,
+        /// Whether the task is placed before the worker leaves.
+        placed: bool,
+    }
+    let cases = [
+        Case { name: "leaving", long_running: false, placed: false },
+        Case { name: "long-running, leaving", long_running: true, placed: false },
+        Case { name: "long-running, placed before", long_running: true, placed: true },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut worker, mut other) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        if case.placed {
+            world.heartbeat(&mut worker).expect("a response");
+        }
+        worker.leaving = Some(2000);
+        let long_running = case.long_running;
+        let options = StepOptions { long_running, ..StepOptions::default() };
+        world.submit(7, vec![Step { options, ..step(1) }]);
+        for _ in 0..3 {
+            world.heartbeat(&mut worker);
+        }
+        assert_eq!(worker.started, [], "{}", case.name);
+        world.heartbeat(&mut other).expect("a response");
+        assert_eq!(other.started.len(), 1, "{}: elsewhere", case.name);
     }
-    assert_eq!(worker.started, []);
 }
 
 #[test]
