--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -27,24 +27,7 @@
             self.answers.push((ticket, Answer::Acknowledged));
             return;
         }
-        let was_leaving = worker.is_leaving();
-        if let Some(profile) = &worker.profile
-            && profile.capacity != report.capacity
-        {
-            self.log_events.push(LogEvent::Resized {
-                name: worker.name.to_string(),
-                before: profile.capacity,
-                after: report.capacity,
-                reserved: worker.reserved,
-                runs: worker.runs.len(),
-            });
-        }
-        worker.update_profile(now, report);
-        if report.leaving.is_some() && !was_leaving {
-            let (name, runs) = (worker.name.to_string(), worker.runs.len());
-            let state = "is leaving";
-            self.log_events.push(LogEvent::Worker { name, state, silent_ms: 0, runs });
-        }
+        self.update_profile(now, number, report);
         for ended in &report.ended {
             self.process_end(now, number, ended);
         }
@@ -71,6 +54,29 @@
         self.changed.insert(number);
     }
 
+    /// Updates the properties of a worker. A change of its capacity and its leaving are logged.
+    fn update_profile(&mut self, now: Time, number: WorkerNumber, report: &Report) {
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        let was_leaving = worker.is_leaving();
+        if let Some(profile) = &worker.profile
+            && profile.capacity != report.capacity
+        {
+            self.log_events.push(LogEvent::Resized {
+                name: worker.name.to_string(),
+                before: profile.capacity,
+                after: report.capacity,
+                reserved: worker.reserved,
+                runs: worker.runs.len(),
+            });
+        }
+        worker.update_profile(now, report);
+        if report.leaving.is_some() && !was_leaving {
+            let (name, runs) = (worker.name.to_string(), worker.runs.len());
+            let state = "is leaving";
+            self.log_events.push(LogEvent::Worker { name, state, silent_ms: 0, runs });
+        }
+    }
+
     /// The number of the worker's incarnation, assigned if the incarnation is new; `None` for an
     /// outdated incarnation.
     fn identify(&mut self, now: Time, report: &Report) -> Option<WorkerNumber> {
