--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -32,10 +32,12 @@
 };
 
 mod calls;
+mod capacity;
 pub mod config;
 mod heartbeat;
 pub mod leader;
 pub mod port;
+mod relieve;
 mod relocate;
 mod respond;
 mod round;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -4,10 +4,10 @@
 
 use crate::{
     jobs::{
-        controller::{Answer, LogEvent, Ticket, leader::Leader},
-        fleet::{FULL_PACE_PERCENT, HeldHeartbeat, RunView, Worker},
+        controller::{Answer, LogEvent, Ticket, capacity::UnlistedStart, leader::Leader},
+        fleet::{FULL_PACE_PERCENT, HeldHeartbeat, Orphan, RunView, Worker},
         lifecycle::TaskPhase,
-        model::{Run, TaskKey, WorkerNumber},
+        model::{Run, Step, TaskKey, WorkerNumber},
         pace,
         record::{Ending, Record},
         report::{Ended, Report, Running},
@@ -32,20 +32,14 @@
             self.answers.push((ticket, Answer::Acknowledged));
             return;
         }
-        let was_leaving =
-            worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
-        worker.update_profile(now, report);
+        self.update_profile(now, number, report);
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         worker.confirmed = arrival == Arrival::Timely;
-        if report.leaving.is_some() && !was_leaving {
-            let (name, runs) = (worker.name.to_string(), worker.runs.len());
-            let state = "is leaving";
-            self.log_events.push(LogEvent::Worker { name, state, silent_ms: 0, runs });
-        }
         for ended in &report.ended {
             self.process_end(now, number, ended);
         }
         let listed = self.process_running(now, number, &report.running);
-        self.reconcile(number, &listed);
+        self.reconcile(now, number, &listed);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let slow = self.interference.is_slow(worker, now);
         self.interference.learn(worker, now);
@@ -59,6 +53,7 @@
         if worker.health.slow {
             self.relocate(now, number, was_slow);
         }
+        self.relieve(now, number);
         let until = now + self.hold_time(number, now);
         if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
             self.answers.push((older.ticket, Answer::Acknowledged));
@@ -90,6 +85,29 @@
         }
     }
 
+    /// Updates the properties of a worker. A change of its capacity and its leaving are logged.
+    fn update_profile(&mut self, now: Time, number: WorkerNumber, report: &Report) {
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        let was_leaving = worker.is_leaving();
+        if let Some(profile) = &worker.profile
+            && profile.capacity != report.capacity
+        {
+            self.log_events.push(LogEvent::Resized {
+                name: worker.name.to_string(),
+                before: profile.capacity,
+                after: report.capacity,
+                reserved: worker.reserved,
+                runs: worker.runs.len(),
+            });
+        }
+        worker.update_profile(now, report);
+        if report.leaving.is_some() && !was_leaving {
+            let (name, runs) = (worker.name.to_string(), worker.runs.len());
+            let state = "is leaving";
+            self.log_events.push(LogEvent::Worker { name, state, silent_ms: 0, runs });
+        }
+    }
+
     /// The number of the worker's incarnation, assigned if the incarnation is new; `None` for an
     /// outdated incarnation.
     fn identify(&mut self, now: Time, report: &Report) -> Option<WorkerNumber> {
@@ -156,6 +174,7 @@
         if worker.runs.get(&ended.task).is_some_and(|view| view.run == ended.run) {
             worker.remove(&ended.task);
         }
+        worker.remove_orphan(&ended.task, ended.run);
         if !current {
             let done = ended.ending == Ending::Done && !self.is_settled(&ended.task);
             if let Some(worker) = self.fleet.workers.get_mut(&number)
@@ -183,6 +202,11 @@
             self.log_events.push(LogEvent::Ended { task, run, ending, worker: name });
         }
         self.record_end(now, ended.task, ended.run, ended.ending, &ended.checkpoint);
+        let key = ended.task.step_key();
+        let gang = self.state.step(&key).is_some_and(|step| step.options.gang);
+        if ended.ending == Ending::Refused && gang {
+            self.stop_gang(now, &key);
+        }
     }
 
     /// Records the end of a run. If that ends the job, schedules its removal.
@@ -216,7 +240,7 @@
         running: &[Running],
     ) -> BTreeSet<TaskKey> {
         let mut listed = BTreeSet::new();
-        let mut orphans = Vec::new();
+        let mut orphans = BTreeSet::new();
         for row in running {
             let current = self.is_current(number, &row.task, row.run);
             let spec = self.state.step(&row.task.step_key());
@@ -225,7 +249,9 @@
             if known.is_some_and(|run| run != row.run) {
                 // An older run of a task that is to start on this worker again must not mask the
                 // new run.
-                orphans.push((row.task, row.run));
+                let reserved = spec.map_or(worker.capacity(), Step::reserved);
+                worker.add_orphan(row.task, row.run, Orphan { reserved, missing: false });
+                orphans.insert((row.task, row.run));
                 continue;
             }
             if known.is_none()
@@ -234,15 +260,18 @@
                 // The run occupies resources until it ends, even if it has to be stopped.
                 worker.add(row.task, RunView::new(spec, row.run, now));
             }
+            let reserved = worker.capacity();
             let Some(view) = worker.runs.get_mut(&row.task) else {
-                orphans.push((row.task, row.run));
+                // What a run of an unknown job reserves isn't known.
+                worker.add_orphan(row.task, row.run, Orphan { reserved, missing: false });
+                orphans.insert((row.task, row.run));
                 continue;
             };
             listed.insert(row.task);
             if !view.listed || view.percent != row.percent {
                 view.progressed_at = now;
             }
-            view.listed = true;
+            (view.sent, view.listed) = (true, true);
             view.missing = false;
             view.stopping |= !current;
             view.percent = row.percent;
@@ -252,15 +281,16 @@
             view.gauge = row.gauge;
         }
         if let Some(worker) = self.fleet.workers.get_mut(&number) {
-            worker.orphans = orphans;
+            worker.expire_orphans(&orphans);
         }
         listed
     }
 
     /// Handles runs that are missing from the worker's list. A start that never appeared was lost
-    /// with its answer and is sent again. A run that was listed before is given up if it is missing
-    /// from two heartbeats in a row, since its end may still come with the next one.
-    fn reconcile(&mut self, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
+    /// with its answer and is sent again if it still fits. A run that was listed before is given up if it is missing
+    /// from two heartbeats in a row, since its end may still come with the next one and its room is
+    /// free only then.
+    fn reconcile(&mut self, now: Time, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
         let missing: Vec<_> = missing
@@ -269,14 +299,14 @@
                 (*task, view.run, view.listed, was_missing)
             })
             .collect();
-        let mut lost_starts = Vec::new();
+        let mut unlisted = Vec::new();
         for (task, run, was_listed, was_missing) in missing {
             let current = self.is_current(number, &task, run);
             if current && !was_listed {
-                lost_starts.push(task);
+                unlisted.push(UnlistedStart { task, was_missing });
                 continue;
             }
-            if current && !was_missing {
+            if was_listed && !was_missing {
                 continue;
             }
             let worker = self.fleet.workers.get_mut(&number);
@@ -286,10 +316,11 @@
                 self.record_lost_run(task, run, checkpoint);
             }
         }
-        if lost_starts.is_empty() {
+        let starts = self.select_starts(now, number, &unlisted);
+        if starts.is_empty() {
             self.pending_starts.remove(&number);
         } else {
-            self.pending_starts.insert(number, lost_starts);
+            self.pending_starts.insert(number, starts);
         }
     }
 }
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -48,8 +48,7 @@
         } else {
             self.timing.max_hold
         };
-        let leaving = worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
-        if leaving || worker.departed.is_some() || !worker.confirmed {
+        if worker.is_leaving() || worker.departed.is_some() || !worker.confirmed {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
@@ -91,7 +90,7 @@
             let until = held.since + lease + timing.lease_margin;
             worker.lease_until = worker.lease_until.max(until);
         }
-        let mut stops = worker.orphans.clone();
+        let mut stops: Vec<_> = worker.orphans.keys().copied().collect();
         let mut paces = Vec::new();
         for (task, view) in &mut worker.runs {
             if view.stopping && view.listed {
@@ -113,6 +112,8 @@
         for key in starts {
             let Some(job) = self.state.jobs.get(&key.job) else { continue };
             let Some(task) = self.state.task(&key) else { continue };
+            let Some(view) = worker.runs.get_mut(&key) else { continue };
+            (view.sent, view.missing) = (true, false);
             let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
             response.starts.push(RunStart { task: key, run: task.run, spec, checkpoint });
         }
@@ -131,7 +132,7 @@
 
 /// The time until the worker's next heartbeat.
 fn next_heartbeat(worker: &Worker, now: Time) -> Duration {
-    if worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some()) {
+    if worker.is_leaving() {
         return LEAVING_INTERVAL;
     }
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -11,7 +11,7 @@
     jobs::{
         controller::Ticket,
         health::Health,
-        model::{Image, Label, Run, Step, StepKey, TaskKey, WorkerNumber},
+        model::{Label, Run, StepKey, TaskKey, WorkerNumber},
         neighbours::Neighbours,
         report::Report,
         transit::{Arrival, Transit},
@@ -20,6 +20,10 @@
     time::Time,
 };
 
+mod run_view;
+
+pub use self::run_view::{FULL_PACE_PERCENT, Orphan, RunView};
+
 /// The percentage of their reserved processors that serving tasks are assumed to use until their
 /// load is known.
 const ASSUMED_LOAD_PERCENT: u64 = 50;
@@ -29,9 +33,6 @@
 /// rise steeply once all processors are in use.
 const MAX_USED_PERCENT: u64 = 104;
 
-/// The pace of a run that isn't throttled, in percent. All runs start at this pace.
-pub const FULL_PACE_PERCENT: u8 = 100;
-
 /// All known workers.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -79,7 +80,7 @@
     pub held: Option<HeldHeartbeat>,
     /// The runs that it lists, and those that it was sent.
     pub runs: BTreeMap<TaskKey, RunView>,
-    /// The sum of what these runs reserve.
+    /// The sum of what these runs and the orphans reserve.
     pub reserved: Resources,
     /// The processors that its opportunistic runs request, in millicores.
     pub demand: u64,
@@ -89,8 +90,8 @@
     pub serving_reserved: u64,
     /// The processors that its serving runs use at their present load, in millicores; an estimate.
     pub serving_used: u64,
-    /// Runs that the worker lists but should not execute.
-    pub orphans: Vec<(TaskKey, Run)>,
+    /// Runs that the worker lists but should not execute, and that aren't among `runs`.
+    pub orphans: BTreeMap<(TaskKey, Run), Orphan>,
     /// The number of the last reported end that was processed.
     pub last_end: u64,
     /// Ends from this number on are never acknowledged; see [`Worker::acknowledged`].
@@ -98,6 +99,8 @@
     /// When its runs are given up after it has left; `None` if it hasn't left. Until then, a
     /// heartbeat that its leave message overtook may still report their ends.
     pub departed: Option<Time>,
+    /// Since when its runs have reserved more than it has, or when some were last moved away for it.
+    pub excess_since: Option<Time>,
     /// A summary of its runs for placement.
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
@@ -132,89 +135,6 @@
     pub until: Time,
 }
 
-/// The leader's view of a run on a worker.
-#[derive(Debug)]
-pub struct RunView {
-    /// The number of the run.
-    pub run: Run,
-    /// The resources that it reserves.
-    pub reserved: Resources,
-    /// The processors that it requests without a reservation, in millicores.
-    pub demand: u64,
-    /// The target latency in milliseconds; `None` unless it is a serving run.
-    pub target_latency: Option<u64>,
-    /// Whether it runs until its job is cancelled.
-    pub long_running: bool,
-    /// Whether it saves checkpoints.
-    pub checkpoints: bool,
-    /// The image that it executes.
-    pub image: Option<Image>,
-    /// The customer's estimate of its duration.
-    pub estimate: Duration,
-    /// When it was sent to the worker or first listed by it.
-    pub since: Time,
-    /// Whether the worker has listed it at least once.
-    pub listed: bool,
-    /// Whether it was absent from the last heartbeat.
-    pub missing: bool,
-    /// Whether the worker has to stop it.
-    pub stopping: bool,
-    /// Its progress, in percent.
-    pub percent: u8,
-    /// When its progress changed last.
-    pub progressed_at: Time,
-    /// The latest checkpoint that the worker has listed; empty if there is none.
-    pub checkpoint: Box<str>,
-    /// Its last gauge; see [`Running::gauge`](crate::jobs::report::Running::gauge).
-    pub gauge: u64,
-    /// Since when its latency has been above the target.
-    pub over_since: Option<Time>,
-    /// The pace that it should have, in percent.
-    pub pace: u8,
-    /// The pace that was last sent to the worker, in percent.
-    pub sent_pace: u8,
-    /// Since when its pace has been 0.
-    pub paused_since: Option<Time>,
-}
-
-impl RunView {
-    /// A run of `step` that was sent to the worker or listed by it for the first time.
-    pub fn new(step: &Step, run: Run, now: Time) -> Self {
-        Self {
-            run,
-            reserved: step.reserved(),
-            demand: if step.options.opportunistic { step.needs.millicores } else { 0 },
-            target_latency: if step.options.long_running { step.target_latency } else { None },
-            long_running: step.options.long_running,
-            checkpoints: step.options.checkpoints,
-            image: step.image.clone(),
-            estimate: Duration::from_millis(step.estimate),
-            since: now,
-            listed: false,
-            missing: false,
-            stopping: false,
-            percent: 0,
-            progressed_at: now,
-            checkpoint: Box::default(),
-            gauge: 0,
-            over_since: None,
-            pace: FULL_PACE_PERCENT,
-            sent_pace: FULL_PACE_PERCENT,
-            paused_since: None,
-        }
-    }
-
-    /// Whether it uses only idle processors.
-    pub fn is_opportunistic(&self) -> bool {
-        self.demand > 0
-    }
-
-    /// When it is expected to end; `None` for a long-running task.
-    pub fn expected_end(&self) -> Option<Time> {
-        (!self.long_running).then(|| self.since + self.estimate)
-    }
-}
-
 impl Worker {
     /// An incarnation without a heartbeat to this leader yet; its lease may last until
     /// `lease_until`.
@@ -234,10 +154,11 @@
             serving: 0,
             serving_reserved: 0,
             serving_used: 0,
-            orphans: Vec::new(),
+            orphans: BTreeMap::new(),
             last_end: 0,
             withheld: None,
             departed: None,
+            excess_since: None,
             neighbours: Neighbours::default(),
             health: Health::default(),
         }
@@ -262,9 +183,15 @@
         }
     }
 
-    /// Adds a run.
+    /// Adds a run. An older run of the task that the worker still lists becomes an orphan.
     pub fn add(&mut self, task: TaskKey, view: RunView) {
-        self.remove(&task);
+        if let Some(older) = self.remove(&task)
+            && older.listed
+            && older.run != view.run
+        {
+            let orphan = Orphan { reserved: older.reserved, missing: older.missing };
+            self.add_orphan(task, older.run, orphan);
+        }
         self.reserved = self.reserved.saturating_add(&view.reserved);
         self.demand += view.demand;
         if view.target_latency.is_some() {
@@ -288,12 +215,54 @@
         Some(view)
     }
 
+    /// Adds an orphan.
+    pub fn add_orphan(&mut self, task: TaskKey, run: Run, orphan: Orphan) {
+        self.remove_orphan(&task, run);
+        self.reserved = self.reserved.saturating_add(&orphan.reserved);
+        self.orphans.insert((task, run), orphan);
+    }
+
+    /// Removes an orphan.
+    pub fn remove_orphan(&mut self, task: &TaskKey, run: Run) -> Option<Orphan> {
+        let orphan = self.orphans.remove(&(*task, run))?;
+        self.reserved = self.reserved.saturating_sub(&orphan.reserved);
+        Some(orphan)
+    }
+
+    /// Marks the orphans that the worker doesn't list, and removes those that were missing before.
+    pub fn expire_orphans(&mut self, listed: &BTreeSet<(TaskKey, Run)>) {
+        let missing: Vec<_> =
+            self.orphans.keys().filter(|key| !listed.contains(key)).copied().collect();
+        for (task, run) in missing {
+            if let Some(orphan) = self.orphans.get_mut(&(task, run))
+                && !std::mem::replace(&mut orphan.missing, true)
+            {
+                continue;
+            }
+            self.remove_orphan(&task, run);
+        }
+    }
+
     /// The resources that aren't reserved; zero before the first heartbeat.
     pub fn free(&self) -> Resources {
         self.capacity().saturating_sub(&self.reserved)
     }
 
-    fn capacity(&self) -> Resources {
+    /// Whether its runs reserve more than it has. It may have shrunk since they were started.
+    pub fn is_overcommitted(&self) -> bool {
+        !self.capacity().fits(&self.reserved)
+    }
+
+    /// What its runs reserve beyond its capacity, without those that are being stopped.
+    pub fn excess(&self) -> Resources {
+        let staying = self.runs.values().filter(|view| !view.stopping);
+        let reserved =
+            staying.fold(Resources::ZERO, |sum, view| sum.saturating_add(&view.reserved));
+        reserved.saturating_sub(&self.capacity())
+    }
+
+    /// Its total resources; zero before the first heartbeat.
+    pub fn capacity(&self) -> Resources {
         self.profile.as_ref().map_or(Resources::ZERO, |profile| profile.capacity)
     }
 
@@ -353,10 +322,20 @@
         self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
+    /// Whether it has announced that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some())
+    }
+
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
-        let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_none());
-        stays && self.confirmed && self.departed.is_none() && self.health.is_healthy(now)
+        let heard = self.profile.is_some();
+        heard
+            && self.confirmed
+            && !self.is_leaving()
+            && !self.is_overcommitted()
+            && self.departed.is_none()
+            && self.health.is_healthy(now)
     }
 }
 
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -1,9 +1,12 @@
 //! Tests of jobs: the replicated state, controllers and gateways.
 
 mod calls;
+mod capacity;
+mod capacity_properties;
 mod gateway;
 mod leases;
 mod load;
+mod overcommit;
 mod pace;
 mod properties;
 mod recovery;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -287,12 +287,15 @@
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
     pub(crate) labels: Vec<String>,
+    pub(crate) capacity: Resources,
     pub(crate) running: BTreeMap<TaskKey, Run>,
     pub(crate) ended: Vec<Ended>,
     pub(crate) end_count: u64,
     pub(crate) gauges: BTreeMap<TaskKey, u64>,
     pub(crate) started: Vec<(TaskKey, Run)>,
     pub(crate) stopped: BTreeSet<TaskKey>,
+    /// The progress of all its runs.
+    pub(crate) percent: u8,
     /// The checkpoint of all its runs.
     pub(crate) checkpoint: String,
     /// Its clock; `None` if its heartbeats don't say.
@@ -309,12 +312,14 @@
             sequence: 0,
             leaving: None,
             labels: vec!["a".to_owned(), "r1".to_owned()],
+            capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
             running: BTreeMap::new(),
             ended: Vec::new(),
             end_count: 0,
             gauges: BTreeMap::new(),
             started: Vec::new(),
             stopped: BTreeSet::new(),
+            percent: 1,
             checkpoint: String::new(),
             clock: None,
             loads: BTreeMap::new(),
@@ -337,7 +342,7 @@
             service: "desk".into(),
             centre: "akl-a".into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
-            capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
+            capacity: self.capacity,
             leaving: self.leaving,
             running: self
                 .running
@@ -346,7 +351,7 @@
                     task: *task,
                     run: *run,
                     checkpoint: self.checkpoint.as_str().into(),
-                    percent: 1,
+                    percent: self.percent,
                     gauge: self.gauges.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
