--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -80,6 +80,21 @@
         .expect("encoding into memory can't fail")
 }
 
+/// Decodes a value and what was appended behind it, which older releases neither write nor read.
+///
+/// # Errors
+///
+/// [`DecodeError::Malformed`] if one of them is damaged.
+pub(crate) fn decode_extended<'b, T: Deserialize<'b>, E: Deserialize<'b> + Default>(
+    bytes: &'b [u8],
+) -> Result<(T, E), DecodeError> {
+    let (value, rest) = postcard::take_from_bytes(bytes).context(MalformedSnafu)?;
+    if rest.is_empty() {
+        return Ok((value, E::default()));
+    }
+    Ok((value, postcard::from_bytes(rest).context(MalformedSnafu)?))
+}
+
 /// Encodes an envelope for the replicated log.
 ///
 /// # Panics
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod config;
 pub mod controller;
+pub mod crash;
 pub mod fleet;
 pub mod gateway;
 pub mod health;
@@ -25,4 +26,5 @@
 pub mod report;
 pub mod response;
 pub mod state;
+pub mod suspects;
 pub mod waiting;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -36,6 +36,8 @@
 mod heartbeat;
 pub mod leader;
 pub mod port;
+mod probation;
+mod proposal;
 mod relocate;
 mod respond;
 mod round;
@@ -319,7 +321,7 @@
     fn apply(&mut self, now: Time, wall: WallTime, entry: &Entry, out: &mut Vec<Effect>) {
         self.applied = entry.index;
         match &entry.payload {
-            Payload::Command(bytes) => match postcard::from_bytes::<Batch>(bytes) {
+            Payload::Command(bytes) => match Batch::decode(bytes) {
                 Ok(batch) => self.apply_batch(now, &batch, out),
                 Err(error) => {
                     let (index, reason) = (entry.index, error.to_string());
@@ -347,9 +349,7 @@
     fn apply_batch(&mut self, now: Time, batch: &Batch, out: &mut Vec<Effect>) {
         let version = self.committed.config.as_ref().map(|config| config.version);
         let mut changes = Vec::new();
-        for record in &batch.records {
-            self.committed.apply(record, &mut changes);
-        }
+        self.committed.apply_batch(batch, &mut changes);
         if let Some(config) = &self.committed.config
             && version != Some(config.version)
         {
@@ -431,18 +431,19 @@
         }
         let Some(leader) = &mut self.leader else { return };
         let proposal = leader.finish_turn(now, wall, out);
-        if !proposal.records.is_empty() {
+        if !proposal.is_empty() {
             self.proposals += 1;
             let number = self.proposals;
-            let (since, records) = (now, proposal.records.len());
+            let (since, records) = (now, proposal.len());
             self.pending.push_back(PendingProposal {
                 number,
                 since,
                 records,
                 answers: proposal.answers,
             });
-            let batch = Batch { origin: self.config.me.id, number, records: proposal.records };
-            let command = Bytes::from(crate::codec::append(Vec::new(), &batch));
+            let (records, crashes) = (proposal.records, proposal.crashes);
+            let batch = Batch { origin: self.config.me.id, number, records, crashes };
+            let command = Bytes::from(batch.encode());
             let ticket = crate::ids::Ticket(number);
             self.step_consensus(now, consensus::Event::Propose { ticket, command });
         } else if let Some(last) = self.pending.back_mut() {
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -4,7 +4,10 @@
 
 use crate::{
     jobs::{
-        controller::{Answer, LogEvent, Ticket, leader::Leader},
+        controller::{
+            Answer, LogEvent, Ticket,
+            leader::{Leader, Removal},
+        },
         fleet::{FULL_PACE_PERCENT, HeldHeartbeat, RunView, Worker},
         lifecycle::TaskPhase,
         model::{Run, TaskKey, WorkerNumber},
@@ -39,6 +42,7 @@
             self.process_end(now, number, ended);
         }
         let listed = self.process_running(now, number, &report.running);
+        self.settle_runs(now, number, &listed);
         self.reconcile(number, &listed);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let slow = self.interference.is_slow(worker, now);
@@ -71,7 +75,7 @@
             if incarnation > report.incarnation {
                 return None;
             }
-            self.remove_worker(now, number, "was born again");
+            self.remove_worker(now, number, Removal::Reborn);
         }
         let workers = self.fleet.workers.iter();
         let replaced = workers.filter(|(_, worker)| {
@@ -81,8 +85,9 @@
         });
         let replaced: Vec<_> = replaced.map(|(number, _)| *number).collect();
         for number in replaced {
-            self.remove_worker(now, number, "was replaced at its address");
+            self.remove_worker(now, number, Removal::Replaced);
         }
+        self.blame_lapsed(now, report);
         let number = WorkerNumber(self.state.last_worker.0 + 1);
         let (name, incarnation) = (report.name.clone(), report.incarnation);
         self.record(Record::AddWorker { number, name: name.clone(), incarnation });
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -9,6 +9,7 @@
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{Answer, Effect, LogEvent, Ticket, Timing},
+        crash::CrashEntry,
         fleet::{Fleet, RunView, Worker},
         model::{JobId, StepKey, TaskKey, WorkerNumber},
         pace::Interference,
@@ -16,8 +17,10 @@
         record::{Node, Record},
         report::Ended,
         state::{Change, State},
+        suspects::Suspects,
         waiting::{Demand, WaitingSteps},
     },
+    symbols,
     time::{Time, WallTime, earliest},
 };
 
@@ -39,6 +42,20 @@
 /// The interval between two checks for jobs whose retention time has passed.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 
+symbols! {
+    /// Why an incarnation of a worker is removed.
+    pub enum Removal {
+        /// A later incarnation has its name.
+        Reborn = "was born again",
+        /// A later incarnation has its address.
+        Replaced = "was replaced at its address",
+        /// It was silent for longer than its lease.
+        Lapsed = "lost: its lease has run out",
+        /// It has said that it leaves.
+        Left = "left",
+    }
+}
+
 /// The leader's working state.
 #[derive(Debug)]
 pub struct Leader {
@@ -62,10 +79,13 @@
     pub(super) failed_on: HashMap<TaskKey, Vec<WorkerNumber>>,
     /// Starts that are sent with the next answer to their worker.
     pub(super) pending_starts: BTreeMap<WorkerNumber, Vec<TaskKey>>,
+    /// The runs that may have crashed their worker.
+    pub(super) suspects: Suspects,
     pub(super) records: Vec<Record>,
+    pub(super) crashes: Vec<CrashEntry>,
     pub(super) answers: Vec<(Ticket, Answer)>,
     pub(super) log_events: Vec<LogEvent>,
-    changes: Vec<Change>,
+    pub(super) changes: Vec<Change>,
     /// Ended jobs, by the time at which they are forgotten.
     ended: BTreeSet<(Time, JobId)>,
     next_expiry: Time,
@@ -76,14 +96,6 @@
     pub(super) wall: WallTime,
 }
 
-/// The result of a turn: records to propose, and answers.
-#[derive(Debug)]
-pub(super) struct Proposal {
-    pub(super) records: Vec<Record>,
-    /// Answers that may be sent once the records are committed.
-    pub(super) answers: Vec<(Ticket, Answer)>,
-}
-
 impl Leader {
     /// Starts to lead from the replicated state. Runs recorded as in progress may still be
     /// executing on workers that this leader hasn't heard from.
@@ -104,7 +116,9 @@
             upcoming: BTreeSet::new(),
             failed_on: HashMap::new(),
             pending_starts: BTreeMap::new(),
+            suspects: Suspects::default(),
             records: Vec::new(),
+            crashes: Vec::new(),
             answers: Vec::new(),
             log_events: Vec::new(),
             changes: Vec::new(),
@@ -141,7 +155,9 @@
             for (key, task) in job.runs(*id) {
                 let Some(spec) = job.spec.steps.get(usize::from(key.step)) else { continue };
                 if let Some(worker) = self.fleet.workers.get_mut(&task.worker) {
-                    worker.add(key, RunView::new(spec, task.run, now));
+                    let probation = self.state.crashes.of(&key) > 0;
+                    let view = RunView::new(spec, task.run, now);
+                    worker.add(key, RunView { restored: true, probation, ..view });
                     runs += 1;
                 }
             }
@@ -173,21 +189,6 @@
         }
     }
 
-    /// Applies a decision to the working copy and adds it to the next proposal.
-    pub(super) fn record(&mut self, record: Record) {
-        let mut changes = std::mem::take(&mut self.changes);
-        self.state.apply(&record, &mut changes);
-        self.records.push(record);
-        for change in changes.drain(..) {
-            match change {
-                Change::Accepted(id) => self.admit_job(id),
-                Change::Ready(step) => self.enqueue(step),
-                Change::Ended(id) => self.close_job(id),
-            }
-        }
-        self.changes = changes;
-    }
-
     /// Queues the steps of a job that are ready and schedules its next occurrence.
     pub(super) fn admit_job(&mut self, id: JobId) {
         let Some(job) = self.state.jobs.get(&id) else { return };
@@ -244,7 +245,7 @@
         Some((rank(job, queue, key, self.wall), Demand::new(step)))
     }
 
-    fn enqueue(&mut self, step: StepKey) {
+    pub(super) fn enqueue(&mut self, step: StepKey) {
         if let Some((rank, demand)) = self.rank(&step) {
             self.waiting.insert(step, rank, demand, self.wall);
         }
@@ -262,13 +263,14 @@
     }
 
     /// Stops the runs of a job that has ended and removes its queued steps.
-    fn close_job(&mut self, id: JobId) {
+    pub(super) fn close_job(&mut self, id: JobId) {
         for step in self.waiting.of_job(id) {
             self.waiting.remove(&step);
         }
         self.upcoming.retain(|(_, job, _)| *job != id);
         self.failed_on.retain(|task, _| task.job != id);
         self.interference.forget(id);
+        self.suspects.forget(id);
         self.stop_runs(id);
         let Some(job) = self.state.jobs.get(&id) else { return };
         let age_ms = self.wall.0.saturating_sub(job.accepted.0);
@@ -309,14 +311,15 @@
         });
         let lost: Vec<_> = lost.map(|(number, _)| *number).collect();
         for number in lost {
-            self.remove_worker(now, number, "lost: its lease has run out");
+            self.remove_worker(now, number, Removal::Lapsed);
         }
         let workers = self.fleet.workers.iter();
         let left = workers.filter(|(_, worker)| worker.departed.is_some_and(|at| at <= now));
         let left: Vec<_> = left.map(|(number, _)| *number).collect();
         for number in left {
-            self.remove_worker(now, number, "left");
+            self.remove_worker(now, number, Removal::Left);
         }
+        self.expire_reservations(now);
         if now >= self.next_forget {
             self.next_forget = now + FORGET_INTERVAL;
             self.forget_jobs(now);
@@ -340,8 +343,9 @@
     }
 
     /// Removes an incarnation of a worker none of whose runs can still be executing.
-    pub(super) fn remove_worker(&mut self, now: Time, number: WorkerNumber, state: &'static str) {
+    pub(super) fn remove_worker(&mut self, now: Time, number: WorkerNumber, removal: Removal) {
         let Some(worker) = self.fleet.remove(number) else { return };
+        self.record_suspects(now, number, &worker, removal);
         self.pending_starts.remove(&number);
         if let Some(held) = worker.held {
             self.answers.push((held.ticket, Answer::Acknowledged));
@@ -349,7 +353,7 @@
         let silent = now.since(worker.last_heartbeat).as_millis();
         self.log_events.push(LogEvent::Worker {
             name: worker.name.to_string(),
-            state,
+            state: removal.name(),
             silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
             runs: worker.runs.len(),
         });
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -227,6 +227,20 @@
         /// The number of its runs.
         runs: usize,
     },
+    /// A worker has crashed, and tasks that it had just started may be the cause.
+    Crash {
+        /// The name of the worker.
+        worker: String,
+        /// The tasks, with the number of crashes that each of them may have caused.
+        suspects: Vec<(String, u32)>,
+    },
+    /// A task has crashed too many workers, and its job fails.
+    GivenUp {
+        /// The task.
+        task: String,
+        /// The number of crashes.
+        crashes: u32,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- /dev/null
+++ b/lib/src/jobs/controller/probation.rs
@@ -0,0 +1,221 @@
+//! Blame for crashed workers, and probation: a task that may have crashed a worker starts next on a
+//! worker without other unsettled runs, and nothing else starts there until it has settled.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    ids::ServiceName,
+    jobs::{
+        controller::{
+            LogEvent,
+            leader::{Leader, Removal},
+            round::Round,
+        },
+        crash::{CrashRecord, MAX_CRASHES},
+        fleet::{RunView, Worker},
+        lifecycle::TaskPhase,
+        model::{Run, Step, TaskKey, WorkerNumber},
+        placement::{Request, SpeedRequirement},
+        pool::Room,
+        report::Report,
+        suspects::SETTLING,
+        waiting::{Demand, WaitingStep},
+    },
+    time::Time,
+};
+
+/// The maximum percentage of workers that may be on probation at the same time, or reserved for it.
+/// The others take the starts of all other tasks.
+const MAX_PROBATION_PERCENT: usize = 50;
+
+impl Leader {
+    /// The runs that may have crashed the worker, if it has crashed. The age of a run that an
+    /// earlier leader started isn't known, so it is a suspect only if its task is one or has run
+    /// before: otherwise a task whose crashes all fall into changes of the leader would never be
+    /// one.
+    fn suspect_runs(&self, number: WorkerNumber, worker: &Worker) -> Vec<(TaskKey, Run)> {
+        let unsettled = worker.runs.iter().filter(|(task, view)| {
+            !view.settled
+                && (!view.restored || view.run > Run(1) || self.is_suspect(task))
+                && self.is_current(number, task, view.run)
+        });
+        unsettled.map(|(task, view)| (*task, view.run)).collect()
+    }
+
+    /// Counts the removal of a worker against its suspects if it has crashed, or remembers them
+    /// until that is known.
+    pub(super) fn record_suspects(
+        &mut self,
+        now: Time,
+        number: WorkerNumber,
+        worker: &Worker,
+        removal: Removal,
+    ) {
+        let runs = self.suspect_runs(number, worker);
+        match removal {
+            Removal::Reborn | Removal::Replaced if !worker.is_leaving() => {
+                let tasks: Vec<_> = runs.into_iter().map(|(task, _)| task).collect();
+                self.blame(now, worker.name.as_str(), &tasks);
+            }
+            Removal::Lapsed if !worker.is_leaving() => self.suspects.lapse(now, worker, runs),
+            Removal::Reborn | Removal::Replaced | Removal::Lapsed | Removal::Left => {}
+        }
+    }
+
+    /// Whether the task may have crashed a worker.
+    pub(super) fn is_suspect(&self, task: &TaskKey) -> bool {
+        self.state.crashes.of(task) > 0
+    }
+
+    /// Counts a crash of the worker for each of the tasks.
+    pub(super) fn blame(&mut self, now: Time, worker: &str, tasks: &[TaskKey]) {
+        if tasks.is_empty() {
+            return;
+        }
+        let counts = |task: &TaskKey| (task.to_string(), self.state.crashes.of(task) + 1);
+        let suspects = tasks.iter().map(counts).collect();
+        self.log_events.push(LogEvent::Crash { worker: worker.to_owned(), suspects });
+        let open: Vec<_> = tasks.iter().map(|task| self.is_open(task)).collect();
+        self.record_crash(CrashRecord::Blame { tasks: tasks.to_vec() });
+        for (task, was_open) in tasks.iter().zip(open) {
+            let long_running =
+                self.state.step(&task.step_key()).is_some_and(|step| step.options.long_running);
+            if long_running {
+                self.suspects.delay(now, *task, self.state.crashes.of(task));
+            }
+            if was_open && !self.is_open(task) {
+                self.schedule_forget(now, task.job);
+                let (task, crashes) = (task.to_string(), MAX_CRASHES);
+                self.log_events.push(LogEvent::GivenUp { task, crashes });
+            }
+        }
+    }
+
+    fn is_open(&self, task: &TaskKey) -> bool {
+        self.state.jobs.get(&task.job).is_some_and(|job| job.phase.is_open())
+    }
+
+    /// Counts the crashes of workers whose lease had run out before a new incarnation of them
+    /// sent this report.
+    pub(super) fn blame_lapsed(&mut self, now: Time, report: &Report) {
+        for lapsed in self.suspects.identify(now, report) {
+            let tasks = lapsed.runs.iter().filter(|(task, run)| self.may_have_crashed(task, *run));
+            let tasks: Vec<_> = tasks.map(|(task, _)| *task).collect();
+            self.blame(now, lapsed.name.as_str(), &tasks);
+        }
+    }
+
+    /// Whether no later run of the task shows that it doesn't crash workers.
+    fn may_have_crashed(&self, key: &TaskKey, run: Run) -> bool {
+        let Some(task) = self.state.task(key) else { return false };
+        let worker = self.fleet.workers.get(&task.worker);
+        let view = worker.and_then(|worker| worker.runs.get(key));
+        let settled = view.is_some_and(|view| view.run == task.run && view.settled);
+        self.is_open(key) && task.phase != TaskPhase::Done && !(task.run > run && settled)
+    }
+
+    /// Marks the runs as settled that the worker has listed for long enough. A task that was a
+    /// suspect is none any more.
+    pub(super) fn settle_runs(
+        &mut self,
+        now: Time,
+        number: WorkerNumber,
+        listed: &BTreeSet<TaskKey>,
+    ) {
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        let mut settled = Vec::new();
+        for (task, view) in worker.runs.iter_mut().filter(|(task, _)| listed.contains(task)) {
+            let since = *view.listed_at.get_or_insert(now);
+            if !view.settled && now.since(since) >= SETTLING {
+                view.settled = true;
+                settled.push((*task, view.run));
+            }
+        }
+        for (task, run) in settled {
+            let worker = self.fleet.workers.get_mut(&number);
+            if let Some(worker) = worker.filter(|worker| worker.probation == Some(task)) {
+                worker.probation = None;
+            }
+            if self.is_suspect(&task) && self.is_current(number, &task, run) {
+                self.record_crash(CrashRecord::Absolve { task });
+                self.suspects.absolve(&task);
+            }
+        }
+    }
+
+    /// The view of a run that is about to start.
+    pub(super) fn new_view(&self, now: Time, task: &TaskKey, run: Run, step: &Step) -> RunView {
+        RunView { probation: self.is_suspect(task), ..RunView::new(step, run, now) }
+    }
+
+    /// The best worker for a task. For a suspect, it has no unsettled runs; if there is no such
+    /// worker, one is reserved for the task.
+    pub(super) fn find_worker(
+        &mut self,
+        now: Time,
+        waiting: &WaitingStep,
+        (task, speed): (TaskKey, SpeedRequirement),
+        (step, service): (&Step, &ServiceName),
+        round: &mut Round,
+    ) -> Option<WorkerNumber> {
+        let probation = self.is_suspect(&task);
+        if probation {
+            if self.suspects.is_delayed(now, &task) {
+                return None;
+            }
+            if let Some(number) = self.suspects.reserved(&task) {
+                return self.is_ready(now, number, &waiting.demand).then_some(number);
+            }
+            if self.is_probation_full() {
+                return None;
+            }
+        }
+        let failed_on = self.failed_on.get(&task).filter(|_| !step.options.gang);
+        let avoid = failed_on.map_or(&[][..], Vec::as_slice);
+        let (key, interference) = (waiting.key, &self.interference);
+        let request = Request { service, step, key, avoid, interference, speed, probation };
+        let number = round.choose(&self.fleet, now, waiting, &request)?;
+        if !probation || self.fleet.workers.get(&number)?.is_settled() {
+            return Some(number);
+        }
+        self.fleet.workers.get_mut(&number)?.probation = Some(task);
+        self.suspects.reserve(now, task, number);
+        round.update(&self.fleet, number);
+        None
+    }
+
+    /// Whether the reserved worker can start the task that it is reserved for.
+    fn is_ready(&self, now: Time, number: WorkerNumber, demand: &Demand) -> bool {
+        let worker = self.fleet.workers.get(&number);
+        worker.is_some_and(|worker| {
+            worker.held.is_some()
+                && worker.is_usable(now)
+                && worker.is_settled()
+                && Room::left(worker).fits(demand)
+        })
+    }
+
+    fn is_probation_full(&self) -> bool {
+        let workers = self.fleet.workers.values();
+        let on_probation = workers.filter(|worker| worker.probation.is_some()).count();
+        on_probation * 100 >= self.fleet.workers.len() * MAX_PROBATION_PERCENT
+    }
+
+    /// Ends the reservations that have expired or aren't needed any more.
+    pub(super) fn expire_reservations(&mut self, now: Time) {
+        let (state, fleet) = (&self.state, &self.fleet);
+        let ended = self.suspects.expire(now, |task, number| {
+            let job = state.jobs.get(&task.job);
+            let waits = state.task(task).is_some_and(|task| task.phase == TaskPhase::Waiting);
+            let usable = fleet.workers.get(&number).is_some_and(|worker| worker.is_usable(now));
+            waits && usable && job.is_some_and(|job| job.phase.is_open())
+        });
+        for (task, number) in ended {
+            let worker = self.fleet.workers.get_mut(&number);
+            if let Some(worker) = worker.filter(|worker| worker.probation == Some(task)) {
+                worker.probation = None;
+                self.changed.insert(number);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/jobs/controller/proposal.rs
@@ -0,0 +1,60 @@
+//! The records and answers that a turn of the leader produces.
+
+use crate::jobs::{
+    controller::{Answer, Ticket, leader::Leader},
+    crash::{CrashEntry, CrashRecord},
+    record::Record,
+    state::Change,
+};
+
+/// The result of a turn: records to propose, and answers.
+#[derive(Debug, Default)]
+pub(super) struct Proposal {
+    pub(super) records: Vec<Record>,
+    pub(super) crashes: Vec<CrashEntry>,
+    /// Answers that may be sent once the records are committed.
+    pub(super) answers: Vec<(Ticket, Answer)>,
+}
+
+impl Proposal {
+    /// The number of changes to commit.
+    pub(super) fn len(&self) -> usize {
+        self.records.len() + self.crashes.len()
+    }
+
+    /// Whether there is nothing to commit.
+    pub(super) fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl Leader {
+    /// Applies a decision to the working copy and adds it to the next proposal.
+    pub(super) fn record(&mut self, record: Record) {
+        let mut changes = std::mem::take(&mut self.changes);
+        self.state.apply(&record, &mut changes);
+        self.records.push(record);
+        self.follow(changes);
+    }
+
+    /// Applies a change of the crash counts to the working copy and adds it to the next proposal.
+    pub(super) fn record_crash(&mut self, record: CrashRecord) {
+        let mut changes = std::mem::take(&mut self.changes);
+        self.state.apply_crash(&record, &mut changes);
+        let after = u32::try_from(self.records.len()).unwrap_or(u32::MAX);
+        self.crashes.push(CrashEntry { after, record });
+        self.follow(changes);
+    }
+
+    /// Acts on the effects of a record.
+    fn follow(&mut self, mut changes: Vec<Change>) {
+        for change in changes.drain(..) {
+            match change {
+                Change::Accepted(id) => self.admit_job(id),
+                Change::Ready(step) => self.enqueue(step),
+                Change::Ended(id) => self.close_job(id),
+            }
+        }
+        self.changes = changes;
+    }
+}
--- a/lib/src/jobs/controller/relocate.rs
+++ b/lib/src/jobs/controller/relocate.rs
@@ -51,7 +51,8 @@
         let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return false };
         let (service, interference) = (&queue.service, &self.interference);
         let speed = SpeedRequirement::FullSpeed;
-        let request = Request { service, step, key: *key, avoid: &[], interference, speed };
+        let request =
+            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
         self.disrupted(key) < step.options.disruptable
             && choose_worker(&self.fleet, pool, &request, &mut 0).is_some()
     }
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -36,6 +36,10 @@
 /// The maximum hold time while a run is past its estimated end, since it may end at any time.
 const MAX_HOLD_OVERDUE: Duration = Duration::from_millis(250);
 
+/// The heartbeat interval of a worker on probation, and the maximum hold time of its heartbeats:
+/// nothing else starts there until its runs have settled.
+const PROBATION_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A worker counts as full if a smaller percentage of its processors than this is unused.
 const FULL_BELOW_PERCENT: u64 = 5;
 
@@ -43,7 +47,9 @@
     /// How long a heartbeat of this worker may be held open.
     pub(super) fn hold_time(&self, number: WorkerNumber, now: Time) -> Duration {
         let Some(worker) = self.fleet.workers.get(&number) else { return Duration::ZERO };
-        let max = if worker.serving > 0 && worker.demand > 0 {
+        let max = if worker.probation.is_some() {
+            self.timing.max_hold.min(PROBATION_INTERVAL)
+        } else if worker.serving > 0 && worker.demand > 0 {
             self.timing.max_hold.min(MAX_HOLD_MIXED)
         } else {
             self.timing.max_hold
@@ -127,6 +133,9 @@
     if worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some()) {
         return LEAVING_INTERVAL;
     }
+    if worker.probation.is_some() {
+        return PROBATION_INTERVAL;
+    }
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
     let unused = worker.unused();
     if worker.serving > 0 && worker.demand > 0 {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -3,15 +3,10 @@
 use crate::{
     ids::ServiceName,
     jobs::{
-        controller::{
-            Effect, LogEvent,
-            leader::{Leader, Proposal},
-            round::Round,
-        },
-        fleet::RunView,
+        controller::{Effect, LogEvent, leader::Leader, proposal::Proposal, round::Round},
         lifecycle::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
-        placement::{Request, SpeedRequirement},
+        placement::SpeedRequirement,
         rank::Lateness,
         record::Record,
         waiting::WaitingStep,
@@ -38,8 +33,9 @@
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
         let records = std::mem::take(&mut self.records);
+        let crashes = std::mem::take(&mut self.crashes);
         let answers = std::mem::take(&mut self.answers);
-        Proposal { records, answers }
+        Proposal { records, crashes, answers }
     }
 
     /// Rebuilds the queue after a change of the queues' priorities or services.
@@ -55,13 +51,18 @@
 
     fn place_waiting(&mut self, now: Time) {
         let mut round = Round::new(&self.fleet, now, &self.changed);
-        let steps: Vec<WaitingStep> =
-            self.waiting.iter().filter(|step| round.may_fit(step)).copied().collect();
+        let startable = self.suspects.startable(&self.fleet);
+        let steps = self.waiting.iter();
+        let steps: Vec<WaitingStep> = steps
+            .filter(|step| round.may_fit(step) || startable.contains(&step.key))
+            .copied()
+            .collect();
         for step in steps {
             if round.is_exhausted() {
                 return;
             }
-            if round.may_fit(&step) && self.place_step(now, &step, &mut round) {
+            let may_fit = round.may_fit(&step) || startable.contains(&step.key);
+            if may_fit && self.place_step(now, &step, &mut round) {
                 self.waiting.remove(&step.key);
             } else if !step.tried {
                 self.waiting.mark_tried(&step.key);
@@ -87,17 +88,22 @@
         let starving = !job.is_running(key.occurrence) && self.is_starving(&key, &service);
         let mut started = 0;
         let mut last = None;
-        for index in &indexes {
-            let task = key.task(*index);
-            let avoid = self.failed_on.get(&task).map_or(&[][..], Vec::as_slice);
-            let interference = &self.interference;
+        // The suspects come last: that one of them finds no worker says nothing about the others.
+        let tasks = indexes.iter().map(|index| key.task(*index));
+        let (suspects, others): (Vec<_>, Vec<_>) = tasks.partition(|task| self.is_suspect(task));
+        for task in others.into_iter().chain(suspects) {
             let speed = if starving && started == 0 {
                 SpeedRequirement::Any
             } else {
                 SpeedRequirement::FullSpeed
             };
-            let request = Request { service: &service, step, key, avoid, interference, speed };
-            let Some(number) = round.choose(&self.fleet, now, waiting, &request) else { break };
+            let found = self.find_worker(now, waiting, (task, speed), (step, &service), round);
+            let Some(number) = found else {
+                if self.is_suspect(&task) {
+                    continue;
+                }
+                break;
+            };
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
             round.update(&self.fleet, number);
@@ -155,13 +161,13 @@
         let Some(run) = runs.max() else { return true };
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in indexes {
-            let interference = &self.interference;
-            let speed = SpeedRequirement::FullSpeed;
-            let request = Request { service, step, key: *key, avoid: &[], interference, speed };
-            let Some(number) = round.choose(&self.fleet, now, waiting, &request) else { break };
             let task = key.task(*index);
+            let member = (task, SpeedRequirement::FullSpeed);
+            let found = self.find_worker(now, waiting, member, (step, service), round);
+            let Some(number) = found else { break };
+            let view = self.new_view(now, &task, run, step);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
-                worker.add(task, RunView::new(step, run, now));
+                worker.add(task, view);
             }
             round.update(&self.fleet, number);
             chosen.push((task, number));
@@ -183,9 +189,11 @@
 
     fn start(&mut self, now: Time, task: TaskKey, run: Run, worker: WorkerNumber, step: &Step) {
         self.record(Record::Start { task, run, worker });
-        if let Some(view) = self.fleet.workers.get_mut(&worker) {
-            view.add(task, RunView::new(step, run, now));
-            self.interference.summarize(view);
+        self.suspects.release(&task);
+        let view = self.new_view(now, &task, run, step);
+        if let Some(worker) = self.fleet.workers.get_mut(&worker) {
+            worker.add(task, view);
+            self.interference.summarize(worker);
         }
         self.pending_starts.entry(worker).or_default().push(task);
     }
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -83,6 +83,8 @@
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
     pub health: Health,
+    /// The task that runs here alone until it has settled, or for which the worker is reserved.
+    pub probation: Option<TaskKey>,
 }
 
 /// The properties that a worker reports.
@@ -136,6 +138,14 @@
     pub since: Time,
     /// Whether the worker has listed it at least once.
     pub listed: bool,
+    /// When this leader first saw it listed.
+    pub listed_at: Option<Time>,
+    /// Whether it has been listed for so long that it isn't the cause if the worker crashes.
+    pub settled: bool,
+    /// Whether an earlier leader started it.
+    pub restored: bool,
+    /// Whether it has to settle before other runs start on the worker.
+    pub probation: bool,
     /// Whether it was absent from the last heartbeat.
     pub missing: bool,
     /// Whether the worker has to stop it.
@@ -172,6 +182,10 @@
             estimate: Duration::from_millis(step.estimate),
             since: now,
             listed: false,
+            listed_at: None,
+            settled: false,
+            restored: false,
+            probation: false,
             missing: false,
             stopping: false,
             percent: 0,
@@ -220,6 +234,7 @@
             departed: None,
             neighbours: Neighbours::default(),
             health: Health::default(),
+            probation: None,
         }
     }
 
@@ -252,12 +267,18 @@
             self.serving_reserved += view.reserved.millicores;
             self.serving_used += assumed_use(&view);
         }
+        if view.probation {
+            self.probation = Some(task);
+        }
         self.runs.insert(task, view);
     }
 
     /// Removes a run.
     pub fn remove(&mut self, task: &TaskKey) -> Option<RunView> {
         let view = self.runs.remove(task)?;
+        if self.probation == Some(*task) {
+            self.probation = None;
+        }
         self.reserved = self.reserved.saturating_sub(&view.reserved);
         self.demand -= view.demand;
         if view.target_latency.is_some() {
@@ -333,6 +354,17 @@
         self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
+    /// Whether all its runs have settled.
+    pub fn is_settled(&self) -> bool {
+        self.runs.values().all(|view| view.settled)
+    }
+
+    /// Whether it leaves or has left.
+    pub fn is_leaving(&self) -> bool {
+        let leaves = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        leaves || self.departed.is_some()
+    }
+
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
         let stays = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_none());
--- a/lib/src/jobs/lifecycle.rs
+++ b/lib/src/jobs/lifecycle.rs
@@ -16,7 +16,7 @@
         Active = "active",
         /// All tasks are done.
         Completed = "completed",
-        /// A task has failed too many times.
+        /// A task has failed or crashed its workers too many times.
         Failed = "failed",
         /// The customer has cancelled the job.
         Cancelled = "cancelled",
@@ -30,14 +30,16 @@
         Finish = "finish",
         /// A task has reached the maximum number of failures.
         Exhaust = "exhaust",
+        /// A worker has crashed, and a task may be the cause.
+        Crash = "crash",
         /// The customer cancels the job.
         Cancel = "cancel",
     }
 
-    /// The guards of the job chart. It needs none.
+    /// A guard of the job chart.
     pub enum JobGuard {
-        /// Always true; a placeholder, since a vocabulary can't be empty.
-        Always = "always",
+        /// The task ends by itself and has reached the maximum number of crashes.
+        CrashLoop = "crash_loop",
     }
 
     /// The actions of the job chart. It needs none.
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -106,7 +106,7 @@
 /// addresses in them, however, no leader could be elected after a restart of all controllers.
 pub fn recorded_peers(entries: &[Entry]) -> BTreeMap<InstanceId, SocketAddr> {
     let batches = entries.iter().filter_map(|entry| match &entry.payload {
-        Payload::Command(bytes) => postcard::from_bytes::<Batch>(bytes).ok(),
+        Payload::Command(bytes) => Batch::decode(bytes).ok(),
         Payload::Empty | Payload::Members(_) => None,
     });
     let records = batches.flat_map(|batch| batch.records);
--- a/lib/src/jobs/placement.rs
+++ b/lib/src/jobs/placement.rs
@@ -43,6 +43,8 @@
     pub interference: &'a Interference,
     /// The minimum speed at which an opportunistic task may be placed.
     pub speed: SpeedRequirement,
+    /// Whether the task may have crashed a worker, so that it should endanger few other runs.
+    pub probation: bool,
 }
 
 /// The minimum speed at which an opportunistic task may be placed.
@@ -79,7 +81,8 @@
     pub fn add(&mut self, request: &Request<'_>) {
         let step = request.step;
         // The members of a gang that were placed before this one give their room back.
-        let own_reason = step.label.is_some() || step.spread.is_some() || step.options.gang;
+        let own_reason =
+            step.label.is_some() || step.spread.is_some() || step.options.gang || request.probation;
         if own_reason || !Self::is_comparable(request) {
             return;
         }
@@ -123,9 +126,16 @@
     let costs = pool.fitting(Demand::new(request.step)).filter_map(|number| {
         *evaluated += 1;
         let worker = fleet.workers.get(&number)?;
-        Some((cost(worker, request)? + avoid_cost(number, request), number))
+        let risk = if request.probation { risk(worker) } else { (false, 0) };
+        Some((risk, cost(worker, request)? + avoid_cost(number, request), number))
     });
-    costs.min().map(|(_, number)| number)
+    costs.min().map(|(_, _, number)| number)
+}
+
+/// What a suspect endangers on a worker: whether there are unsettled runs, which its crash would
+/// make suspects, and the number of all runs.
+fn risk(worker: &Worker) -> (bool, usize) {
+    (!worker.is_settled(), worker.runs.len())
 }
 
 /// The cost of a worker on which the task has failed before. Exceeds all other costs.
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -53,14 +53,20 @@
     /// No room.
     pub const NONE: Self = Self { free: Resources::ZERO, unused: 0 };
 
-    /// The room on a worker.
+    /// The room on a worker; none while it is on probation.
     pub fn of(worker: &Worker) -> Self {
+        if worker.probation.is_some() { Self::NONE } else { Self::left(worker) }
+    }
+
+    /// What is left on a worker, on probation or not.
+    pub fn left(worker: &Worker) -> Self {
         Self { free: worker.free(), unused: worker.unused() }
     }
 
     /// Whether a task with this demand fits.
     pub fn fits(&self, demand: &Demand) -> bool {
-        self.free.fits(&demand.reserved)
+        *self != Self::NONE
+            && self.free.fits(&demand.reserved)
             && self.unused * 100 >= demand.unreserved * MIN_UNUSED_PERCENT
     }
 
--- a/lib/src/jobs/progress.rs
+++ b/lib/src/jobs/progress.rs
@@ -1,7 +1,9 @@
 //! Progress of jobs, steps and tasks, driven by their state charts.
 
 use crate::jobs::{
-    lifecycle::{JOB_CHART, JobEvent, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase},
+    lifecycle::{
+        JOB_CHART, JobEvent, JobGuard, TASK_CHART, TaskAction, TaskEvent, TaskGuard, TaskPhase,
+    },
     model::{JobId, Run, Step, StepKey, TaskKey, WorkerNumber},
     state::{Job, Occurrence, Progress, Task},
 };
@@ -26,6 +28,20 @@
     pub(super) checkpoint: &'a str,
 }
 
+/// What a record says about a job.
+#[derive(Clone, Copy)]
+pub(super) struct JobInput {
+    pub(super) event: JobEvent,
+    /// Whether a task that ends by itself has reached the maximum number of crashes.
+    pub(super) crash_loop: bool,
+}
+
+impl From<JobEvent> for JobInput {
+    fn from(event: JobEvent) -> Self {
+        Self { event, crash_loop: false }
+    }
+}
+
 impl Task {
     /// Applies an event to the task's chart. Returns whether the phase changed.
     pub(super) fn transition(&mut self, input: &TaskInput<'_>) -> bool {
@@ -70,8 +86,12 @@
 }
 
 impl Job {
-    pub(super) fn transition(&mut self, event: JobEvent) {
-        let step = JOB_CHART.step(self.phase, event, |_| true);
+    pub(super) fn transition(&mut self, input: impl Into<JobInput>) {
+        let input = input.into();
+        let holds = |guard| match guard {
+            JobGuard::CrashLoop => input.crash_loop,
+        };
+        let step = JOB_CHART.step(self.phase, input.event, holds);
         self.phase = step.expect("the chart handles every event in every state").to;
     }
 
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -5,10 +5,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    codec::{DecodeError, append, decode_extended},
     data,
     ids::{DataCentre, Incarnation, InstanceId, WorkerName},
     jobs::{
         config::Config,
+        crash::CrashEntry,
         model::{JobId, JobSpec, QueueName, Run, TaskKey, WorkerNumber},
     },
     symbols,
@@ -121,4 +123,25 @@
     pub number: u64,
     /// The records, in order.
     pub records: Vec<Record>,
+    /// Changes of the crash counts, in order. They are encoded behind the batch.
+    #[serde(skip)]
+    pub crashes: Vec<CrashEntry>,
+}
+
+impl Batch {
+    /// Encodes the batch for the log.
+    pub fn encode(&self) -> Vec<u8> {
+        let bytes = append(Vec::new(), self);
+        if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
+    }
+
+    /// Decodes a batch of the log.
+    ///
+    /// # Errors
+    ///
+    /// The bytes aren't a valid batch.
+    pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
+        let (batch, crashes): (Self, _) = decode_extended(bytes)?;
+        Ok(Self { crashes, ..batch })
+    }
 }
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -6,18 +6,17 @@
     sync::Arc,
 };
 
-use snafu::ResultExt as _;
-
 use crate::{
-    codec::{DecodeError, MalformedSnafu, append},
+    codec::{DecodeError, append, decode_extended},
     data,
     ids::{Incarnation, InstanceId, WorkerName},
     jobs::{
         config::{Config, Queue},
+        crash::CrashCounts,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
-        progress::TaskInput,
-        record::{Ending, Node, Record},
+        progress::{JobInput, TaskInput},
+        record::{Batch, Ending, Node, Record},
     },
     time::WallTime,
 };
@@ -38,6 +37,9 @@
         pub pending: BTreeMap<QueueName, u32>,
         /// The largest worker number assigned so far.
         pub last_worker: WorkerNumber,
+        /// The crashes that tasks may have caused. They are encoded behind the state.
+        #[serde(skip)]
+        pub crashes: CrashCounts,
     }
 
     /// One incarnation of a worker.
@@ -112,12 +114,14 @@
     ///
     /// The bytes aren't a valid snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        postcard::from_bytes(bytes).context(MalformedSnafu)
+        let (state, crashes): (Self, _) = decode_extended(bytes)?;
+        Ok(Self { crashes, ..state })
     }
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        append(Vec::new(), self)
+        let bytes = append(Vec::new(), self);
+        if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
     }
 
     /// The queue of a job; `None` if the current configuration no longer has it.
@@ -142,6 +146,20 @@
         self.jobs.get(&key.job)?.spec.steps.get(usize::from(key.step))
     }
 
+    /// Applies the records of a batch in order and appends their effects to `changes`.
+    pub fn apply_batch(&mut self, batch: &Batch, changes: &mut Vec<Change>) {
+        let mut crashes = batch.crashes.iter().peekable();
+        for (before, record) in (0..).zip(&batch.records) {
+            while let Some(crash) = crashes.next_if(|crash| crash.after <= before) {
+                self.apply_crash(&crash.record, changes);
+            }
+            self.apply(record, changes);
+        }
+        for crash in crashes {
+            self.apply_crash(&crash.record, changes);
+        }
+    }
+
     /// Applies a record and appends its effects to `changes`.
     pub fn apply(&mut self, record: &Record, changes: &mut Vec<Change>) {
         match record {
@@ -166,6 +184,7 @@
             Record::Forget { jobs } => {
                 for id in jobs {
                     self.jobs.remove(id);
+                    self.crashes.remove_job(*id);
                 }
             }
         }
@@ -273,8 +292,13 @@
             let member = TaskKey { index, ..key };
             let Some(task) = job.task_mut(&member) else { continue };
             let input = TaskInput { event, run, worker: task.worker, checkpoint };
-            changed |= task.transition(&input);
+            let ended = task.transition(&input);
+            changed |= ended;
             failed = failed.max(task.failures);
+            if ended && matches!(ending, Ending::Done | Ending::Failed) {
+                // Its worker has survived the run.
+                self.crashes.remove(&member);
+            }
         }
         if !changed {
             return;
@@ -318,13 +342,19 @@
         job.and_then(|job| self.queue_of(job)).map_or(u32::MAX, |queue| queue.max_attempts.max(1))
     }
 
-    fn end_job(&mut self, id: JobId, event: JobEvent, changes: &mut Vec<Change>) {
+    pub(super) fn end_job(
+        &mut self,
+        id: JobId,
+        input: impl Into<JobInput>,
+        changes: &mut Vec<Change>,
+    ) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let before = job.phase;
-        job.transition(event);
+        job.transition(input);
         if !before.is_open() || job.phase.is_open() {
             return;
         }
+        self.crashes.remove_job(id);
         changes.push(Change::Ended(id));
         if before == JobPhase::Queued {
             let queue = job.queue.clone();
--- /dev/null
+++ b/lib/tests/jobs/encoding.rs
@@ -0,0 +1,134 @@
+//! The encoding of batches and snapshots, which releases without crash counts read and write too.
+
+use hickorylink_lib::{
+    ids::{Incarnation, InstanceId},
+    jobs::{
+        crash::{CrashEntry, CrashRecord},
+        lifecycle::JobPhase,
+        model::{JobId, JobSpec, Run, TaskKey, WorkerNumber},
+        record::{Batch, Ending, Record},
+        state::State,
+    },
+    time::WallTime,
+};
+
+use crate::world::{job_config, node, step, task};
+
+/// The state after [`records`] as release 964bd9d encodes it.
+const OLD_STATE: &str = "\
+    01010104666f6c640c666f6c642e6578616d706c65062f666f6c642f046465736b0004d00fe807b817000104\
+    6465736b01000d7b2276657273696f6e223a317d010704666f6c640504737065630102e8076400e807000000\
+    000000000000000000000001010001020000000000010201010468616c660000010102773109010101000a00\
+    0001d836000a000001c03e05616b6c2d610104666f6c640001";
+
+/// A batch of [`records`] as release 964bd9d encodes it.
+const OLD_BATCH: &str = "\
+    01030700010104666f6c640c666f6c642e6578616d706c65062f666f6c642f046465736b0004d00fe807b817\
+    0001046465736b01000d7b2276657273696f6e223a317d010704666f6c640504737065630102e8076400e807\
+    00000000000000000000000000000701000a000001d836000a000001c03e05616b6c2d610301027731090507\
+    0000010101060700000101010468616c6605070000010201";
+
+fn bytes(hex: &str) -> Vec<u8> {
+    let digits: Vec<_> = hex.bytes().collect();
+    let pair =
+        |pair: &[u8]| std::str::from_utf8(pair).ok().map(|pair| u8::from_str_radix(pair, 16));
+    digits.chunks(2).map(|digits| pair(digits).expect("ASCII").expect("a byte")).collect()
+}
+
+fn key() -> TaskKey {
+    task(JobId(7), 0, 1)
+}
+
+fn records() -> Vec<Record> {
+    let (id, task, worker) = (JobId(7), key(), WorkerNumber(1));
+    let spec = JobSpec { text: "spec".into(), steps: vec![step(2)], schedule: None };
+    let (ending, checkpoint) = (Ending::Failed, "half".into());
+    vec![
+        Record::Configure(job_config(1)),
+        Record::Submit { id, queue: "fold".into(), at: WallTime(5), spec },
+        Record::Node(node(1, 1)),
+        Record::AddWorker { number: worker, name: "w1".into(), incarnation: Incarnation(9) },
+        Record::Start { task, run: Run(1), worker },
+        Record::End { task, run: Run(1), ending, checkpoint },
+        Record::Start { task, run: Run(2), worker },
+    ]
+}
+
+fn batch(crashes: u32) -> Batch {
+    let records = records();
+    let after = u32::try_from(records.len()).expect("a few records");
+    let blame = || CrashEntry { after, record: CrashRecord::Blame { tasks: vec![key()] } };
+    let crashes = (0..crashes).map(|_| blame()).collect();
+    Batch { origin: InstanceId(1), number: 3, records, crashes }
+}
+
+fn state(crashes: u32) -> State {
+    let (mut state, mut changes) = (State::default(), Vec::new());
+    state.apply_batch(&batch(crashes), &mut changes);
+    state
+}
+
+/// Regression: a task's crashes were counted nowhere. They now survive in batches and snapshots,
+/// and what an older release wrote still has its meaning.
+#[test]
+fn crash_counts_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        batch: Vec<u8>,
+        state: Vec<u8>,
+        want: u32,
+        phase: JobPhase,
+    }
+    let current = |name, crashes, want, phase| Case {
+        name,
+        batch: batch(crashes).encode(),
+        state: state(crashes).encode(),
+        want,
+        phase,
+    };
+    let cases = [
+        Case {
+            name: "written by an older release",
+            batch: bytes(OLD_BATCH),
+            state: bytes(OLD_STATE),
+            want: 0,
+            phase: JobPhase::Active,
+        },
+        current("no crash", 0, 0, JobPhase::Active),
+        current("two crashes", 2, 2, JobPhase::Active),
+        // The counts of a job that has ended aren't needed any more.
+        current("three crashes", 3, 0, JobPhase::Failed),
+    ];
+    for case in cases {
+        let decoded = Batch::decode(&case.batch).expect("a batch can be decoded");
+        let (mut applied, mut changes) = (State::default(), Vec::new());
+        applied.apply_batch(&decoded, &mut changes);
+        let restored = State::decode(&case.state).expect("a snapshot can be decoded");
+        for (way, state) in [("applied", &applied), ("restored", &restored)] {
+            assert_eq!(state.crashes.of(&key()), case.want, "{}, {way}", case.name);
+            assert_eq!(state.jobs[&JobId(7)].phase, case.phase, "{}, {way}", case.name);
+        }
+        assert_eq!(applied, restored, "{}", case.name);
+    }
+}
+
+/// Regression: an older release that runs beside this one during an upgrade reads what this one
+/// writes, without the crash counts.
+#[test]
+fn older_releases_read_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+    }
+    let cases = [Case { name: "no crash", crashes: 0 }, Case { name: "two crashes", crashes: 2 }];
+    for case in cases {
+        let (batch, state) = (batch(case.crashes).encode(), state(case.crashes).encode());
+        assert!(batch.starts_with(&bytes(OLD_BATCH)), "{}", case.name);
+        assert!(state.starts_with(&bytes(OLD_STATE)), "{}", case.name);
+        // The older release decodes with `postcard::from_bytes`, which ignores further bytes.
+        let old: Batch = postcard::from_bytes(&batch).expect("a batch can be decoded");
+        assert_eq!((old.records, old.crashes), (records(), Vec::new()), "{}", case.name);
+        let old: State = postcard::from_bytes(&state).expect("a snapshot can be decoded");
+        assert!(old.crashes.is_empty(), "{}", case.name);
+    }
+}
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -1,6 +1,9 @@
 //! Tests of jobs: the replicated state, controllers and gateways.
 
 mod calls;
+mod cluster;
+mod crashes;
+mod encoding;
 mod gateway;
 mod leases;
 mod load;
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -205,6 +205,7 @@
             avoid: &[],
             interference: &interference,
             speed: case.speed,
+            probation: false,
         };
         let pool = Pool::all(&fleet, now, Candidates::Live);
         let place = choose_worker(&fleet, &pool, &request, &mut 0);
@@ -288,7 +289,8 @@
     let (service, interference) = ("desk".into(), Interference::default());
     let key = task(JobId(3), 0, 0).step_key();
     let (service, interference) = (&service, &interference);
-    let base = Request { service, step: &spread, key, avoid: &[], interference, speed: full };
+    let (avoid, probation) = (&[], false);
+    let base = Request { service, step: &spread, key, avoid, interference, speed: full, probation };
     let mut unplaceable = Unplaceable::default();
     // It was rejected for its spread limit only, which says nothing about other requests.
     unplaceable.add(&base);
--- a/lib/tests/jobs/properties.rs
+++ b/lib/tests/jobs/properties.rs
@@ -8,6 +8,7 @@
 use hickorylink_lib::{
     jobs::{
         controller::Event,
+        crash::MAX_CRASHES,
         lifecycle::JobPhase,
         model::{JobId, Step, TaskKey},
         record::Ending,
@@ -239,10 +240,12 @@
     let mut world = World::new();
     world.submit(7, vec![step(3), Step { after: vec![0], ..step(2) }]);
     let mut workers: Vec<_> = (0..WORKERS).map(|at| FakeWorker::new(&format!("w{at}"))).collect();
+    let mut crashes = 0;
     for event in events.into_iter().take(30) {
         match event {
             WorkerEvent::Heartbeat(at) => drop(world.heartbeat(&mut workers[at])),
             WorkerEvent::Crash(at) | WorkerEvent::Leave(at, _) => {
+                crashes += 1;
                 workers[at] = workers[at].restarted();
             }
             WorkerEvent::Restart => world.restart(),
@@ -263,6 +266,8 @@
     }
     match world.phase(7) {
         JobPhase::Completed => Ok(()),
+        // A task whose workers have crashed so often is given up.
+        JobPhase::Failed if crashes >= MAX_CRASHES => Ok(()),
         phase => Err(format!("the job is {phase} instead of completed")),
     }
 }
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -273,6 +273,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) name: String,
+    pub(crate) address: String,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
@@ -291,6 +292,7 @@
     pub(crate) fn new(name: &str) -> Self {
         Self {
             name: name.to_owned(),
+            address: format!("{name}:1"),
             incarnation: 1,
             sequence: 0,
             leaving: None,
@@ -307,7 +309,13 @@
 
     /// The same machine after a crash and restart.
     pub(crate) fn restarted(&self) -> Self {
-        Self { incarnation: self.incarnation + 1, ..Self::new(&self.name) }
+        self.replaced(&self.name)
+    }
+
+    /// The same machine after a crash and restart under another name.
+    pub(crate) fn replaced(&self, name: &str) -> Self {
+        let address = self.address.clone();
+        Self { incarnation: self.incarnation + 1, address, ..Self::new(name) }
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -316,7 +324,7 @@
             name: self.name.as_str().into(),
             incarnation: Incarnation(self.incarnation),
             sequence: self.sequence,
-            address: format!("{}:1", self.name).into(),
+            address: self.address.as_str().into(),
             service: "desk".into(),
             centre: "akl-a".into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -36,6 +36,13 @@
             info!(log, "worker"; "name" => name, "state" => state, "silent_ms" => silent_ms,
                 "runs" => runs);
         }
+        LogEvent::Crash { worker, suspects } => {
+            warn!(log, "a worker crashed"; "worker" => worker, "tasks" => suspects.len(),
+                "suspects" => counted(suspects));
+        }
+        LogEvent::GivenUp { task, crashes } => {
+            warn!(log, "a task is given up"; "task" => task, "crashes" => crashes);
+        }
         LogEvent::Members { change } => info!(log, "members change"; "change" => change),
         LogEvent::MembersCommitted { voters, learners } => {
             info!(log, "members changed"; "voters" => ids(voters), "learners" => ids(learners));
@@ -49,6 +56,18 @@
     }
 }
 
+/// The maximum number of suspects that are written for a crash.
+const MAX_SUSPECTS: usize = 16;
+
+/// The tasks that are suspected the most, each with the number of crashes that it may have caused.
+fn counted(suspects: &[(String, u32)]) -> String {
+    let mut suspects: Vec<_> = suspects.iter().collect();
+    suspects.sort_by_key(|(_, crashes)| std::cmp::Reverse(*crashes));
+    let suspects = suspects.iter().take(MAX_SUSPECTS);
+    let texts: Vec<_> = suspects.map(|(task, crashes)| format!("{task}:{crashes}")).collect();
+    texts.join(" ")
+}
+
 /// Identities separated by spaces.
 fn ids(instances: &[InstanceId]) -> String {
     let ids: Vec<_> = instances.iter().map(|id| id.0.to_string()).collect();
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -43,6 +43,8 @@
     start_wait: Histogram,
     ends: Family<EndingLabels, Counter>,
     workers: Family<StateLabels, Counter>,
+    crashes: Counter<u64, AtomicU64>,
+    given_up: Counter<u64, AtomicU64>,
     records: Counter<u64, AtomicU64>,
     commits: Histogram,
     faults: Counter<u64, AtomicU64>,
@@ -72,6 +74,8 @@
             start_wait: latency_histogram(),
             ends: Family::default(),
             workers: Family::default(),
+            crashes: Counter::default(),
+            given_up: Counter::default(),
             records: Counter::default(),
             commits: latency_histogram(),
             faults: Counter::default(),
@@ -106,6 +110,16 @@
         );
         r.register("run_ends", "Runs that ended, by how", self.ends.clone());
         r.register("worker_changes", "What became of workers", self.workers.clone());
+        r.register(
+            "worker_crashes",
+            "Workers that crashed just after they had started tasks",
+            self.crashes.clone(),
+        );
+        r.register(
+            "tasks_given_up",
+            "Tasks that had crashed too many workers",
+            self.given_up.clone(),
+        );
         r.register("records", "Records that were committed", self.records.clone());
         r.register(
             "commit_duration_seconds",
@@ -151,6 +165,8 @@
             LogEvent::Worker { state, .. } => {
                 self.workers.get_or_create(&StateLabels { state }).inc();
             }
+            LogEvent::Crash { .. } => drop(self.crashes.inc()),
+            LogEvent::GivenUp { .. } => drop(self.given_up.inc()),
             LogEvent::Committed { records, took } => {
                 self.records.inc_by(*records as u64);
                 self.commits.observe(took.as_secs_f64());
