--- a/lib/src/jobs/controller/relocate.rs
+++ b/lib/src/jobs/controller/relocate.rs
@@ -62,7 +62,8 @@
         let step = job.spec.steps.get(usize::from(key.step))?;
         let (service, interference) = (&queue.service, &self.interference);
         let speed = SpeedRequirement::FullSpeed;
-        let request = Request { service, step, key: *key, avoid: &[], interference, speed };
+        let request =
+            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
         choose_worker(&self.fleet, pool, &request, &mut 0)
     }
 
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -105,6 +105,8 @@
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
     pub health: Health,
+    /// The task that runs here alone until it has settled, or for which the worker is reserved.
+    pub probation: Option<TaskKey>,
 }
 
 /// The properties that a worker reports.
@@ -161,6 +163,7 @@
             excess_since: None,
             neighbours: Neighbours::default(),
             health: Health::default(),
+            probation: None,
         }
     }
 
@@ -199,12 +202,18 @@
             self.serving_reserved += view.reserved.millicores;
             self.serving_used += assumed_use(&view);
         }
+        if view.probation {
+            self.probation = Some(task);
+        }
         self.runs.insert(task, view);
     }
 
     /// Removes a run.
     pub fn remove(&mut self, task: &TaskKey) -> Option<RunView> {
         let view = self.runs.remove(task)?;
+        if self.probation == Some(*task) {
+            self.probation = None;
+        }
         self.reserved = self.reserved.saturating_sub(&view.reserved);
         self.demand -= view.demand;
         if view.target_latency.is_some() {
@@ -322,9 +331,15 @@
         self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
-    /// Whether it has announced that it leaves.
+    /// Whether all its runs have settled.
+    pub fn is_settled(&self) -> bool {
+        self.runs.values().all(|view| view.settled)
+    }
+
+    /// Whether it leaves or has left.
     pub fn is_leaving(&self) -> bool {
-        self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some())
+        let leaves = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        leaves || self.departed.is_some()
     }
 
     /// Whether runs may be started on the worker.
@@ -334,7 +349,6 @@
             && self.confirmed
             && !self.is_leaving()
             && !self.is_overcommitted()
-            && self.departed.is_none()
             && self.health.is_healthy(now)
     }
 }
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -49,6 +49,14 @@
     pub sent: bool,
     /// Whether the worker has listed it at least once.
     pub listed: bool,
+    /// When this leader first saw it listed.
+    pub listed_at: Option<Time>,
+    /// Whether it has been listed for so long that it isn't the cause if the worker crashes.
+    pub settled: bool,
+    /// Whether an earlier leader started it.
+    pub restored: bool,
+    /// Whether it has to settle before other runs start on the worker.
+    pub probation: bool,
     /// Whether it was absent from the last heartbeat.
     pub missing: bool,
     /// Whether the worker has to stop it.
@@ -86,6 +94,10 @@
             since: now,
             sent: false,
             listed: false,
+            listed_at: None,
+            settled: false,
+            restored: false,
+            probation: false,
             missing: false,
             stopping: false,
             percent: 0,
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -3,6 +3,9 @@
 mod calls;
 mod capacity;
 mod capacity_properties;
+mod cluster;
+mod crashes;
+mod encoding;
 mod gateway;
 mod leases;
 mod load;
