jobs: a new leader keeps the delay of crashing long-running tasks

A change of the leader forgot the delay of a long-running task that had crashed three workers, and started it at once.

Change: a new leader begins the delays anew from the counts. A task is reported as given up only if it has the crashes itself.

Evidence: a_new_leader_delays_a_long_running_task_too failed before (`within the delay`: 4 starts, not 3) and passes.

--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -132,6 +132,7 @@
             wall,
         };
         let runs = leader.restore_runs(now);
+        leader.restore_delays(now);
         let open = leader.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         for id in &open {
--- a/lib/src/jobs/controller/probation.rs
+++ b/lib/src/jobs/controller/probation.rs
@@ -72,25 +72,31 @@
         if tasks.is_empty() {
             return;
         }
-        let counts = |task: &TaskKey| (task.to_string(), self.state.crashes.of(task) + 1);
-        let suspects = tasks.iter().map(counts).collect();
+        let counts: Vec<_> = tasks.iter().map(|task| self.state.crashes.of(task) + 1).collect();
+        let names = tasks.iter().map(TaskKey::to_string);
+        let suspects = names.zip(counts.iter().copied()).collect();
         self.log_events.push(LogEvent::Crash { worker: worker.to_owned(), suspects });
-        let open: Vec<_> = tasks.iter().map(|task| self.is_open(task)).collect();
         self.record_crash(CrashRecord::Blame { tasks: tasks.to_vec() });
-        for (task, was_open) in tasks.iter().zip(open) {
+        for (task, crashes) in tasks.iter().zip(counts) {
             let long_running =
                 self.state.step(&task.step_key()).is_some_and(|step| step.options.long_running);
             if long_running {
-                self.suspects.delay(now, *task, self.state.crashes.of(task));
-            }
-            if was_open && !self.is_open(task) {
+                self.suspects.delay(now, *task, crashes);
+            } else if crashes >= MAX_CRASHES && !self.is_open(task) {
                 self.schedule_forget(now, task.job);
-                let (task, crashes) = (task.to_string(), MAX_CRASHES);
-                self.log_events.push(LogEvent::GivenUp { task, crashes });
+                self.log_events.push(LogEvent::GivenUp { task: task.to_string(), crashes });
             }
         }
     }
 
+    /// Delays the tasks that an earlier leader has counted too many crashes for. Only long-running
+    /// ones are still open.
+    pub(super) fn restore_delays(&mut self, now: Time) {
+        for (task, crashes) in self.state.crashes.iter() {
+            self.suspects.delay(now, *task, crashes);
+        }
+    }
+
     fn is_open(&self, task: &TaskKey) -> bool {
         self.state.jobs.get(&task.job).is_some_and(|job| job.phase.is_open())
     }
--- a/lib/tests/jobs/crashes.rs
+++ b/lib/tests/jobs/crashes.rs
@@ -372,6 +372,33 @@
     assert_eq!(cluster.starts[&task(JobId(7), 0, 0)].len(), starts, "it runs at last");
 }
 
+/// Regression: a new leader started a long-running task at once that had crashed its workers.
+#[test]
+fn a_new_leader_delays_a_long_running_task_too() {
+    struct Case {
+        name: &'static str,
+        wait: Duration,
+        want: usize,
+    }
+    let cases = [
+        Case { name: "within the delay", wait: seconds(8), want: MAX_CRASHES },
+        Case { name: "after the delay", wait: seconds(14), want: MAX_CRASHES + 1 },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::new(4);
+        cluster.downtime = seconds(1);
+        submit_deadly(&mut cluster, 7, vec![long_running(1)]);
+        let key = task(JobId(7), 0, 0);
+        while cluster.starts.get(&key).map_or(0, Vec::len) < MAX_CRASHES {
+            cluster.run(Duration::from_millis(100));
+        }
+        cluster.run(seconds(2));
+        cluster.restart();
+        cluster.run(case.wait);
+        assert_eq!(cluster.starts[&key].len(), case.want, "{}", case.name);
+    }
+}
+
 /// Regression: the members of a gang on other workers weren't there when a worker crashed.
 #[test]
 fn only_the_gang_members_on_the_crashed_worker_are_blamed() {
