consensus: say why a leader gives way, and log slow writes

In each a leader steps down early on, and no log says why: a newer term, silent voters and a disk that stalls all end in the same line, "role changed".

Change: consensus emits SteppedDown with the cause, how long the quorum was silent, how long storage had synced nothing, and how late the timer ran, which tells a stalled disk, a lost connection and a thread that waits apart. Both front ends log it ("leadership is given up"). Both storage duties log a batch that takes 250 ms or more ("a write to disk was slow").

Evidence: a_leader_reports_why_it_steps_down covers a stalled disk, silent voters and a newer term.

Conclusion: observability only; no decision changes.

--- a/cli/src/daemon/start.rs
+++ b/cli/src/daemon/start.rs
@@ -69,9 +69,9 @@
         store: LogStore<Folder>,
     ) -> Result<(), DaemonError> {
         let outboxes = self.outboxes(self.rings.storage.stats());
-        let (fault, log) = (self.fault.clone(), self.log.clone());
+        let (fault, clock, log) = (self.fault.clone(), self.clock, self.log.clone());
         thread("storage", move || {
-            if duty::storage::storage(&receiver, outboxes, store, &log) {
+            if duty::storage::storage(&receiver, outboxes, store, clock, &log) {
                 drop(fault.blocking_send(Fault::Disk));
             }
         })
--- a/cli/src/duty/log_events.rs
+++ b/cli/src/duty/log_events.rs
@@ -4,6 +4,7 @@
 
 use crossbeam_channel::Receiver;
 use hickorylink_lib::instance::port::LogEvent;
+use hickorylink_runtime::log_events::log_step_down;
 use slog::{Logger, debug, error, info};
 
 use crate::metrics::Metrics;
@@ -22,6 +23,7 @@
             let leader = leader.map(|leader| leader.0);
             info!(log, "consensus role changed"; "role" => role, "term" => term.0, "leader" => leader);
         }
+        LogEvent::SteppedDown(step_down) => log_step_down(log, step_down),
         LogEvent::Bootstrapped => {
             info!(log, "no consensus group was found; this instance starts a new one")
         }
--- a/cli/src/duty/storage.rs
+++ b/cli/src/duty/storage.rs
@@ -2,9 +2,11 @@
 
 use crossbeam_channel::Receiver;
 use hickorylink_lib::{consensus::log::Write, instance::port::Output, replicated_log::port::Event};
+use hickorylink_runtime::persist::warn_if_slow;
 use slog::{Logger, crit};
 
 use crate::{
+    clock::Clock,
     outboxes::Outboxes,
     storage::{Store, disk::Disk},
 };
@@ -26,11 +28,13 @@
     ring: &Receiver<Write>,
     mut outboxes: Outboxes,
     mut store: LogStore<D>,
+    clock: Clock,
     log: &Logger,
 ) -> bool {
     while let Ok(first) = ring.recv() {
         let mut writes = vec![first];
         writes.extend(ring.try_iter().take(MAX_BATCH - 1));
+        let since = clock.now();
         let sequence = match &mut store {
             LogStore::Disk(store) => match store.write(&writes) {
                 Ok(sequence) => sequence,
@@ -41,6 +45,7 @@
             },
             LogStore::Discard => writes.last().map_or(0, |write| write.sequence),
         };
+        warn_if_slow(log, clock.now().since(since), writes.len());
         outboxes.send(Output::replicated_log(Event::Stored { sequence }));
         while outboxes.flush() > 0 {
             std::thread::sleep(super::RETRY_DELAY);
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -155,7 +155,10 @@
             LogEvent::Task { .. } => drop(self.task_events.inc()),
             LogEvent::Unreadable { .. } => drop(self.unreadable.inc()),
             LogEvent::Unhandled { .. } => drop(self.unhandled.inc()),
-            LogEvent::Bootstrapped | LogEvent::Restored { .. } | LogEvent::Members { .. } => {}
+            LogEvent::SteppedDown(_)
+            | LogEvent::Bootstrapped
+            | LogEvent::Restored { .. }
+            | LogEvent::Members { .. } => {}
         }
     }
 
--- a/lib/benches/consensus.rs
+++ b/lib/benches/consensus.rs
@@ -109,6 +109,7 @@
             | Effect::ReadReady { .. }
             | Effect::ReadFailed { .. }
             | Effect::RoleChanged { .. }
+            | Effect::SteppedDown(_)
             | Effect::Unhandled { .. } => {}
         }
     }
--- a/lib/src/consensus/leader.rs
+++ b/lib/src/consensus/leader.rs
@@ -14,7 +14,7 @@
         actions::EventContext,
         entries::entry_bytes,
         log::{Entry, Payload},
-        port::{Effect, Event},
+        port::{Effect, Event, StepDown, StepDownCause},
         reads::ReadQueue,
         reconfigure::MemberChange,
         replication::Peer,
@@ -86,6 +86,10 @@
 
     /// Gives up leadership and fails the pending proposals and reads.
     pub(super) fn step_down(&mut self, ctx: &mut EventContext<'_>) {
+        if let Some(heard) = self.quorum_heard() {
+            let report = self.explain_step_down(ctx, heard);
+            ctx.effects.push(Effect::SteppedDown(report));
+        }
         self.leader = None;
         let Some(mut leader_state) = self.leader_state.take() else { return };
         for proposal in leader_state.pending {
@@ -96,6 +100,36 @@
         }
     }
 
+    fn explain_step_down(&self, ctx: &EventContext<'_>, heard: Time) -> StepDown {
+        let timeout = self.config.election_timeout;
+        let (term, quorum_silence) = (self.hard_state.term, ctx.now.since(heard));
+        let newer_term = ctx.message().is_some_and(|(_, message)| message.term > term);
+        let cause = if newer_term {
+            StepDownCause::NewerTerm
+        } else if !self.is_voter() {
+            StepDownCause::Removed
+        } else if self.outbox.is_stalled(ctx.now, timeout) {
+            StepDownCause::DiskStalled
+        } else {
+            StepDownCause::QuorumSilent
+        };
+        let delay = match ctx.event {
+            Event::Timer => ctx.now.since(self.deadline),
+            Event::Receive { .. }
+            | Event::Propose { .. }
+            | Event::Read { .. }
+            | Event::Stored { .. }
+            | Event::Compacted { .. }
+            | Event::AddLearner { .. }
+            | Event::Promote { .. }
+            | Event::ReplaceVoter { .. }
+            | Event::RemoveMember { .. }
+            | Event::Standbys { .. } => Duration::ZERO,
+        };
+        let disk_wait = self.outbox.wait(ctx.now);
+        StepDown { cause, term, quorum_silence, disk_wait, delay }
+    }
+
     /// Whether a quorum was heard recently; `recent` decides from the time since a member was last
     /// heard.
     pub(super) fn quorum_active(&self, recent: impl Fn(Duration) -> bool, now: Time) -> bool {
@@ -108,12 +142,16 @@
 
     /// When the most recent contact with a quorum becomes too old to keep leading.
     pub(super) fn quorum_until(&self) -> Option<Time> {
+        Some(self.quorum_heard()? + self.config.election_timeout)
+    }
+
+    /// When this leader last had contact with a quorum.
+    fn quorum_heard(&self) -> Option<Time> {
         let leader_state = self.leader_state.as_ref()?;
-        let heard = self.members().quorum_value(|voter| match leader_state.peers.get(&voter) {
+        self.members().quorum_value(|voter| match leader_state.peers.get(&voter) {
             Some(peer) => peer.heard,
             None => Time::from_nanos(u64::MAX),
-        })?;
-        Some(heard + self.config.election_timeout)
+        })
     }
 
     /// Whether another proposal fits; queued and uncommitted ones count together.
--- a/lib/src/consensus/outbox.rs
+++ b/lib/src/consensus/outbox.rs
@@ -114,7 +114,12 @@
 
     /// Whether storage has synced nothing for `span` although writes are pending.
     pub(super) fn is_stalled(&self, now: Time, span: Duration) -> bool {
-        self.waiting_since.is_some_and(|since| now.since(since) >= span)
+        self.waiting_since.is_some() && self.wait(now) >= span
+    }
+
+    /// The time for which storage has synced nothing although writes are pending.
+    pub(super) fn wait(&self, now: Time) -> Duration {
+        self.waiting_since.map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// Records that storage has synced all writes up to `sequence`.
--- a/lib/src/consensus/port.rs
+++ b/lib/src/consensus/port.rs
@@ -12,6 +12,7 @@
     },
     data,
     ids::{Index, InstanceId, Term, Ticket},
+    symbols,
     time::Time,
 };
 
@@ -40,6 +41,20 @@
     pub replace_after: Duration,
 }
 
+symbols! {
+    /// Why a leader gave up leadership.
+    pub enum StepDownCause {
+        /// A message with a newer term arrived.
+        NewerTerm = "a newer term",
+        /// Storage synced nothing for an election timeout although writes were pending.
+        DiskStalled = "its disk stalls",
+        /// No quorum answered within the election timeout.
+        QuorumSilent = "no quorum answers",
+        /// It isn't a voter any more.
+        Removed = "it was removed",
+    }
+}
+
 data! {
     /// An input of the state machine.
     pub enum Event {
@@ -158,6 +173,8 @@
             /// The current leader, if known.
             leader: Option<InstanceId>,
         },
+        /// This member led and gave up leadership.
+        SteppedDown(StepDown),
         /// The chart has no transition for a trigger; the event had no effect.
         Unhandled {
             /// The current role.
@@ -167,6 +184,20 @@
         },
     }
 
+    /// Why a leader gave up leadership, and how long it had waited for others by then.
+    pub struct StepDown {
+        /// The cause.
+        pub cause: StepDownCause,
+        /// The term in which it led.
+        pub term: Term,
+        /// The time since a quorum was last heard.
+        pub quorum_silence: Duration,
+        /// The time since storage last synced a write, or zero if no write was pending.
+        pub disk_wait: Duration,
+        /// How late the event was handled, if it was due at a time.
+        pub delay: Duration,
+    }
+
     /// The status of a member.
     pub struct Status {
         /// Its role.
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     command::{ListKind, Reply},
-    consensus::log::Write,
+    consensus::{log::Write, port::StepDown},
     data,
     directory::port as directory,
     ids::{
@@ -139,6 +139,8 @@
             /// The leader, if one is known.
             leader: Option<InstanceId>,
         },
+        /// This instance led the consensus group and gave up leadership.
+        SteppedDown(StepDown),
         /// This instance started a new consensus group.
         Bootstrapped,
         /// A policy came into force at this instance.
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -306,6 +306,9 @@
                     self.step_down(out);
                 }
             }
+            consensus::Effect::SteppedDown(step_down) => {
+                out.push(Effect::LogEvent(LogEvent::SteppedDown(step_down)));
+            }
             consensus::Effect::Unhandled { role, trigger } => {
                 let reason = format!("{trigger} in role {role}");
                 out.push(Effect::LogEvent(LogEvent::Unhandled { reason }));
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -3,7 +3,7 @@
 use core::{net::SocketAddr, time::Duration};
 
 use crate::{
-    consensus::{chart::Role, log::Write, message::Message},
+    consensus::{chart::Role, log::Write, message::Message, port::StepDown},
     ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
     jobs::{
         call::{Call, OperatorReply, OperatorRequest, Reply},
@@ -158,6 +158,8 @@
         /// The leader, if it is known.
         leader: Option<InstanceId>,
     },
+    /// This controller led and gave up leadership.
+    SteppedDown(StepDown),
     /// This controller starts to lead.
     Leading {
         /// The fencing token.
--- a/lib/src/replicated_log.rs
+++ b/lib/src/replicated_log.rs
@@ -303,6 +303,9 @@
                 let reason = format!("{trigger} in role {role}");
                 out.push(Output::Effect(Effect::Log(LogEvent::Unhandled { reason })));
             }
+            consensus::Effect::SteppedDown(step_down) => {
+                out.push(Output::Effect(Effect::Log(LogEvent::SteppedDown(step_down))));
+            }
             consensus::Effect::RoleChanged { role, term, leader } => {
                 let role = role.to_string();
                 out.push(Output::Effect(Effect::Log(LogEvent::Role { role, term, leader })));
--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -6,7 +6,7 @@
         chart::Role,
         log::{Members, Payload},
         message::Body,
-        port::{Effect, Event},
+        port::{Effect, Event, StepDownCause},
     },
     ids::{Index, InstanceId, Term, Ticket},
 };
@@ -359,3 +359,62 @@
         }
     }
 }
+
+// Guards against a leader that gives way without a trace of the cause, as behind 19 unknown outcomes
+// on 2026-12-04.
+#[test]
+fn a_leader_reports_why_it_steps_down() {
+    struct Case {
+        name: &'static str,
+        proposes: bool,
+        answered: bool,
+        newer_term: bool,
+        want: StepDownCause,
+    }
+    let cases = [
+        Case {
+            name: "a disk that syncs nothing",
+            proposes: true,
+            answered: true,
+            newer_term: false,
+            want: StepDownCause::DiskStalled,
+        },
+        Case {
+            name: "silent voters",
+            proposes: false,
+            answered: false,
+            newer_term: false,
+            want: StepDownCause::QuorumSilent,
+        },
+        Case {
+            name: "a newer term",
+            proposes: false,
+            answered: true,
+            newer_term: true,
+            want: StepDownCause::NewerTerm,
+        },
+    ];
+    for case in cases {
+        let mut member = TestMember::leader(&members(&[1, 2, 3], &[]));
+        let term = member.status().term;
+        if case.proposes {
+            member.propose(1);
+        }
+        for _ in 0..5 {
+            member.advance(ELECTION_MS / 4);
+            if case.answered {
+                member.acknowledge(1);
+            }
+            member.feed(Event::Timer);
+        }
+        if case.newer_term {
+            member.receive(2, term.0 + 1, Body::VoteAnswer { granted: false });
+        }
+        let report = |effect| {
+            let Effect::SteppedDown(report) = effect else { return None };
+            Some((report.cause, report.term))
+        };
+        let reports: Vec<_> = member.take_effects().into_iter().filter_map(report).collect();
+        assert_eq!(reports, [(case.want, term)], "{}", case.name);
+    }
+}
--- a/lib/tests/consensus/model/state.rs
+++ b/lib/tests/consensus/model/state.rs
@@ -303,7 +303,8 @@
             | Effect::Accepted { .. }
             | Effect::Rejected { .. }
             | Effect::ReadFailed { .. }
-            | Effect::RoleChanged { .. } => {}
+            | Effect::RoleChanged { .. }
+            | Effect::SteppedDown(_) => {}
         }
     }
 
--- a/lib/tests/consensus/simulation.rs
+++ b/lib/tests/consensus/simulation.rs
@@ -308,7 +308,10 @@
             }
             Effect::ReadReady { ticket, index } => self.invariants.end_read(id, ticket, index),
             Effect::RoleChanged { role: Role::Leader, term, .. } => self.invariants.elect(id, term),
-            Effect::RoleChanged { .. } | Effect::Rejected { .. } | Effect::ReadFailed { .. } => {}
+            Effect::RoleChanged { .. }
+            | Effect::SteppedDown(_)
+            | Effect::Rejected { .. }
+            | Effect::ReadFailed { .. } => {}
             Effect::Unhandled { role, trigger } => {
                 self.invariants.fail(format!("{id}: {role} doesn't handle {trigger}"));
             }
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -228,8 +228,10 @@
     let (confirmations, disk_log) = (control.clone(), log.clone());
     let (path, fresh) = (folder.clone(), Identity { instance: me.id, created: clock.wall() });
     let reopen = move || Store::open(Folder::new(&path), fresh, MAX_SEGMENT_BYTES);
-    spawn("storage", move || persist::run(&storage_ring, &confirmations, store, reopen, &disk_log))
-        .context(StartSnafu)?;
+    spawn("storage", move || {
+        persist::run(&storage_ring, &confirmations, store, reopen, clock, &disk_log)
+    })
+    .context(StartSnafu)?;
     spawn_links(me.peer, links_ring, control.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -1,6 +1,9 @@
 //! Writes the log events of the roles to the log.
 
+use std::time::Duration;
+
 use hickorylink_lib::{
+    consensus::port::StepDown,
     ids::InstanceId,
     jobs::{controller, gateway},
 };
@@ -14,6 +17,7 @@
             info!(log, "the role changed"; "role" => role.name(), "term" => term.0,
                 "leader" => leader.map(|leader| leader.0));
         }
+        LogEvent::SteppedDown(step_down) => log_step_down(log, step_down),
         LogEvent::Leading { epoch, jobs, runs } => {
             info!(log, "this controller leads"; "epoch" => epoch.0, "jobs" => jobs, "runs" => runs);
         }
@@ -49,6 +53,18 @@
     }
 }
 
+/// Logs why a leader gave up leadership.
+pub fn log_step_down(log: &Logger, step_down: &StepDown) {
+    let StepDown { cause, term, quorum_silence, disk_wait, delay } = step_down;
+    warn!(log, "leadership is given up"; "why" => cause.name(), "term" => term.0,
+        "quorum_silent_ms" => millis(*quorum_silence), "disk_wait_ms" => millis(*disk_wait),
+        "late_ms" => millis(*delay));
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Identities separated by spaces.
 fn ids(instances: &[InstanceId]) -> String {
     let ids: Vec<_> = instances.iter().map(|id| id.0.to_string()).collect();
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -157,6 +157,7 @@
             }
             LogEvent::Unreadable { .. } | LogEvent::Unhandled { .. } => drop(self.faults.inc()),
             LogEvent::Leading { .. }
+            | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
             | LogEvent::MembersCommitted { .. } => {}
         }
--- a/runtime/src/persist.rs
+++ b/runtime/src/persist.rs
@@ -7,9 +7,10 @@
     consensus::log::{Recovered, Write},
     jobs::controller::Event,
 };
-use slog::{Logger, error};
+use slog::{Logger, error, warn};
 
 use crate::{
+    clock::Clock,
     ring::RingSender,
     storage::{Disk, Opened, Store, StoreError},
 };
@@ -23,6 +24,10 @@
 /// The pause before a confirmation is sent again when control's ring is full.
 const RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
+/// The shortest time for which a write is logged as slow. Leadership is given up after one that is
+/// several times slower.
+const SLOW_WRITE: Duration = Duration::from_millis(250);
+
 /// Runs until the ring is closed.
 ///
 /// Writes to a failing disk are retried. Until one succeeds the controller can't vote, and another
@@ -32,12 +37,14 @@
     control: &RingSender<Event>,
     store: Store<D>,
     reopen: impl Fn() -> Result<Opened<D>, StoreError>,
+    clock: Clock,
     log: &Logger,
 ) {
     let mut store = Some(store);
     while let Ok(first) = ring.recv() {
         let mut writes = vec![first];
         writes.extend(ring.try_iter().take(MAX_BATCH - 1));
+        let since = clock.now();
         let sequence = loop {
             match write(&mut store, &writes, &reopen) {
                 Ok(sequence) => break sequence,
@@ -51,6 +58,7 @@
                 }
             }
         };
+        warn_if_slow(log, clock.now().since(since), writes.len());
         let mut event = Event::Stored { sequence };
         while let Err(rejected) = control.push(event) {
             event = rejected;
@@ -59,6 +67,14 @@
     }
 }
 
+/// Logs that a batch took long to become durable.
+pub fn warn_if_slow(log: &Logger, took: Duration, writes: usize) {
+    if took >= SLOW_WRITE {
+        let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+        warn!(log, "a write to disk was slow"; "took_ms" => took_ms, "writes" => writes);
+    }
+}
+
 /// Makes a batch durable and returns the sequence number of its last write. Reopens the store first
 /// if a failure has closed it.
 fn write<D: Disk>(
--- a/runtime/tests/storage/faults.rs
+++ b/runtime/tests/storage/faults.rs
@@ -9,6 +9,7 @@
     time::WallTime,
 };
 use hickorylink_runtime::{
+    clock::Clock,
     persist,
     ring::thread_ring,
     storage::{Identity, MAX_SEGMENT_BYTES, Opened, Store, StoreError},
@@ -72,7 +73,7 @@
             }
             open(&disk)
         };
-        persist::run(&ring, &control, store, reopen, &Logger::root(Discard, o!()));
+        persist::run(&ring, &control, store, reopen, Clock::start(), &Logger::root(Discard, o!()));
         let stored: Vec<_> = events
             .try_iter()
             .map(|event| match event {
