gateway: a call that is sent late gets the time of a sent call

What callers saw: a submission was answered 504 (unknown) after 0.4 s although the leader had accepted it and no leader changed. It is one way to what run_logs_explain_a_failed_job saw once.

Cause: a call that arrives while no leader is known is given 0.4 s. If a leader is found meanwhile, the call is sent, but kept the end of the short wait, so the leader had only the rest of it to commit; a call that arrives with a leader known has 2.4 s. So around each start and each change of leader, any commit slower than that rest was told as unknown.

Ruled out: a change of leader (one line "this controller leads", no "leadership is given up"), a lost message (the leader logged the job 2 ms after the call was sent).

Change: a call waits 0.4 s for a leader, and once it is sent until 2.4 s after its arrival, as any other call that a controller may have received. One that comes back unexecuted falls back to 0.4 s.

Evidence: a_call_sent_to_a_leader_found_late_gets_the_time_of_a_sent_call failed before in its first case (Unknown, not Accepted).

Conclusion: the outcome was honest but needless. The total wait of a call isn't longer than before.

--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -118,6 +118,8 @@
     call: Call,
     since: Time,
     until: Time,
+    /// Until when it waits for an answer once it is sent.
+    answer_until: Time,
     /// Whether a controller may have received it.
     maybe_received: bool,
     /// The controller that it was last sent to, until that one answers or is lost.
@@ -200,10 +202,15 @@
             return;
         }
         self.next += 1;
-        let wait = if self.leader.is_some() { SENT_WAIT } else { UNSENT_WAIT };
-        let until = now + timeout.min(wait);
-        let pending =
-            Pending { ticket, call, since: now, until, maybe_received: false, sent: None };
+        let pending = Pending {
+            ticket,
+            call,
+            since: now,
+            until: now + timeout.min(UNSENT_WAIT),
+            answer_until: now + timeout.min(SENT_WAIT),
+            maybe_received: false,
+            sent: None,
+        };
         self.pending.insert(self.next, pending);
         self.send(self.next, out);
     }
@@ -214,6 +221,7 @@
             return;
         };
         pending.sent = Some(to);
+        pending.until = pending.answer_until;
         let message = LinkMessage::Forward { number, call: pending.call.clone() };
         out.push(Effect::Send { to, message });
     }
--- a/lib/tests/jobs/gateway.rs
+++ b/lib/tests/jobs/gateway.rs
@@ -131,6 +131,55 @@
     }
 }
 
+// Guards against an accepted submission whose caller is told "unknown" because the call was given
+// only the rest of the short wait for a leader.
+#[test]
+fn a_call_sent_to_a_leader_found_late_gets_the_time_of_a_sent_call() {
+    use Step::{Advance, Answer, LeaderFound, SecondLeaderFound};
+    const ACCEPT: Step = Answer(|number| LinkMessage::Answer { number, reply: Reply::Accepted });
+    const REDIRECT: Step = Answer(|number| LinkMessage::Redirect { number, leader: None });
+    struct Case {
+        name: &'static str,
+        before: &'static [Step],
+        after: &'static [Step],
+        want: Reply,
+    }
+    let cases = [
+        Case {
+            name: "the first leader takes 300 ms",
+            before: &[],
+            after: &[Advance(300), LeaderFound, Advance(300), ACCEPT],
+            want: Reply::Accepted,
+        },
+        Case {
+            name: "the next leader takes 300 ms",
+            before: &[LeaderFound],
+            after: &[REDIRECT, Advance(300), SecondLeaderFound, Advance(300), ACCEPT],
+            want: Reply::Accepted,
+        },
+        Case {
+            name: "the first leader does not answer in time",
+            before: &[],
+            after: &[Advance(300), LeaderFound, Advance(1000), LeaderFound, Advance(1200), ACCEPT],
+            want: Reply::Unknown,
+        },
+        Case {
+            name: "the first leader no longer leads",
+            before: &[],
+            after: &[Advance(300), LeaderFound, REDIRECT, Advance(500)],
+            want: Reply::NotRun,
+        },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        case.before.iter().for_each(|step| harness.step(*step));
+        let timeout = Duration::from_secs(3);
+        harness.handle(Event::Call { ticket: 1, call: submit(), timeout });
+        case.after.iter().for_each(|step| harness.step(*step));
+        assert_eq!(harness.replies, [(1, case.want)], "{}", case.name);
+    }
+}
+
 #[test]
 fn a_gateway_is_ready_only_while_a_leader_is_known() {
     let mut harness = Harness::new();
