deployment: the test of the metrics sums the counters of all controllers

What was seen: metrics_count_events failed once on 2026-12-04 beside load: 11 of 20 starts and 3 of 4 accepted jobs at the last leader, whose term was 3.

Cause: the first leader gave way because its disk stalled (the disk of the machine, which all controllers of the test share). Each controller counts what it decides while it leads; the test read the last leader only, and nothing promises that one controller leads throughout.

Ruled out: a thread that waits (the timer is at most 15 ms late in 15 traces), silent voters (at most 0.21 s), counters that are lost (the sums are complete in every run).

--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -168,6 +168,57 @@
     assert!(String::from_utf8_lossy(&held.body).contains("\"version\":1"));
 }
 
+/// A metric and its lowest permitted value over all members that have it.
+struct MetricCase {
+    line: &'static str,
+    min: f64,
+}
+
+impl MetricCase {
+    /// Whether the sum over these members is high enough.
+    fn holds(&self, texts: &[String]) -> bool {
+        let values = texts.iter().filter_map(|text| metric(text, self.line));
+        values.sum::<f64>() >= self.min
+    }
+}
+
+/// The gauges of the leader.
+const LEADER_GAUGES: [MetricCase; 5] = [
+    MetricCase { line: "hickorylink_leads", min: 1.0 },
+    MetricCase { line: "hickorylink_jobs", min: 4.0 },
+    MetricCase { line: "hickorylink_workers", min: 3.0 },
+    MetricCase { line: "hickorylink_config_version", min: 1.0 },
+    MetricCase { line: "hickorylink_ring_capacity_items{ring=\"control\"}", min: 1.0 },
+];
+
+/// The counters of the controllers. Each counts what happened while it led.
+const LEADER_COUNTERS: [MetricCase; 6] = [
+    MetricCase { line: "hickorylink_task_starts_total", min: 20.0 },
+    MetricCase { line: "hickorylink_job_changes_total{state=\"accepted\"}", min: 4.0 },
+    MetricCase { line: "hickorylink_job_changes_total{state=\"completed\"}", min: 4.0 },
+    MetricCase { line: "hickorylink_job_age_seconds_count{state=\"completed\"}", min: 4.0 },
+    MetricCase { line: "hickorylink_answers_total{answer=\"orders\"}", min: 4.0 },
+    MetricCase { line: "hickorylink_commit_duration_seconds_count", min: 4.0 },
+];
+
+const GATEWAY_METRICS: [MetricCase; 5] = [
+    MetricCase { line: "hickorylink_ready", min: 1.0 },
+    MetricCase { line: "hickorylink_leader_found_total", min: 1.0 },
+    MetricCase { line: "hickorylink_calls_total{call=\"submit\",reply=\"accepted\"}", min: 4.0 },
+    MetricCase { line: "hickorylink_calls_total{call=\"show\",reply=\"no_queue\"}", min: 1.0 },
+    MetricCase { line: "hickorylink_call_duration_seconds_count{call=\"submit\"}", min: 4.0 },
+];
+
+/// The value of a metric in the text format.
+fn metric(text: &str, line: &str) -> Option<f64> {
+    text.lines().find_map(|found| {
+        let (name, value) = found.rsplit_once(' ')?;
+        (name == line).then(|| value.parse().expect("a number"))
+    })
+}
+
+// Guards against a test that reads only the last leader's counters, which fails when the first one
+// gives way.
 #[tokio::test(flavor = "multi_thread")]
 async fn metrics_count_events() {
     let fixture = Fixture::start().await;
@@ -176,42 +227,22 @@
     let refused = fixture.deployment.call(0, Method::GET, "/x/", "").await.expect("an answer");
     assert_eq!(refused.status, 404);
 
-    /// A metric of a member, and its lowest permitted value.
-    struct Case {
-        line: &'static str,
-        min: f64,
+    let mut texts = Vec::new();
+    for at in 0..fixture.deployment.member_count() {
+        texts.push(fixture.deployment.metrics(at).await.expect("metrics"));
     }
-    let leader = [
-        Case { line: "hickorylink_leads", min: 1.0 },
-        Case { line: "hickorylink_jobs", min: 4.0 },
-        Case { line: "hickorylink_workers", min: 3.0 },
-        Case { line: "hickorylink_config_version", min: 1.0 },
-        Case { line: "hickorylink_task_starts_total", min: 20.0 },
-        Case { line: "hickorylink_job_changes_total{state=\"accepted\"}", min: 4.0 },
-        Case { line: "hickorylink_job_age_seconds_count{state=\"completed\"}", min: 4.0 },
-        Case { line: "hickorylink_answers_total{answer=\"orders\"}", min: 4.0 },
-        Case { line: "hickorylink_commit_duration_seconds_count", min: 4.0 },
-        Case { line: "hickorylink_ring_capacity_items{ring=\"control\"}", min: 1.0 },
-    ];
-    let gateway = [
-        Case { line: "hickorylink_ready", min: 1.0 },
-        Case { line: "hickorylink_leader_found_total", min: 1.0 },
-        Case { line: "hickorylink_calls_total{call=\"submit\",reply=\"accepted\"}", min: 4.0 },
-        Case { line: "hickorylink_calls_total{call=\"show\",reply=\"no_queue\"}", min: 1.0 },
-        Case { line: "hickorylink_call_duration_seconds_count{call=\"submit\"}", min: 4.0 },
-    ];
-    let leader_at = fixture.deployment.leader().expect("there is a leader");
-    for (at, cases) in [(leader_at, &leader[..]), (3, &gateway[..])] {
-        let text = fixture.deployment.metrics(at).await.expect("metrics");
-        for case in cases {
-            let value = text.lines().find_map(|line| {
-                let (name, value) = line.rsplit_once(' ')?;
-                (name == case.line).then(|| value.parse::<f64>().expect("a number"))
-            });
-            let enough = value.is_some_and(|value| value >= case.min);
-            assert!(enough, "{}\n{text}\n{}", case.line, fixture.logs());
-        }
+    let (controllers, gateway) = texts.split_at(3);
+    let counters = LEADER_COUNTERS.iter().map(|case| (case, controllers));
+    for (case, texts) in counters.chain(GATEWAY_METRICS.iter().map(|case| (case, gateway))) {
+        assert!(case.holds(texts), "{}\n{}\n{}", case.line, texts.join("\n"), fixture.logs());
     }
+    // A gauge tells the state of the moment, and another controller may take over at any moment.
+    let shown = eventually(CONDITION_TIMEOUT, async || {
+        let at = fixture.deployment.leader()?;
+        let text = fixture.deployment.metrics(at).await.ok()?;
+        LEADER_GAUGES.iter().all(|case| case.holds(std::slice::from_ref(&text))).then_some(())
+    });
+    assert!(shown.await.is_some(), "{}\n{}", controllers.join("\n"), fixture.logs());
 }
 
 const SAME_JOB: &str = r#"{"spec":"s","steps":[{"count":1}]}"#;
