jobs: a heartbeat that others have overtaken is late by its own clock

Cause: the transit was computed with the time that the worker's clock had passed since the reference heartbeat, and that time saturates at 0. A heartbeat that was sent before the reference had only the delay since the reference arrived: 5 ms in place of 7 s. Of two such heartbeats that a new leader gets within 250 ms in the wrong order, the second confirmed the first. After a clock was set back, each heartbeat had another delay, so that four with the same never came.

Change: the reference heartbeat's clock plus the elapsed time is compared with the heartbeat's clock.

Evidence: each of the three cases failed before: "overtaken by later ones" was Timely, not Late; "the first one to a new leader, overtaken by a later one that was held up" was Timely, not Unconfirmed; "a clock that was set back" stayed Late for good.

--- a/lib/src/jobs/transit.rs
+++ b/lib/src/jobs/transit.rs
@@ -53,13 +53,14 @@
 
     /// Classifies a heartbeat that arrives now, with this clock of the worker.
     pub fn arrive(&mut self, now: Time, clock: Duration) -> Arrival {
-        let (elapsed, passed) = (now.since(self.arrived), clock.saturating_sub(self.sent));
+        let elapsed = now.since(self.arrived);
         if !self.confirmed {
-            let confirmed = elapsed.abs_diff(passed) < SAME_DELAY;
+            let confirmed = (self.sent + elapsed).abs_diff(clock) < SAME_DELAY;
             *self = Self { confirmed, ..Self::new(now, clock) };
             return if confirmed { Arrival::Timely } else { Arrival::Unconfirmed };
         }
-        let delay = elapsed.saturating_sub(passed);
+        // A heartbeat that others have overtaken tells an earlier clock than theirs.
+        let delay = (self.sent + elapsed).saturating_sub(clock);
         let drift = elapsed / MAX_DRIFT_DIVISOR;
         if delay <= RESPONSE_TIMEOUT + drift {
             if delay <= drift {
--- a/lib/tests/jobs/transit.rs
+++ b/lib/tests/jobs/transit.rs
@@ -56,6 +56,31 @@
             drift: 0,
             want: &[Unconfirmed; 3],
         },
+        Case {
+            name: "overtaken by later ones",
+            heartbeats: &[(0, 5), (900, 5), (7990, 5), (1000, 7000)],
+            drift: 0,
+            want: &[Unconfirmed, Timely, Timely, Late],
+        },
+        Case {
+            name: "the first one to a new leader, overtaken by a later one that was held up",
+            heartbeats: &[(2000, 5000), (0, 7100), (7200, 5)],
+            drift: 0,
+            want: &[Unconfirmed; 3],
+        },
+        Case {
+            name: "a clock that was set back",
+            heartbeats: &[
+                (10_000, 5),
+                (10_900, 5),
+                (0, 12_000),
+                (900, 12_000),
+                (1800, 12_000),
+                (2700, 12_000),
+            ],
+            drift: 0,
+            want: &[Unconfirmed, Timely, Late, Late, Late, Timely],
+        },
         Case {
             name: "a clock that stopped while the machine was suspended",
             heartbeats: &[
