jobs: a late heartbeat of an earlier life attracts no starts once the later one is gone, too

Cause: a heartbeat of an earlier incarnation counted as timely, since it is ignored while the later one is known. Once the later one had been removed, it was added to the fleet as a worker that is up.

Change: while the later one is known it is ignored as before. After that it is the first heartbeat of a worker, whose offset isn't confirmed, and without a clock it needs a second one like any worker that was removed. A worker whose wall clock stepped back between two lives is heard as before, from its second heartbeat on.

--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -374,17 +374,22 @@
     /// Classifies a heartbeat by the time that it was in transit. Without the worker's clock that isn't
     /// known; the first heartbeat after a worker was removed may then be one that was held up.
     pub fn arrive(&mut self, now: Time, report: &Report) -> Arrival {
-        let is_removed = !self.names.contains_key(&report.name);
-        match self.transits.get_mut(&report.name) {
+        let is_known = self.names.contains_key(&report.name);
+        let before = self.transits.get_mut(&report.name);
+        let without_clock =
+            if is_known || before.is_none() { Arrival::Timely } else { Arrival::Unconfirmed };
+        match before {
             Some(known) if known.incarnation == report.incarnation => {
                 known.arrived = now;
                 return match (&mut known.transit, report.clock) {
                     (Some(transit), Some(clock)) => transit.arrive(now, clock),
-                    (Some(_) | None, None | Some(_)) if is_removed => Arrival::Unconfirmed,
-                    (Some(_) | None, None | Some(_)) => Arrival::Timely,
+                    (Some(_) | None, None | Some(_)) => without_clock,
                 };
             }
-            Some(known) if known.incarnation > report.incarnation => return Arrival::Timely,
+            // It is ignored while the later incarnation is known.
+            Some(known) if is_known && known.incarnation > report.incarnation => {
+                return Arrival::Timely;
+            }
             Some(_) | None => {}
         }
         let transit = IncarnationTransit {
@@ -392,8 +397,7 @@
             transit: report.clock.map(|clock| Transit::new(now, clock)),
             arrived: now,
         };
-        let arrival =
-            if transit.transit.is_some() { Arrival::Unconfirmed } else { Arrival::Timely };
+        let arrival = if transit.transit.is_some() { Arrival::Unconfirmed } else { without_clock };
         self.transits.insert(report.name.clone(), transit);
         arrival
     }
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -130,9 +130,16 @@
         world.restart();
         world.advance(LEASE + MARGIN + Duration::from_secs(1));
     };
+    let reborn = |world: &mut World, worker: &mut FakeWorker| {
+        let report = Box::new(worker.restarted().report());
+        world.send(|ticket| Event::Heartbeat { ticket, report });
+        world.advance(LEASE + MARGIN + Duration::from_secs(1));
+    };
     let cases = [
         Case { name: "another leader has taken over", clock: true, lose: takeover, want: 2 },
         Case { name: "another worker has its address", clock: false, lose: replaced, want: 2 },
+        Case { name: "its next life is gone, too", clock: true, lose: reborn, want: 2 },
+        Case { name: "its next life is gone, too, no clock", clock: false, lose: reborn, want: 2 },
         Case { name: "its lease has run out", clock: true, lose: expired, want: 2 },
         Case { name: "its lease has run out, no clock", clock: false, lose: expired, want: 2 },
         Case { name: "its lease is about to run out", clock: true, lose: silent, want: 1 },
