jobs: the first heartbeat to a new leader doesn't renew the lease of inherited runs

Callers (LOST): tasks of a worker that died before the leader was lost wait for two leases: one from the takeover, and another one if a heartbeat that was held up arrives meanwhile.

Cause: that heartbeat attracts no starts since, but it was answered with a lease, and the leader has to wait for each lease that it gives.

Only the first one to a leader is treated so, and only that of a worker with inherited runs: these have the lease of the leader before.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -34,6 +34,10 @@
         }
         let was_leaving =
             worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        // Its runs have the lease of the leader before. If the worker is gone, they must not wait for
+        // another one.
+        let inherited = worker.profile.is_none() && !worker.runs.is_empty();
+        let renews = arrival == Arrival::Timely || !inherited;
         worker.update_profile(now, report);
         worker.confirmed = arrival == Arrival::Timely;
         if report.leaving.is_some() && !was_leaving {
@@ -46,6 +50,17 @@
         }
         let listed = self.process_running(now, number, &report.running);
         self.reconcile(number, &listed);
+        self.adjust_runs(now, number);
+        let until = now + self.hold_time(number, now);
+        let held = HeldHeartbeat { ticket, since: now, until, renews };
+        if let Some(older) = self.fleet.hold(number, held) {
+            self.answers.push((older.ticket, Answer::Acknowledged));
+        }
+        self.changed.insert(number);
+    }
+
+    /// Learns from the worker's measurements, and changes the paces of its runs or stops them.
+    fn adjust_runs(&mut self, now: Time, number: WorkerNumber) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let slow = self.interference.is_slow(worker, now);
         self.interference.learn(worker, now);
@@ -59,11 +74,6 @@
         if worker.health.slow {
             self.relocate(now, number, was_slow);
         }
-        let until = now + self.hold_time(number, now);
-        if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
-            self.answers.push((older.ticket, Answer::Acknowledged));
-        }
-        self.changed.insert(number);
     }
 
     /// Handles a heartbeat whose response would be dropped. Its ends count, but it doesn't show that
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -81,9 +81,12 @@
         let (timing, epoch) = (self.timing, self.epoch);
         let Some(held) = self.fleet.release(number) else { return };
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
-        let starts = self.pending_starts.remove(&number).unwrap_or_default();
-        let lease_until = held.since + timing.lease + timing.lease_margin;
-        worker.lease_until = worker.lease_until.max(lease_until);
+        let (mut lease, mut starts) = (Duration::ZERO, Vec::new());
+        if held.renews {
+            lease = timing.lease;
+            starts = self.pending_starts.remove(&number).unwrap_or_default();
+            worker.lease_until = worker.lease_until.max(held.since + lease + timing.lease_margin);
+        }
         let mut stops = worker.orphans.clone();
         let mut paces = Vec::new();
         for (task, view) in &mut worker.runs {
@@ -96,7 +99,7 @@
         }
         let mut response = HeartbeatResponse {
             epoch,
-            lease: timing.lease,
+            lease,
             stops,
             paces,
             acknowledged: worker.acknowledged(),
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -130,6 +130,8 @@
     pub since: Time,
     /// When it has to be answered at the latest.
     pub until: Time,
+    /// Whether the response renews the worker's lease.
+    pub renews: bool,
 }
 
 /// The leader's view of a run on a worker.
--- a/lib/src/jobs/response.rs
+++ b/lib/src/jobs/response.rs
@@ -12,7 +12,8 @@
 pub struct HeartbeatResponse {
     /// The fencing token of the leader.
     pub epoch: Epoch,
-    /// The duration of the lease, counted from when the heartbeat was sent.
+    /// The duration of the lease, counted from when the heartbeat was sent. A lease is never
+    /// shortened: zero renews none.
     pub lease: Duration,
     /// Runs to start.
     pub starts: Vec<RunStart>,
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -174,6 +174,50 @@
     }
 }
 
+/// Guards against tasks that wait for two leases: the first heartbeat that a new leader gets from their
+/// worker was held up by a partition, and the worker is gone.
+#[test]
+fn the_first_heartbeat_to_a_new_leader_renews_no_lease() {
+    /// The worker sends this number of heartbeats a second before the lease of the time before the new
+    /// leader runs out.
+    struct Case {
+        name: &'static str,
+        heartbeats: usize,
+        leases: &'static [Duration],
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "silent", heartbeats: 0, leases: &[], restarts: true },
+        Case { name: "held up", heartbeats: 1, leases: &[Duration::ZERO], restarts: true },
+        Case { name: "up", heartbeats: 2, leases: &[Duration::ZERO, LEASE], restarts: false },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let start = world.now;
+        let job = world.submit(7, vec![step(1)]);
+        while first.started.is_empty() {
+            first.clock = Some(world.now.since(start));
+            world.heartbeat(&mut first).expect("a response");
+            world.advance(Duration::from_millis(20));
+        }
+        world.restart();
+        world.advance(LEASE - Duration::from_secs(1));
+        let mut leases = Vec::new();
+        for _ in 0..case.heartbeats {
+            first.clock = Some(world.now.since(start));
+            leases.push(world.heartbeat(&mut first).expect("a response").lease);
+        }
+        assert_eq!(leases, case.leases, "{}", case.name);
+        let end = world.now + MARGIN + Duration::from_secs(2);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        let restarted = second.started.first() == Some(&(task(job, 0, 0), Run(2)));
+        assert_eq!(restarted, case.restarts, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_task_that_was_lost_with_its_worker_continues_from_its_checkpoint() {
     struct Case {
