--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -25,5 +25,4 @@
 pub mod report;
 pub mod response;
 pub mod state;
-pub mod transit;
 pub mod waiting;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -11,9 +11,9 @@
         pace,
         record::{Ending, Record},
         report::{Ended, Report, Running},
-        transit::Arrival,
     },
     time::Time,
+    transit::Arrival,
 };
 
 impl Leader {
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -14,10 +14,10 @@
         model::{Image, Label, Run, Step, StepKey, TaskKey, WorkerNumber},
         neighbours::Neighbours,
         report::Report,
-        transit::{Arrival, Transit},
     },
     resources::Resources,
     time::Time,
+    transit::{Arrival, Transit},
 };
 
 /// The percentage of their reserved processors that serving tasks are assumed to use until their
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod settings;
 pub mod task;
 pub mod time;
+pub mod transit;
 pub mod worker;
--- a/lib/src/jobs/transit.rs
+++ b/lib/src/transit.rs
@@ -1,4 +1,4 @@
-//! How long heartbeats were in transit.
+//! How long the heartbeats and announcements of workers were in transit.
 //!
 //! The clock of a worker and that of the leader have different origins. The fastest heartbeats tell
 //! the offset between them, and how much later than these another one has arrived is the time that it
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -9,5 +9,4 @@
 mod recovery;
 mod standing;
 mod steps;
-mod transit;
 mod world;
--- a/lib/tests/jobs/transit.rs
+++ b/lib/tests/transit.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hickorylink_lib::{
-    jobs::transit::{Arrival, Transit},
     time::Time,
+    transit::{Arrival, Transit},
 };
 
 /// Guards against heartbeats that count although their worker may be gone.
