scheduler: an announcement that was held up doesn't make a worker that is gone look alive

An announcement counts as a sign of life when it arrives, whenever it was sent: it renews the lease and makes the worker eligible for placement.

Change: an announcement may tell the worker's clock. One that was in transit for more than a second is answered without a lease and asks for the next one 100 ms later; only the ends that it reports count. Workers that tell no clock are as before. The workers of standin tell theirs.

Evidence: each of the three cases of a_late_announcement_of_a_worker_that_is_gone_attracts_no_starts failed before: the new task was started on the worker that is gone.

Left: the first announcement to a new holder, or of a worker that this holder doesn't know, counts as timely; the targets in a late announcement still count as confirmed in the directory.

--- a/lib/benches/scheduler.rs
+++ b/lib/benches/scheduler.rs
@@ -73,6 +73,7 @@
         Box::new(Announcement {
             worker: worker.clone(),
             incarnation: Incarnation(1),
+            clock: None,
             centre: "klang-a".into(),
             rack: Rack::from(format!("r{}", at / 6).as_str()),
             address: "10.0.0.1:7000".into(),
--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -1,5 +1,7 @@
 //! Handles the announcements of workers and the task reports in them.
 
+use std::time::Duration;
+
 use crate::{
     ids::{Epoch, Fence, TaskAttempt, TaskId},
     resources::Resources,
@@ -12,6 +14,7 @@
     },
     task::EvictionReason,
     time::Time,
+    transit::Arrival,
     worker::{Announcement, AttemptState, LeaseAnswer, WorkerCommand},
 };
 
@@ -24,6 +27,8 @@
 const MAX_WORKERS: usize = 65_536;
 /// The largest number of samples read from one announcement.
 const MAX_SAMPLES: usize = 4_096;
+/// How soon a worker announces itself again after an announcement that was late.
+const LATE_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Scheduler {
     /// Handles an announcement and answers it.
@@ -96,6 +101,10 @@
         if rebooted {
             self.reset_rebooted(now, slot, effects);
         }
+        match self.fleet[slot].arrive(now, announcement) {
+            Arrival::Late => return self.late_announcement(now, slot, announcement, effects),
+            Arrival::Timely | Arrival::Unconfirmed => {}
+        }
         let overdue = self.fleet[slot].health == Health::Suspect;
         self.update(now, slot, announcement);
         self.fleet[slot].leased_at = Some(now);
@@ -121,6 +130,25 @@
         }
     }
 
+    /// Handles an announcement whose answer comes too late. The ends that it reports count, but it
+    /// doesn't show that the worker is still up.
+    fn late_announcement(
+        &mut self,
+        now: Time,
+        slot: WorkerSlot,
+        announcement: &Announcement,
+        effects: &mut Vec<Effect>,
+    ) -> LeaseAnswer {
+        for report in
+            announcement.tasks.iter().filter(|report| report.state != AttemptState::Running)
+        {
+            if self.is_current(report.attempt, slot) {
+                self.apply_report(now, slot, report.attempt, &report.state, effects);
+            }
+        }
+        LeaseAnswer { interval: LATE_INTERVAL, ..self.lease_denied() }
+    }
+
     fn lease_denied(&self) -> LeaseAnswer {
         LeaseAnswer {
             epoch: self.leadership.epoch.unwrap_or_default(),
@@ -139,6 +167,7 @@
         let worker = &mut self.fleet[slot];
         worker.leaving = false;
         worker.growing_since = None;
+        worker.transit = None;
     }
 
     fn update(&mut self, now: Time, slot: WorkerSlot, announcement: &Announcement) {
--- a/lib/src/scheduler/fleet.rs
+++ b/lib/src/scheduler/fleet.rs
@@ -12,6 +12,8 @@
         index::{Index, WorkerSlot},
     },
     time::Time,
+    transit::{Arrival, Transit},
+    worker::Announcement,
 };
 
 /// The state of a worker.
@@ -43,6 +45,8 @@
     /// When the last announcement was answered with a lease.
     pub(super) leased_at: Option<Time>,
     pub(super) last_heard: Time,
+    /// The transit of the announcements of its incarnation; `None` if they don't tell its clock.
+    pub(super) transit: Option<Transit>,
     /// The task that the worker is reserved for.
     pub(super) reserved: Option<TaskId>,
     pub(super) outcomes: WorkerOutcomes,
@@ -68,6 +72,17 @@
 }
 
 impl Worker {
+    /// Classifies an announcement by the time that it was in transit.
+    pub(super) fn arrive(&mut self, now: Time, announcement: &Announcement) -> Arrival {
+        match (&mut self.transit, announcement.clock) {
+            (Some(transit), Some(clock)) => transit.arrive(now, clock),
+            (transit, clock) => {
+                *transit = clock.map(|clock| Transit::new(now, clock));
+                Arrival::Unconfirmed
+            }
+        }
+    }
+
     /// Marks an attempt as listed by the current announcement, and returns its allocation as it
     /// was.
     pub(super) fn mark_listed(&mut self, attempt: TaskAttempt) -> Option<Allocation> {
@@ -355,6 +370,7 @@
         presumed_stopped: BTreeSet::new(),
         leased_at: None,
         last_heard: now,
+        transit: None,
         reserved: None,
         outcomes: WorkerOutcomes::default(),
         quarantined_until: now,
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -24,6 +24,8 @@
         pub worker: WorkerName,
         /// The incarnation: it increases each time the worker restarts.
         pub incarnation: Incarnation,
+        /// The worker's monotonic clock when it sent the announcement; `None` if it doesn't say.
+        pub clock: Option<Duration>,
         /// The data centre that the worker is in.
         pub centre: DataCentre,
         /// The rack: its workers share a switch and a power supply.
--- a/lib/tests/instances/cluster.rs
+++ b/lib/tests/instances/cluster.rs
@@ -464,6 +464,7 @@
     Announcement {
         worker: "w1".into(),
         incarnation: Incarnation(1),
+        clock: None,
         centre: "akl-a".into(),
         rack: "r1".into(),
         address: "10.0.0.1:8000".to_owned(),
--- a/lib/tests/scheduler/fake_worker.rs
+++ b/lib/tests/scheduler/fake_worker.rs
@@ -126,6 +126,7 @@
         });
         Announcement {
             incarnation: Incarnation(self.incarnation),
+            clock: Some(Duration::from_millis(self.millis())),
             leaving: self.leaving,
             epoch: self.epoch,
             tasks: reports.collect(),
@@ -138,6 +139,8 @@
         if incarnation != self.incarnation || !self.accept(answer.epoch, answer.fence) {
             return;
         }
+        let interval = u64::try_from(answer.interval.as_millis()).expect("a short interval");
+        self.next_announcement = self.next_announcement.min(self.millis() + interval);
         if let Some(lease) = answer.lease {
             let lease = u64::try_from(lease.as_millis()).expect("a short lease");
             self.lease_end = self.lease_end.max(sent + lease);
--- a/lib/tests/scheduler/harness.rs
+++ b/lib/tests/scheduler/harness.rs
@@ -109,6 +109,7 @@
     Announcement {
         worker: worker.into(),
         incarnation: Incarnation(1),
+        clock: None,
         centre: centre(),
         rack: Rack::from("r0"),
         address: "10.0.0.1:7000".into(),
--- a/lib/tests/scheduler/leases.rs
+++ b/lib/tests/scheduler/leases.rs
@@ -7,7 +7,8 @@
     resources::Resources,
     scheduler::{charts::Phase, explain::TaskStatus, port::Effect},
     task::TaskState,
-    worker::{Announcement, AttemptState},
+    time::Time,
+    worker::{Announcement, AttemptState, TaskReport},
 };
 
 use crate::harness::{
@@ -247,6 +248,111 @@
     }
 }
 
+/// Guards against tasks that wait for a lease on a worker that is gone: an announcement that was held
+/// up by a partition makes it look alive.
+#[test]
+fn a_late_announcement_of_a_worker_that_is_gone_attracts_no_starts() {
+    struct Case {
+        name: &'static str,
+        lose: fn(&mut Harness),
+    }
+    let replaced = |harness: &mut Harness| {
+        harness.advance(Duration::from_secs(5));
+        let heir = Announcement {
+            address: "10.0.0.7:7000".into(),
+            ..announcement_of("w3", resources(1, 1))
+        };
+        harness.announce(heir).expect("a lease");
+    };
+    let cases = [
+        Case {
+            name: "its lease has run out",
+            lose: |harness| harness.advance(Duration::from_secs(10)),
+        },
+        Case {
+            name: "its lease is about to run out",
+            lose: |harness| harness.advance(Duration::from_millis(6_500)),
+        },
+        Case { name: "another worker has its address", lose: replaced },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        let start = harness.now;
+        let announcement = |now: Time, tasks: Vec<TaskReport>| Announcement {
+            clock: Some(now.since(start)),
+            address: "10.0.0.7:7000".into(),
+            tasks,
+            ..announcement_of("w1", LARGE_WORKER)
+        };
+        harness.announce(announcement(harness.now, Vec::new())).expect("a lease");
+        harness.open_task(task(1, "ann", resources(2, 2)));
+        assert_eq!(harness.record_starts(), [(attempt(1, 1), "w1".into())], "{}", case.name);
+        harness.advance(Duration::from_secs(1));
+        let running = || vec![report(attempt(1, 1), AttemptState::Running)];
+        harness.announce(announcement(harness.now, running())).expect("a lease");
+        let late = announcement(harness.now, running());
+        (case.lose)(&mut harness);
+        harness.take_effects();
+        let answer = harness.announce(late).expect(case.name);
+        harness.open_task(task(2, "bob", resources(2, 2)));
+        harness.announce(announcement_of("w2", LARGE_WORKER)).expect("a lease");
+        harness.advance(Duration::from_secs(2));
+        let started = harness.record_starts();
+        assert!(started.contains(&(attempt(2, 1), "w2".into())), "{}: {started:?}", case.name);
+        assert_eq!(answer.lease, None, "{}", case.name);
+    }
+}
+
+/// Guards against ends that are lost, and against workers that get no lease any more, because their
+/// announcements count as late.
+#[test]
+fn ends_in_late_announcements_are_recorded_and_a_stopped_clock_is_recognized() {
+    struct Case {
+        name: &'static str,
+        state: AttemptState,
+        ends: usize,
+    }
+    let completed = AttemptState::Completed { output: Vec::new().into() };
+    let cases = [
+        Case { name: "running", state: AttemptState::Running, ends: 0 },
+        Case { name: "completed", state: completed, ends: 1 },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        let start = harness.now;
+        let announce = |harness: &mut Harness, stopped: Duration, state: &AttemptState| {
+            let announcement = Announcement {
+                clock: Some(harness.now.since(start) - stopped),
+                tasks: vec![report(attempt(1, 1), state.clone())],
+                ..announcement_of("w1", LARGE_WORKER)
+            };
+            harness.announce(announcement).expect("an answer")
+        };
+        harness.announce(announcement_of("w1", LARGE_WORKER)).expect("a lease");
+        harness.open_task(task(1, "ann", resources(2, 2)));
+        assert_eq!(harness.record_starts(), [(attempt(1, 1), "w1".into())], "{}", case.name);
+        for _ in 0..2 {
+            announce(&mut harness, Duration::ZERO, &AttemptState::Running);
+            harness.advance(Duration::from_secs(1));
+        }
+        harness.advance(Duration::from_secs(2));
+        harness.take_effects();
+        let mut leases = Vec::new();
+        for _ in 0..4 {
+            let answer = announce(&mut harness, Duration::from_secs(2), &case.state);
+            leases.push(answer.lease.is_some());
+            harness.advance(answer.interval);
+        }
+        assert_eq!(leases, [false, false, false, true], "{}", case.name);
+        let effects = harness.take_effects();
+        let count = |of: fn(&Effect) -> bool| effects.iter().filter(|effect| of(effect)).count();
+        let ends = count(|effect| matches!(effect, Effect::RecordEnd { .. }));
+        assert_eq!(ends, case.ends, "{}", case.name);
+        let yields = count(|effect| matches!(effect, Effect::RecordYield { .. }));
+        assert_eq!(yields, 0, "{}: the attempt keeps its lease", case.name);
+    }
+}
+
 #[test]
 fn stops_presumed_from_leases_are_void_under_a_new_epoch() {
     let mut harness = harness_running(|_| {});
--- a/standin/src/experiment/driver.rs
+++ b/standin/src/experiment/driver.rs
@@ -155,6 +155,7 @@
         Announcement {
             worker: host.name.clone(),
             incarnation: Incarnation(1),
+            clock: None,
             centre: centre(),
             rack: format!("rack-{}", at / 8).as_str().into(),
             address: "10.0.0.1:7000".into(),
--- a/standin/src/worker.rs
+++ b/standin/src/worker.rs
@@ -91,6 +91,8 @@
     pub address: SocketAddr,
     /// The history to which it adds its events.
     pub history: History,
+    /// The origin of its clock.
+    started: Instant,
     wake: Notify,
     state: Mutex<State>,
 }
@@ -153,6 +155,7 @@
             spec,
             address,
             history,
+            started: Instant::now(),
             wake: Notify::new(),
             state: Mutex::new(state),
         });
@@ -280,6 +283,7 @@
         Announcement {
             worker: self.spec.name.clone(),
             incarnation: state.incarnation,
+            clock: Some(self.started.elapsed()),
             centre: self.spec.centre.clone(),
             rack: self.spec.rack.clone(),
             address: self.address.to_string(),
