jobs: a leave message without an incarnation counts only of a worker that is leaving

Callers: a task runs twice at the same time, and a worker that is up loses its runs.

Cause: the body of a leave message may be empty. One that was held up until its worker had started again under the same id was taken for one of the new life: its runs were given up 500 ms later unless a heartbeat came within that time, and a full worker sends one each 900 ms.

Ruled out: messages that name an incarnation were compared with the worker's already.

Evidence: the case "up" of the test failed before: the second run of its task started elsewhere within a second, beside the first.

Conclusion: after a takeover, the runs of a worker that leaves without an incarnation before its first heartbeat to the new leader wait for its lease.

--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -378,8 +378,10 @@
     ) {
         let number = self.fleet.find(name).filter(|number| {
             let worker = self.fleet.workers.get(number);
-            worker.is_some_and(|worker| {
-                incarnation.is_none_or(|incarnation| incarnation == worker.incarnation)
+            worker.is_some_and(|worker| match incarnation {
+                Some(incarnation) => incarnation == worker.incarnation,
+                // It may be that of an earlier incarnation. A worker reports that it leaves before.
+                None => worker.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some()),
             })
         });
         if let Some(number) = number {
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -388,6 +388,37 @@
     assert_eq!(second.started, [(task(job, 0, 0), Run(2))]);
 }
 
+/// Guards against a second run of a task beside the first one: a leave message that names no incarnation
+/// was held up, and its worker has started again.
+#[test]
+fn a_leave_message_without_an_incarnation_counts_only_of_a_worker_that_is_leaving() {
+    struct Case {
+        name: &'static str,
+        leaving: Option<u64>,
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "up", leaving: None, restarts: false },
+        Case { name: "leaving", leaving: Some(2000), restarts: true },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let job = world.submit(7, vec![step(1)]);
+        world.heartbeat(&mut first).expect("a response");
+        first.leaving = case.leaving;
+        world.heartbeat(&mut first).expect("a response");
+        let name = first.name.as_str().into();
+        world.send(|ticket| Event::Leave { ticket, name, incarnation: None, ended: Vec::new() });
+        let end = world.now + Duration::from_secs(1);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        let restarted = second.started.first() == Some(&(task(job, 0, 0), Run(2)));
+        assert_eq!(restarted, case.restarts, "{}", case.name);
+    }
+}
+
 /// Sends the message of a worker that leaves, which lists no ends.
 fn leave(world: &mut World, worker: &FakeWorker) {
     let (name, incarnation) = (worker.name.as_str().into(), Some(Incarnation(worker.incarnation)));
