--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -27,5 +27,4 @@
 pub mod response;
 pub mod state;
 pub mod suspects;
-pub mod transit;
 pub mod waiting;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -15,9 +15,9 @@
         pace,
         record::{Ending, Record},
         report::{Ended, Report, Running},
-        transit::Arrival,
     },
     time::Time,
+    transit::Arrival,
 };
 
 impl Leader {
@@ -45,6 +45,16 @@
         let listed = self.process_running(now, number, &report.running);
         self.settle_runs(now, number, &listed);
         self.reconcile(now, number, &listed);
+        self.adjust_runs(now, number);
+        let until = now + self.hold_time(number, now);
+        if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
+            self.answers.push((older.ticket, Answer::Acknowledged));
+        }
+        self.changed.insert(number);
+    }
+
+    /// Learns from the worker's measurements, and changes the paces of its runs or stops them.
+    fn adjust_runs(&mut self, now: Time, number: WorkerNumber) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let slow = self.interference.is_slow(worker, now);
         self.interference.learn(worker, now);
@@ -59,11 +69,6 @@
             self.relocate(now, number, was_slow);
         }
         self.relieve(now, number);
-        let until = now + self.hold_time(number, now);
-        if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
-            self.answers.push((older.ticket, Answer::Acknowledged));
-        }
-        self.changed.insert(number);
     }
 
     /// Handles a heartbeat whose response would be dropped. Its ends count, but it doesn't show that
--- a/lib/src/jobs/transit.rs
+++ b/lib/src/transit.rs
@@ -1,4 +1,4 @@
-//! How long heartbeats were in transit.
+//! How long the heartbeats and announcements of workers were in transit.
 //!
 //! The clock of a worker and that of the leader have different origins. The fastest heartbeats tell
 //! the offset between them, and how much later than these another one has arrived is the time that it
@@ -61,15 +61,16 @@
 
     /// Classifies a heartbeat that arrives now, with this clock of the worker.
     pub fn arrive(&mut self, now: Time, clock: Duration) -> Arrival {
-        let (elapsed, passed) = (now.since(self.arrived), clock.saturating_sub(self.sent));
+        let elapsed = now.since(self.arrived);
         if let Some(count) = self.unconfirmed {
-            let same = elapsed.abs_diff(passed) < CONFIRMING_DIFFERENCE;
+            let same = (self.sent + elapsed).abs_diff(clock) < CONFIRMING_DIFFERENCE;
             let confirmed = same || count >= MAX_UNCONFIRMED;
             let unconfirmed = (!confirmed).then_some(count + 1);
             *self = Self { unconfirmed, ..Self::new(now, clock) };
             return if confirmed { Arrival::Timely } else { Arrival::Unconfirmed };
         }
-        let delay = elapsed.saturating_sub(passed);
+        // A heartbeat that others have overtaken tells an earlier clock than theirs.
+        let delay = (self.sent + elapsed).saturating_sub(clock);
         let drift = elapsed / MAX_DRIFT_DIVISOR;
         if delay <= RESPONSE_TIMEOUT + drift {
             if delay <= drift {
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -134,6 +134,11 @@
         world.restart();
         world.advance(LEASE + MARGIN - Duration::from_millis(500));
     };
+    let reborn = |world: &mut World, worker: &mut FakeWorker| {
+        let report = Box::new(worker.restarted().report());
+        world.send(|ticket| Event::Heartbeat { ticket, report });
+        world.advance(LEASE + MARGIN + Duration::from_secs(1));
+    };
     let cases = [
         Case { name: "another leader has taken over", clock: true, lose: takeover, want: 2 },
         Case {
@@ -143,6 +148,8 @@
             want: 2,
         },
         Case { name: "another worker has its address", clock: false, lose: replaced, want: 2 },
+        Case { name: "its next life is gone, too", clock: true, lose: reborn, want: 2 },
+        Case { name: "its next life is gone, too, no clock", clock: false, lose: reborn, want: 2 },
         Case { name: "its lease has run out", clock: true, lose: expired, want: 2 },
         Case { name: "its lease has run out, no clock", clock: false, lose: expired, want: 2 },
         Case { name: "its lease is about to run out", clock: true, lose: silent, want: 1 },
@@ -177,6 +184,50 @@
     }
 }
 
+/// Guards against tasks that wait for two leases: the first heartbeat that a new leader gets from their
+/// worker was held up by a partition, and the worker is gone.
+#[test]
+fn the_first_heartbeat_to_a_new_leader_renews_no_lease() {
+    /// The worker sends this number of heartbeats a second before the lease of the time before the new
+    /// leader runs out.
+    struct Case {
+        name: &'static str,
+        heartbeats: usize,
+        leases: &'static [Option<Duration>],
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "silent", heartbeats: 0, leases: &[], restarts: true },
+        Case { name: "held up", heartbeats: 1, leases: &[None], restarts: true },
+        Case { name: "up", heartbeats: 2, leases: &[None, Some(LEASE)], restarts: false },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let start = world.now;
+        let job = world.submit(7, vec![step(1)]);
+        while first.started.is_empty() {
+            first.clock = Some(world.now.since(start));
+            world.heartbeat(&mut first).expect("a response");
+            world.advance(Duration::from_millis(20));
+        }
+        world.restart();
+        world.advance(LEASE - Duration::from_secs(1));
+        let mut leases = Vec::new();
+        for _ in 0..case.heartbeats {
+            first.clock = Some(world.now.since(start));
+            leases.push(world.heartbeat(&mut first).expect("a response").lease);
+        }
+        assert_eq!(leases, case.leases, "{}", case.name);
+        let end = world.now + MARGIN + Duration::from_secs(2);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        let restarted = second.started.first() == Some(&(task(job, 0, 0), Run(2)));
+        assert_eq!(restarted, case.restarts, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_task_that_was_lost_with_its_worker_continues_from_its_checkpoint() {
     struct Case {
@@ -369,6 +420,37 @@
     assert_eq!(second.started, [(task(job, 0, 0), Run(2))]);
 }
 
+/// Guards against a second run of a task beside the first one: a leave message that names no incarnation
+/// was held up, and its worker has started again.
+#[test]
+fn a_leave_message_without_an_incarnation_counts_only_of_a_worker_that_is_leaving() {
+    struct Case {
+        name: &'static str,
+        leaving: Option<u64>,
+        restarts: bool,
+    }
+    let cases = [
+        Case { name: "up", leaving: None, restarts: false },
+        Case { name: "leaving", leaving: Some(2000), restarts: true },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        let job = world.submit(7, vec![step(1)]);
+        world.heartbeat(&mut first).expect("a response");
+        first.leaving = case.leaving;
+        world.heartbeat(&mut first).expect("a response");
+        let name = first.name.as_str().into();
+        world.send(|ticket| Event::Leave { ticket, name, incarnation: None, ended: Vec::new() });
+        let end = world.now + Duration::from_secs(1);
+        while world.now < end {
+            world.heartbeat(&mut second);
+        }
+        let restarted = second.started.first() == Some(&(task(job, 0, 0), Run(2)));
+        assert_eq!(restarted, case.restarts, "{}", case.name);
+    }
+}
+
 /// Sends the message of a worker that leaves, which lists no ends.
 fn leave(world: &mut World, worker: &FakeWorker) {
     let (name, incarnation) = (worker.name.as_str().into(), Some(Incarnation(worker.incarnation)));
