--- /dev/null
+++ b/lib/src/jobs/fleet/worker.rs
@@ -0,0 +1,328 @@
+//! One incarnation of a worker as the leader sees it.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use crate::{
+    ids::{DataCentre, Incarnation, ServiceName, WorkerName},
+    jobs::{
+        controller::Ticket,
+        fleet::{Orphan, RunView},
+        health::Health,
+        model::{Label, Run, StepKey, TaskKey},
+        neighbours::Neighbours,
+        report::Report,
+    },
+    resources::Resources,
+    time::Time,
+};
+
+/// The percentage of their reserved processors that serving tasks are assumed to use until their
+/// load is known.
+const ASSUMED_LOAD_PERCENT: u64 = 50;
+
+/// The percentage of the processors of a worker with serving tasks that all its tasks may use
+/// together, counting opportunistic tasks by their requests, which few of them reach. Tail latencies
+/// rise steeply once all processors are in use.
+const MAX_USED_PERCENT: u64 = 104;
+
+/// One incarnation of a worker.
+#[derive(Debug)]
+pub struct Worker {
+    /// Its name.
+    pub name: WorkerName,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// The properties it reported last; `None` before its first heartbeat to this leader.
+    pub profile: Option<Profile>,
+    /// The sequence number of its last heartbeat.
+    pub sequence: u64,
+    /// When that heartbeat arrived.
+    pub last_heartbeat: Time,
+    /// Whether that heartbeat is known to have been timely.
+    pub confirmed: bool,
+    /// The time until which the worker may still execute its runs, by this controller's clock.
+    pub lease_until: Time,
+    /// The heartbeat that is held open until there is something to send.
+    pub held: Option<HeldHeartbeat>,
+    /// The runs that it lists, and those that it was sent.
+    pub runs: BTreeMap<TaskKey, RunView>,
+    /// The sum of what these runs and the orphans reserve.
+    pub reserved: Resources,
+    /// The processors that its opportunistic runs request, in millicores.
+    pub demand: u64,
+    /// The number of its serving runs.
+    pub serving: u32,
+    /// The processors that its serving runs reserve, in millicores.
+    pub serving_reserved: u64,
+    /// The processors that its serving runs use at their present load, in millicores; an estimate.
+    pub serving_used: u64,
+    /// Runs that the worker lists but should not execute, and that aren't among `runs`.
+    pub orphans: BTreeMap<(TaskKey, Run), Orphan>,
+    /// The number of the last reported end that was processed.
+    pub last_end: u64,
+    /// Ends from this number on are never acknowledged; see [`Worker::acknowledged`].
+    pub withheld: Option<u64>,
+    /// When its runs are given up after it has left; `None` if it hasn't left. Until then, a
+    /// heartbeat that its leave message overtook may still report their ends.
+    pub departed: Option<Time>,
+    /// Since when its runs have reserved more than it has, or when some were last moved away for it.
+    pub excess_since: Option<Time>,
+    /// A summary of its runs for placement.
+    pub neighbours: Neighbours,
+    /// The recent outcomes of its runs.
+    pub health: Health,
+    /// The task that runs here alone until it has settled, or for which the worker is reserved.
+    pub probation: Option<TaskKey>,
+}
+
+/// The properties that a worker reports.
+#[derive(Debug)]
+pub struct Profile {
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Its data centre.
+    pub centre: DataCentre,
+    /// Its labels; one of them names its rack.
+    pub labels: Vec<Label>,
+    /// The address that other processes reach it at.
+    pub address: Box<str>,
+    /// Its total resources.
+    pub capacity: Resources,
+    /// The earliest time at which it leaves; `None` if it stays.
+    pub leaves_at: Option<Time>,
+}
+
+/// A heartbeat that is held open.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldHeartbeat {
+    /// Identifies the request to answer.
+    pub ticket: Ticket,
+    /// When it arrived.
+    pub since: Time,
+    /// When it has to be answered at the latest.
+    pub until: Time,
+}
+
+impl Worker {
+    /// An incarnation without a heartbeat to this leader yet; its lease may last until
+    /// `lease_until`.
+    pub fn new(name: WorkerName, incarnation: Incarnation, now: Time, lease_until: Time) -> Self {
+        Self {
+            name,
+            incarnation,
+            profile: None,
+            sequence: 0,
+            last_heartbeat: now,
+            confirmed: true,
+            lease_until,
+            held: None,
+            runs: BTreeMap::new(),
+            reserved: Resources::ZERO,
+            demand: 0,
+            serving: 0,
+            serving_reserved: 0,
+            serving_used: 0,
+            orphans: BTreeMap::new(),
+            last_end: 0,
+            withheld: None,
+            departed: None,
+            excess_since: None,
+            neighbours: Neighbours::default(),
+            health: Health::default(),
+            probation: None,
+        }
+    }
+
+    /// Updates the properties from a heartbeat.
+    pub fn update_profile(&mut self, now: Time, report: &Report) {
+        self.sequence = report.sequence;
+        self.last_heartbeat = now;
+        let leaves_at = report.leaving.map(|left| now + Duration::from_millis(left));
+        self.profile = Some(Profile {
+            service: report.service.clone(),
+            centre: report.centre.clone(),
+            labels: report.labels.clone(),
+            address: report.address.clone(),
+            capacity: report.capacity,
+            leaves_at,
+        });
+        if leaves_at.is_none() {
+            // The leave message was that of an earlier incarnation with the same name.
+            self.departed = None;
+        }
+    }
+
+    /// Adds a run. An older run of the task that the worker still lists becomes an orphan.
+    pub fn add(&mut self, task: TaskKey, view: RunView) {
+        if let Some(older) = self.remove(&task)
+            && older.listed
+            && older.run != view.run
+        {
+            let orphan = Orphan { reserved: older.reserved, missing: older.missing };
+            self.add_orphan(task, older.run, orphan);
+        }
+        self.reserved = self.reserved.saturating_add(&view.reserved);
+        self.demand += view.demand;
+        if view.target_latency.is_some() {
+            self.serving += 1;
+            self.serving_reserved += view.reserved.millicores;
+            self.serving_used += assumed_use(&view);
+        }
+        if view.probation {
+            self.probation = Some(task);
+        }
+        self.runs.insert(task, view);
+    }
+
+    /// Removes a run.
+    pub fn remove(&mut self, task: &TaskKey) -> Option<RunView> {
+        let view = self.runs.remove(task)?;
+        if self.probation == Some(*task) {
+            self.probation = None;
+        }
+        self.reserved = self.reserved.saturating_sub(&view.reserved);
+        self.demand -= view.demand;
+        if view.target_latency.is_some() {
+            self.serving -= 1;
+            self.serving_reserved -= view.reserved.millicores;
+            self.serving_used = self.serving_used.saturating_sub(assumed_use(&view));
+        }
+        Some(view)
+    }
+
+    /// Adds an orphan.
+    pub fn add_orphan(&mut self, task: TaskKey, run: Run, orphan: Orphan) {
+        self.remove_orphan(&task, run);
+        self.reserved = self.reserved.saturating_add(&orphan.reserved);
+        self.orphans.insert((task, run), orphan);
+    }
+
+    /// Removes an orphan.
+    pub fn remove_orphan(&mut self, task: &TaskKey, run: Run) -> Option<Orphan> {
+        let orphan = self.orphans.remove(&(*task, run))?;
+        self.reserved = self.reserved.saturating_sub(&orphan.reserved);
+        Some(orphan)
+    }
+
+    /// Marks the orphans that the worker doesn't list, and removes those that were missing before.
+    pub fn expire_orphans(&mut self, listed: &BTreeSet<(TaskKey, Run)>) {
+        let missing: Vec<_> =
+            self.orphans.keys().filter(|key| !listed.contains(key)).copied().collect();
+        for (task, run) in missing {
+            if let Some(orphan) = self.orphans.get_mut(&(task, run))
+                && !std::mem::replace(&mut orphan.missing, true)
+            {
+                continue;
+            }
+            self.remove_orphan(&task, run);
+        }
+    }
+
+    /// The resources that aren't reserved; zero before the first heartbeat.
+    pub fn free(&self) -> Resources {
+        self.capacity().saturating_sub(&self.reserved)
+    }
+
+    /// Whether its runs reserve more than it has. It may have shrunk since they were started.
+    pub fn is_overcommitted(&self) -> bool {
+        !self.capacity().fits(&self.reserved)
+    }
+
+    /// What its runs reserve beyond its capacity, without those that are being stopped.
+    pub fn excess(&self) -> Resources {
+        let staying = self.runs.values().filter(|view| !view.stopping);
+        let reserved =
+            staying.fold(Resources::ZERO, |sum, view| sum.saturating_add(&view.reserved));
+        reserved.saturating_sub(&self.capacity())
+    }
+
+    /// Its total resources; zero before the first heartbeat.
+    pub fn capacity(&self) -> Resources {
+        self.profile.as_ref().map_or(Resources::ZERO, |profile| profile.capacity)
+    }
+
+    /// The processors that all its tasks may use together, in millicores.
+    fn usable_processors(&self) -> u64 {
+        let millicores = self.capacity().millicores;
+        if self.serving > 0 { millicores * MAX_USED_PERCENT / 100 } else { millicores }
+    }
+
+    /// The processors that reservations and serving tasks take, in millicores.
+    fn taken(&self) -> u64 {
+        let others = self.reserved.millicores.saturating_sub(self.serving_reserved);
+        others + self.serving_used
+    }
+
+    /// The processors that are left for further opportunistic tasks, in millicores.
+    pub fn unused(&self) -> u64 {
+        self.usable_processors().saturating_sub(self.taken() + self.demand)
+    }
+
+    /// The pace, from 0 to 1, at which the processors suffice for all opportunistic tasks; 1 before
+    /// the first heartbeat.
+    pub fn affordable_pace(&self) -> f64 {
+        if self.profile.is_none() {
+            return 1.0;
+        }
+        let left = self.usable_processors().saturating_sub(self.taken());
+        if left >= self.demand { 1.0 } else { left as f64 / self.demand as f64 }
+    }
+
+    /// The estimated number of processors in use, in millicores: the reported usage of
+    /// opportunistic tasks, the average usage of serving tasks and the reservations of all others.
+    pub fn used(&self) -> u64 {
+        let opportunistic = self.runs.values().filter(|view| view.is_opportunistic());
+        let used: u64 = opportunistic.map(|view| view.gauge.min(view.demand)).sum();
+        used + self.taken()
+    }
+
+    /// Whether its tasks use all processors that they may use together.
+    pub fn is_saturated(&self) -> bool {
+        self.profile.is_some() && self.used() > self.usable_processors()
+    }
+
+    /// The number of the step's tasks on this worker.
+    pub fn count(&self, step: &StepKey) -> u32 {
+        let range = step.task(0)..=step.task(u32::MAX);
+        u32::try_from(self.runs.range(range).count()).unwrap_or(u32::MAX)
+    }
+
+    /// The number up to which the worker's ends may be acknowledged.
+    ///
+    /// If a run is done after its lease has expired and its task was requeued, the result is
+    /// discarded and the task runs again. The end of such a run is not acknowledged, so that it
+    /// isn't taken for the completion of the task. Neither are later ends, because an
+    /// acknowledgement covers all ends up to its number.
+    pub fn acknowledged(&self) -> u64 {
+        self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
+    }
+
+    /// Whether all its runs have settled.
+    pub fn is_settled(&self) -> bool {
+        self.runs.values().all(|view| view.settled)
+    }
+
+    /// Whether it leaves or has left.
+    pub fn is_leaving(&self) -> bool {
+        let leaves = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
+        leaves || self.departed.is_some()
+    }
+
+    /// Whether runs may be started on the worker.
+    pub fn is_usable(&self, now: Time) -> bool {
+        let heard = self.profile.is_some();
+        heard
+            && self.confirmed
+            && !self.is_leaving()
+            && !self.is_overcommitted()
+            && self.health.is_healthy(now)
+    }
+}
+
+/// The processors that a serving run is assumed to use, in millicores.
+fn assumed_use(view: &RunView) -> u64 {
+    view.reserved.millicores * ASSUMED_LOAD_PERCENT / 100
+}
