jobs: suspects are tried next on workers that have been up for a while

What callers might see: a job whose tasks crash nothing is given up.

Cause: a suspect goes to the worker with the fewest runs, and that is one that has just come up again. A worker that goes down and up by turns attracts suspects each time, and three crashes of its own would be held against the same task.

Change: among workers without unsettled runs, those that have sent 20 heartbeats are preferred.

Evidence: the case "just up" of a_suspect_avoids_workers_that_have_just_come_up failed with the preference switched off (the suspect started on the empty worker). a_suspect_runs_without_other_unsettled_runs keeps its assertions; its second worker has sent as many heartbeats as the first now.

--- a/lib/src/jobs/placement.rs
+++ b/lib/src/jobs/placement.rs
@@ -126,16 +126,20 @@
     let costs = pool.fitting(Demand::new(request.step)).filter_map(|number| {
         *evaluated += 1;
         let worker = fleet.workers.get(&number)?;
-        let risk = if request.probation { risk(worker) } else { (false, 0) };
+        let risk = if request.probation { risk(worker) } else { (false, false, 0) };
         Some((risk, cost(worker, request)? + avoid_cost(number, request), number))
     });
     costs.min().map(|(_, _, number)| number)
 }
 
-/// What a suspect endangers on a worker: whether there are unsettled runs, which its crash would
-/// make suspects, and the number of all runs.
-fn risk(worker: &Worker) -> (bool, usize) {
-    (!worker.is_settled(), worker.runs.len())
+/// The number of heartbeats after which a worker counts as established.
+const ESTABLISHED_HEARTBEATS: u64 = 20;
+
+/// What speaks against a worker for a suspect, the gravest first: it has unsettled runs, which a crash
+/// would make suspects; it has just come up, and if it goes down by itself the suspect is blamed; the
+/// number of runs that a crash would take along.
+fn risk(worker: &Worker) -> (bool, bool, usize) {
+    (!worker.is_settled(), worker.sequence < ESTABLISHED_HEARTBEATS, worker.runs.len())
 }
 
 /// The cost of a worker on which the task has failed before. Exceeds all other costs.
--- a/lib/tests/jobs/crashes.rs
+++ b/lib/tests/jobs/crashes.rs
@@ -293,6 +293,7 @@
         world.advance(Duration::from_millis(20));
         world.heartbeat(&mut first);
     }
+    second.sequence = first.sequence;
     world.submit(7, vec![step(1)]);
     world.heartbeat(&mut crashed);
     assert!(crashed.running.contains_key(&suspect), "the suspect has run");
@@ -321,6 +322,41 @@
     assert!(second.running.len() > 1, "other tasks start once the suspect has settled");
 }
 
+/// Guards against innocent tasks that are given up: a worker that goes down again and again is empty
+/// each time it comes up.
+#[test]
+fn a_suspect_avoids_workers_that_have_just_come_up() {
+    struct Case {
+        name: &'static str,
+        heartbeats: u64,
+        want: usize,
+    }
+    let cases = [
+        Case { name: "just up", heartbeats: 1, want: 0 },
+        Case { name: "established", heartbeats: 100, want: 1 },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut busy, mut crashed) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+        busy.sequence = 100;
+        world.submit(8, vec![long_running(1)]);
+        let settled = world.now + seconds(2);
+        while world.now < settled {
+            world.advance(Duration::from_millis(20));
+            world.heartbeat(&mut busy);
+        }
+        world.submit(7, vec![step(1)]);
+        world.heartbeat(&mut crashed);
+        assert_eq!(crashed.running.len(), 1, "{}", case.name);
+        let report = Box::new(busy.report());
+        let ticket = world.send(|ticket| Event::Heartbeat { ticket, report });
+        let mut empty = FakeWorker { sequence: case.heartbeats, ..crashed.restarted() };
+        world.heartbeat(&mut empty);
+        busy.apply(&world.response(ticket).expect("a response"));
+        assert_eq!(empty.running.len(), case.want, "{}", case.name);
+    }
+}
+
 /// Regression: a suspect must find a place although all workers get new tasks all the time, and
 /// must not take any of these along.
 #[test]
