--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -10,8 +10,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-
 use crate::{
     consensus::{
         Consensus,
@@ -21,8 +19,7 @@
     },
     ids::{Epoch, Index, InstanceId},
     jobs::{
-        call::{OperatorReply, Reply},
-        controller::leader::Leader,
+        controller::{leader::Leader, turn::PendingProposal},
         link::{ControllerStatus, LinkMessage},
         members::{Membership, recorded_peers},
         record::{Batch, Node},
@@ -44,6 +41,7 @@
 mod respond;
 mod round;
 mod schedule;
+mod turn;
 
 pub use self::{
     config::{Config, Timing},
@@ -53,15 +51,6 @@
 /// The interval between two hellos to the other controllers.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
-/// A proposal that isn't committed yet, with the answers that depend on it.
-#[derive(Debug)]
-struct PendingProposal {
-    number: u64,
-    since: Time,
-    records: usize,
-    answers: Vec<(Ticket, Answer)>,
-}
-
 /// A controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -405,67 +394,4 @@
             }
         }
     }
-
-    /// Stops leading. A pending proposal may still be committed by the next leader, so its callers
-    /// are told that the outcome is unknown.
-    fn step_down(&mut self, out: &mut Vec<Effect>) {
-        let leader = self.leader.take();
-        let held = leader.into_iter().flat_map(Leader::into_tickets);
-        let held = held.map(|ticket| (ticket, Answer::Redirect(None)));
-        let waiting = self.pending.drain(..).flat_map(|pending| pending.answers);
-        let waiting = waiting.map(|(ticket, answer)| match answer {
-            Answer::Reply(_) => (ticket, Answer::Reply(Reply::Unknown)),
-            Answer::Operator(_) => (ticket, Answer::Operator(OperatorReply::Unknown)),
-            Answer::Heartbeat(_)
-            | Answer::Acknowledged
-            | Answer::Redirect(_)
-            | Answer::Status(_) => (ticket, Answer::Redirect(None)),
-        });
-        let all: Vec<_> = held.chain(waiting).collect();
-        out.extend(all.into_iter().map(|(ticket, answer)| Effect::Answer {
-            ticket,
-            answer,
-            until: None,
-        }));
-    }
-
-    /// Places waiting tasks and proposes the new records as one log entry.
-    fn finish_turn(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
-        if !self.leads(now) {
-            return;
-        }
-        let Some(leader) = &mut self.leader else { return };
-        let proposal = leader.finish_turn(now, wall, out);
-        if !proposal.is_empty() {
-            self.proposals += 1;
-            let number = self.proposals;
-            let (since, records) = (now, proposal.len());
-            self.pending.push_back(PendingProposal {
-                number,
-                since,
-                records,
-                answers: proposal.answers,
-            });
-            let (records, crashes) = (proposal.records, proposal.crashes);
-            let batch = Batch { origin: self.config.me.id, number, records, crashes };
-            let command = Bytes::from(batch.encode());
-            let ticket = crate::ids::Ticket(number);
-            self.step_consensus(now, consensus::Event::Propose { ticket, command });
-        } else if let Some(last) = self.pending.back_mut() {
-            last.answers.extend(proposal.answers);
-        } else {
-            for (ticket, answer) in proposal.answers {
-                self.answer(now, ticket, answer, out);
-            }
-        }
-    }
-
-    fn compact(&mut self, now: Time) {
-        if self.applied.0 < self.compacted.0 + self.config.snapshot_every {
-            return;
-        }
-        self.compacted = self.applied;
-        let state = Bytes::from(self.committed.encode());
-        self.step_consensus(now, consensus::Event::Compacted { index: self.applied, state });
-    }
 }
--- /dev/null
+++ b/lib/src/jobs/controller/turn.rs
@@ -0,0 +1,87 @@
+//! The end of a turn of a controller, and the proposals that wait for their commit.
+
+use bytes::Bytes;
+
+use crate::{
+    consensus::port as consensus,
+    jobs::{
+        call::{OperatorReply, Reply},
+        controller::{Answer, Controller, Effect, Ticket, leader::Leader},
+        record::Batch,
+    },
+    time::{Time, WallTime},
+};
+
+/// A proposal that isn't committed yet, with the answers that depend on it.
+#[derive(Debug)]
+pub(super) struct PendingProposal {
+    pub(super) number: u64,
+    pub(super) since: Time,
+    pub(super) records: usize,
+    pub(super) answers: Vec<(Ticket, Answer)>,
+}
+
+impl Controller {
+    /// Stops leading. A pending proposal may still be committed by the next leader, so its callers
+    /// are told that the outcome is unknown.
+    pub(super) fn step_down(&mut self, out: &mut Vec<Effect>) {
+        let leader = self.leader.take();
+        let held = leader.into_iter().flat_map(Leader::into_tickets);
+        let held = held.map(|ticket| (ticket, Answer::Redirect(None)));
+        let waiting = self.pending.drain(..).flat_map(|pending| pending.answers);
+        let waiting = waiting.map(|(ticket, answer)| match answer {
+            Answer::Reply(_) => (ticket, Answer::Reply(Reply::Unknown)),
+            Answer::Operator(_) => (ticket, Answer::Operator(OperatorReply::Unknown)),
+            Answer::Heartbeat(_)
+            | Answer::Acknowledged
+            | Answer::Redirect(_)
+            | Answer::Status(_) => (ticket, Answer::Redirect(None)),
+        });
+        let all: Vec<_> = held.chain(waiting).collect();
+        out.extend(all.into_iter().map(|(ticket, answer)| Effect::Answer {
+            ticket,
+            answer,
+            until: None,
+        }));
+    }
+
+    /// Places waiting tasks and proposes the new records as one log entry.
+    pub(super) fn finish_turn(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
+        if !self.leads(now) {
+            return;
+        }
+        let Some(leader) = &mut self.leader else { return };
+        let proposal = leader.finish_turn(now, wall, out);
+        if !proposal.is_empty() {
+            self.proposals += 1;
+            let number = self.proposals;
+            let (since, records) = (now, proposal.len());
+            self.pending.push_back(PendingProposal {
+                number,
+                since,
+                records,
+                answers: proposal.answers,
+            });
+            let (records, crashes) = (proposal.records, proposal.crashes);
+            let batch = Batch { origin: self.config.me.id, number, records, crashes };
+            let command = Bytes::from(batch.encode());
+            let ticket = crate::ids::Ticket(number);
+            self.step_consensus(now, consensus::Event::Propose { ticket, command });
+        } else if let Some(last) = self.pending.back_mut() {
+            last.answers.extend(proposal.answers);
+        } else {
+            for (ticket, answer) in proposal.answers {
+                self.answer(now, ticket, answer, out);
+            }
+        }
+    }
+
+    pub(super) fn compact(&mut self, now: Time) {
+        if self.applied.0 < self.compacted.0 + self.config.snapshot_every {
+            return;
+        }
+        self.compacted = self.applied;
+        let state = Bytes::from(self.committed.encode());
+        self.step_consensus(now, consensus::Event::Compacted { index: self.applied, state });
+    }
+}
