jobs: a late hello of a replaced controller replaces no voter

Operators: a voter that is up is removed from the members, and the next loss of a controller may stop the service.

Cause: a new controller at the address of an old one replaces it, whichever hello came last. If a hello of the old one was held up, the old one was added as a learner, and the leader asked for the live voter to be replaced by it.

Change: the leader remembers which controllers were replaced at their address and ignores their hellos.

Evidence: the test failed before: AddLearner of the old controller in the first check, ReplaceVoter { lost: 9, by: 3 } in the second.

--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -1,6 +1,10 @@
 //! Membership: which controllers vote. The leader adds controllers that announce themselves.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use crate::{
     consensus::{
@@ -25,18 +29,25 @@
     target_voters: usize,
     next_check: Time,
     seen: BTreeMap<InstanceId, (Node, Time)>,
+    /// Those of them that another controller has replaced at their address.
+    replaced: BTreeSet<InstanceId>,
 }
 
 impl Membership {
     /// Creates a membership that aims at `target_voters` voters.
     pub fn new(target_voters: usize, now: Time) -> Self {
-        Self { target_voters, next_check: now, seen: BTreeMap::new() }
+        Self { target_voters, next_check: now, seen: BTreeMap::new(), replaced: BTreeSet::new() }
     }
 
-    /// Records a hello from a controller.
+    /// Records a hello from a controller. A late one of a controller that was replaced is ignored.
     pub fn record_hello(&mut self, now: Time, node: &Node) {
+        if self.replaced.contains(&node.id) {
+            return;
+        }
         // A new controller at the address of an old one replaces it, with an empty disk.
-        self.seen.retain(|id, (known, _)| *id == node.id || known.peer != node.peer);
+        let old =
+            self.seen.extract_if(.., |id, (known, _)| *id != node.id && known.peer == node.peer);
+        self.replaced.extend(old.map(|(id, _)| id));
         self.seen.insert(node.id, (node.clone(), now));
     }
 
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -135,3 +135,30 @@
         assert_eq!(events.contains(&replace), case.want, "{}", case.name);
     }
 }
+
+/// Guards against a voter that is up and is replaced by the controller that was at its address before: a
+/// hello of that one was held up.
+#[test]
+fn a_late_hello_of_a_replaced_controller_replaces_no_voter() {
+    let (mut now, mut state, mut changes) = (Time::from_millis(1), State::default(), Vec::new());
+    let (old, new) = (node(3, 3), node(9, 3));
+    for node in [node(1, 1), node(2, 2), old.clone(), new.clone()] {
+        state.apply(&Record::Node(node), &mut changes);
+    }
+    let mut membership = Membership::new(3, now);
+    for node in [&node(1, 1), &node(2, 2), &old, &new, &old] {
+        membership.record_hello(now, node);
+    }
+    let voters = vec![InstanceId(1), InstanceId(2), InstanceId(9)];
+    for learners in [Vec::new(), vec![InstanceId(3)]] {
+        let members = Members { voters: voters.clone(), learners };
+        let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), now);
+        let status =
+            Status { members, ..controller.expect("there is no snapshot to decode").status() };
+        let events = membership.tick(now, &status, &state.nodes);
+        let add = ConsensusEvent::AddLearner { instance: InstanceId(3) };
+        let replace = ConsensusEvent::ReplaceVoter { lost: InstanceId(9), by: InstanceId(3) };
+        assert!(!events.contains(&add) && !events.contains(&replace), "{events:?}");
+        now = now + Duration::from_millis(250);
+    }
+}
