jobs: the ends of a worker that has returned are acknowledged once their tasks are done

Cause: an end "done" of a run that was given up is withheld, so that it isn't taken for the completion of the task, and an acknowledgement covers all ends up to its number. So none of the worker's later ends was acknowledged as long as it lived.

Change: the ends of a worker whose lease had run out and that was heard again are withheld only until their tasks need no further run. Its lease has surely lapsed between the end and the acknowledgement, and the users don't take such an end for the completion. An end that was withheld for another reason stays so.

Evidence: the_end_of_an_expired_run_is_acknowledged_once_its_task_is_done failed before (0, not 2); the_end_of_an_expired_run_is_not_acknowledged passes as before.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -42,6 +42,7 @@
         for ended in &report.ended {
             self.process_end(now, number, ended);
         }
+        self.release_ends(number);
         let listed = self.process_running(now, number, &report.running);
         self.settle_runs(now, number, &listed);
         self.reconcile(now, number, &listed);
@@ -156,7 +157,9 @@
             silent_ms: 0,
             runs,
         });
-        self.fleet.insert(number, Worker::new(name, incarnation, now, now));
+        let returned = self.fleet.has_lapsed(&name, incarnation);
+        let worker = Worker { returned, ..Worker::new(name, incarnation, now, now) };
+        self.fleet.insert(number, worker);
         Some(number)
     }
 
@@ -191,7 +194,7 @@
             if let Some(worker) = self.fleet.workers.get_mut(&number)
                 && done
             {
-                worker.withheld.get_or_insert(ended.number);
+                worker.withheld.insert(ended.number, ended.task);
             }
             return;
         }
@@ -220,6 +223,18 @@
         }
     }
 
+    /// Stops withholding the ends of a worker that has returned whose tasks need no further run.
+    fn release_ends(&mut self, number: WorkerNumber) {
+        let Some(worker) = self.fleet.workers.get(&number).filter(|worker| worker.returned) else {
+            return;
+        };
+        let settled = worker.withheld.iter().filter(|(_, task)| self.is_settled(task));
+        let settled: Vec<u64> = settled.map(|(end, _)| *end).collect();
+        if let Some(worker) = self.fleet.workers.get_mut(&number) {
+            worker.withheld.retain(|end, _| !settled.contains(end));
+        }
+    }
+
     /// Records the end of a run. If that ends the job, schedules its removal.
     pub(super) fn record_end(
         &mut self,
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -63,8 +63,11 @@
     pub orphans: BTreeMap<(TaskKey, Run), Orphan>,
     /// The number of the last reported end that was processed.
     pub last_end: u64,
-    /// Ends from this number on are never acknowledged; see [`Worker::acknowledged`].
-    pub withheld: Option<u64>,
+    /// The ends that aren't acknowledged, by their numbers, with their tasks; see
+    /// [`Worker::acknowledged`].
+    pub withheld: BTreeMap<u64, TaskKey>,
+    /// Whether it was removed when its lease had run out, and was heard again.
+    pub returned: bool,
     /// When its runs are given up after it has left; `None` if it hasn't left. Until then, a
     /// heartbeat that its leave message overtook may still report their ends.
     pub departed: Option<Time>,
@@ -127,7 +130,8 @@
             serving_used: 0,
             orphans: BTreeMap::new(),
             last_end: 0,
-            withheld: None,
+            withheld: BTreeMap::new(),
+            returned: false,
             departed: None,
             excess_since: None,
             neighbours: Neighbours::default(),
@@ -296,8 +300,12 @@
     /// discarded and the task runs again. The end of such a run is not acknowledged, so that it
     /// isn't taken for the completion of the task. Neither are later ends, because an
     /// acknowledgement covers all ends up to its number.
+    ///
+    /// A worker that has returned has surely dropped its lease after such a run. Its ends are
+    /// acknowledged once their tasks need no further run.
     pub fn acknowledged(&self) -> u64 {
-        self.withheld.map_or(self.last_end, |first| self.last_end.min(first - 1))
+        let first = self.withheld.keys().next();
+        first.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
     /// Whether all its runs have settled.
--- a/lib/tests/jobs/leases.rs
+++ b/lib/tests/jobs/leases.rs
@@ -321,6 +321,33 @@
     assert_eq!(world.phase(7), JobPhase::Completed);
 }
 
+/// Guards against workers none of whose ends are acknowledged any more: a partition outlasted their
+/// lease, and one run was done before that.
+#[test]
+fn the_end_of_an_expired_run_is_acknowledged_once_its_task_is_done() {
+    let mut world = World::new();
+    let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+    let job = world.submit(7, vec![step(1)]);
+    world.heartbeat(&mut first).expect("a response");
+    first.end(task(job, 0, 0), Ending::Done);
+    let end = world.now + LEASE + MARGIN + Duration::from_secs(1);
+    while world.now < end {
+        world.heartbeat(&mut second);
+    }
+    let response = world.heartbeat(&mut first).expect("a response");
+    assert_eq!(response.acknowledged, 0, "the task runs again");
+    second.end(task(job, 0, 0), Ending::Done);
+    world.heartbeat(&mut second);
+    let other = world.submit(8, vec![Step { spread: Some(1), ..step(2) }]);
+    while !first.running.keys().any(|task| task.job == other) {
+        world.heartbeat(&mut first).expect("a response");
+    }
+    let run = first.running.keys().next().copied().expect("a run of the other job");
+    first.end(run, Ending::Done);
+    let response = world.heartbeat(&mut first).expect("a response");
+    assert_eq!(response.acknowledged, 2);
+}
+
 /// Regression: a start that waited for a worker's next heartbeat was sent although that heartbeat said
 /// that the worker leaves.
 #[test]
