--- a/lib/tests/jobs/capacity.rs
+++ b/lib/tests/jobs/capacity.rs
@@ -16,7 +16,7 @@
 
 use crate::world::{FakeWorker, LEASE, MARGIN, World, path, step, task};
 
-const WHOLE: Resources = Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 };
+const FULL_CAPACITY: Resources = Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 };
 
 fn lasting(count: u32) -> Step {
     let options = StepOptions { long_running: true, disruptable: 1, ..StepOptions::default() };
@@ -63,23 +63,23 @@
         /// The tasks that the worker starts after it has shrunk.
         want: usize,
     }
-    let memory = Resources { memory_mib: 150, ..WHOLE };
-    let with_accelerators = Resources { accelerators: 4, ..WHOLE };
+    let memory = Resources { memory_mib: 150, ..FULL_CAPACITY };
+    let with_accelerators = Resources { accelerators: 4, ..FULL_CAPACITY };
     let accelerated = Resources { accelerators: 1, ..step(1).needs };
     let cases = [
         Case {
             name: "waiting, fewer processors",
             step: lasting(4),
             way: Way::Waiting,
-            before: WHOLE,
-            after: Resources { millicores: 2500, ..WHOLE },
+            before: FULL_CAPACITY,
+            after: Resources { millicores: 2500, ..FULL_CAPACITY },
             want: 2,
         },
         Case {
             name: "waiting, less memory",
             step: lasting(4),
             way: Way::Waiting,
-            before: WHOLE,
+            before: FULL_CAPACITY,
             after: memory,
             want: 1,
         },
@@ -88,14 +88,14 @@
             step: Step { needs: accelerated, ..lasting(4) },
             way: Way::Waiting,
             before: with_accelerators,
-            after: Resources { accelerators: 3, ..WHOLE },
+            after: Resources { accelerators: 3, ..FULL_CAPACITY },
             want: 3,
         },
         Case {
             name: "waiting, no capacity",
             step: lasting(4),
             way: Way::Waiting,
-            before: WHOLE,
+            before: FULL_CAPACITY,
             after: Resources::ZERO,
             want: 0,
         },
@@ -103,23 +103,23 @@
             name: "waiting, same capacity",
             step: lasting(4),
             way: Way::Waiting,
-            before: WHOLE,
-            after: WHOLE,
+            before: FULL_CAPACITY,
+            after: FULL_CAPACITY,
             want: 4,
         },
         Case {
             name: "lost, fewer processors",
             step: step(4),
             way: Way::Lost,
-            before: WHOLE,
-            after: Resources { millicores: 2500, ..WHOLE },
+            before: FULL_CAPACITY,
+            after: Resources { millicores: 2500, ..FULL_CAPACITY },
             want: 2,
         },
         Case {
             name: "lost, less memory",
             step: step(4),
             way: Way::Lost,
-            before: WHOLE,
+            before: FULL_CAPACITY,
             after: memory,
             want: 1,
         },
@@ -127,7 +127,7 @@
             name: "lost, no capacity",
             step: step(4),
             way: Way::Lost,
-            before: WHOLE,
+            before: FULL_CAPACITY,
             after: Resources::ZERO,
             want: 0,
         },
@@ -177,7 +177,7 @@
     for case in cases {
         let mut world = World::new();
         let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
-        let one = Resources { millicores: 1000, ..WHOLE };
+        let one = Resources { millicores: 1000, ..FULL_CAPACITY };
         (first.capacity, second.capacity) = (one, one);
         world.heartbeat(&mut first).expect("a response");
         world.heartbeat(&mut second).expect("a response");
@@ -191,7 +191,7 @@
             first.end_all(Ending::Refused);
             first.started.clear();
         }
-        first.capacity = Resources { millicores: 500, ..WHOLE };
+        first.capacity = Resources { millicores: 500, ..FULL_CAPACITY };
         world.heartbeat(&mut first).expect("a response");
         world.heartbeat(&mut second).expect("a response");
         assert_eq!(first.started, [], "{}", case.name);
@@ -295,7 +295,7 @@
     world.submit(7, vec![lasting(4)]);
     world.heartbeat(&mut worker);
     assert_eq!(worker.started.len(), 0);
-    worker.capacity = WHOLE;
+    worker.capacity = FULL_CAPACITY;
     world.heartbeat(&mut worker).expect("a response");
     assert_eq!(worker.started.len(), 4);
 }
@@ -307,8 +307,8 @@
     world.submit(7, vec![lasting(2)]);
     world.heartbeat(&mut worker);
     world.heartbeat(&mut worker);
-    let half = Resources { millicores: 1000, ..WHOLE };
-    for capacity in [half, half, WHOLE] {
+    let half = Resources { millicores: 1000, ..FULL_CAPACITY };
+    for capacity in [half, half, FULL_CAPACITY] {
         worker.capacity = capacity;
         world.heartbeat(&mut worker).expect("a response");
     }
@@ -317,6 +317,6 @@
         let LogEvent::Resized { name, before, after, reserved, runs } = event else { return None };
         Some((name.as_str(), *before, *after, reserved.millicores, *runs))
     });
-    let want = [("w1", WHOLE, half, 2000, 2), ("w1", half, WHOLE, 2000, 2)];
+    let want = [("w1", FULL_CAPACITY, half, 2000, 2), ("w1", half, FULL_CAPACITY, 2000, 2)];
     assert_eq!(changes.collect::<Vec<_>>(), want);
 }
