--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -92,6 +92,21 @@
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
+/// Applies a write to what storage would recover.
+pub(crate) fn store(disk: &mut Recovered, write: &Write) {
+    if let Some(hard) = write.hard {
+        disk.hard = hard;
+    }
+    if let Some(snapshot) = &write.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot.clone());
+    }
+    if let Some(from) = write.truncate {
+        disk.entries.retain(|entry| entry.index < from);
+    }
+    disk.entries.extend(write.entries.iter().cloned());
+}
+
 impl World {
     /// Creates a controller that leads, with a queue `/fold/` on service `desk` whose jobs fail
     /// after 4 failures of a task.
@@ -138,21 +153,6 @@
         matches!(&self.answers[&ticket], Answer::Status(status) if status.leads)
     }
 
-    fn store(&mut self, write: &Write) {
-        let stored = &mut self.stored;
-        if let Some(hard) = write.hard {
-            stored.hard = hard;
-        }
-        if let Some(snapshot) = &write.snapshot {
-            stored.entries.retain(|entry| entry.index > snapshot.index);
-            stored.snapshot = Some(snapshot.clone());
-        }
-        if let Some(from) = write.truncate {
-            stored.entries.retain(|entry| entry.index < from);
-        }
-        stored.entries.extend(write.entries.iter().cloned());
-    }
-
     /// Advances the clock in steps of at most 20 ms.
     pub(crate) fn advance(&mut self, span: Duration) {
         let end = self.now + span;
@@ -170,7 +170,7 @@
             for effect in out {
                 match effect {
                     Effect::Store(write) => {
-                        self.store(&write);
+                        store(&mut self.stored, &write);
                         events.push(Event::Stored { sequence: write.sequence });
                     }
                     Effect::Answer { ticket: Ticket::Front(ticket), answer, .. } => {
