jobs: controllers find each other over any number of hops

Cause: a controller sent hellos to the seeds of its settings, to the nodes in its log and to those that it had heard itself. A hello named its sender only and wasn't passed on. So a new controller, whose log is empty, was heard by its seeds alone: a leader that was none of them never added it. Replaced controllers then kept their votes, or were removed without a successor, until the next losses exceeded what was left.

Ruled out: a fault of the agreement itself (the control with a leader that is a seed passes before and after, with the same losses); lost or late hellos (the links are sound); followers that forward hellos to the leader, as a fix: without a leader they would forward to nobody, and newcomers that know only each other would stay unknown.

Change: a hello lists the controllers from which its sender has a recent hello, and the first sign of life of a controller is told at once. Addresses that nobody hears any more are forgotten.

a_new_controller_joins_although_the_leader_is_none_of_its_seeds failed in all five cases before and passes.

--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -7,11 +7,13 @@
 
 pub mod call;
 pub mod config;
+pub mod contacts;
 pub mod controller;
 pub mod crash;
 pub mod fleet;
 pub mod gateway;
 pub mod health;
+pub mod hello;
 pub mod lifecycle;
 pub mod link;
 pub mod members;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -5,7 +5,7 @@
 //! its term drops the working copy and all uncommitted decisions.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -19,7 +19,9 @@
     },
     ids::{Epoch, Index, InstanceId},
     jobs::{
+        contacts::Contacts,
         controller::{leader::Leader, turn::PendingProposal},
+        hello::Hello,
         link::{ControllerStatus, LinkMessage},
         members::{Membership, recorded_peers},
         record::{Batch, Node},
@@ -64,6 +66,7 @@
     pending: VecDeque<PendingProposal>,
     proposals: u64,
     membership: Membership,
+    contacts: Contacts,
     next_hello: Time,
     effects: Vec<consensus::Effect>,
 }
@@ -93,6 +96,7 @@
             Consensus::new(config.consensus.clone(), recovered, &founders, now, config.seed);
         Ok(Self {
             membership: Membership::new(config.voters, now),
+            contacts: Contacts::new(config.me.peer, &config.seeds),
             next_hello: now,
             leader: None,
             pending: VecDeque::new(),
@@ -157,12 +161,10 @@
     fn handle_event(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Timer => {}
-            Event::Hello(node) => {
-                self.addresses.insert(node.id, node.peer);
-                self.membership.record_hello(now, &node);
-                if let Some(leader) = &mut self.leader {
-                    leader.record_node(&node);
-                }
+            Event::Hello(hello) => self.receive_hello(now, &hello),
+            Event::Seeds(seeds) => {
+                self.contacts.set_seeds(&seeds);
+                self.next_hello = now;
             }
             Event::Consensus { from, message } => {
                 self.step_consensus(now, consensus::Event::Receive { from, message });
@@ -216,11 +218,14 @@
     }
 
     fn probe_status(&self, now: Time) -> ControllerStatus {
+        let mut controllers: BTreeSet<_> = self.member_peers().into_iter().collect();
+        controllers.extend(self.contacts.live(now));
+        controllers.insert(self.config.me.peer);
         ControllerStatus {
             leads: self.leads(now),
             configured: self.committed.config.is_some(),
             leader: self.leader_node().map(|node| node.peer),
-            controllers: self.committed.nodes.values().map(|node| node.peer).collect(),
+            controllers: controllers.into_iter().collect(),
         }
     }
 
@@ -234,7 +239,7 @@
         }
         if self.next_hello <= now {
             self.next_hello = now + HELLO_INTERVAL;
-            self.send_hello(out);
+            self.send_hello(now, out);
         }
         if self.leader.is_some() {
             self.membership.record_hello(now, &self.config.me);
@@ -249,18 +254,33 @@
         }
     }
 
+    fn receive_hello(&mut self, now: Time, hello: &Hello) {
+        let node = &hello.node;
+        self.addresses.insert(node.id, node.peer);
+        self.membership.record_hello(now, node);
+        if self.contacts.record_hello(now, node.peer, &hello.known) {
+            self.next_hello = now;
+        }
+        if let Some(leader) = &mut self.leader {
+            leader.record_node(node);
+        }
+    }
+
     /// Sends a hello to all other known controllers.
-    fn send_hello(&self, out: &mut Vec<Effect>) {
-        let mut peers: Vec<_> = self.config.seeds.clone();
-        peers.extend(self.addresses.values());
-        peers.sort_unstable();
-        peers.dedup();
-        for to in peers.into_iter().filter(|peer| *peer != self.config.me.peer) {
-            let message = LinkMessage::Hello(self.config.me.clone());
-            out.push(Effect::Send { to, message });
+    fn send_hello(&self, now: Time, out: &mut Vec<Effect>) {
+        let known = self.contacts.live(now).collect();
+        let hello = Hello { node: self.config.me.clone(), known };
+        for to in self.contacts.recipients(now, self.member_peers()) {
+            out.push(Effect::Send { to, message: LinkMessage::Hello(hello.clone()) });
         }
     }
 
+    /// The peer addresses of the members of the consensus group.
+    fn member_peers(&self) -> Vec<SocketAddr> {
+        let members = self.consensus.status().members;
+        members.all().filter_map(|id| self.addresses.get(&id).copied()).collect()
+    }
+
     /// Executes the effects of the consensus module until none is left.
     fn run_effects(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         while !self.effects.is_empty() {
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -7,6 +7,7 @@
     ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
     jobs::{
         call::{Call, OperatorReply, OperatorRequest, Reply},
+        hello::Hello,
         link::{ControllerStatus, LinkMessage},
         record::Node,
         report::{Ended, Report},
@@ -36,7 +37,9 @@
     /// The deadline given by [`next_deadline`](super::Controller::next_deadline) has passed.
     Timer,
     /// A controller announced itself.
-    Hello(Node),
+    Hello(Hello),
+    /// The addresses of controllers that the settings name now.
+    Seeds(Vec<SocketAddr>),
     /// A consensus message.
     Consensus {
         /// The sender.
--- a/lib/src/jobs/link.rs
+++ b/lib/src/jobs/link.rs
@@ -8,7 +8,7 @@
     ids::InstanceId,
     jobs::{
         call::{Call, Reply},
-        record::Node,
+        hello::Hello,
     },
 };
 
@@ -16,7 +16,7 @@
     /// A message on a connection between two instances.
     pub enum LinkMessage {
         /// A controller announces itself.
-        Hello(Node),
+        Hello(Hello),
         /// A consensus message.
         Consensus {
             /// The sender.
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -21,7 +21,7 @@
 
 /// The time without a hello after which a controller doesn't count as alive. Hellos are sent every
 /// second.
-const ALIVE_TIMEOUT: Duration = Duration::from_millis(2500);
+pub(crate) const ALIVE_TIMEOUT: Duration = Duration::from_millis(2500);
 
 /// The controllers from which the leader has received a hello.
 #[derive(Debug)]
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod capacity_properties;
 mod cluster;
+mod contacts;
 mod crashes;
 mod deployment;
 mod encoding;
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -379,7 +379,7 @@
 /// Converts a message from another instance to an event of control.
 fn to_event(connection: u64, message: LinkMessage) -> Option<Event> {
     match message {
-        LinkMessage::Hello(node) => Some(Event::Hello(node)),
+        LinkMessage::Hello(hello) => Some(Event::Hello(hello)),
         LinkMessage::Consensus { from, message } => Some(Event::Consensus { from, message }),
         LinkMessage::Forward { number, call } => {
             Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
