runtime: controllers and gateways notice new seeds in their settings

An instance whose known controllers are all gone needs new addresses, which the platform writes into its settings. Controllers read them at their start only (on SIGHUP they logged that), and gateways on SIGHUP only, though the file also changes without a signal.

Change: both read the settings again on SIGHUP and every 5 s, and use changed seeds at once. Other settings need a restart as before. Settings that can't be read are reported once and change nothing.

Ruled out: watching the file for changes (inotify isn't available where controllers run).

--- a/cli/src/commands/controller.rs
+++ b/cli/src/commands/controller.rs
@@ -14,7 +14,8 @@
     if args.check_only() {
         return Outcome::success("no findings");
     }
-    match controller::run(&settings, ControlFrontend { listen: settings.listen }) {
+    let front = ControlFrontend { listen: settings.listen };
+    match controller::run(&settings, || args.read_settings().ok(), front) {
         Ok(()) => Outcome::success(String::new()),
         Err(error) => Outcome::failure(Exit::Failed, error.to_string()),
     }
--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -16,6 +16,7 @@
 use tempfile::TempDir;
 
 mod operations;
+mod reload;
 mod soak;
 
 /// How long any condition may take. Generous, as no test here checks how fast something is.
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -5,7 +5,7 @@
 //! as heartbeats, when it is nearly full. A message from another instance is dropped when the ring
 //! is full, and its sender retries.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hickorylink_lib::{
@@ -36,6 +36,7 @@
     log, log_events,
     metrics::{self, controller::Metrics},
     persist,
+    reload::watch_seeds,
     ring::{Outbox, RingSender, runtime_ring, thread_ring},
     settings::Settings,
     storage::{Folder, Identity, MAX_SEGMENT_BYTES, Store, StoreError},
@@ -189,12 +190,16 @@
     }
 }
 
-/// Runs a controller until the process receives SIGTERM.
+/// Runs a controller until the process receives SIGTERM. `reload` reads the settings again.
 ///
 /// # Errors
 ///
 /// [`ControllerError`] if the controller can't start.
-pub fn run(settings: &Settings, front: impl Frontend<Handle>) -> Result<(), ControllerError> {
+pub fn run(
+    settings: &Settings,
+    reload: impl Fn() -> Option<Settings>,
+    front: impl Frontend<Handle>,
+) -> Result<(), ControllerError> {
     let clock = Clock::start();
     let instance_log = log::start(settings.log, &settings.name, clock);
     let log = &instance_log.root;
@@ -235,7 +240,8 @@
     spawn_links(me.peer, links_ring, control.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
-    let handle = Handle { events: control, waiters: waiters.clone(), clock, log: log.clone() };
+    let events = control.clone();
+    let handle = Handle { events, waiters: waiters.clone(), clock, log: log.clone() };
     let (stop, stopping) = watch::channel(false);
     let front_log = log.clone();
     let front_runtime = runtime().context(StartSnafu)?;
@@ -256,11 +262,11 @@
             metrics::spawn_server(at, text, log.clone());
         }
         let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
-        let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
-        loop {
-            tokio::select! {
-                _ = term.recv() => break,
-                _ = reload.recv() => info!(log, "a controller reads its settings only at its start"),
+        let send_seeds = |seeds| control.push(Event::Seeds(seeds)).is_ok();
+        tokio::select! {
+            _ = term.recv() => {}
+            ended = watch_seeds(settings, reload, send_seeds, log) => {
+                let _: Infallible = ended.context(StartSnafu)?;
             }
         }
         info!(log, "the controller shuts down");
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -2,6 +2,7 @@
 //! and `front` serves callers.
 
 use std::{
+    convert::Infallible,
     io,
     sync::{
         Arc,
@@ -30,6 +31,7 @@
     link::{LinkCommand, LinkEvent, Links},
     log, log_events,
     metrics::{self, gateway::Metrics},
+    reload::watch_seeds,
     ring::{Outbox, RingSender, runtime_ring, thread_ring},
     settings::Settings,
 };
@@ -129,7 +131,7 @@
     }
 }
 
-/// Runs a gateway until the process receives SIGTERM. On SIGHUP, `reload` reads the settings again.
+/// Runs a gateway until the process receives SIGTERM. `reload` reads the settings again.
 ///
 /// # Errors
 ///
@@ -198,17 +200,11 @@
             metrics::spawn_server(at, text, log.clone());
         }
         let mut term = signal(SignalKind::terminate()).context(GatewaySnafu)?;
-        let mut hangup = signal(SignalKind::hangup()).context(GatewaySnafu)?;
-        loop {
-            tokio::select! {
-                _ = term.recv() => break,
-                _ = hangup.recv() => match reload() {
-                    Some(settings) => {
-                        info!(log, "the settings were reloaded"; "seeds" => settings.seeds.len());
-                        drop(gateway.push(Event::Seeds(settings.seed_peers())));
-                    }
-                    None => warn!(log, "the settings can't be read; the previous ones stay in force"),
-                },
+        let send_seeds = |seeds| gateway.push(Event::Seeds(seeds)).is_ok();
+        tokio::select! {
+            _ = term.recv() => {}
+            ended = watch_seeds(settings, reload, send_seeds, log) => {
+                let _: Infallible = ended.context(GatewaySnafu)?;
             }
         }
         info!(log, "the gateway shuts down once its calls have ended");
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log_events;
 pub mod metrics;
 pub mod persist;
+pub mod reload;
 pub mod ring;
 pub mod settings;
 pub mod storage;
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -97,6 +97,20 @@
         fs::write(self.settings(at), settings.to_string())
     }
 
+    /// Replaces the seeds in the settings of a member, whether it is running or not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be read or written.
+    pub fn write_seeds(&self, at: usize, seeds: &[SocketAddr]) -> io::Result<()> {
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(self.settings(at))?)?;
+        settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
+        // A reader must not see a part of the file.
+        let new = self.folder.join(format!("{at}.new"));
+        fs::write(&new, settings.to_string())?;
+        fs::rename(new, self.settings(at))
+    }
+
     fn settings(&self, at: usize) -> PathBuf {
         self.folder.join(format!("{at}.jsonc"))
     }
