jobs: a gateway forgets controllers that are gone

A gateway kept each address that its settings or a controller had ever named, and probed all of them every 150 ms while it knew no leader. Controllers that are replaced get new addresses, and new seeds were added to the old ones, so the list only grew.

Change: the seeds are kept apart, and new ones replace them; the list of a leader, which names the members and the controllers that it has heard, replaces what others have named. At most 64 addresses are kept beside the seeds.

Ruled out: forgetting by time. While no leader is known, every address is worth asking.

--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -4,7 +4,11 @@
 //! have had an effect: no controller received it, or every controller that did reported that it had
 //! no effect. Calls are idempotent, so a call without an answer is sent again to the next leader.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use crate::{
     jobs::{
@@ -31,6 +35,9 @@
 /// How long a call that a controller may have received waits for an answer.
 const SENT_WAIT: Duration = Duration::from_millis(2400);
 
+/// The maximum number of controllers that are probed beside the seeds; a deployment has far fewer.
+const MAX_CONTROLLERS: usize = 64;
+
 /// The maximum number of pending calls.
 const MAX_CALLS: usize = 4096;
 
@@ -129,7 +136,11 @@
 /// A gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    controllers: Vec<SocketAddr>,
+    /// The controllers named in the settings.
+    seeds: Vec<SocketAddr>,
+    /// The controllers that others have named. The list of a leader replaces it, so that those that
+    /// are gone are forgotten.
+    controllers: BTreeSet<SocketAddr>,
     leader: Option<SocketAddr>,
     last_contact: Time,
     next_probe: Time,
@@ -143,7 +154,8 @@
     /// A gateway that first probes the controllers in `seeds`.
     pub fn new(seeds: Vec<SocketAddr>, now: Time) -> Self {
         Self {
-            controllers: seeds,
+            seeds,
+            controllers: BTreeSet::new(),
             leader: None,
             last_contact: now,
             next_probe: now,
@@ -175,11 +187,7 @@
                 self.lose_leader(now, "disconnected", out)
             }
             Event::Disconnected(_) => {}
-            Event::Seeds(seeds) => {
-                for seed in seeds {
-                    self.add_controller(seed);
-                }
-            }
+            Event::Seeds(seeds) => self.seeds = seeds,
         }
         self.tick(now, out);
         let ready = self.leader.is_some() && self.configured;
@@ -288,7 +296,10 @@
         status: &ControllerStatus,
         out: &mut Vec<Effect>,
     ) {
-        for at in &status.controllers {
+        if status.leads {
+            self.controllers.clear();
+        }
+        for at in status.controllers.iter().chain([&from]) {
             self.add_controller(*at);
         }
         if !status.leads {
@@ -311,8 +322,8 @@
     }
 
     fn add_controller(&mut self, at: SocketAddr) {
-        if !self.controllers.contains(&at) {
-            self.controllers.push(at);
+        if self.controllers.len() < MAX_CONTROLLERS {
+            self.controllers.insert(at);
         }
     }
 
@@ -346,7 +357,8 @@
                     self.next_probe = now + PROBE_INTERVAL;
                 }
                 None => {
-                    for to in &self.controllers {
+                    let all: BTreeSet<_> = self.controllers.iter().chain(&self.seeds).collect();
+                    for to in all {
                         out.push(Effect::Send { to: *to, message: LinkMessage::Probe });
                     }
                     self.next_probe = now + SEARCH_INTERVAL;
--- a/lib/tests/jobs/gateway.rs
+++ b/lib/tests/jobs/gateway.rs
@@ -242,3 +242,79 @@
         }
     }
 }
+
+/// What a gateway learns of controllers.
+enum Learnt {
+    /// The settings name these.
+    Seeds(&'static [u8]),
+    /// A controller names these; the flag says whether it leads.
+    Status(u8, bool, &'static [u8]),
+    /// The leader is silent for 2 s.
+    LeaderLost,
+}
+
+// Guards against gateways that ask only controllers that are gone.
+#[test]
+fn a_gateway_asks_the_controllers_that_are_there_now() {
+    use Learnt::{LeaderLost, Seeds, Status};
+    struct Case {
+        name: &'static str,
+        learnt: &'static [Learnt],
+        /// The controllers that it asks for the leader.
+        asked: &'static [u8],
+    }
+    let cases = [
+        Case { name: "at the start", learnt: &[], asked: &[1, 2] },
+        Case { name: "new seeds", learnt: &[Seeds(&[3, 4])], asked: &[3, 4] },
+        Case {
+            name: "a follower names others",
+            learnt: &[Status(1, false, &[5])],
+            asked: &[1, 2, 5],
+        },
+        Case {
+            name: "a leader's list replaces earlier ones",
+            learnt: &[
+                Status(1, true, &[1, 5]),
+                LeaderLost,
+                Seeds(&[3]),
+                Status(5, true, &[6]),
+                LeaderLost,
+            ],
+            asked: &[3, 5, 6],
+        },
+    ];
+    let peer = |host: &u8| address(&format!("10.0.0.{host}:7000"));
+    let peers = |hosts: &[u8]| hosts.iter().map(peer).collect::<Vec<_>>();
+    for case in cases {
+        let mut now = Time::from_millis(1);
+        let (mut gateway, mut out) = (Gateway::new(peers(&[1, 2]), now), Vec::new());
+        for learnt in case.learnt {
+            let event = match learnt {
+                Seeds(seeds) => Event::Seeds(peers(seeds)),
+                Status(from, leads, controllers) => {
+                    let (configured, controllers) = (true, peers(controllers));
+                    let (leads, leader) = (*leads, None);
+                    let status = ControllerStatus { leads, configured, leader, controllers };
+                    Event::Received { from: peer(from), message: LinkMessage::Status(status) }
+                }
+                LeaderLost => {
+                    now = now + Duration::from_secs(2);
+                    Event::Timer
+                }
+            };
+            gateway.handle(now, event, &mut out);
+        }
+        now = now + Duration::from_secs(1);
+        out.clear();
+        gateway.handle(now, Event::Timer, &mut out);
+        let asked = out.iter().filter_map(|effect| match effect {
+            Effect::Send { to, message: LinkMessage::Probe } => Some(*to),
+            Effect::Send { .. }
+            | Effect::Close(_)
+            | Effect::Reply { .. }
+            | Effect::Ready(_)
+            | Effect::LogEvent(_) => None,
+        });
+        assert_eq!(asked.collect::<Vec<_>>(), peers(case.asked), "{}", case.name);
+    }
+}
