controllers: a voter that shuts down hands its vote over

A controller that got SIGTERM stopped within 300 ms and stayed a voter until it had been silent for 2.5 s, or 2.5 s after the next election if it had led. For that time the deployment bore one loss less than it should, although a standby was there and the end was announced: on a deployment that bears one loss, a planned replacement of the leader takes up to 5.5 s after the start of its successor, more than the 4 s after which a further loss has to be borne.

Change: a hello says that its sender shuts down. The leader promotes a standby and then removes the voter that shuts down, in this order, and removes it only if enough other voters are alive. Controllers that shut down are no standbys and aren't added. The one that shuts down waits until it is no voter any more, for 1.5 s or a quarter of the grace period at most, and not at all if there is no standby.

Ruled out: removing the voter first (one voter less until the standby has caught up); a request to the leader instead of a field of the hello (it would have to be repeated and forwarded, which hellos are). A SIGTERM during a change of members needs nothing more: one change is in progress at a time, and a new leader derives the next one from the hellos that it has heard.

Both tests fail without the change, as the leaver was neither known nor replaced.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -20,7 +20,7 @@
     ids::{Epoch, Index, InstanceId},
     jobs::{
         contacts::Contacts,
-        controller::{leader::Leader, turn::PendingProposal},
+        controller::{handover::Shutdown, leader::Leader, turn::PendingProposal},
         hello::Hello,
         link::{ControllerStatus, LinkMessage},
         members::{Membership, recorded_peers},
@@ -33,6 +33,7 @@
 mod calls;
 mod capacity;
 pub mod config;
+mod handover;
 mod heartbeat;
 pub mod leader;
 pub mod port;
@@ -68,6 +69,7 @@
     membership: Membership,
     contacts: Contacts,
     next_hello: Time,
+    shutdown: Shutdown,
     effects: Vec<consensus::Effect>,
 }
 
@@ -98,6 +100,7 @@
             membership: Membership::new(config.voters, now),
             contacts: Contacts::new(config.me.peer, &config.seeds),
             next_hello: now,
+            shutdown: Shutdown::None,
             leader: None,
             pending: VecDeque::new(),
             proposals: 0,
@@ -156,6 +159,7 @@
         self.run_effects(now, wall, out);
         self.compact(now);
         self.run_effects(now, wall, out);
+        self.check_handover(out);
     }
 
     fn handle_event(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
@@ -166,6 +170,7 @@
                 self.contacts.set_seeds(&seeds);
                 self.next_hello = now;
             }
+            Event::ShutDown => self.shut_down(now),
             Event::Consensus { from, message } => {
                 self.step_consensus(now, consensus::Event::Receive { from, message });
                 self.run_effects(now, wall, out);
@@ -258,6 +263,7 @@
         let node = &hello.node;
         self.addresses.insert(node.id, node.peer);
         self.membership.record_hello(now, node);
+        self.membership.set_leaving(node.id, hello.leaving);
         if self.contacts.record_hello(now, node.peer, &hello.known) {
             self.next_hello = now;
         }
@@ -269,7 +275,8 @@
     /// Sends a hello to all other known controllers.
     fn send_hello(&self, now: Time, out: &mut Vec<Effect>) {
         let known = self.contacts.live(now).collect();
-        let hello = Hello { node: self.config.me.clone(), known };
+        let leaving = self.shutdown != Shutdown::None;
+        let hello = Hello { node: self.config.me.clone(), known, leaving };
         for to in self.contacts.recipients(now, self.member_peers()) {
             out.push(Effect::Send { to, message: LinkMessage::Hello(hello.clone()) });
         }
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -40,6 +40,8 @@
     Hello(Hello),
     /// The addresses of controllers that the settings name now.
     Seeds(Vec<SocketAddr>),
+    /// This controller is to shut down. It answers with [`Effect::HandedOver`].
+    ShutDown,
     /// A consensus message.
     Consensus {
         /// The sender.
@@ -146,6 +148,9 @@
         /// The answer must not be sent after this time, since another controller may lead by then.
         until: Option<Time>,
     },
+    /// This controller, which is to shut down, has handed over its vote or has nobody to hand it
+    /// over to.
+    HandedOver,
     /// Report an event to the log and the metrics.
     LogEvent(LogEvent),
 }
--- a/lib/src/jobs/hello.rs
+++ b/lib/src/jobs/hello.rs
@@ -17,11 +17,13 @@
     /// The peer addresses of the controllers from which the sender has a recent hello. Older
     /// releases neither write nor read them.
     pub known: Vec<SocketAddr>,
+    /// Whether the sender is shutting down. Older releases neither write nor read it.
+    pub leaving: bool,
 }
 
 impl<'de> Deserialize<'de> for Hello {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        const FIELDS: &[&str] = &["node", "known"];
+        const FIELDS: &[&str] = &["node", "known", "leaving"];
         struct Fields;
         impl<'de> Visitor<'de> for Fields {
             type Value = Hello;
@@ -33,12 +35,17 @@
             fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Hello, A::Error> {
                 let node = seq.next_element()?;
                 let node = node.ok_or_else(|| A::Error::custom("a hello is cut short"))?;
-                // The message of an older release ends after the node, which is an error of the
-                // binary format.
-                let known = seq.next_element().ok().flatten().unwrap_or_default();
-                Ok(Hello { node, known })
+                let known = appended(&mut seq);
+                let leaving = appended(&mut seq);
+                Ok(Hello { node, known, leaving })
             }
         }
         deserializer.deserialize_struct("Hello", FIELDS, Fields)
     }
 }
+
+/// Decodes a field that older releases don't write. Their message ends before it, which is an error
+/// of the binary format.
+fn appended<'de, T: Deserialize<'de> + Default>(seq: &mut impl SeqAccess<'de>) -> T {
+    seq.next_element().ok().flatten().unwrap_or_default()
+}
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -31,12 +31,20 @@
     seen: BTreeMap<InstanceId, (Node, Time)>,
     /// Those of them that another controller has replaced at their address.
     replaced: BTreeSet<InstanceId>,
+    /// Those that are shutting down.
+    leaving: BTreeSet<InstanceId>,
 }
 
 impl Membership {
     /// Creates a membership that aims at `target_voters` voters.
     pub fn new(target_voters: usize, now: Time) -> Self {
-        Self { target_voters, next_check: now, seen: BTreeMap::new(), replaced: BTreeSet::new() }
+        Self {
+            target_voters,
+            next_check: now,
+            seen: BTreeMap::new(),
+            replaced: BTreeSet::new(),
+            leaving: BTreeSet::new(),
+        }
     }
 
     /// Records a hello from a controller. A late one of a controller that was replaced is ignored.
@@ -51,6 +59,15 @@
         self.seen.insert(node.id, (node.clone(), now));
     }
 
+    /// Records whether a controller is shutting down.
+    pub fn set_leaving(&mut self, instance: InstanceId, leaving: bool) {
+        if leaving {
+            self.leaving.insert(instance);
+        } else {
+            self.leaving.remove(&instance);
+        }
+    }
+
     /// When [`Self::tick`] is due.
     pub fn next_deadline(&self) -> Time {
         self.next_check
@@ -68,11 +85,13 @@
             return Vec::new();
         }
         self.next_check = now + CHECK_INTERVAL;
+        // A controller that is shutting down takes no new part.
         let alive: Vec<&Node> = self
             .seen
             .values()
             .filter(|(_, seen)| now.since(*seen) < ALIVE_TIMEOUT)
             .map(|(node, _)| node)
+            .filter(|node| !self.leaving.contains(&node.id))
             .collect();
         let mut events = vec![Event::Standbys { instances: alive.iter().map(|n| n.id).collect() }];
         let new = alive.iter().filter(|node| !status.members.contains(node.id));
@@ -100,7 +119,13 @@
                 return Some(Event::ReplaceVoter { lost: *voter, by: node.id });
             }
         }
-        if voters.len() >= self.target_voters {
+        let leaving = voters.iter().find(|voter| self.leaving.contains(voter));
+        if voters.len() > self.target_voters {
+            let staying = alive.iter().filter(|node| voters.contains(&node.id)).count();
+            let instance = *leaving.filter(|_| staying >= self.target_voters)?;
+            return Some(Event::RemoveMember { instance });
+        }
+        if voters.len() == self.target_voters && leaving.is_none() {
             return None;
         }
         let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
--- a/lib/tests/jobs/contacts.rs
+++ b/lib/tests/jobs/contacts.rs
@@ -134,16 +134,21 @@
     struct Case {
         name: &'static str,
         known: &'static [u8],
+        leaving: bool,
         /// How many bytes an older release doesn't write.
         cut: usize,
     }
     let cases = [
-        Case { name: "this release", known: &[], cut: 0 },
-        Case { name: "this release, with contacts", known: &[2, 3], cut: 0 },
-        Case { name: "an older release", known: &[], cut: 1 },
+        Case { name: "this release", known: &[], leaving: false, cut: 0 },
+        Case { name: "this release, with contacts", known: &[2, 3], leaving: true, cut: 0 },
+        Case { name: "an older release", known: &[], leaving: false, cut: 2 },
     ];
     for case in cases {
-        let want = LinkMessage::Hello(Hello { node: node(1, 1), known: peers(case.known) });
+        let want = LinkMessage::Hello(Hello {
+            node: node(1, 1),
+            known: peers(case.known),
+            leaving: case.leaving,
+        });
         let mut bytes = postcard::to_allocvec(&want).expect("it can be encoded");
         bytes.truncate(bytes.len() - case.cut);
         assert_eq!(postcard::from_bytes(&bytes), Ok(want), "{}", case.name);
--- a/lib/tests/jobs/crashes.rs
+++ b/lib/tests/jobs/crashes.rs
@@ -483,9 +483,11 @@
         Effect::LogEvent(LogEvent::Crash { worker, suspects }) => {
             Some((worker.clone(), suspects.clone()))
         }
-        Effect::LogEvent(_) | Effect::Send { .. } | Effect::Store(_) | Effect::Answer { .. } => {
-            None
-        }
+        Effect::LogEvent(_)
+        | Effect::Send { .. }
+        | Effect::Store(_)
+        | Effect::Answer { .. }
+        | Effect::HandedOver => None,
     });
     events.collect()
 }
--- a/lib/tests/jobs/deployment.rs
+++ b/lib/tests/jobs/deployment.rs
@@ -42,7 +42,8 @@
 /// The longest delay of a message, and of a write to disk, in ticks.
 const MAX_DELAY: u32 = 3;
 
-/// How long a process that is told to stop keeps running.
+/// How long a process that is told to stop waits for a handover of its vote, and keeps running then.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 const DRAIN_TIME: Duration = Duration::from_millis(300);
 
 /// How long a process is down that is restarted to make another one lead.
@@ -69,6 +70,7 @@
     /// The writes that aren't synced yet.
     writes: VecDeque<Write>,
     inbox: Vec<Event>,
+    handed_over: bool,
 }
 
 /// What arrives at a machine after a delay.
@@ -179,7 +181,8 @@
         let controller = Controller::new(config, machine.disk.clone(), self.now)
             .expect("the snapshot can be decoded");
         let (writes, inbox) = (VecDeque::new(), vec![Event::Timer]);
-        machine.process = Some(Process { number, controller, writes, inbox });
+        let handed_over = false;
+        machine.process = Some(Process { number, controller, writes, inbox, handed_over });
     }
 
     /// Kills the process of a machine. Of the writes that aren't synced, some may be on the disk.
@@ -197,6 +200,12 @@
 
     /// Tells a controller to stop, and removes its machine for good when it has.
     pub(crate) fn leave(&mut self, host: u8) {
+        let Some(process) = self.process_mut(host) else { return self.remove(host) };
+        process.inbox.push(Event::ShutDown);
+        let end = self.now + HANDOVER_TIMEOUT;
+        while self.now < end && self.process_mut(host).is_some_and(|process| !process.handed_over) {
+            self.advance(TICK);
+        }
         self.advance(DRAIN_TIME);
         self.remove(host);
     }
@@ -241,6 +250,10 @@
         &process.expect("a running controller").controller
     }
 
+    fn process_mut(&mut self, host: u8) -> Option<&mut Process> {
+        self.machines.get_mut(&host).and_then(|machine| machine.process.as_mut())
+    }
+
     fn controllers(&self) -> impl Iterator<Item = (u8, &Controller)> {
         self.machines.iter().filter_map(|(host, machine)| {
             machine.process.as_ref().map(|process| (*host, &process.controller))
@@ -343,10 +356,13 @@
                     self.schedule(to, Arrival::Message(message));
                 }
             }
+            Effect::HandedOver => {
+                if let Some(process) = self.process_mut(host) {
+                    process.handed_over = true;
+                }
+            }
             Effect::Store(write) => {
-                let machine = self.machines.get_mut(&host);
-                let process = machine.and_then(|machine| machine.process.as_mut());
-                let Some(process) = process else { return };
+                let Some(process) = self.process_mut(host) else { return };
                 process.writes.push_back(write);
                 let synced = Arrival::Synced(process.number);
                 self.schedule(host, synced);
@@ -375,8 +391,7 @@
 
     fn send(&mut self, host: u8, event: impl FnOnce(Ticket) -> Event) -> u64 {
         let ticket = self.next_number();
-        let machine = self.machines.get_mut(&host);
-        if let Some(process) = machine.and_then(|machine| machine.process.as_mut()) {
+        if let Some(process) = self.process_mut(host) {
             process.inbox.push(event(Ticket::Front(ticket)));
         }
         ticket
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -57,7 +57,7 @@
                         events.push(Event::Stored { sequence: write.sequence });
                     }
                     Effect::Send { to, message } => sent.push((to, message)),
-                    Effect::Answer { .. } | Effect::LogEvent(_) => {}
+                    Effect::Answer { .. } | Effect::HandedOver | Effect::LogEvent(_) => {}
                 }
             }
         }
@@ -136,6 +136,105 @@
     }
 }
 
+// Guards against a voter that is told to stop and counts as one until it has been silent for seconds.
+#[test]
+fn a_voter_that_shuts_down_is_replaced_by_a_standby() {
+    struct Case {
+        name: &'static str,
+        voters: &'static [u64],
+        learners: &'static [u64],
+        /// The controllers whose hellos say that they shut down.
+        leaving: &'static [u64],
+        /// The controllers that have sent a hello.
+        heard: &'static [u64],
+        want: Option<ConsensusEvent>,
+    }
+    let promote = |id| Some(ConsensusEvent::Promote { instance: InstanceId(id) });
+    let remove = |id| Some(ConsensusEvent::RemoveMember { instance: InstanceId(id) });
+    let cases = [
+        Case {
+            name: "nobody shuts down",
+            voters: &[1, 2, 3],
+            learners: &[4],
+            leaving: &[],
+            heard: &[1, 2, 3, 4],
+            want: None,
+        },
+        Case {
+            name: "a standby becomes a voter first",
+            voters: &[1, 2, 3],
+            learners: &[4],
+            leaving: &[3],
+            heard: &[1, 2, 3, 4],
+            want: promote(4),
+        },
+        Case {
+            name: "then the voter is removed",
+            voters: &[1, 2, 3, 4],
+            learners: &[],
+            leaving: &[3],
+            heard: &[1, 2, 3, 4],
+            want: remove(3),
+        },
+        Case {
+            name: "not while another voter is silent",
+            voters: &[1, 2, 3, 4],
+            learners: &[],
+            leaving: &[3],
+            heard: &[1, 3, 4],
+            want: None,
+        },
+        Case {
+            name: "there is no standby",
+            voters: &[1, 2, 3],
+            learners: &[],
+            leaving: &[3],
+            heard: &[1, 2, 3],
+            want: None,
+        },
+        Case {
+            name: "the standby shuts down, too",
+            voters: &[1, 2, 3],
+            learners: &[4],
+            leaving: &[3, 4],
+            heard: &[1, 2, 3, 4],
+            want: None,
+        },
+    ];
+    let ids = |ids: &[u64]| ids.iter().map(|id| InstanceId(*id)).collect::<Vec<_>>();
+    for case in cases {
+        let (now, mut state, mut changes) = (Time::from_millis(1), State::default(), Vec::new());
+        for (id, host) in [(1, 1), (2, 2), (3, 3), (4, 4)] {
+            state.apply(&Record::Node(node(id, host)), &mut changes);
+        }
+        let mut membership = Membership::new(3, now);
+        for id in ids(case.heard) {
+            membership.record_hello(now, &state.nodes[&id]);
+            membership.set_leaving(id, case.leaving.contains(&id.0));
+        }
+        let members = Members { voters: ids(case.voters), learners: ids(case.learners) };
+        let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), now);
+        let status =
+            Status { members, ..controller.expect("there is no snapshot to decode").status() };
+        let events = membership.tick(now, &status, &state.nodes);
+        let got =
+            events.into_iter().find(|event| !matches!(event, ConsensusEvent::Standbys { .. }));
+        assert_eq!(got, case.want, "{}", case.name);
+    }
+}
+
+// Guards against a controller that was replaced as it shut down and is added again before it is gone.
+#[test]
+fn a_controller_that_shuts_down_is_not_added() {
+    let (now, mut membership) = (Time::from_millis(1), Membership::new(3, Time::from_millis(1)));
+    membership.record_hello(now, &node(9, 9));
+    membership.set_leaving(InstanceId(9), true);
+    let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), now);
+    let status = controller.expect("there is no snapshot to decode").status();
+    let events = membership.tick(now, &status, &State::default().nodes);
+    assert!(!events.contains(&ConsensusEvent::AddLearner { instance: InstanceId(9) }));
+}
+
 /// Guards against a voter that is up and is replaced by the controller that was at its address before: a
 /// hello of that one was held up.
 #[test]
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -177,7 +177,10 @@
                         let previous = self.answers.insert(ticket, answer);
                         assert!(previous.is_none(), "ticket {ticket} was answered twice");
                     }
-                    Effect::Answer { .. } | Effect::Send { .. } | Effect::LogEvent(_) => {
+                    Effect::Answer { .. }
+                    | Effect::Send { .. }
+                    | Effect::HandedOver
+                    | Effect::LogEvent(_) => {
                         self.sent.push(effect);
                     }
                 }
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -25,7 +25,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -81,6 +81,9 @@
 /// discard an answer that takes 1 s.
 const MAX_HOLD: Duration = Duration::from_millis(700);
 
+/// How long a controller that shuts down waits for a standby to take over its vote.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// How long a controller continues to answer requests during its shutdown.
 const DRAIN_TIME: Duration = Duration::from_millis(300);
 
@@ -145,6 +148,8 @@
     storage: Outbox<Write>,
     links: Outbox<LinkCommand>,
     front: Outbox<(u64, TimedAnswer)>,
+    /// Set to true when this controller, which is to shut down, may stop.
+    handed_over: watch::Sender<bool>,
     metrics: Arc<Metrics>,
     log: Logger,
 }
@@ -165,6 +170,7 @@
                     self.links.send(LinkCommand::Answer { connection, message });
                 }
             }
+            Effect::HandedOver => drop(self.handed_over.send_replace(true)),
             Effect::LogEvent(event) => {
                 self.metrics.record(&event);
                 log_events::controller(&self.log, &event);
@@ -216,10 +222,12 @@
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, answers_ring) = runtime_ring("front", RING_CAPACITY);
     let metrics = Arc::new(Metrics::default());
+    let (handed_over, mut handover) = watch::channel(false);
     let outputs = Outputs {
         storage: Outbox::new(&storage),
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
+        handed_over,
         metrics: metrics.clone(),
         log: log.clone(),
     };
@@ -270,6 +278,12 @@
             }
         }
         info!(log, "the controller shuts down");
+        // If control's ring is full, the controller stops without a handover.
+        if control.push(Event::ShutDown).is_ok() {
+            let limit = HANDOVER_TIMEOUT.min(settings.grace / 4);
+            let waited = timeout(limit, handover.wait_for(|done| *done)).await;
+            info!(log, "the vote was handed over"; "in_time" => waited.is_ok());
+        }
         stop.send_replace(true);
         sleep(DRAIN_TIME).await;
         info!(log, "the controller has shut down");
