members: a new leader doesn't wait again for a voter that was silent before

A leader replaced a voter that had been silent for 2.5 s since the leader's own election.

Change: the membership counts silence from the last hello, which followers hear too, as it treats a voter that shuts down: a standby is promoted, and the silent voter is removed if enough others are alive.

Ruled out: a shorter time of silence (a follower whose disk stalls for 2 s would be replaced).

a_voter_that_was_silent_before_the_election_is_replaced_at_once failed before ("silent for long").

--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -27,6 +27,7 @@
 #[derive(Debug)]
 pub struct Membership {
     target_voters: usize,
+    created: Time,
     next_check: Time,
     seen: BTreeMap<InstanceId, (Node, Time)>,
     /// Those of them that another controller has replaced at their address.
@@ -40,6 +41,7 @@
     pub fn new(target_voters: usize, now: Time) -> Self {
         Self {
             target_voters,
+            created: now,
             next_check: now,
             seen: BTreeMap::new(),
             replaced: BTreeSet::new(),
@@ -96,15 +98,23 @@
         let mut events = vec![Event::Standbys { instances: alive.iter().map(|n| n.id).collect() }];
         let new = alive.iter().filter(|node| !status.members.contains(node.id));
         events.extend(new.map(|node| Event::AddLearner { instance: node.id }));
-        if let Some(event) = self.voter_change(status, &alive, nodes) {
+        if let Some(event) = self.voter_change(now, status, &alive, nodes) {
             events.push(event);
         }
         events
     }
 
+    /// Whether a voter is shutting down or is silent. Its last hello may have come before this
+    /// controller began to lead.
+    fn has_departed(&self, now: Time, voter: InstanceId) -> bool {
+        let heard = self.seen.get(&voter).map_or(self.created, |(_, heard)| *heard);
+        self.leaving.contains(&voter) || now.since(heard) >= ALIVE_TIMEOUT
+    }
+
     /// The next change of voters, if one is needed.
     fn voter_change(
         &self,
+        now: Time,
         status: &Status,
         alive: &[&Node],
         nodes: &BTreeMap<InstanceId, Node>,
@@ -119,13 +129,13 @@
                 return Some(Event::ReplaceVoter { lost: *voter, by: node.id });
             }
         }
-        let leaving = voters.iter().find(|voter| self.leaving.contains(voter));
+        let departed = voters.iter().find(|voter| self.has_departed(now, **voter));
         if voters.len() > self.target_voters {
             let staying = alive.iter().filter(|node| voters.contains(&node.id)).count();
-            let instance = *leaving.filter(|_| staying >= self.target_voters)?;
+            let instance = *departed.filter(|_| staying >= self.target_voters)?;
             return Some(Event::RemoveMember { instance });
         }
-        if voters.len() == self.target_voters && leaving.is_none() {
+        if voters.len() == self.target_voters && departed.is_none() {
             return None;
         }
         let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -223,6 +223,45 @@
     }
 }
 
+// Guards against a deployment that waits for a lost voter from each election on.
+#[test]
+fn a_voter_that_was_silent_before_the_election_is_replaced_at_once() {
+    struct Case {
+        name: &'static str,
+        /// When the voter was last heard; `None` if it never was.
+        heard: Option<u64>,
+        /// When the leader begins to lead.
+        elected: u64,
+        want: bool,
+    }
+    let cases = [
+        Case { name: "silent for long", heard: Some(1000), elected: 4000, want: true },
+        Case { name: "silent for a while", heard: Some(2000), elected: 4000, want: false },
+        Case { name: "never heard", heard: None, elected: 4000, want: true },
+        Case { name: "not heard yet", heard: None, elected: 2000, want: false },
+    ];
+    for case in cases {
+        let (start, now) = (Time::from_millis(0), Time::from_millis(case.elected));
+        let (mut state, mut changes) = (State::default(), Vec::new());
+        let mut membership = Membership::new(3, start);
+        for node in [node(1, 1), node(2, 2), node(4, 4)] {
+            membership.record_hello(now, &node);
+            state.apply(&Record::Node(node), &mut changes);
+        }
+        if let Some(heard) = case.heard {
+            membership.record_hello(Time::from_millis(heard), &node(3, 3));
+        }
+        let voters = vec![InstanceId(1), InstanceId(2), InstanceId(3)];
+        let members = Members { voters, learners: vec![InstanceId(4)] };
+        let controller = Controller::new(config(node(1, 1), Vec::new()), recovered(), start);
+        let status =
+            Status { members, ..controller.expect("there is no snapshot to decode").status() };
+        let events = membership.tick(now, &status, &state.nodes);
+        let promote = ConsensusEvent::Promote { instance: InstanceId(4) };
+        assert_eq!(events.contains(&promote), case.want, "{}", case.name);
+    }
+}
+
 // Guards against a controller that was replaced as it shut down and is added again before it is gone.
 #[test]
 fn a_controller_that_shuts_down_is_not_added() {
