tests: the property of the members lists all seeds that fail

A run by hand over thousands of seeds (`HICKORYLINK_MEMBERS_SEEDS`, `HICKORYLINK_MEMBERS_FIRST`) printed only the first of them and how many there were. The assertion is the same.

--- a/lib/tests/jobs/members_properties.rs
+++ b/lib/tests/jobs/members_properties.rs
@@ -331,19 +331,15 @@
 #[test]
 fn each_live_controller_is_a_member_and_no_gone_one_votes() {
     let first = number(FIRST_SEED_ENV, 0);
-    let mut failures = Vec::new();
     let seeds = first..first + number(SEED_COUNT_ENV, SCHEDULES);
+    let mut failures: Vec<(u64, String)> = Vec::new();
     for seed in seeds.clone() {
         let mut schedule = Schedule::new(seed);
         if let Err(error) = schedule.run() {
-            failures.push(format!("seed {seed}: {error}\n  {}", schedule.trace.join("\n  ")));
+            failures.push((seed, format!("{error}\n  {}", schedule.trace.join("\n  "))));
         }
     }
-    let count = failures.len();
-    assert!(
-        failures.is_empty(),
-        "{count} of {} schedules fail, the first:\n{}",
-        seeds.count(),
-        failures[0]
-    );
+    let failed: Vec<u64> = failures.iter().map(|(seed, _)| *seed).collect();
+    let first = failures.first().map(|(_, failure)| failure.as_str()).unwrap_or_default();
+    assert!(failures.is_empty(), "of seeds {seeds:?}, {failed:?} fail, the first by {first}");
 }
