controllers: report when too few vote and when no leader is known

A new controller that never became a member, and a voter that was gone for good and kept its vote, showed in no metric and in no line of the log until the next losses left no quorum.

Change: the leader counts voters, live voters, standbys and the voters that it aims at (`jobs::voters`), and writes `too few controllers vote` with the absent voters' ids and addresses, and `enough controllers vote again`, each once a change; a new leader starts anew, so the state shows in its log, too. A voter counts as live by the rule by which it is replaced. Each controller writes `a controller was heard` with the sender of the hello (the controller itself or one that lists it), and `no leader is known` with whom it asks and who answers, once for each loss of more than 5 s.

`Contacts::record_hello` returns the addresses of which a hello is the first sign of life instead of whether there is one; its test compares the addresses now, which is stricter.

Ruled out: counting only while standbys exist. In the incident the leader knew of no standby, so the alarm would have been silent.

`metrics_count_events` reads the new gauges of real processes.

--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -184,12 +184,16 @@
 }
 
 /// The gauges of the leader.
-const LEADER_GAUGES: [MetricCase; 5] = [
+const LEADER_GAUGES: [MetricCase; 9] = [
     MetricCase { line: "hickorylink_leads", min: 1.0 },
     MetricCase { line: "hickorylink_jobs", min: 4.0 },
     MetricCase { line: "hickorylink_workers", min: 3.0 },
     MetricCase { line: "hickorylink_config_version", min: 1.0 },
     MetricCase { line: "hickorylink_ring_capacity_items{ring=\"control\"}", min: 1.0 },
+    MetricCase { line: "hickorylink_voters", min: 3.0 },
+    MetricCase { line: "hickorylink_live_voters", min: 3.0 },
+    MetricCase { line: "hickorylink_standbys", min: 0.0 },
+    MetricCase { line: "hickorylink_wanted_voters", min: 3.0 },
 ];
 
 /// The counters of the controllers. Each counts what happened while it led.
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -29,4 +29,5 @@
 pub mod response;
 pub mod state;
 pub mod suspects;
+pub mod voters;
 pub mod waiting;
--- a/lib/src/jobs/contacts.rs
+++ b/lib/src/jobs/contacts.rs
@@ -51,19 +51,26 @@
     }
 
     /// Records a hello from the controller at `from` that lists the controllers in `known`. Returns
-    /// whether it is the first sign of life of one of them, so that a hello shouldn't wait.
-    pub fn record_hello(&mut self, now: Time, from: SocketAddr, known: &[SocketAddr]) -> bool {
+    /// those of which it is the first sign of life, so that a hello shouldn't wait.
+    pub fn record_hello(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        known: &[SocketAddr],
+    ) -> Vec<SocketAddr> {
         self.expire(now);
-        let mut news = !self.is_live(now, from);
+        let mut new: Vec<_> = (!self.is_live(now, from)).then_some(from).into_iter().collect();
         self.listed.remove(&from);
         insert_bounded(&mut self.heard, from, now);
         for address in known.iter().take(MAX_CONTACTS).filter(|address| **address != self.me) {
             if !self.heard.contains_key(address) {
-                news |= !self.listed.contains_key(address);
+                if !self.listed.contains_key(address) {
+                    new.push(*address);
+                }
                 insert_bounded(&mut self.listed, *address, now);
             }
         }
-        news
+        new
     }
 
     /// The controllers to greet: the seeds, the members of the consensus group, and the
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -20,7 +20,9 @@
     ids::{Epoch, Index, InstanceId},
     jobs::{
         contacts::Contacts,
-        controller::{handover::Shutdown, leader::Leader, turn::PendingProposal},
+        controller::{
+            handover::Shutdown, leader::Leader, turn::PendingProposal, watch::Leaderless,
+        },
         hello::Hello,
         link::{ControllerStatus, LinkMessage},
         members::{Membership, recorded_peers},
@@ -45,6 +47,7 @@
 mod round;
 mod schedule;
 mod turn;
+mod watch;
 
 pub use self::{
     config::{Config, Timing},
@@ -70,6 +73,7 @@
     contacts: Contacts,
     next_hello: Time,
     shutdown: Shutdown,
+    leaderless: Leaderless,
     effects: Vec<consensus::Effect>,
 }
 
@@ -101,6 +105,7 @@
             contacts: Contacts::new(config.me.peer, &config.seeds),
             next_hello: now,
             shutdown: Shutdown::None,
+            leaderless: Leaderless::Since(now),
             leader: None,
             pending: VecDeque::new(),
             proposals: 0,
@@ -165,7 +170,7 @@
     fn handle_event(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Timer => {}
-            Event::Hello(hello) => self.receive_hello(now, &hello),
+            Event::Hello(hello) => self.receive_hello(now, &hello, out),
             Event::Seeds(seeds) => {
                 self.contacts.set_seeds(&seeds);
                 self.next_hello = now;
@@ -246,9 +251,13 @@
             self.next_hello = now + HELLO_INTERVAL;
             self.send_hello(now, out);
         }
+        self.report_leaderless(now, out);
         if self.leader.is_some() {
             self.membership.record_hello(now, &self.config.me);
-            let status = self.consensus.status();
+            let (status, due) = (self.consensus.status(), self.membership.next_deadline() <= now);
+            if due {
+                self.watch_voters(now, &status, out);
+            }
             for event in self.membership.tick(now, &status, &self.committed.nodes) {
                 if !matches!(event, consensus::Event::Standbys { .. }) {
                     let change = format!("{event:?}");
@@ -259,14 +268,16 @@
         }
     }
 
-    fn receive_hello(&mut self, now: Time, hello: &Hello) {
+    fn receive_hello(&mut self, now: Time, hello: &Hello, out: &mut Vec<Effect>) {
         let node = &hello.node;
         self.addresses.insert(node.id, node.peer);
         self.membership.record_hello(now, node);
         self.membership.set_leaving(node.id, hello.leaving);
-        if self.contacts.record_hello(now, node.peer, &hello.known) {
+        let new = self.contacts.record_hello(now, node.peer, &hello.known);
+        if !new.is_empty() {
             self.next_hello = now;
         }
+        Self::report_heard(node.peer, &new, out);
         if let Some(leader) = &mut self.leader {
             leader.record_node(node);
         }
@@ -321,6 +332,7 @@
             consensus::Effect::Restore(snapshot) => self.restore(&snapshot, out),
             consensus::Effect::Rejected { .. } => self.step_down(out),
             consensus::Effect::RoleChanged { role, term, leader } => {
+                self.record_leader(now, leader.is_some());
                 out.push(Effect::LogEvent(LogEvent::Role { role, term, leader }));
                 if role != Role::Leader {
                     self.step_down(out);
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -18,6 +18,7 @@
         report::Ended,
         state::{Change, State},
         suspects::Suspects,
+        voters::VoterWatch,
         waiting::{Demand, WaitingSteps},
     },
     symbols,
@@ -65,6 +66,8 @@
     pub fleet: Fleet,
     /// The learned interference between images.
     pub interference: Interference,
+    /// Whether enough controllers vote.
+    pub voters: VoterWatch,
     pub(super) epoch: Epoch,
     pub(super) timing: Timing,
     /// Steps that have tasks to place.
@@ -113,6 +116,7 @@
         let mut leader = Self {
             fleet: Fleet::default(),
             interference: Interference::default(),
+            voters: VoterWatch::default(),
             waiting: WaitingSteps::default(),
             changed: BTreeSet::new(),
             idle_services: Vec::new(),
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -12,6 +12,7 @@
         record::Node,
         report::{Ended, Report},
         response::HeartbeatResponse,
+        voters::{AbsentVoter, MemberCounts},
     },
     resources::Resources,
     time::Time,
@@ -270,6 +271,36 @@
         /// The requested change.
         change: String,
     },
+    /// Fewer controllers vote than the leader aims at.
+    TooFewVoters {
+        /// The controllers.
+        counts: MemberCounts,
+        /// The voters that are silent or shut down.
+        absent: Vec<AbsentVoter>,
+    },
+    /// As many controllers vote as the leader aims at, after too few.
+    EnoughVoters {
+        /// The controllers.
+        counts: MemberCounts,
+        /// For how long there were too few.
+        after: Duration,
+    },
+    /// The first sign of life of a controller, or the first after it was silent.
+    ControllerHeard {
+        /// The address of the controller.
+        peer: SocketAddr,
+        /// The sender of the hello: the controller itself, or one that has heard it.
+        from: SocketAddr,
+    },
+    /// No leader has been known for long.
+    NoLeader {
+        /// For how long.
+        waited: Duration,
+        /// The controllers that are greeted: the seeds, the members and those that were heard of.
+        asked: Vec<SocketAddr>,
+        /// Those of them that have answered.
+        heard: Vec<SocketAddr>,
+    },
     /// A change of the consensus group's members is committed.
     MembersCommitted {
         /// The members that vote from now on.
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -8,11 +8,14 @@
 
 use crate::{
     consensus::{
-        log::{Entry, Payload},
+        log::{Entry, Members, Payload},
         port::{Event, Status},
     },
     ids::{DataCentre, InstanceId},
-    jobs::record::{Batch, Node, Record},
+    jobs::{
+        record::{Batch, Node, Record},
+        voters::{AbsentVoter, MemberCounts},
+    },
     time::Time,
 };
 
@@ -87,14 +90,7 @@
             return Vec::new();
         }
         self.next_check = now + CHECK_INTERVAL;
-        // A controller that is shutting down takes no new part.
-        let alive: Vec<&Node> = self
-            .seen
-            .values()
-            .filter(|(_, seen)| now.since(*seen) < ALIVE_TIMEOUT)
-            .map(|(node, _)| node)
-            .filter(|node| !self.leaving.contains(&node.id))
-            .collect();
+        let alive: Vec<&Node> = self.alive(now).collect();
         let mut events = vec![Event::Standbys { instances: alive.iter().map(|n| n.id).collect() }];
         let new = alive.iter().filter(|node| !status.members.contains(node.id));
         events.extend(new.map(|node| Event::AddLearner { instance: node.id }));
@@ -104,6 +100,34 @@
         events
     }
 
+    /// The controllers that were heard recently. One that is shutting down takes no new part.
+    fn alive(&self, now: Time) -> impl Iterator<Item = &Node> {
+        let heard = self.seen.values().filter(move |(_, seen)| now.since(*seen) < ALIVE_TIMEOUT);
+        heard.map(|(node, _)| node).filter(|node| !self.leaving.contains(&node.id))
+    }
+
+    /// How many controllers there are, and how many of them vote.
+    pub fn counts(&self, now: Time, members: &Members) -> MemberCounts {
+        let voters = members.voters.iter();
+        MemberCounts {
+            voters: members.voters.len(),
+            live_voters: voters.filter(|voter| !self.has_departed(now, **voter)).count(),
+            standbys: self.alive(now).filter(|node| !members.is_voter(node.id)).count(),
+            wanted: self.target_voters,
+        }
+    }
+
+    /// The voters that don't count as live.
+    pub fn absent_voters(
+        &self,
+        now: Time,
+        members: &Members,
+        addresses: &BTreeMap<InstanceId, SocketAddr>,
+    ) -> Vec<AbsentVoter> {
+        let absent = members.voters.iter().filter(|voter| self.has_departed(now, **voter));
+        absent.map(|id| AbsentVoter { id: *id, peer: addresses.get(id).copied() }).collect()
+    }
+
     /// Whether a voter is shutting down or is silent. Its last hello may have come before this
     /// controller began to lead.
     fn has_departed(&self, now: Time, voter: InstanceId) -> bool {
--- a/lib/tests/jobs/contacts.rs
+++ b/lib/tests/jobs/contacts.rs
@@ -22,8 +22,8 @@
     after: u64,
     from: u8,
     known: &'static [u8],
-    /// Whether it is news.
-    news: bool,
+    /// The controllers of which it is the first sign of life.
+    new: &'static [u8],
 }
 
 // Guards against a controller that only its seeds hear of, and against greeting those that are gone.
@@ -41,14 +41,14 @@
         Case { name: "seeds and members", heard: &[], after: 0, greeted: &[2, 3], live: &[] },
         Case {
             name: "one that greets this one",
-            heard: &[Heard { after: 0, from: 4, known: &[], news: true }],
+            heard: &[Heard { after: 0, from: 4, known: &[], new: &[4] }],
             after: 1,
             greeted: &[2, 3, 4],
             live: &[4],
         },
         Case {
             name: "one that a seed has heard is greeted, but not passed on",
-            heard: &[Heard { after: 0, from: 2, known: &[1, 5], news: true }],
+            heard: &[Heard { after: 0, from: 2, known: &[1, 5], new: &[2, 5] }],
             after: 1,
             greeted: &[2, 3, 5],
             live: &[2],
@@ -56,10 +56,10 @@
         Case {
             name: "the same again is no news",
             heard: &[
-                Heard { after: 0, from: 2, known: &[5], news: true },
-                Heard { after: 1, from: 2, known: &[5], news: false },
-                Heard { after: 0, from: 5, known: &[2], news: true },
-                Heard { after: 1, from: 5, known: &[2], news: false },
+                Heard { after: 0, from: 2, known: &[5], new: &[2, 5] },
+                Heard { after: 1, from: 2, known: &[5], new: &[] },
+                Heard { after: 0, from: 5, known: &[2], new: &[5] },
+                Heard { after: 1, from: 5, known: &[2], new: &[] },
             ],
             after: 0,
             greeted: &[2, 3, 5],
@@ -68,8 +68,8 @@
         Case {
             name: "one that is listed no more is forgotten",
             heard: &[
-                Heard { after: 0, from: 2, known: &[5], news: true },
-                Heard { after: 1, from: 2, known: &[], news: false },
+                Heard { after: 0, from: 2, known: &[5], new: &[2, 5] },
+                Heard { after: 1, from: 2, known: &[], new: &[] },
             ],
             after: 10,
             greeted: &[2, 3],
@@ -77,14 +77,14 @@
         },
         Case {
             name: "one that is silent is still greeted for a while",
-            heard: &[Heard { after: 0, from: 4, known: &[], news: true }],
+            heard: &[Heard { after: 0, from: 4, known: &[], new: &[4] }],
             after: 30,
             greeted: &[2, 3, 4],
             live: &[],
         },
         Case {
             name: "one that is gone is forgotten",
-            heard: &[Heard { after: 0, from: 4, known: &[], news: true }],
+            heard: &[Heard { after: 0, from: 4, known: &[], new: &[4] }],
             after: 61,
             greeted: &[2, 3],
             live: &[],
@@ -92,8 +92,8 @@
         Case {
             name: "one that was silent is news again",
             heard: &[
-                Heard { after: 0, from: 4, known: &[], news: true },
-                Heard { after: 5, from: 4, known: &[], news: true },
+                Heard { after: 0, from: 4, known: &[], new: &[4] },
+                Heard { after: 5, from: 4, known: &[], new: &[4] },
             ],
             after: 0,
             greeted: &[2, 3, 4],
@@ -105,8 +105,8 @@
         let mut contacts = Contacts::new(peer(1), &peers(&[1, 2]));
         for heard in case.heard {
             now = now + Duration::from_secs(heard.after);
-            let news = contacts.record_hello(now, peer(heard.from), &peers(heard.known));
-            assert_eq!(news, heard.news, "{}", case.name);
+            let new = contacts.record_hello(now, peer(heard.from), &peers(heard.known));
+            assert_eq!(new, peers(heard.new), "{}", case.name);
         }
         now = now + Duration::from_secs(case.after);
         let greeted: Vec<_> = contacts.recipients(now, peers(&[1, 3])).into_iter().collect();
--- a/lib/tests/jobs/deployment.rs
+++ b/lib/tests/jobs/deployment.rs
@@ -119,7 +119,7 @@
     WallTime(1_000_000 + now.as_nanos() / 1_000_000)
 }
 
-fn host_of(address: SocketAddr) -> u8 {
+pub(crate) fn host_of(address: SocketAddr) -> u8 {
     match address.ip() {
         IpAddr::V4(ip) => ip.octets()[3],
         IpAddr::V6(_) => panic!("{address} isn't an address of the deployment"),
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -19,4 +19,5 @@
 mod recovery;
 mod standing;
 mod steps;
+mod voters;
 mod world;
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -1,11 +1,11 @@
 //! Writes the log events of the roles to the log.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use hickorylink_lib::{
     consensus::port::StepDown,
     ids::InstanceId,
-    jobs::{controller, gateway},
+    jobs::{controller, gateway, voters::AbsentVoter},
     resources::Resources,
 };
 use slog::{Logger, debug, error, info, warn};
@@ -56,6 +56,23 @@
         LogEvent::MembersCommitted { voters, learners } => {
             info!(log, "members changed"; "voters" => ids(voters), "learners" => ids(learners));
         }
+        LogEvent::TooFewVoters { counts, absent } => {
+            warn!(log, "too few controllers vote"; "voters" => counts.voters,
+                "live" => counts.live_voters, "wanted" => counts.wanted,
+                "standbys" => counts.standbys, "absent" => absent_voters(absent));
+        }
+        LogEvent::EnoughVoters { counts, after } => {
+            info!(log, "enough controllers vote again"; "voters" => counts.voters,
+                "live" => counts.live_voters, "wanted" => counts.wanted,
+                "standbys" => counts.standbys, "after_ms" => millis(*after));
+        }
+        LogEvent::ControllerHeard { peer, from } => {
+            info!(log, "a controller was heard"; "peer" => %peer, "from" => %from);
+        }
+        LogEvent::NoLeader { waited, asked, heard } => {
+            warn!(log, "no leader is known"; "waited_ms" => millis(*waited),
+                "asked" => addresses(asked), "heard" => addresses(heard));
+        }
         LogEvent::Unreadable { index, reason } => {
             error!(log, "an entry can't be read"; "index" => index.0, "reason" => reason);
         }
@@ -101,6 +118,22 @@
     ids.join(" ")
 }
 
+/// Addresses separated by spaces.
+fn addresses(addresses: &[SocketAddr]) -> String {
+    let texts: Vec<_> = addresses.iter().map(SocketAddr::to_string).collect();
+    texts.join(" ")
+}
+
+/// Voters, each with its address if it is known (`ID@ADDRESS`).
+fn absent_voters(voters: &[AbsentVoter]) -> String {
+    let text = |AbsentVoter { id, peer }: &AbsentVoter| match peer {
+        Some(peer) => format!("{}@{peer}", id.0),
+        None => id.0.to_string(),
+    };
+    let texts: Vec<_> = voters.iter().map(text).collect();
+    texts.join(" ")
+}
+
 /// Logs an event of a gateway.
 pub fn gateway(log: &Logger, event: &gateway::LogEvent) {
     use gateway::LogEvent;
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -54,6 +54,10 @@
     job_count: IntGauge,
     waiting_steps: IntGauge,
     worker_count: IntGauge,
+    voters: IntGauge,
+    live_voters: IntGauge,
+    standbys: IntGauge,
+    wanted_voters: IntGauge,
 }
 
 impl fmt::Debug for Metrics {
@@ -85,6 +89,10 @@
             job_count: IntGauge::default(),
             waiting_steps: IntGauge::default(),
             worker_count: IntGauge::default(),
+            voters: IntGauge::default(),
+            live_voters: IntGauge::default(),
+            standbys: IntGauge::default(),
+            wanted_voters: IntGauge::default(),
         };
         metrics.register();
         metrics
@@ -133,6 +141,15 @@
         r.register("jobs", "Jobs that are held", self.job_count.clone());
         r.register("waiting_steps", "Steps with tasks to be placed", self.waiting_steps.clone());
         r.register("workers", "Workers that are known", self.worker_count.clone());
+        self.register_members();
+    }
+
+    fn register_members(&mut self) {
+        let r = &mut self.registry;
+        r.register("voters", "Controllers that vote", self.voters.clone());
+        r.register("live_voters", "Voters that were heard recently", self.live_voters.clone());
+        r.register("standbys", "Controllers that could become voters", self.standbys.clone());
+        r.register("wanted_voters", "Voters to aim at", self.wanted_voters.clone());
     }
 
     /// Counts an answer.
@@ -178,6 +195,10 @@
             LogEvent::Leading { .. }
             | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
+            | LogEvent::TooFewVoters { .. }
+            | LogEvent::EnoughVoters { .. }
+            | LogEvent::ControllerHeard { .. }
+            | LogEvent::NoLeader { .. }
             | LogEvent::MembersCommitted { .. } => {}
         }
     }
@@ -190,6 +211,11 @@
             .set(saturating_i64(leader.map_or(0, |leader| leader.waiting_steps() as u64)));
         self.worker_count
             .set(saturating_i64(leader.map_or(0, |leader| leader.fleet.workers.len() as u64)));
+        let counts = leader.map(|leader| leader.voters.counts()).unwrap_or_default();
+        self.voters.set(saturating_i64(counts.voters as u64));
+        self.live_voters.set(saturating_i64(counts.live_voters as u64));
+        self.standbys.set(saturating_i64(counts.standbys as u64));
+        self.wanted_voters.set(saturating_i64(counts.wanted as u64));
     }
 
     /// Encodes all metrics in the text format.
