members: a group of even size doesn't keep two voters that have gone

A leader that replaces a voter promotes a standby and then removes the voter, but removed it only if as many voters as aimed at remained. With two voters gone (two losses at once, or two SIGTERMs), the group stayed at six voters of which four are alive, and four are a quorum: no further loss was borne until the consensus removed a silent one by itself, 2.5 s after the next election. The guard protects nothing: without a voter that has gone, an even group needs one voter less for a quorum. When the standby was chosen, the voter that goes still counted in its data centre, so a third voter could come into another one, whose loss was then that of the quorum.

Change: the first voter that has gone is removed from a group that is larger than aimed at; silent ones first, the leader last. Voters that go don't count when the data centres are compared.

--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -104,11 +104,22 @@
         events
     }
 
-    /// Whether a voter is shutting down or is silent. Its last hello may have come before this
-    /// controller began to lead.
-    fn has_departed(&self, now: Time, voter: InstanceId) -> bool {
+    /// Whether a voter is silent. Its last hello may have come before this controller began to
+    /// lead.
+    fn is_silent(&self, now: Time, voter: InstanceId) -> bool {
         let heard = self.seen.get(&voter).map_or(self.created, |(_, heard)| *heard);
-        self.leaving.contains(&voter) || now.since(heard) >= ALIVE_TIMEOUT
+        now.since(heard) >= ALIVE_TIMEOUT
+    }
+
+    /// The voters that are silent or shutting down, in the order in which they are removed: one
+    /// that shuts down still counts towards a quorum, and after the leader an election follows.
+    fn departed(&self, now: Time, status: &Status) -> Vec<InstanceId> {
+        let voters = status.members.voters.iter().copied();
+        let mut departed: Vec<_> = voters
+            .filter(|voter| self.is_silent(now, *voter) || self.leaving.contains(voter))
+            .collect();
+        departed.sort_by_key(|voter| (!self.is_silent(now, *voter), status.leader == Some(*voter)));
+        departed
     }
 
     /// The next change of voters, if one is needed.
@@ -129,18 +140,19 @@
                 return Some(Event::ReplaceVoter { lost: *voter, by: node.id });
             }
         }
-        let departed = voters.iter().find(|voter| self.has_departed(now, **voter));
+        let departed = self.departed(now, status);
         if voters.len() > self.target_voters {
-            let staying = alive.iter().filter(|node| voters.contains(&node.id)).count();
-            let instance = *departed.filter(|_| staying >= self.target_voters)?;
+            // A group of even size bears no more losses than one that is smaller by one.
+            let instance = *departed.first()?;
             return Some(Event::RemoveMember { instance });
         }
-        if voters.len() == self.target_voters && departed.is_none() {
+        if voters.len() == self.target_voters && departed.is_empty() {
             return None;
         }
         let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
+        let staying = || voters.iter().filter(|voter| !departed.contains(voter));
         let voters_in =
-            |there: &DataCentre| voters.iter().filter(|voter| centre(voter) == Some(there)).count();
+            |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
         let best = learners().min_by_key(|node| (voters_in(&node.centre), node.id))?;
         Some(Event::Promote { instance: best.id })
     }
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -17,6 +17,7 @@
 mod pace;
 mod properties;
 mod recovery;
+mod standbys;
 mod standing;
 mod steps;
 mod world;
--- /dev/null
+++ b/lib/tests/jobs/standbys.rs
@@ -0,0 +1,165 @@
+//! Which voters a leader promotes and removes, with more than one of them on the move.
+
+use hickorylink_lib::{
+    consensus::{
+        log::{Members, Recovered},
+        port::{Event, Status},
+    },
+    ids::InstanceId,
+    jobs::{
+        controller::Controller,
+        members::Membership,
+        record::{Node, Record},
+        state::State,
+    },
+    time::Time,
+};
+
+use crate::world::{config, node};
+
+/// The data centres of the controllers 1 to 8; the first leads.
+const CENTRES: [&str; 8] = ["akl-a", "akl-a", "akl-b", "akl-b", "hlz-c", "akl-a", "hlz-c", "akl-b"];
+
+/// A group as its leader sees it.
+struct Group {
+    name: &'static str,
+    /// How many voters are aimed at.
+    target: usize,
+    voters: &'static [u64],
+    learners: &'static [u64],
+    /// The controllers that have been silent for long.
+    silent: &'static [u64],
+    /// The controllers whose hellos say that they shut down.
+    leaving: &'static [u64],
+    want: Option<Event>,
+}
+
+const fn promote(id: u64) -> Option<Event> {
+    Some(Event::Promote { instance: InstanceId(id) })
+}
+
+const fn remove(id: u64) -> Option<Event> {
+    Some(Event::RemoveMember { instance: InstanceId(id) })
+}
+
+fn ids(ids: &[u64]) -> Vec<InstanceId> {
+    ids.iter().copied().map(InstanceId).collect()
+}
+
+/// The change of voters that the leader asks for.
+fn change(group: &Group) -> Option<Event> {
+    let (now, mut state, mut changes) = (Time::from_millis(60_000), State::default(), Vec::new());
+    let mut membership = Membership::new(group.target, Time::from_millis(0));
+    for (id, centre) in (1..).zip(CENTRES) {
+        let node = Node { centre: centre.into(), ..node(id, u8::try_from(id).expect("a host")) };
+        if !group.silent.contains(&id) {
+            membership.record_hello(now, &node);
+        }
+        membership.set_leaving(node.id, group.leaving.contains(&id));
+        state.apply(&Record::Node(node), &mut changes);
+    }
+    let controller = Controller::new(config(node(1, 1), Vec::new()), Recovered::default(), now);
+    let status = controller.expect("there is no snapshot to decode").status();
+    let members = Members { voters: ids(group.voters), learners: ids(group.learners) };
+    let status = Status { members, leader: Some(InstanceId(1)), ..status };
+    let wanted = |event: &Event| {
+        matches!(
+            event,
+            Event::Promote { .. } | Event::RemoveMember { .. } | Event::ReplaceVoter { .. }
+        )
+    };
+    membership.tick(now, &status, &state.nodes).into_iter().find(wanted)
+}
+
+// Guards against a group of even size that keeps two voters which have gone, so that a quorum needs
+// each of the others.
+#[test]
+fn one_of_two_voters_that_have_gone_is_removed() {
+    let cases = [
+        Group {
+            name: "two are silent",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5, 6],
+            learners: &[7],
+            silent: &[2, 3],
+            leaving: &[],
+            want: remove(2),
+        },
+        Group {
+            name: "two shut down",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5, 6],
+            learners: &[7],
+            silent: &[],
+            leaving: &[2, 3],
+            want: remove(2),
+        },
+        Group {
+            name: "a silent one counts for less than one that shuts down",
+            target: 3,
+            voters: &[1, 2, 3, 4],
+            learners: &[],
+            silent: &[3],
+            leaving: &[2],
+            want: remove(3),
+        },
+        Group {
+            name: "a leader that shuts down goes last, as an election follows",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5, 6],
+            learners: &[7],
+            silent: &[],
+            leaving: &[1, 2],
+            want: remove(2),
+        },
+        Group {
+            name: "not without a standby in its place",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5],
+            learners: &[],
+            silent: &[2, 3],
+            leaving: &[],
+            want: None,
+        },
+    ];
+    for group in cases {
+        assert_eq!(change(&group), group.want, "{}", group.name);
+    }
+}
+
+// Guards against voters that gather in one data centre, whose loss then is that of the quorum.
+#[test]
+fn a_standby_takes_the_place_of_a_voter_in_its_data_centre() {
+    let cases = [
+        Group {
+            name: "the only one there is silent",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5],
+            learners: &[6, 7],
+            silent: &[5],
+            leaving: &[],
+            want: promote(7),
+        },
+        Group {
+            name: "one shuts down, and as many are in another data centre",
+            target: 5,
+            voters: &[1, 2, 4, 5, 8],
+            learners: &[3, 6],
+            silent: &[],
+            leaving: &[2],
+            want: promote(6),
+        },
+        Group {
+            name: "one is silent, and as many are in another data centre",
+            target: 5,
+            voters: &[1, 4, 5, 6, 8],
+            learners: &[2, 3],
+            silent: &[8],
+            leaving: &[],
+            want: promote(3),
+        },
+    ];
+    for group in cases {
+        assert_eq!(change(&group), group.want, "{}", group.name);
+    }
+}
