transit: a worker's clock at the end of its range doesn't end the scheduler

Cause: the expected clock was computed by an addition that panics on overflow. Ruled out: `Time` (saturates) and the platform's heartbeats (`clockMs` in milliseconds can't reach the end of a Duration).

Change: the addition saturates. The case is one of a table of odd announcements.

--- a/lib/src/transit.rs
+++ b/lib/src/transit.rs
@@ -63,14 +63,14 @@
     pub fn arrive(&mut self, now: Time, clock: Duration) -> Arrival {
         let elapsed = now.since(self.arrived);
         if let Some(count) = self.unconfirmed {
-            let same = (self.sent + elapsed).abs_diff(clock) < CONFIRMING_DIFFERENCE;
+            let same = self.sent.saturating_add(elapsed).abs_diff(clock) < CONFIRMING_DIFFERENCE;
             let confirmed = same || count >= MAX_UNCONFIRMED;
             let unconfirmed = (!confirmed).then_some(count + 1);
             *self = Self { unconfirmed, ..Self::new(now, clock) };
             return if confirmed { Arrival::Timely } else { Arrival::Unconfirmed };
         }
         // A heartbeat that others have overtaken tells an earlier clock than theirs.
-        let delay = (self.sent + elapsed).saturating_sub(clock);
+        let delay = self.sent.saturating_add(elapsed).saturating_sub(clock);
         let drift = elapsed / MAX_DRIFT_DIVISOR;
         if delay <= RESPONSE_TIMEOUT + drift {
             if delay <= drift {
--- a/lib/tests/scheduler.rs
+++ b/lib/tests/scheduler.rs
@@ -19,6 +19,8 @@
 mod lifecycle;
 #[path = "scheduler/message.rs"]
 mod message;
+#[path = "scheduler/odd_announcements.rs"]
+mod odd_announcements;
 #[path = "scheduler/outcomes.rs"]
 mod outcomes;
 #[path = "scheduler/placement.rs"]
