link: a message that can't be read is skipped and the connection kept

Callers saw: an unreadable frame, such as a message of a kind that only a later release knows, ended the connection between two instances with all messages that were on their way in both directions. It is opened again with the next message, and ends again with the next such frame, so that consensus messages between releases are lost all the time.

Cause: `exchange` returned the decoding error like one of the socket. The frames are delimited by their length, so the next one can be read whatever this one holds.

Ruled out: closing only after several unreadable frames in a row, since the sender would repeat them; a version in the hello, since a later release doesn't know what an earlier one can't read until it asks. A frame above the largest length still ends the connection: its bytes aren't read.

--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -158,7 +158,7 @@
         let log = self.log.clone();
         tokio::spawn(async move {
             let on_event = |message| on_event(LinkEvent::Inbound { connection, message });
-            if let Err(error) = exchange(framed(stream), queue, on_event).await {
+            if let Err(error) = exchange(framed(stream), queue, on_event, &log).await {
                 info!(log, "a connection from an instance ended"; "error" => %error);
             }
         });
@@ -185,7 +185,7 @@
     let ended = match opened {
         Ok(stream) => {
             let received = |message| on_event(LinkEvent::Outbound { from: to, message });
-            exchange(framed(stream), queue, received).await
+            exchange(framed(stream), queue, received, &log).await
         }
         Err(error) => {
             sleep(RECONNECT_DELAY).await;
@@ -210,11 +210,13 @@
 }
 
 /// Writes queued messages and hands received ones to `on_event`, until the queue is closed or the
-/// connection ends.
+/// connection ends. Skips a frame that can't be decoded, such as a message of a kind that only a later
+/// release knows.
 async fn exchange(
     mut stream: Stream,
     mut queue: mpsc::Receiver<LinkMessage>,
     on_event: impl Fn(LinkMessage),
+    log: &Logger,
 ) -> io::Result<()> {
     let mut batch = Vec::new();
     loop {
@@ -229,7 +231,11 @@
                 SinkExt::<Bytes>::flush(&mut stream).await?;
             }
             frame = next(&mut stream) => match frame {
-                Some(frame) => on_event(decode(&frame?)?),
+                Some(frame) => match decode(&frame?) {
+                    Ok(message) => on_event(message),
+                    Err(error) => warn!(log, "a message from an instance can't be read";
+                        "error" => %error),
+                },
                 None => return Ok(()),
             },
         }
@@ -248,7 +254,6 @@
     bytes.map(Bytes::from).map_err(|error| io::Error::new(io::ErrorKind::InvalidInput, error))
 }
 
-fn decode(frame: &[u8]) -> io::Result<LinkMessage> {
-    let message = postcard::from_bytes(frame);
-    message.map_err(|error| io::Error::new(io::ErrorKind::InvalidData, error))
+fn decode(frame: &[u8]) -> postcard::Result<LinkMessage> {
+    postcard::from_bytes(frame)
 }
