heartbeat: a report without a usable address or with implausible numbers is refused

Callers saw: a heartbeat with port 99999 or 0, without a port, with an address that is empty or "nonsense", with a blank behind the address of a good worker, or with a capacity of 2^64 - 1 was answered with 200 and taken for a worker with room. Starts went to it and waited out a lease.

Cause: the address was kept as text, and no value was compared with what a worker can have.

The stand-in worker and the simulated ones of the tests have addresses now.

Ruled out: connecting to the address, since workers are reached through their heartbeats only.

--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -91,7 +92,7 @@
     /// Its labels; one of them names its rack.
     pub labels: Vec<Label>,
     /// The address that other processes reach it at.
-    pub address: Box<str>,
+    pub address: SocketAddr,
     /// Its total resources.
     pub capacity: Resources,
     /// The earliest time at which it leaves; `None` if it stays.
@@ -149,7 +150,7 @@
             service: report.service.clone(),
             centre: report.centre.clone(),
             labels: report.labels.clone(),
-            address: report.address.clone(),
+            address: report.address,
             capacity: report.capacity,
             leaves_at,
         });
--- a/lib/src/jobs/report.rs
+++ b/lib/src/jobs/report.rs
@@ -1,6 +1,6 @@
 //! What a worker reports in its heartbeat.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use crate::{
     data,
@@ -24,7 +24,7 @@
         /// The worker's monotonic clock when it sent the heartbeat; `None` if it doesn't say.
         pub clock: Option<Duration>,
         /// The address that other processes reach it at. Live workers never share an address.
-        pub address: Box<str>,
+        pub address: SocketAddr,
         /// The service that it belongs to.
         pub service: ServiceName,
         /// Its data centre.
--- a/lib/src/jobs/suspects.rs
+++ b/lib/src/jobs/suspects.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -53,7 +54,7 @@
     /// The runs that hadn't settled.
     pub runs: Vec<(TaskKey, Run)>,
     incarnation: Incarnation,
-    address: Option<Box<str>>,
+    address: Option<SocketAddr>,
     at: Time,
 }
 
@@ -77,7 +78,7 @@
             name: worker.name.clone(),
             runs,
             incarnation: worker.incarnation,
-            address: worker.profile.as_ref().map(|profile| profile.address.clone()),
+            address: worker.profile.as_ref().map(|profile| profile.address),
             at: now,
         });
     }
@@ -88,7 +89,7 @@
         let (mut crashed, mut others) = (Vec::new(), VecDeque::new());
         for lapsed in self.lapsed.drain(..) {
             let named = lapsed.name == report.name;
-            let addressed = lapsed.address.as_ref() == Some(&report.address);
+            let addressed = lapsed.address == Some(report.address);
             let heard = named && lapsed.incarnation == report.incarnation;
             if heard || now.since(lapsed.at) > LAPSED_RETENTION {
                 continue;
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -15,6 +15,10 @@
     /// No resources.
     pub const ZERO: Self = Self { millicores: 0, memory_mib: 0, accelerators: 0 };
 
+    /// The most that one worker may have. It leaves room for sums over all workers.
+    pub const LARGEST_WORKER: Self =
+        Self { millicores: 100_000_000, memory_mib: 1 << 30, accelerators: 4_096 };
+
     /// Whether `self` is at least `requested` in every dimension.
     pub fn fits(&self, requested: &Self) -> bool {
         self.millicores >= requested.millicores
--- a/lib/src/scheduler/announce.rs
+++ b/lib/src/scheduler/announce.rs
@@ -18,9 +18,6 @@
     worker::{Announcement, AttemptState, LeaseAnswer, WorkerCommand},
 };
 
-/// The largest capacity that a worker may announce.
-const MAX_CAPACITY: Resources =
-    Resources { millicores: 100_000_000, memory_mib: 1 << 30, accelerators: 4_096 };
 /// The largest number of attempts that a worker may report at a time.
 const MAX_ATTEMPTS: usize = 10_000;
 /// The largest number of workers in a data centre.
@@ -64,7 +61,7 @@
         if announcement.capacity.millicores == 0 || announcement.capacity.memory_mib == 0 {
             return Err("the capacity has no processors or no memory".into());
         }
-        if !MAX_CAPACITY.fits(&announcement.capacity) {
+        if !Resources::LARGEST_WORKER.fits(&announcement.capacity) {
             return Err("the capacity exceeds the largest allowed".into());
         }
         if announcement.tasks.len() > MAX_ATTEMPTS {
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -279,11 +279,18 @@
     }
 }
 
+/// The address of a worker by its name.
+pub(crate) fn worker_address(name: &str) -> SocketAddr {
+    let sum = name.bytes().fold(0, |sum: u16, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    let [high, low] = sum.to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 8080))
+}
+
 /// A simulated worker that executes the responses to its heartbeats.
 #[derive(Clone, Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) name: String,
-    pub(crate) address: String,
+    pub(crate) address: SocketAddr,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
@@ -309,7 +316,7 @@
     pub(crate) fn new(name: &str) -> Self {
         Self {
             name: name.to_owned(),
-            address: format!("{name}:1"),
+            address: worker_address(name),
             incarnation: 1,
             sequence: 0,
             leaving: None,
@@ -335,8 +342,8 @@
 
     /// The same machine after a crash and restart under another name.
     pub(crate) fn replaced(&self, name: &str) -> Self {
-        let address = self.address.clone();
-        Self { incarnation: self.incarnation + 1, address, ..Self::new(name) }
+        let (incarnation, address) = (self.incarnation + 1, self.address);
+        Self { incarnation, address, ..Self::new(name) }
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -346,7 +353,7 @@
             incarnation: Incarnation(self.incarnation),
             sequence: self.sequence,
             clock: self.clock,
-            address: self.address.as_str().into(),
+            address: self.address,
             service: "desk".into(),
             centre: "akl-a".into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -104,6 +104,13 @@
     }
 }
 
+/// The address of a worker, which it keeps when it starts again. Nobody connects to it.
+fn address(name: &str) -> String {
+    let sum = name.bytes().fold(0, |sum: u16, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    let [high, low] = sum.to_be_bytes();
+    format!("10.0.{high}.{low}:8080")
+}
+
 /// One incarnation of a worker.
 struct Incarnation {
     name: String,
@@ -205,7 +212,7 @@
             self.running.iter().map(|(task, (run, _, _))| json!([task, run, "", 1, 0])).collect();
         let finished: Vec<_> = self.finished.iter().map(|(_, row)| row).collect();
         json!({
-            "service": SERVICE, "address": format!("{}:1", self.name), "zone": "centre-0",
+            "service": SERVICE, "address": address(&self.name), "zone": "centre-0",
             "version": "v1", "slots": 8, "state": "ready", "born": self.born,
             "seqNum": self.sequence, "clockMs": self.clock_ms(), "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 },
