jobs: one odd job or configuration doesn't hold up the leader

Callers saw: a job with `repeatCount` 2^32 - 1, `firstRunMs` 0 and `intervalMs` 1 is accepted, and the leader then queues all its billions of due occurrences in one turn. The job is in the log, so each leader that follows does the same. Values near 2^64 (a task's needs, estimates, the times of a schedule, slack, target) overflowed: a panic in debug builds, and in release builds a wrong order or a task that fits everywhere. A step number above 65,535 wrapped. 100,000 tasks a step were allowed for any number of steps.

Cause: only `count` was limited; sums and products were plain.

Change: - At most 256 occurrences of a job are unfinished at a time, or as many as have 200,000 tasks together; the next ones begin when earlier ones are finished.

Ruled out: refusing schedules that lie in the past, since clocks jump and a job may be handed in late.

--- a/lib/src/jobs/config.rs
+++ b/lib/src/jobs/config.rs
@@ -70,7 +70,8 @@
 impl Queue {
     /// The objective for the duration of a job with this critical path, in milliseconds.
     pub fn objective(&self, critical_path: u64) -> u64 {
-        critical_path * self.slack / PERMILLE + self.target_latency
+        let slack = critical_path.saturating_mul(self.slack) / PERMILLE;
+        slack.saturating_add(self.target_latency)
     }
 }
 
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -33,6 +33,7 @@
 pub mod config;
 mod heartbeat;
 pub mod leader;
+mod occurrences;
 pub mod port;
 mod probation;
 mod proposal;
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -73,7 +73,7 @@
     pub(super) changed: BTreeSet<WorkerNumber>,
     /// Services that used less than half of their processors at the last check.
     pub(super) idle_services: Vec<ServiceName>,
-    /// Occurrences that aren't due yet.
+    /// Occurrences that aren't due yet, or wait until earlier ones of their job are finished.
     pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
     /// The workers on which each task has failed or was refused.
     pub(super) failed_on: HashMap<TaskKey, Vec<WorkerNumber>>,
@@ -194,54 +194,6 @@
         }
     }
 
-    /// Queues the steps of a job that are ready and schedules its next occurrence.
-    pub(super) fn admit_job(&mut self, id: JobId) {
-        let Some(job) = self.state.jobs.get(&id) else { return };
-        let spec = job.spec.clone();
-        if spec.schedule.is_none() {
-            for step in self.state.ready_steps(id, 0) {
-                self.enqueue(step);
-            }
-            return;
-        }
-        let begun: Vec<u32> = job.occurrences.keys().copied().collect();
-        for occurrence in begun {
-            for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(step);
-            }
-        }
-        let first = self.state.jobs.get(&id).map_or(0, |job| {
-            (0..spec.occurrences())
-                .find(|occurrence| !job.occurrences.contains_key(occurrence))
-                .unwrap_or(u32::MAX)
-        });
-        self.schedule_occurrence(id, first);
-    }
-
-    /// Schedules an occurrence for its due time.
-    fn schedule_occurrence(&mut self, id: JobId, occurrence: u32) {
-        let Some(job) = self.state.jobs.get(&id) else { return };
-        if occurrence < job.spec.occurrences()
-            && let Some(due) = job.spec.due(occurrence)
-        {
-            self.upcoming.insert((due, id, occurrence));
-        }
-    }
-
-    /// Queues the steps of the occurrences that are due.
-    pub(super) fn start_due_occurrences(&mut self) {
-        while let Some((due, id, occurrence)) = self.upcoming.first().copied() {
-            if due > self.wall {
-                return;
-            }
-            self.upcoming.pop_first();
-            for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(step);
-            }
-            self.schedule_occurrence(id, occurrence + 1);
-        }
-    }
-
     /// The rank of a step of an open job, and what its tasks ask for.
     fn rank(&self, key: &StepKey) -> Option<(Rank, Demand)> {
         let job = self.state.jobs.get(&key.job).filter(|job| job.phase.is_open())?;
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -152,7 +152,9 @@
     if !worker.confirmed {
         return FREE_INTERVAL;
     }
-    if !worker.is_usable(now) || unused * 100 < capacity * FULL_BELOW_PERCENT {
+    if !worker.is_usable(now)
+        || unused.saturating_mul(100) < capacity.saturating_mul(FULL_BELOW_PERCENT)
+    {
         return FULL_INTERVAL;
     }
     FREE_INTERVAL
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -112,10 +112,11 @@
         for worker in self.workers.values() {
             let Some(profile) = &worker.profile else { continue };
             let (used, capacity) = services.entry(&profile.service).or_default();
-            *used += worker.used();
-            *capacity += profile.capacity.millicores;
+            *used = used.saturating_add(worker.used());
+            *capacity = capacity.saturating_add(profile.capacity.millicores);
         }
-        let idle = services.into_iter().filter(|(_, (used, capacity))| used * 2 < *capacity);
+        let idle =
+            services.into_iter().filter(|(_, (used, capacity))| used.saturating_mul(2) < *capacity);
         idle.map(|(service, _)| service.clone()).collect()
     }
 
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -170,11 +170,11 @@
             self.add_orphan(task, older.run, orphan);
         }
         self.reserved = self.reserved.saturating_add(&view.reserved);
-        self.demand += view.demand;
+        self.demand = self.demand.saturating_add(view.demand);
         if view.target_latency.is_some() {
             self.serving += 1;
-            self.serving_reserved += view.reserved.millicores;
-            self.serving_used += assumed_use(&view);
+            self.serving_reserved = self.serving_reserved.saturating_add(view.reserved.millicores);
+            self.serving_used = self.serving_used.saturating_add(assumed_use(&view));
         }
         if view.probation {
             self.probation = Some(task);
@@ -189,10 +189,10 @@
             self.probation = None;
         }
         self.reserved = self.reserved.saturating_sub(&view.reserved);
-        self.demand -= view.demand;
+        self.demand = self.demand.saturating_sub(view.demand);
         if view.target_latency.is_some() {
             self.serving -= 1;
-            self.serving_reserved -= view.reserved.millicores;
+            self.serving_reserved = self.serving_reserved.saturating_sub(view.reserved.millicores);
             self.serving_used = self.serving_used.saturating_sub(assumed_use(&view));
         }
         Some(view)
@@ -252,18 +252,22 @@
     /// The processors that all its tasks may use together, in millicores.
     fn usable_processors(&self) -> u64 {
         let millicores = self.capacity().millicores;
-        if self.serving > 0 { millicores * MAX_USED_PERCENT / 100 } else { millicores }
+        if self.serving > 0 {
+            millicores.saturating_mul(MAX_USED_PERCENT) / 100
+        } else {
+            millicores
+        }
     }
 
     /// The processors that reservations and serving tasks take, in millicores.
     fn taken(&self) -> u64 {
         let others = self.reserved.millicores.saturating_sub(self.serving_reserved);
-        others + self.serving_used
+        others.saturating_add(self.serving_used)
     }
 
     /// The processors that are left for further opportunistic tasks, in millicores.
     pub fn unused(&self) -> u64 {
-        self.usable_processors().saturating_sub(self.taken() + self.demand)
+        self.usable_processors().saturating_sub(self.taken().saturating_add(self.demand))
     }
 
     /// The pace, from 0 to 1, at which the processors suffice for all opportunistic tasks; 1 before
@@ -280,8 +284,8 @@
     /// opportunistic tasks, the average usage of serving tasks and the reservations of all others.
     pub fn used(&self) -> u64 {
         let opportunistic = self.runs.values().filter(|view| view.is_opportunistic());
-        let used: u64 = opportunistic.map(|view| view.gauge.min(view.demand)).sum();
-        used + self.taken()
+        let used = opportunistic.map(|view| view.gauge.min(view.demand));
+        used.fold(self.taken(), u64::saturating_add)
     }
 
     /// Whether its tasks use all processors that they may use together.
@@ -333,5 +337,5 @@
 
 /// The processors that a serving run is assumed to use, in millicores.
 fn assumed_use(view: &RunView) -> u64 {
-    view.reserved.millicores * ASSUMED_LOAD_PERCENT / 100
+    view.reserved.millicores.saturating_mul(ASSUMED_LOAD_PERCENT) / 100
 }
--- a/lib/src/jobs/model.rs
+++ b/lib/src/jobs/model.rs
@@ -190,7 +190,7 @@
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let begin = step.after.iter().filter_map(|at| ends.get(usize::from(*at))).max();
-            ends.push(begin.copied().unwrap_or(0) + step.estimate);
+            ends.push(begin.copied().unwrap_or(0).saturating_add(step.estimate));
         }
         ends.into_iter().max().unwrap_or(0)
     }
@@ -203,10 +203,25 @@
         if self.schedule.is_some_and(|schedule| schedule.times > 1 && schedule.every == 0) {
             return Some("a repeated job needs a time between occurrences".to_owned());
         }
+        if self.tasks() > MAX_JOB_TASKS || self.steps.len() > usize::from(u16::MAX) {
+            let (steps, tasks) = (self.steps.len(), self.tasks());
+            return Some(format!("{steps} steps with {tasks} tasks exceed {MAX_JOB_TASKS} tasks"));
+        }
         let steps = self.steps.iter().enumerate();
         steps.filter_map(|(at, step)| step.validation_error(at)).next()
     }
 
+    /// The number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|step| u64::from(step.count)).sum()
+    }
+
+    /// How many unfinished occurrences may be in progress or queued at a time.
+    pub fn max_unfinished(&self) -> u32 {
+        let fitting = MAX_JOB_TASKS / self.tasks().max(1);
+        u32::try_from(fitting).unwrap_or(u32::MAX).clamp(1, MAX_UNFINISHED)
+    }
+
     /// The number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times)
@@ -215,18 +230,29 @@
     /// When an occurrence is due; `None` for a job that starts at once.
     pub fn due(&self, occurrence: u32) -> Option<WallTime> {
         let schedule = self.schedule?;
-        Some(WallTime(schedule.first.0 + u64::from(occurrence) * schedule.every))
+        let after = u64::from(occurrence).saturating_mul(schedule.every);
+        Some(WallTime(schedule.first.0.saturating_add(after)))
     }
 }
 
 /// The maximum number of tasks in a step.
 const MAX_STEP_TASKS: u32 = 100_000;
 
+/// The maximum number of tasks in one occurrence of a job, and in all its occurrences that are
+/// unfinished, unless there is only one.
+const MAX_JOB_TASKS: u64 = 200_000;
+
+/// The maximum number of occurrences of a job that are unfinished at a time.
+const MAX_UNFINISHED: u32 = 256;
+
 impl Step {
     fn validation_error(&self, at: usize) -> Option<String> {
         if self.count == 0 || self.count > MAX_STEP_TASKS {
             return Some(format!("step {at} has {} tasks, not 1 to {MAX_STEP_TASKS}", self.count));
         }
+        if !Resources::LARGEST_WORKER.fits(&self.needs) {
+            return Some(format!("a task of step {at} needs more than any worker has"));
+        }
         let later = self.after.iter().find(|before| usize::from(**before) >= at)?;
         Some(format!("step {at} depends on step {later}, which isn't an earlier one"))
     }
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -67,7 +67,8 @@
     pub fn fits(&self, demand: &Demand) -> bool {
         *self != Self::NONE
             && self.free.fits(&demand.reserved)
-            && self.unused * 100 >= demand.unreserved * MIN_UNUSED_PERCENT
+            && self.unused.saturating_mul(100)
+                >= demand.unreserved.saturating_mul(MIN_UNUSED_PERCENT)
     }
 
     fn max(&self, other: &Self) -> Self {
@@ -146,7 +147,7 @@
     pub fn take(&mut self, number: WorkerNumber, demand: &Demand) {
         if let Ok(at) = self.members.binary_search_by_key(&number, |(member, _)| *member) {
             let room = &mut self.members[at].1;
-            let processors = demand.unreserved + demand.reserved.millicores;
+            let processors = demand.unreserved.saturating_add(demand.reserved.millicores);
             room.free = room.free.saturating_sub(&demand.reserved);
             room.unused = room.unused.saturating_sub(processors);
         }
--- a/lib/src/jobs/progress.rs
+++ b/lib/src/jobs/progress.rs
@@ -145,7 +145,7 @@
     /// The remaining work of an occurrence by the customer's estimates.
     pub fn remaining(&self, occurrence: u32) -> RemainingWork {
         let mut ends: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
-        let mut work = 0;
+        let mut work: u64 = 0;
         for (at, step) in self.spec.steps.iter().enumerate() {
             let progress =
                 self.occurrences.get(&occurrence).and_then(|occurrence| occurrence.steps.get(at));
@@ -153,8 +153,9 @@
             let tasks = u64::from(step.count.saturating_sub(done));
             let begin = step.after.iter().filter_map(|at| ends.get(usize::from(*at))).max();
             let own = if tasks > 0 { step.estimate } else { 0 };
-            ends.push(begin.copied().unwrap_or(0) + own);
-            work += tasks * step.estimate * step.needs.millicores / MILLICORES_PER_CORE;
+            ends.push(begin.copied().unwrap_or(0).saturating_add(own));
+            let each = step.estimate.saturating_mul(step.needs.millicores);
+            work = work.saturating_add(tasks.saturating_mul(each) / MILLICORES_PER_CORE);
         }
         RemainingWork { critical_path: ends.into_iter().max().unwrap_or(0), work }
     }
@@ -181,6 +182,11 @@
         before && waits
     }
 
+    /// Whether an occurrence that is due may begin, or has to wait until earlier ones are finished.
+    pub fn may_begin(&self, occurrence: u32) -> bool {
+        occurrence.saturating_sub(self.done) < self.spec.max_unfinished()
+    }
+
     /// Counts an occurrence as completed if all its steps are done. Returns whether it was the
     /// last.
     pub(super) fn finish_occurrence(&mut self, occurrence: u32) -> bool {
--- a/lib/src/jobs/rank.rs
+++ b/lib/src/jobs/rank.rs
@@ -70,8 +70,12 @@
     let begin = job.spec.due(step.occurrence).unwrap_or(job.accepted);
     let objective = queue.objective(job.spec.critical_path());
     let remaining = job.remaining(step.occurrence);
-    let done = wall.0 + remaining.critical_path;
-    let within = |times: u64| done <= begin.0 + objective * times + objective / TOLERANCE_DIVISOR;
+    let done = wall.0.saturating_add(remaining.critical_path);
+    let tolerance = objective / TOLERANCE_DIVISOR;
+    let within = |times: u64| {
+        let allowed = objective.saturating_mul(times).saturating_add(tolerance);
+        done <= begin.0.saturating_add(allowed)
+    };
     let lateness = match () {
         () if within(1) => Lateness::InTime,
         () if within(LATE_FACTOR) => Lateness::Late,
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod leases;
 mod load;
+mod odd_jobs;
 mod overcommit;
 mod pace;
 mod properties;
