jobs: a heartbeat that names no worker to use takes no worker's place

Callers saw: an entry with a service that no configuration has, or with a start in the far future, was taken for a worker. At the address or under the name of a good worker, with a later `born`, it replaced that worker ("was replaced at its address"): the runs were given up and started again beside those that the good worker still had, and the good worker's heartbeats were ignored as those of an earlier life.

Cause: a later incarnation is proof that the earlier one is gone, whoever names it.

Change (controller/admission.rs): a heartbeat of a service that the configuration doesn't have is acknowledged and changes nothing, unless this incarnation is known with that service, whose runs go on when a configuration drops it. Once a configuration names the service, the next heartbeat counts. A start more than 10 s ahead of the leader's clock doesn't replace a worker that was heard in the last 1.8 s; after that it does, so a worker with a wrong clock waits for a moment but isn't refused.

Ruled out: refusing with 400, since the worker is right and the configuration late; refusing all starts in the future, since clocks jump; asking a worker for its silence before any replacement, since that holds up the tasks of each worker that has crashed and is back at once. The data centre of a report is used by nothing, so an unknown one does no harm.

Open: an entry that is well-formed in all its fields, with a plausible `born`, can't be told from a worker that has started again. The good worker is used again once the entry's lease has run out.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -28,6 +28,7 @@
     time::{Time, WallTime, earliest},
 };
 
+mod admission;
 mod calls;
 mod capacity;
 pub mod config;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -23,6 +23,15 @@
 impl Leader {
     /// Handles a heartbeat. It is answered at the end of this turn or held open.
     pub(super) fn heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
+        if let Some(refusal) = self.refusal(now, report) {
+            self.answers.push((ticket, Answer::Acknowledged));
+            return self.log_events.push(LogEvent::Worker {
+                name: report.name.to_string(),
+                state: refusal.name(),
+                silent_ms: 0,
+                runs: report.running.len(),
+            });
+        }
         let arrival = self.fleet.arrive(now, report);
         if arrival == Arrival::Late {
             return self.late_heartbeat(now, ticket, report);
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -18,7 +18,7 @@
 
 /// The age of the last heartbeat up to which a worker counts as live. Covers the longest interval
 /// between two heartbeats (held for 0.7 s, then sent again after 0.9 s) and the network latency.
-const LIVE_TIMEOUT: Duration = Duration::from_millis(1800);
+pub(crate) const LIVE_TIMEOUT: Duration = Duration::from_millis(1800);
 
 /// The workers that are considered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -10,6 +10,7 @@
 mod leases;
 mod load;
 mod odd_jobs;
+mod odd_workers;
 mod overcommit;
 mod pace;
 mod properties;
