--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -161,6 +161,12 @@
         fs::write(self.settings(at), text.replace("\"founding\":true", "\"founding\":false"))
     }
 
+    /// Whether the process of a member that was started last still runs.
+    pub fn is_running(&mut self, at: usize) -> bool {
+        let child = self.members[at].child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// The number of controllers and gateways.
     pub fn member_count(&self) -> usize {
         self.members.len()
