peers: the messages of a frame before an unreadable one are kept

Callers saw: in `serve`, one message of a kind that only a later release knows made the receiver refuse the whole frame. The sender closed the connection, reported "a peer can't be reached" and paused, and up to a batch of messages, consensus among them, was lost, with each such frame.

Cause: the messages of a frame were decoded as one list.

Ruled out: a length for each message, since earlier releases couldn't read such frames.

Change: `frame::open` returns the messages before the first unreadable one and the reason for the rest, which is lost as if it had been dropped; senders repeat. The log line is "a message from an instance can't be read". A frame that isn't of our key is refused as before. The number of a change of targets at the end of its range no longer overflows.

--- a/cli/src/duty/peers.rs
+++ b/cli/src/duty/peers.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::Clock,
     duty::send_all,
-    frame::{self, PeerKey},
+    frame::{self, Opened, PeerKey},
     metrics::Metrics,
     outboxes::{Outboxes, Rings},
     ring::RingSender,
@@ -177,12 +177,15 @@
 impl Inbound {
     fn receive_frame(&self, text: &str) -> Result<u32, ErrorObjectOwned> {
         self.metrics.peer_received(text.len());
-        let messages: Vec<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
+        let opened: Opened<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
             warn!(self.log, "a frame from a peer is refused"; "error" => %error);
             ErrorObjectOwned::owned(1, error.to_string(), None::<()>)
         })?;
+        if let Some(error) = opened.unread {
+            warn!(self.log, "a message from an instance can't be read"; "error" => %error);
+        }
         let mut accepted = 0;
-        for message in messages {
+        for message in opened.messages {
             accepted += u32::from(self.forward(message));
         }
         Ok(accepted)
--- a/cli/src/frame.rs
+++ b/cli/src/frame.rs
@@ -44,7 +44,7 @@
     /// Its hash doesn't match: it was made with another key, or was altered.
     #[snafu(display("the frame was made with another peer key"))]
     Key,
-    /// Its messages can't be decoded.
+    /// Its number of messages can't be decoded.
     #[snafu(display("the frame can't be read: {source}"))]
     Content {
         /// The decoding error.
@@ -62,15 +62,36 @@
     STANDARD.encode(bytes)
 }
 
-/// Verifies a frame and decodes its messages.
+/// The messages of a frame.
+#[derive(Debug)]
+pub struct Opened<T> {
+    /// Those before the first one that can't be decoded.
+    pub messages: Vec<T>,
+    /// Why the next one can't be decoded, such as one of a kind that only a later release knows. Where
+    /// it ends isn't known.
+    pub unread: Option<postcard::Error>,
+}
+
+/// Verifies a frame and decodes its messages, up to the first one that can't be decoded.
 ///
 /// # Errors
 ///
 /// [`FrameError`] if it is damaged or was made with another key.
-pub fn open<T: DeserializeOwned>(key: &PeerKey, text: &str) -> Result<T, FrameError> {
+pub fn open<T: DeserializeOwned>(key: &PeerKey, text: &str) -> Result<Opened<T>, FrameError> {
     let bytes = STANDARD.decode(text).context(TextSnafu)?;
     let (hash, content) = bytes.split_first_chunk::<HASH_BYTES>().context(ShortSnafu)?;
     // `blake3::Hash` compares in constant time.
     ensure!(blake3::keyed_hash(&key.0, content) == blake3::Hash::from_bytes(*hash), KeySnafu);
-    postcard::from_bytes(content).context(ContentSnafu)
+    let (count, mut rest): (usize, _) = postcard::take_from_bytes(content).context(ContentSnafu)?;
+    let mut messages = Vec::new();
+    for _ in 0..count {
+        match postcard::take_from_bytes(rest) {
+            Ok((message, behind)) => {
+                messages.push(message);
+                rest = behind;
+            }
+            Err(error) => return Ok(Opened { messages, unread: Some(error) }),
+        }
+    }
+    Ok(Opened { messages, unread: None })
 }
--- a/lib/src/directory/targets.rs
+++ b/lib/src/directory/targets.rs
@@ -157,7 +157,7 @@
     /// Applies a change if it directly follows the last one; a gap is detected at the next
     /// heartbeat.
     pub fn apply(&mut self, version: u64, changes: Vec<TargetChange>) {
-        if version != self.version + 1 {
+        if self.version.checked_add(1) != Some(version) {
             return;
         }
         self.version = version;
