workers: an announcement with an address that nobody can connect to is refused

Callers saw: `serve` took port 0 and the unspecified address for a worker or a target, and routed requests to it. Of several odd addresses only the first was named.

Change: the check is `Announcement::findings`, beside the type it checks: it names the worker and each target with an odd address.

Open: an announcement of the last incarnation hides its worker's later ones until the scheduler forgets it. It takes a worker's credential to send one.

--- a/cli/src/frontend/workers.rs
+++ b/cli/src/frontend/workers.rs
@@ -1,6 +1,6 @@
 //! Handlers for workers' announcements and for operators' queries about workers.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use hickorylink_lib::{directory::port::Event, ids::WorkerName, worker::Announcement};
 use poem::{
@@ -46,7 +46,11 @@
     let body = read_body(body, MAX_ANNOUNCEMENT_BYTES, ANSWER_TIMEOUT).await?;
     let announcement: Announcement =
         serde_json::from_slice(&body).map_err(|error| Problem::bad_request(error.to_string()))?;
-    check_addresses(&announcement)?;
+    let findings = announcement.findings();
+    if !findings.is_empty() {
+        let (status, code) = (StatusCode::UNPROCESSABLE_ENTITY, "bad_announcement");
+        return Err(Problem::not_run(status, code, findings.join("; ")));
+    }
     let ticket = front.ticket();
     let answer = front.announcements.register(ticket);
     let event = Event::Announced { ticket, announcement: Box::new(announcement) };
@@ -65,21 +69,6 @@
     }
 }
 
-/// Checks that a worker's addresses are socket addresses, which need no name resolution.
-fn check_addresses(announcement: &Announcement) -> Result<(), Problem> {
-    let targets = announcement.targets.iter().map(|target| &target.address);
-    for address in std::iter::once(&announcement.address).chain(targets) {
-        if address.parse::<SocketAddr>().is_err() {
-            return Err(Problem::not_run(
-                StatusCode::UNPROCESSABLE_ENTITY,
-                "bad_announcement",
-                format!("\"{address}\" is not an IP address with a port"),
-            ));
-        }
-    }
-    Ok(())
-}
-
 /// Shows a worker from the point of view of its data centre's scheduler.
 #[handler]
 pub(crate) async fn show(
--- a/lib/src/worker.rs
+++ b/lib/src/worker.rs
@@ -4,7 +4,7 @@
 //! replies with a lease and sends commands. A worker obeys only the largest epoch that it has
 //! seen, and stops its batch tasks by its own clock when its lease expires.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 
@@ -176,3 +176,25 @@
         pub payload: Bytes,
     }
 }
+
+impl Announcement {
+    /// The addresses that no connection can be opened to, each with its place. An address is an IP
+    /// address with a port, which needs no name resolution.
+    pub fn findings(&self) -> Vec<String> {
+        let own = std::iter::once(("the worker".to_owned(), &self.address));
+        let targets = self.targets.iter().map(|target| {
+            let place = format!("the target of service \"{}\"", target.service);
+            (place, &target.address)
+        });
+        let odd = own.chain(targets).filter(|(_, address)| !is_usable(address));
+        odd.map(|(place, address)| {
+            format!("{place}: \"{address}\" is not an IP address with a port")
+        })
+        .collect()
+    }
+}
+
+fn is_usable(address: &str) -> bool {
+    let parsed = address.parse().ok();
+    parsed.is_some_and(|at: SocketAddr| at.port() != 0 && !at.ip().is_unspecified())
+}
