log: a line of its own for heartbeats that name no worker to use

They were lines `worker`, of which 20 a second are written: many odd entries would hide what becomes of good workers, and their reasons were labels of `worker_changes_total`.

Change: `LogEvent::Ignored`, written as "a heartbeat names no worker to use" with name and reason.

--- a/lib/src/jobs/controller/admission.rs
+++ b/lib/src/jobs/controller/admission.rs
@@ -27,9 +27,9 @@
     /// The description for the log.
     pub(super) fn name(self) -> &'static str {
         match self {
-            Self::UnknownService => "isn't used: no configuration has its service",
+            Self::UnknownService => "the configuration doesn't have its service",
             Self::FutureStart => {
-                "isn't used: its start is in the future, and the older one is heard"
+                "its start is in the future, and the worker that it would replace is heard"
             }
         }
     }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -25,12 +25,8 @@
     pub(super) fn heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
         if let Some(refusal) = self.refusal(now, report) {
             self.answers.push((ticket, Answer::Acknowledged));
-            return self.log_events.push(LogEvent::Worker {
-                name: report.name.to_string(),
-                state: refusal.name(),
-                silent_ms: 0,
-                runs: report.running.len(),
-            });
+            let (name, reason) = (report.name.to_string(), refusal.name());
+            return self.log_events.push(LogEvent::Ignored { name, reason });
         }
         let arrival = self.fleet.arrive(now, report);
         if arrival == Arrival::Late {
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -230,6 +230,13 @@
         /// The number of its runs.
         runs: usize,
     },
+    /// A heartbeat names no worker to use and was ignored.
+    Ignored {
+        /// The name in the heartbeat.
+        name: String,
+        /// Why it was ignored.
+        reason: &'static str,
+    },
     /// A worker reports another capacity than before.
     Resized {
         /// Its name.
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -41,6 +41,9 @@
             info!(log, "worker"; "name" => name, "state" => state, "silent_ms" => silent_ms,
                 "runs" => runs);
         }
+        LogEvent::Ignored { name, reason } => {
+            info!(log, "a heartbeat names no worker to use"; "name" => name, "reason" => reason);
+        }
         LogEvent::Resized { name, before, after, reserved, runs } => {
             info!(log, "a worker's capacity changed"; "name" => name, "before" => amounts(before),
                 "after" => amounts(after), "reserved" => amounts(reserved), "runs" => runs);
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -176,6 +176,7 @@
             }
             LogEvent::Unreadable { .. } | LogEvent::Unhandled { .. } => drop(self.faults.inc()),
             LogEvent::Leading { .. }
+            | LogEvent::Ignored { .. }
             | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
             | LogEvent::MembersCommitted { .. } => {}
