--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -13,6 +13,8 @@
 mod load;
 mod members;
 mod members_properties;
+mod odd_jobs;
+mod odd_workers;
 mod overcommit;
 mod pace;
 mod properties;
