directory: forget instances that nobody has heard for an hour

Cause: an instance stored up to 256 addresses and never dropped one. After 254 replacements at new addresses a new instance was no longer learnt of: not even the address of a heartbeat's sender was stored, so it was sent no heartbeat, never counted as alive at the others' sides that it didn't reach first, and never saw the targets. Every stored address got a heartbeat each 250 ms for ever, and the state of each former identity was kept for ever.

Change: an address carries the time at which anybody last heard an instance there (a heartbeat from it, or a listing by an instance that hears it). It is forgotten after an hour, and an address at which nobody is alive gives way when 256 are stored. Seeds and members of the group are kept and tried with each heartbeat; the replicated log tells the directory who the members are. Others that nobody has heard for 30 s get one heartbeat in 20, in turn. An identity is forgotten with its address, or at once when another one is heard there.

Ruled out: learning over one hop only. Lists of live addresses are passed on by every instance, and a new instance is listed to all in the heartbeat after it was first heard.

--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -62,7 +62,10 @@
     /// Whether the set of instances was published at least once; an instance without peers receives
     /// no heartbeat that would trigger it.
     published: bool,
+    /// Counts the heartbeats since an address list was due at once.
     heartbeat_count: u64,
+    /// Counts all heartbeats.
+    round: usize,
     next_heartbeat: Time,
     next_sweep: Time,
 }
@@ -71,7 +74,7 @@
     /// Creates a directory that knows only its own instance.
     pub fn new(config: Config, now: Time) -> Self {
         Self {
-            instances: Instances::new(&config.seeds),
+            instances: Instances::new(now, &config.seeds),
             config,
             replica: ReplicaStatus::default(),
             local: LocalTargets::default(),
@@ -79,6 +82,7 @@
             merged: MergedTargets::default(),
             published: false,
             heartbeat_count: 0,
+            round: 0,
             next_heartbeat: now,
             next_sweep: now,
         }
@@ -89,6 +93,7 @@
         match event {
             Event::Timer => self.tick(now, out),
             Event::ReplicaStatus(replica) => self.replica = *replica,
+            Event::Members(members) => self.instances.set_members(members),
             Event::Draining => self.config.me.draining = true,
             Event::Post { to, message } => self.post(to, message, out),
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, &heartbeat, out),
@@ -120,7 +125,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
         if now >= self.next_heartbeat {
             self.next_heartbeat = now + self.config.heartbeat_interval;
-            self.send_heartbeats(out);
+            self.send_heartbeats(now, out);
         }
         if now >= self.next_sweep {
             self.next_sweep = now + self.config.heartbeat_interval;
@@ -128,10 +133,12 @@
         }
     }
 
-    fn send_heartbeats(&mut self, out: &mut Vec<Output>) {
+    fn send_heartbeats(&mut self, now: Time, out: &mut Vec<Output>) {
         let list_addresses = self.heartbeat_count.is_multiple_of(HEARTBEATS_PER_ADDRESS_LIST);
         self.heartbeat_count += 1;
-        let addresses = self.instances.peer_addresses(self.config.me.peer);
+        self.round = self.round.wrapping_add(1);
+        let me = self.config.me.peer;
+        let addresses = self.instances.peer_addresses(now, me, self.round);
         let heartbeat = Heartbeat {
             info: self.config.me.clone(),
             replica: self.replica.clone(),
@@ -155,6 +162,7 @@
         if self.instances.expire(now, self.config.dead_after) || !published {
             self.publish_instances(out);
         }
+        self.instances.forget_gone(now);
         self.merge(now, out);
         if self.config.seeds.iter().all(|seed| self.instances.is_outside_group(*seed, me)) {
             out.push(Output::replicated_log(crate::replicated_log::port::Event::NoGroupFound));
@@ -168,7 +176,7 @@
         if from == self.config.me.instance {
             return;
         }
-        self.instances.add_addresses(&heartbeat.addresses);
+        self.instances.add_addresses(now, &heartbeat.addresses);
         if self.instances.record_heartbeat(now, &heartbeat.info, &heartbeat.replica) {
             self.publish_instances(out);
         }
--- a/lib/src/directory/port.rs
+++ b/lib/src/directory/port.rs
@@ -18,6 +18,8 @@
         Timer,
         /// The status of the replicated log changed.
         ReplicaStatus(Box<ReplicaStatus>),
+        /// The members of the consensus group changed.
+        Members(Vec<InstanceId>),
         /// The instance starts to drain before it leaves.
         Draining,
         /// Send a message to an instance.
--- a/lib/src/replicated_log.rs
+++ b/lib/src/replicated_log.rs
@@ -85,6 +85,8 @@
     alive: Vec<InstanceInfo>,
     /// The status most recently sent to the directory.
     replica_status: ReplicaStatus,
+    /// The members most recently sent to the directory.
+    published_members: Members,
     /// The index of the last entry that the newest snapshot covers.
     compacted: Index,
     /// Effects of consensus that haven't been carried out yet.
@@ -116,6 +118,7 @@
             spillover: Spillover::new(now),
             alive: vec![config.me.clone()],
             replica_status: ReplicaStatus::default(),
+            published_members: Members::default(),
             effects: Vec::new(),
             compacted,
             ledger,
--- a/lib/src/replicated_log/answers.rs
+++ b/lib/src/replicated_log/answers.rs
@@ -216,6 +216,11 @@
             self.replica_status = replica_status.clone();
             out.push(Output::directory(directory::Event::ReplicaStatus(Box::new(replica_status))));
         }
+        if status.members != self.published_members {
+            let members = status.members.all().collect();
+            out.push(Output::directory(directory::Event::Members(members)));
+            self.published_members = status.members;
+        }
     }
 
     /// Answers a query from the ledger.
