serve: read new peers of the settings without a restart

Operators saw: an instance whose `peers` had all gone stayed alone until it was restarted, and SIGHUP, by which a gateway reloads, ended an entry instance without draining its requests.

Cause: `peers` was read at the start only, and SIGHUP had no handler.

Change: on SIGHUP, and within 5 s of a change of the file, the settings are read again. Changed `peers` go to the directory, which contacts them at once; former ones are forgotten like any other address. The rest needs a restart, and the line `the settings were reloaded` says so (`restart_needed`). Settings with errors are reported once and change nothing. Once one instance that runs is reached, it lists the new one to all others, so either side's file will do.

`replaced_seeds_are_contacted` covers the directory alone.

--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -21,20 +21,23 @@
 
 /// Runs the command until the instance is told to stop.
 pub fn run(args: &Args) -> Outcome {
-    let name = args.settings.display().to_string();
-    let text = match std::fs::read_to_string(&args.settings) {
-        Ok(text) => text,
-        Err(error) => return Outcome::failure(Exit::Failed, format!("{name}: {error}")),
-    };
-    let settings = match Settings::parse(&name, &text) {
+    let settings = match read_settings(args) {
         Ok(settings) => settings,
-        Err(findings) => return Outcome::failure(Exit::Findings, findings.to_string()),
+        Err(outcome) => return outcome,
     };
     if args.check {
         return Outcome::success("no findings");
     }
-    match daemon::run(settings) {
+    match daemon::run(settings, || read_settings(args).map_err(|outcome| outcome.errors)) {
         Ok(()) => Outcome::success(String::new()),
         Err(error) => Outcome::failure(Exit::Failed, error.to_string()),
     }
 }
+
+fn read_settings(args: &Args) -> Result<Settings, Outcome> {
+    let name = args.settings.display().to_string();
+    let text = std::fs::read_to_string(&args.settings)
+        .map_err(|error| Outcome::failure(Exit::Failed, format!("{name}: {error}")))?;
+    Settings::parse(&name, &text)
+        .map_err(|findings| Outcome::failure(Exit::Findings, findings.to_string()))
+}
--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -26,7 +26,10 @@
 
 use crate::{
     clock::Clock,
-    daemon::start::{Starter, runtime},
+    daemon::{
+        reload::Reloader,
+        start::{Starter, runtime},
+    },
     duty::{
         counts::Input as CountsInput, peers::Input as PeersInput, router::Input as RouterInput,
         scheduler::Input as SchedulerInput, storage::LogStore,
@@ -43,6 +46,7 @@
 };
 
 mod config;
+mod reload;
 mod start;
 
 /// The capacity of most rings, in items.
@@ -113,12 +117,16 @@
     Listen,
 }
 
-/// Runs an instance until a signal tells it to shut down.
+/// Runs an instance until a signal tells it to shut down. `reload` reads the settings again, or says
+/// why that isn't possible.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if it can't start, or its disk or one of its listeners fails.
-pub fn run(settings: Settings) -> Result<(), DaemonError> {
+pub fn run(
+    settings: Settings,
+    reload: impl Fn() -> Result<Settings, String>,
+) -> Result<(), DaemonError> {
     let clock = Clock::start();
     // Dropping the log's guard writes the lines that are still buffered.
     let log_guard = log::start(settings.log, settings.name.as_str(), clock);
@@ -141,7 +149,7 @@
         Components { replicated_log, directory, router, scheduler, store, counts, front };
     info!(log, "the instance starts"; "id" => me.0, "listen" => %settings.listen);
     let running = start(settings, rings, receivers, components, clock, &metrics, log)?;
-    running.run_until_shutdown(log)
+    running.run_until_shutdown(reload, log)
 }
 
 struct Components {
@@ -278,7 +286,11 @@
 
 impl Running {
     /// Waits for a signal to shut down, drains the requests in flight, and stops the instance.
-    fn run_until_shutdown(self, log: &Logger) -> Result<(), DaemonError> {
+    fn run_until_shutdown(
+        self,
+        reload: impl Fn() -> Result<Settings, String>,
+        log: &Logger,
+    ) -> Result<(), DaemonError> {
         let Self {
             settings,
             rings,
@@ -289,12 +301,21 @@
             mut faults,
             runtime,
         } = self;
+        let reloader = Reloader {
+            read: reload,
+            started: settings.clone(),
+            current: settings.clone(),
+            failure: None,
+            peers: rings.peers.clone(),
+            log: log.clone(),
+        };
         runtime.block_on(async move {
             let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
             let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
             tokio::select! {
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
+                Err(error) = reloader.run() => return Err(error),
                 fault = faults.recv() => {
                     return match fault {
                         Some(Fault::Disk) => DiskSnafu.fail(),
--- a/cli/tests/real/main.rs
+++ b/cli/tests/real/main.rs
@@ -7,5 +7,6 @@
 mod fixture;
 mod list_edits;
 mod log_level;
+mod reload;
 mod shutdown;
 mod silent_connections;
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -93,6 +93,7 @@
         match event {
             Event::Timer => self.tick(now, out),
             Event::ReplicaStatus(replica) => self.replica = *replica,
+            Event::Seeds(seeds) => self.instances.set_seeds(now, seeds),
             Event::Members(members) => self.instances.set_members(members),
             Event::Draining => self.config.me.draining = true,
             Event::Post { to, message } => self.post(to, message, out),
@@ -164,7 +165,7 @@
         }
         self.instances.forget_gone(now);
         self.merge(now, out);
-        if self.config.seeds.iter().all(|seed| self.instances.is_outside_group(*seed, me)) {
+        if self.instances.is_group_absent(me) {
             out.push(Output::replicated_log(crate::replicated_log::port::Event::NoGroupFound));
         }
         let forget = self.config.expire_after + self.config.confirm_timeout;
--- a/lib/src/directory/instances.rs
+++ b/lib/src/directory/instances.rs
@@ -57,6 +57,14 @@
         }
     }
 
+    /// Replaces the seeds. The address of a former one is forgotten once nobody is heard there.
+    pub fn set_seeds(&mut self, now: Time, seeds: Vec<SocketAddr>) {
+        let new = seeds.iter().filter(|seed| !self.addresses.contains_key(seed));
+        let new: Vec<_> = new.map(|seed| (*seed, now)).collect();
+        self.addresses.extend(new);
+        self.seeds = seeds;
+    }
+
     /// Records the members of the consensus group.
     pub fn set_members(&mut self, members: Vec<InstanceId>) {
         self.members = members;
@@ -173,11 +181,13 @@
         self.alive().map(|info| info.peer).collect()
     }
 
-    /// Whether the instance at `address` is alive and belongs to no consensus group. True for
-    /// `own`, because the answer matters only while this instance belongs to none.
-    pub fn is_outside_group(&self, address: SocketAddr, own: SocketAddr) -> bool {
-        address == own
-            || self.replicas().any(|(info, replica)| info.peer == address && !replica.member)
+    /// Whether the instances at all seed addresses other than `own` are alive and belong to no
+    /// consensus group.
+    pub fn is_group_absent(&self, own: SocketAddr) -> bool {
+        let outside = |seed: &SocketAddr| {
+            self.replicas().any(|(info, replica)| info.peer == *seed && !replica.member)
+        };
+        self.seeds.iter().all(|seed| *seed == own || outside(seed))
     }
 
     /// The address of an instance, whether it is alive or not.
--- a/lib/src/directory/port.rs
+++ b/lib/src/directory/port.rs
@@ -18,6 +18,8 @@
         Timer,
         /// The status of the replicated log changed.
         ReplicaStatus(Box<ReplicaStatus>),
+        /// The addresses of the instances to contact changed.
+        Seeds(Vec<SocketAddr>),
         /// The members of the consensus group changed.
         Members(Vec<InstanceId>),
         /// The instance starts to drain before it leaves.
--- a/lib/tests/directory.rs
+++ b/lib/tests/directory.rs
@@ -170,3 +170,17 @@
     let sent: BTreeSet<_> = world.run(Duration::from_secs(5), &[]).into_iter().collect();
     assert_eq!(sent, [1].map(address).into(), "the seed");
 }
+
+// Guards against an instance that goes on with the seeds of its start only.
+#[test]
+fn replaced_seeds_are_contacted_and_former_ones_forgotten() {
+    let mut world = World::new(&[1]);
+    world.run(Duration::from_secs(60), &[]);
+    world.handle(Event::Seeds(vec![address(2)]));
+    let sent: BTreeSet<_> = world.run(Duration::from_secs(1), &[]).into_iter().collect();
+    assert!(sent.contains(&address(2)), "{sent:?}");
+    world.now = world.now + Duration::from_secs(2 * 3600);
+    world.run(Duration::from_secs(5), &[]);
+    let sent: BTreeSet<_> = world.run(Duration::from_secs(5), &[]).into_iter().collect();
+    assert_eq!(sent, [2].map(address).into(), "the new seed only");
+}
--- a/standin/src/cluster.rs
+++ b/standin/src/cluster.rs
@@ -95,6 +95,20 @@
     Err(io::ErrorKind::AddrNotAvailable.into())
 }
 
+impl Instance {
+    /// An instance with free addresses, whose process isn't started.
+    fn new(folder: &Path, spec: &InstanceSpec<'_>) -> io::Result<Self> {
+        Ok(Self {
+            name: spec.name.to_owned(),
+            listen: free_address()?,
+            peer_listen: free_address()?,
+            settings: folder.join(format!("{}.jsonc", spec.name)),
+            log: folder.join(format!("{}.log", spec.name)),
+            child: None,
+        })
+    }
+}
+
 impl Cluster {
     /// Writes the settings of the instances into `folder` and starts them; the first one founds the
     /// consensus group.
@@ -105,14 +119,7 @@
     pub fn start(program: &Path, folder: &Path, specs: &[InstanceSpec<'_>]) -> io::Result<Self> {
         let mut instances = Vec::new();
         for spec in specs {
-            instances.push(Instance {
-                name: spec.name.to_owned(),
-                listen: free_address()?,
-                peer_listen: free_address()?,
-                settings: folder.join(format!("{}.jsonc", spec.name)),
-                log: folder.join(format!("{}.log", spec.name)),
-                child: None,
-            });
+            instances.push(Instance::new(folder, spec)?);
         }
         let peers: Vec<_> = instances.iter().map(|instance| instance.peer_listen).collect();
         for (at, (spec, instance)) in specs.iter().zip(&instances).enumerate() {
@@ -126,6 +133,32 @@
         Ok(cluster)
     }
 
+    /// Adds an instance that is told of `peers` only, and starts it; returns its position.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be written or the process can't be started.
+    pub fn add(&mut self, spec: &InstanceSpec<'_>, peers: &[SocketAddr]) -> io::Result<usize> {
+        let instance = Instance::new(&self.folder, spec)?;
+        fs::write(&instance.settings, settings(&self.folder, spec, &instance, peers, false))?;
+        self.instances.push(instance);
+        let at = self.instances.len() - 1;
+        self.launch(at)?;
+        Ok(at)
+    }
+
+    /// Rewrites the addresses of other instances in the settings of an instance.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read or written.
+    pub fn set_peers(&self, at: usize, peers: &[SocketAddr]) -> io::Result<()> {
+        let file = &self.instances[at].settings;
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(file)?)?;
+        settings["peers"] = peers.iter().map(ToString::to_string).collect();
+        fs::write(file, settings.to_string())
+    }
+
     /// Starts the process of a stopped instance.
     ///
     /// # Errors
