replicated_log: a voter that leaves hands over to a standby first

Cause: the leader replaced silent voters only. That an instance drains was known to its peers with some delay, but used for new leases only.

Change: while a voter drains and a standby is alive, the leader promotes the standby and then makes the leaver a learner (`Event::Demote`, one change, so that its requests in flight still see their entries applied). The process exits once it is no voter, or at once if no standby is there, or after 5 s (`drain_ms` if that is less), which it logs. A drain is now published to the instance's own components and to peers with the next heartbeat. A leader that leaves does the same with itself; its exit caused the same election before.

Ruled out: RemoveMember for the leaver (it would follow again only at the next check, 0.5 s later, and its requests would wait); replacing the leaver without a standby (it would lower the tolerance of a plain restart).

--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -22,13 +22,14 @@
     runtime::Runtime,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
+    time::{sleep, timeout},
 };
 
 use crate::{
     clock::Clock,
     daemon::{
         reload::Reloader,
-        start::{Starter, runtime},
+        start::{Left, Starter, runtime},
     },
     duty::{
         counts::Input as CountsInput, peers::Input as PeersInput, router::Input as RouterInput,
@@ -65,6 +66,9 @@
 /// others learn that it is draining before it stops.
 const LINGER: Duration = Duration::from_millis(600);
 
+/// How long an instance that shuts down waits for a standby to take over its vote.
+const HANDOVER_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// How long an instance that shuts down waits for the burn report's counts to be saved.
 const FINAL_SAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -170,6 +174,8 @@
     stop_front: watch::Sender<bool>,
     /// Signalled when the router has no requests in flight any more.
     drained: mpsc::Receiver<()>,
+    /// Signalled when the consensus group doesn't need this instance's vote any more.
+    handed_over: mpsc::Receiver<()>,
     /// Signalled when the burn report's counts are saved for the last time.
     saved: mpsc::Receiver<()>,
     faults: mpsc::Receiver<Fault>,
@@ -266,6 +272,8 @@
 ) -> Result<Running, DaemonError> {
     let (fault, faults) = mpsc::channel(4);
     let (drained_sender, drained) = mpsc::channel(1);
+    let (handed_sender, handed_over) = mpsc::channel(1);
+    let left = Left { drained: drained_sender, handed_over: handed_sender };
     let (saved_sender, saved) = mpsc::channel(1);
     let (stop_front, stop) = watch::channel(false);
     let starter = Starter { settings: &settings, rings: &rings, clock, log, fault };
@@ -277,11 +285,11 @@
         starter.counts(receivers.counts, file, saved_sender)?;
     }
     starter.scheduler(receivers.scheduler, components.scheduler)?;
-    starter.peers(receivers.peers, components.directory, drained_sender, metrics)?;
+    starter.peers(receivers.peers, components.directory, left, metrics)?;
     starter.dispatch(receivers.dispatch)?;
     starter.front(receivers.front, components.front.clone(), stop)?;
     let (front, runtime) = (components.front, runtime()?);
-    Ok(Running { settings, rings, front, stop_front, drained, saved, faults, runtime })
+    Ok(Running { settings, rings, front, stop_front, drained, handed_over, saved, faults, runtime })
 }
 
 impl Running {
@@ -297,6 +305,7 @@
             front,
             stop_front,
             mut drained,
+            mut handed_over,
             mut saved,
             mut faults,
             runtime,
@@ -328,16 +337,22 @@
             drop(rings.peers.push(PeersInput::Event(directory::Event::Draining)));
             drop(rings.replicated_log.push(replicated_log::Event::Draining));
             drop(rings.router.push(router::Event::Drain));
-            let waited = tokio::time::timeout(settings.limits.drain, drained.recv()).await;
-            if waited.is_err() {
+            let grace = settings.limits.drain;
+            let drain = timeout(grace, drained.recv());
+            let handover = timeout(grace.min(HANDOVER_TIMEOUT), handed_over.recv());
+            let (drained, handed_over) = tokio::join!(drain, handover);
+            if drained.is_err() {
                 warn!(log, "requests were still in progress when the grace period ended");
             }
+            if handed_over.is_err() {
+                warn!(log, "no standby took over this voter's place in time");
+            }
             stop_front.send_replace(true);
             if settings.data.is_some() && rings.counts.push(CountsInput::Shutdown).is_ok() {
                 // If the duty wasn't started, `saved` is closed and this returns at once.
-                drop(tokio::time::timeout(FINAL_SAVE_TIMEOUT, saved.recv()).await);
+                drop(timeout(FINAL_SAVE_TIMEOUT, saved.recv()).await);
             }
-            tokio::time::sleep(LINGER).await;
+            sleep(LINGER).await;
             info!(log, "the instance has shut down");
             Ok(())
         })
--- a/cli/src/daemon/start.rs
+++ b/cli/src/daemon/start.rs
@@ -44,6 +44,14 @@
     pub(super) fault: mpsc::Sender<Fault>,
 }
 
+/// What the directory's duty signals while the instance shuts down.
+pub(super) struct Left {
+    /// The router has no requests in flight any more.
+    pub(super) drained: mpsc::Sender<()>,
+    /// The consensus group doesn't need this instance's vote any more.
+    pub(super) handed_over: mpsc::Sender<()>,
+}
+
 /// An asynchronous runtime for a single thread.
 pub(super) fn runtime() -> Result<Runtime, DaemonError> {
     Builder::new_current_thread().enable_all().build().context(StartSnafu)
@@ -123,7 +131,7 @@
         &self,
         receiver: mpsc::Receiver<PeersInput>,
         directory: Directory,
-        drained: mpsc::Sender<()>,
+        left: Left,
         metrics: &Arc<Metrics>,
     ) -> Result<(), DaemonError> {
         let (outboxes, rings) = (self.outboxes(self.rings.peers.stats()), self.rings.clone());
@@ -134,7 +142,8 @@
             clock: self.clock,
             log: log.clone(),
             metrics: metrics.clone(),
-            drained,
+            drained: left.drained,
+            handed_over: left.handed_over,
         };
         thread("peers", move || {
             let served =
--- a/cli/src/duty/peers.rs
+++ b/cli/src/duty/peers.rs
@@ -69,6 +69,8 @@
     },
     /// The router has no requests in flight any more.
     Drained,
+    /// The consensus group doesn't need this instance's vote any more.
+    HandedOver,
 }
 
 /// The instance can't listen on its address for other instances.
@@ -94,6 +96,8 @@
     pub metrics: Arc<Metrics>,
     /// Signalled when the router has no requests in flight any more.
     pub drained: mpsc::Sender<()>,
+    /// Signalled when the consensus group doesn't need this instance's vote any more.
+    pub handed_over: mpsc::Sender<()>,
 }
 
 /// Runs until the ring is closed.
@@ -131,6 +135,7 @@
                 Some(Input::Event(event)) => directory.handle(setup.clock.now(), event, &mut out),
                 Some(Input::Send { to, message }) => links.send(to, message),
                 Some(Input::Drained) => drop(setup.drained.try_send(())),
+                Some(Input::HandedOver) => drop(setup.handed_over.try_send(())),
                 None => return Ok(()),
             },
             () = sleep(wait) => {}
--- a/cli/src/outboxes.rs
+++ b/cli/src/outboxes.rs
@@ -154,6 +154,7 @@
             }
             Effect::Policy(policy) => self.front.send(FrontEvent::Policy(policy)),
             Effect::Drained => self.peers.send(PeersInput::Drained),
+            Effect::HandedOver => self.peers.send(PeersInput::HandedOver),
             // A log line may be dropped if the ring is full: no duty waits for the log.
             Effect::Log(event) => drop(self.log_events.push(event)),
         }
--- a/cli/tests/real/shutdown.rs
+++ b/cli/tests/real/shutdown.rs
@@ -1,8 +1,12 @@
 //! Graceful shutdown of instances and targets.
 
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 
-use hickorylink_standin::{caller, cluster::Signal, history::Event};
+use hickorylink_standin::{
+    caller,
+    cluster::{Signal, eventually},
+    history::Event,
+};
 
 use crate::fixture::{CONDITION_TIMEOUT, FIVE, Fixture};
 
@@ -52,3 +56,32 @@
         .filter(|entry| entry.worker == leaving && matches!(entry.event, Event::Served { .. }));
     assert_eq!(late.count(), 0, "the leaving target got no new request");
 }
+
+// Guards against a planned leaver that stays a voter until it is silent although a standby is there.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_voter_hands_over_to_the_standby_and_comes_back() {
+    let mut fixture = Fixture::serving(FIVE).await;
+    let voters = async |fixture: &Fixture, at: usize| {
+        let status = fixture.cluster.status(at).await?;
+        let voters = status.get("voters")?.as_array()?.iter().map(ToString::to_string);
+        Some(voters.collect::<BTreeSet<_>>())
+    };
+    let whole = eventually(CONDITION_TIMEOUT, async || {
+        voters(&fixture, 4).await.filter(|voters| voters.len() == 3)
+    });
+    let before = whole.await.unwrap_or_else(|| panic!("three voters\n{}", fixture.logs()));
+    let mut leaving = None;
+    for at in 0..4 {
+        let status = fixture.cluster.status(at).await.expect("it answers");
+        leaving = leaving.or(before.contains(&status["instance"].to_string()).then_some(at));
+    }
+    let leaving = leaving.expect("a voter");
+    fixture.cluster.signal(leaving, Signal::SIGTERM).expect("the instance can be signalled");
+    assert!(fixture.cluster.wait_exit(leaving, CONDITION_TIMEOUT).expect("it exits"), "success");
+    let left = voters(&fixture, 4).await.expect("it answers");
+    assert_eq!(left.len(), 3, "{}", fixture.logs());
+    assert_ne!(left, before, "the standby votes instead\n{}", fixture.logs());
+    fixture.cluster.launch(leaving).expect("it starts again");
+    fixture.wait_serving(leaving).await;
+    assert_eq!(voters(&fixture, leaving).await.map(|voters| voters.len()), Some(3));
+}
--- a/lib/src/consensus/actions.rs
+++ b/lib/src/consensus/actions.rs
@@ -40,6 +40,7 @@
             | Event::AddLearner { .. }
             | Event::Promote { .. }
             | Event::ReplaceVoter { .. }
+            | Event::Demote { .. }
             | Event::RemoveMember { .. }
             | Event::Standbys { .. } => None,
         }
--- a/lib/src/consensus/chart.rs
+++ b/lib/src/consensus/chart.rs
@@ -212,6 +212,7 @@
             Event::AddLearner { .. }
             | Event::Promote { .. }
             | Event::ReplaceVoter { .. }
+            | Event::Demote { .. }
             | Event::RemoveMember { .. } => Self::MemberChange,
             Event::Standbys { .. } => Self::Standbys,
         }
--- a/lib/src/consensus/leader.rs
+++ b/lib/src/consensus/leader.rs
@@ -123,6 +123,7 @@
             | Event::AddLearner { .. }
             | Event::Promote { .. }
             | Event::ReplaceVoter { .. }
+            | Event::Demote { .. }
             | Event::RemoveMember { .. }
             | Event::Standbys { .. } => Duration::ZERO,
         };
--- a/lib/src/consensus/port.rs
+++ b/lib/src/consensus/port.rs
@@ -108,6 +108,11 @@
             /// The learner to promote.
             by: InstanceId,
         },
+        /// Make a voter a learner.
+        Demote {
+            /// The voter.
+            instance: InstanceId,
+        },
         /// Remove a member.
         RemoveMember {
             /// The member.
--- a/lib/src/consensus/reconfigure.rs
+++ b/lib/src/consensus/reconfigure.rs
@@ -25,6 +25,8 @@
     AddLearner(InstanceId),
     /// Make the learner a voter once it has caught up.
     Promote(InstanceId),
+    /// Make the voter a learner.
+    Demote(InstanceId),
     /// Remove the member.
     Remove(InstanceId),
 }
@@ -44,6 +46,7 @@
         match ctx.event {
             Event::AddLearner { instance } => self.queue(MemberChange::AddLearner(*instance)),
             Event::Promote { instance } => self.queue(MemberChange::Promote(*instance)),
+            Event::Demote { instance } => self.queue(MemberChange::Demote(*instance)),
             Event::RemoveMember { instance } => self.queue(MemberChange::Remove(*instance)),
             Event::ReplaceVoter { lost, by } => {
                 self.queue(MemberChange::Promote(*by));
@@ -103,7 +106,7 @@
                 members = members.with_learner(*instance);
                 false
             }
-            MemberChange::Promote(_) | MemberChange::Remove(_) => true,
+            MemberChange::Promote(_) | MemberChange::Demote(_) | MemberChange::Remove(_) => true,
         });
         members
     }
@@ -144,8 +147,16 @@
                 ChangeDecision::Drop
             }
             MemberChange::Promote(_) => ChangeDecision::Keep,
+            MemberChange::Demote(instance) if !members.is_voter(instance) => ChangeDecision::Drop,
             MemberChange::Remove(instance) if !members.contains(instance) => ChangeDecision::Drop,
-            MemberChange::Remove(instance) if members.voters == [instance] => ChangeDecision::Drop,
+            MemberChange::Demote(instance) | MemberChange::Remove(instance)
+                if members.voters == [instance] =>
+            {
+                ChangeDecision::Drop
+            }
+            MemberChange::Demote(instance) => {
+                ChangeDecision::Replace(members.without(instance).with_learner(instance))
+            }
             MemberChange::Remove(instance) => ChangeDecision::Replace(members.without(instance)),
         }
     }
--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -95,7 +95,10 @@
             Event::ReplicaStatus(replica) => self.replica = *replica,
             Event::Seeds(seeds) => self.instances.set_seeds(now, seeds),
             Event::Members(members) => self.instances.set_members(members),
-            Event::Draining => self.config.me.draining = true,
+            Event::Draining => {
+                self.config.me.draining = true;
+                self.publish_instances(out);
+            }
             Event::Post { to, message } => self.post(to, message, out),
             Event::Heartbeat(heartbeat) => self.handle_heartbeat(now, &heartbeat, out),
             Event::Targets(message) => self.handle_targets(now, message, out),
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -78,6 +78,9 @@
         },
         /// All requests in flight have ended; the instance may exit.
         Drained,
+        /// This instance drains, and either it has no vote in the consensus group any more or no
+        /// other instance can take it over; as far as the group is concerned it may exit.
+        HandedOver,
         /// Write a line to the operator's log.
         Log(LogEvent),
         /// A new policy is in force; the front end checks credentials against it.
--- a/lib/src/replicated_log.rs
+++ b/lib/src/replicated_log.rs
@@ -70,6 +70,17 @@
     pub seed: u64,
 }
 
+/// How far the instance is with leaving the consensus group before it exits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Departure {
+    /// It stays.
+    None,
+    /// It drains, and another instance may still have to take over its vote.
+    Draining,
+    /// It was reported that it may exit.
+    Ready,
+}
+
 /// An instance's replica of the log.
 #[derive(Clone, Debug)]
 pub struct ReplicatedLog {
@@ -81,6 +92,7 @@
     leadership: Leadership,
     membership: MembershipManager,
     spillover: Spillover,
+    departure: Departure,
     /// The live instances, including this one.
     alive: Vec<InstanceInfo>,
     /// The status most recently sent to the directory.
@@ -116,6 +128,7 @@
             leadership: Leadership::new(&config, now),
             membership: MembershipManager::new(&config, now),
             spillover: Spillover::new(now),
+            departure: Departure::None,
             alive: vec![config.me.clone()],
             replica_status: ReplicaStatus::default(),
             published_members: Members::default(),
@@ -168,7 +181,10 @@
                 let answer = Box::new(self.answer(&query));
                 out.push(Output::Effect(Effect::Answer { ticket, answer }));
             }
-            Event::Draining => self.leadership.drain(),
+            Event::Draining => {
+                self.leadership.drain();
+                self.departure = Departure::Draining;
+            }
         }
         self.run_effects(now, out);
     }
@@ -197,6 +213,7 @@
         }
         self.compact(now);
         self.publish_status(out);
+        self.report_departure(out);
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
--- a/lib/src/replicated_log/answers.rs
+++ b/lib/src/replicated_log/answers.rs
@@ -1,12 +1,13 @@
 //! Replies to requesters, and the state that is published to other components.
 
 use super::{
-    Answer, Change, Effect, InstanceId, LogEvent, Output, Pending, ReplicaStatus, ReplicatedLog,
-    Reply, RequestId, Requester, Time, directory, router, scheduler,
+    Answer, Change, Departure, Effect, InstanceId, LogEvent, Output, Pending, ReplicaStatus,
+    ReplicatedLog, Reply, RequestId, Requester, Time, directory, router, scheduler,
 };
 use crate::{
     ids::{DataCentre, Epoch, TaskId},
     instance::port::{CentreStatus, CustomerCount, InstanceStatus, Query, TaskAnswer},
+    replicated_log::membership::can_leave,
     router::port::ClaimAnswer,
     task::{OpenTask, TaskState},
 };
@@ -223,6 +224,17 @@
         }
     }
 
+    /// Reports once that an instance that drains isn't needed as a voter any more.
+    pub(super) fn report_departure(&mut self, out: &mut Vec<Output>) {
+        let status = self.consensus.status();
+        if self.departure == Departure::Draining
+            && can_leave(&status, self.config.me.instance, &self.alive)
+        {
+            self.departure = Departure::Ready;
+            out.push(Output::Effect(Effect::HandedOver));
+        }
+    }
+
     /// Answers a query from the ledger.
     pub(super) fn answer(&self, query: &Query) -> Answer {
         match query {
--- a/lib/src/replicated_log/membership.rs
+++ b/lib/src/replicated_log/membership.rs
@@ -1,7 +1,7 @@
 //! The leader's management of the group's members: which instances are added and promoted.
 //!
 //! Consensus itself removes silent members and replaces lost voters by standbys; this module tells
-//! it which instances exist.
+//! it which instances exist, and has voters that drain replaced while they still answer.
 
 use std::time::Duration;
 
@@ -57,13 +57,29 @@
         }
         let new = alive.iter().filter(|info| !status.members.contains(info.instance));
         events.extend(new.map(|info| Event::AddLearner { instance: info.instance }));
-        if status.members.voters.len() < self.voters
-            && let Some(instance) = learner_to_promote(status, alive)
-        {
-            events.push(Event::Promote { instance });
-        }
+        events.extend(self.change_of_voters(status, alive));
         events
     }
+
+    /// Promotes a learner while there are too few voters. A voter that drains is replaced in two
+    /// changes: a learner is promoted, then the voter becomes a learner.
+    fn change_of_voters(&self, status: &Status, alive: &[InstanceInfo]) -> Option<Event> {
+        let mut draining = alive.iter().filter(|info| info.draining).map(|info| info.instance);
+        let draining = draining.find(|id| status.members.is_voter(*id));
+        let wanted = self.voters + usize::from(draining.is_some());
+        if status.members.voters.len() < wanted {
+            let instance = learner_to_promote(status, alive)?;
+            return Some(Event::Promote { instance });
+        }
+        draining.map(|instance| Event::Demote { instance })
+    }
+}
+
+/// Whether an instance that drains may exit: it is no voter, or no standby can take its place.
+pub fn can_leave(status: &Status, me: InstanceId, alive: &[InstanceInfo]) -> bool {
+    let waits_for_commit = status.role == Role::Leader && !status.members.is_voter(me);
+    !waits_for_commit
+        && (!status.members.is_voter(me) || learner_to_promote(status, alive).is_none())
 }
 
 /// The learner to promote: one with a disk, in the data centre with the fewest voters.
--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -284,6 +284,37 @@
     assert_eq!(proposed(&mut member), Some(members(&[1, 2, 4], &[])));
 }
 
+#[test]
+fn a_demoted_voter_becomes_a_learner_in_one_change() {
+    struct Case {
+        name: &'static str,
+        before: Members,
+        demoted: u64,
+        want: Option<Members>,
+    }
+    let cases = [
+        Case {
+            name: "a follower",
+            before: members(&[1, 2, 3], &[]),
+            demoted: 3,
+            want: Some(members(&[1, 2], &[3])),
+        },
+        Case {
+            name: "the leader itself",
+            before: members(&[1, 2, 3], &[]),
+            demoted: 1,
+            want: Some(members(&[2, 3], &[1])),
+        },
+        Case { name: "a learner", before: members(&[1, 2, 3], &[4]), demoted: 4, want: None },
+        Case { name: "the only voter", before: members(&[1], &[]), demoted: 1, want: None },
+    ];
+    for case in cases {
+        let mut member = TestMember::leader(&case.before);
+        member.feed(Event::Demote { instance: InstanceId(case.demoted) });
+        assert_eq!(proposed(&mut member), case.want, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_lease_starts_when_a_confirmed_round_was_sent() {
     struct Case {
--- a/lib/tests/instances/cluster.rs
+++ b/lib/tests/instances/cluster.rs
@@ -35,6 +35,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+mod members;
+
 const TARGET: &str = "10.0.0.1:9000";
 
 /// The probabilities of faults.
@@ -89,6 +91,8 @@
     stalled_until: Time,
     /// The instances that shut down and have no requests in flight any more.
     pub(crate) drained: BTreeSet<usize>,
+    /// The instances that shut down and aren't needed as voters any more.
+    pub(crate) handed_over: BTreeSet<usize>,
     /// How often the target has run each request body.
     pub served: BTreeMap<String, u32>,
     /// The outcomes of requests.
@@ -184,6 +188,7 @@
             announce_to: None,
             stalled_until: Time::default(),
             drained: BTreeSet::new(),
+            handed_over: BTreeSet::new(),
             served: BTreeMap::new(),
             outcomes: BTreeMap::new(),
             answers: BTreeMap::new(),
@@ -387,6 +392,9 @@
                 Effect::Drained => {
                     self.drained.insert(at);
                 }
+                Effect::HandedOver => {
+                    self.handed_over.insert(at);
+                }
             }
         }
     }
--- /dev/null
+++ b/lib/tests/instances/cluster/members.rs
@@ -0,0 +1,84 @@
+//! Instances that come and go, and the consensus group as its leader sees it.
+
+use std::collections::BTreeSet;
+
+use hickorylink_lib::{
+    consensus::{
+        chart::Role,
+        log::{Members, Recovered},
+    },
+    ids::InstanceId,
+};
+
+use super::{Cluster, Node, address, config};
+
+impl Cluster {
+    /// Adds an instance at a new address that is told of these instances only, and starts it.
+    pub(crate) fn add(&mut self, disk: bool, seeds: &[usize], voters: usize) -> usize {
+        let at = self.nodes.len();
+        let mut config = config(at, voters);
+        config.replicated_log.bootstrap = false;
+        config.replicated_log.me.disk = disk;
+        config.directory.me.disk = disk;
+        config.directory.seeds = seeds.iter().copied().map(address).collect();
+        self.nodes.push(Node {
+            config,
+            instance: None,
+            generation: 0,
+            disk: Recovered::default(),
+            revision: 0,
+        });
+        self.restart(at);
+        at
+    }
+
+    /// Whether an instance runs.
+    pub(crate) fn is_up(&self, at: usize) -> bool {
+        self.nodes[at].instance.is_some()
+    }
+
+    /// The instances that run.
+    pub(crate) fn running(&self) -> Vec<usize> {
+        (0..self.nodes.len()).filter(|at| self.is_up(*at)).collect()
+    }
+
+    /// The instance that leads in the newest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let statuses = self.running().into_iter().map(|at| (at, self.status(at)));
+        let leaders = statuses.filter(|(_, status)| status.role == Role::Leader);
+        leaders.max_by_key(|(_, status)| status.term).map(|(at, _)| at)
+    }
+
+    /// The members of the group as the leader sees them; none without a leader.
+    pub(crate) fn members(&self) -> Members {
+        self.leader().map(|at| self.status(at).members).unwrap_or_default()
+    }
+
+    /// The voters, as the leader sees them: the positions of those that run, and the number of those
+    /// that don't or have lost their disks.
+    pub(crate) fn voters(&self) -> (BTreeSet<usize>, usize) {
+        let voters = self.members().voters;
+        let live: BTreeSet<_> = voters.iter().filter_map(|id| self.position(*id)).collect();
+        let gone = voters.len() - live.len();
+        (live, gone)
+    }
+
+    /// The position of a running instance.
+    fn position(&self, id: InstanceId) -> Option<usize> {
+        self.running().into_iter().find(|at| self.nodes[*at].config.directory.me.instance == id)
+    }
+
+    fn status(&self, at: usize) -> hickorylink_lib::consensus::port::Status {
+        let instance = self.nodes[at].instance.as_ref().expect("the instance runs");
+        instance.replicated_log.status()
+    }
+
+    /// The running instances with a disk that the leader has neither as a voter nor as a standby.
+    pub(crate) fn strangers(&self) -> Vec<usize> {
+        let members = self.members();
+        let is_member = |at: usize| members.contains(self.nodes[at].config.directory.me.instance);
+        let disks =
+            self.running().into_iter().filter(|at| self.nodes[*at].config.directory.me.disk);
+        disks.filter(|at| !is_member(*at)).collect()
+    }
+}
--- a/lib/tests/instances/main.rs
+++ b/lib/tests/instances/main.rs
@@ -1,6 +1,7 @@
 //! Whole instances, driven event by event: the guarantees that depend on several components.
 
 mod cluster;
+mod membership;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
