directory: report no missing group while a member of one is heard

Operators could see: two consensus groups after the founder's disk was replaced, if its `peers` named only itself or new instances. Each accepts lists and tasks of its own, and instances follow whichever leader they hear.

Cause: "no group was found" looked at the seed addresses only, in the first tick of the process. Members that aren't seeds weren't asked, and those that know the founder's address had no time to reach it.

Change: any live instance that belongs to a group forbids founding, whether it is a seed or not, and an instance listens for 2 s before it reports that there is none. A first start takes 2 s longer.

Ruled out: a founder without `founding` (never founded before either; now a test says so).

--- a/lib/src/directory.rs
+++ b/lib/src/directory.rs
@@ -31,6 +31,10 @@
 /// One heartbeat in this many lists the addresses of the live instances.
 const HEARTBEATS_PER_ADDRESS_LIST: u64 = 20;
 
+/// How long an instance listens before it reports that there is no consensus group. Members of one
+/// that know its address connect to it within this time, also if it doesn't know theirs.
+const FOUNDING_DELAY: Duration = Duration::from_secs(2);
+
 /// The settings of the directory.
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -54,6 +58,7 @@
 #[derive(Clone, Debug)]
 pub struct Directory {
     config: Config,
+    started: Time,
     replica: ReplicaStatus,
     instances: Instances,
     local: LocalTargets,
@@ -76,6 +81,7 @@
         Self {
             instances: Instances::new(now, &config.seeds),
             config,
+            started: now,
             replica: ReplicaStatus::default(),
             local: LocalTargets::default(),
             remote: BTreeMap::new(),
@@ -168,7 +174,8 @@
         }
         self.instances.forget_gone(now);
         self.merge(now, out);
-        if self.instances.is_group_absent(me) {
+        let settled = now.since(self.started) >= FOUNDING_DELAY;
+        if settled && self.instances.is_group_absent(me) {
             out.push(Output::replicated_log(crate::replicated_log::port::Event::NoGroupFound));
         }
         let forget = self.config.expire_after + self.config.confirm_timeout;
--- a/lib/src/directory/instances.rs
+++ b/lib/src/directory/instances.rs
@@ -181,13 +181,12 @@
         self.alive().map(|info| info.peer).collect()
     }
 
-    /// Whether the instances at all seed addresses other than `own` are alive and belong to no
-    /// consensus group.
+    /// Whether the instances at all seed addresses other than `own` are alive, and no instance that
+    /// is alive belongs to a consensus group.
     pub fn is_group_absent(&self, own: SocketAddr) -> bool {
-        let outside = |seed: &SocketAddr| {
-            self.replicas().any(|(info, replica)| info.peer == *seed && !replica.member)
-        };
-        self.seeds.iter().all(|seed| *seed == own || outside(seed))
+        let live = self.live_addresses();
+        !self.replicas().any(|(_, replica)| replica.member)
+            && self.seeds.iter().all(|seed| *seed == own || live.contains(seed))
     }
 
     /// The address of an instance, whether it is alive or not.
--- a/lib/tests/directory.rs
+++ b/lib/tests/directory.rs
@@ -9,7 +9,8 @@
         port::{Event, Heartbeat, InstanceInfo, PeerMessage, ReplicaStatus},
     },
     ids::InstanceId,
-    instance::port::{Effect, Output},
+    instance::port::{Effect, Event as InstanceEvent, Output},
+    replicated_log::port::Event as ReplicatedLogEvent,
     time::Time,
 };
 
@@ -184,3 +185,56 @@
     let sent: BTreeSet<_> = world.run(Duration::from_secs(5), &[]).into_iter().collect();
     assert_eq!(sent, [2].map(address).into(), "the new seed only");
 }
+
+// Guards against a second consensus group that a founder on an empty disk starts beside the first.
+#[test]
+fn a_group_is_missing_only_if_nobody_who_is_heard_belongs_to_one() {
+    struct Case {
+        name: &'static str,
+        seeds: &'static [u64],
+        /// Others that are heard, each with whether it belongs to a group.
+        heard: &'static [(u64, bool)],
+        /// When they are first heard, in milliseconds after the start.
+        from: u64,
+        missing: bool,
+    }
+    let cases = [
+        Case { name: "alone", seeds: &[0], heard: &[], from: 0, missing: true },
+        Case { name: "new seeds", seeds: &[0, 1], heard: &[(1, false)], from: 0, missing: true },
+        Case { name: "a silent seed", seeds: &[0, 1], heard: &[], from: 0, missing: false },
+        Case { name: "a member", seeds: &[0, 1], heard: &[(1, true)], from: 0, missing: false },
+        Case {
+            name: "new seeds, and a member that is no seed",
+            seeds: &[0, 1],
+            heard: &[(1, false), (2, true)],
+            from: 0,
+            missing: false,
+        },
+        Case {
+            name: "a member that reconnects after a second",
+            seeds: &[0],
+            heard: &[(2, true)],
+            from: 1000,
+            missing: false,
+        },
+    ];
+    for case in &cases {
+        let mut world = World::new(case.seeds);
+        let start = world.now;
+        let mut missing = false;
+        for _ in 0..50 {
+            if world.now.since(start) >= Duration::from_millis(case.from) {
+                for (number, member) in case.heard {
+                    world.hear(info(*number), *member, &[]);
+                }
+            }
+            world.run(Duration::from_millis(100), &[]);
+            missing |= world.out.iter().any(is_group_missing);
+        }
+        assert_eq!(missing, case.missing, "{}", case.name);
+    }
+}
+
+fn is_group_missing(output: &Output) -> bool {
+    matches!(output, Output::Event(InstanceEvent::ReplicatedLog(ReplicatedLogEvent::NoGroupFound)))
+}
--- a/lib/tests/instances/cluster.rs
+++ b/lib/tests/instances/cluster.rs
@@ -91,6 +91,8 @@
     stalled_until: Time,
     /// The instances that shut down and have no requests in flight any more.
     pub(crate) drained: BTreeSet<usize>,
+    /// The instances that founded a consensus group.
+    pub(crate) founders: Vec<usize>,
     /// The instances that shut down and aren't needed as voters any more.
     pub(crate) handed_over: BTreeSet<usize>,
     /// How often the target has run each request body.
@@ -188,6 +190,7 @@
             announce_to: None,
             stalled_until: Time::default(),
             drained: BTreeSet::new(),
+            founders: Vec::new(),
             handed_over: BTreeSet::new(),
             served: BTreeMap::new(),
             outcomes: BTreeMap::new(),
@@ -382,6 +385,7 @@
                         self.duplicate_holders.push(format!("epoch {epoch}: {known} and {holder}"));
                     }
                 }
+                Effect::Log(LogEvent::Bootstrapped) => self.founders.push(at),
                 Effect::Log(_)
                 | Effect::Dispatch(
                     DispatchCommand::Abandon { .. }
--- a/lib/tests/instances/cluster/members.rs
+++ b/lib/tests/instances/cluster/members.rs
@@ -12,6 +12,9 @@
 
 use super::{Cluster, Node, address, config};
 
+/// The identities of a node's disks differ by this; there are fewer nodes.
+const IDENTITY_STEP: u64 = 10_000;
+
 impl Cluster {
     /// Adds an instance at a new address that is told of these instances only, and starts it.
     pub(crate) fn add(&mut self, disk: bool, seeds: &[usize], voters: usize) -> usize {
@@ -32,6 +35,22 @@
         at
     }
 
+    /// Replaces the disk of a stopped instance, which gives it a new identity.
+    pub(crate) fn wipe(&mut self, at: usize) {
+        let node = &mut self.nodes[at];
+        node.disk = Recovered::default();
+        let id = InstanceId(node.config.directory.me.instance.0 + IDENTITY_STEP);
+        node.config.directory.me.instance = id;
+        node.config.replicated_log.me.instance = id;
+        node.config.replicated_log.consensus.me = id;
+        node.config.router.me = id;
+    }
+
+    /// Changes the seeds of a stopped instance.
+    pub(crate) fn set_seeds(&mut self, at: usize, seeds: &[usize]) {
+        self.nodes[at].config.directory.seeds = seeds.iter().copied().map(address).collect();
+    }
+
     /// Whether an instance runs.
     pub(crate) fn is_up(&self, at: usize) -> bool {
         self.nodes[at].instance.is_some()
--- a/lib/tests/instances/membership.rs
+++ b/lib/tests/instances/membership.rs
@@ -122,3 +122,53 @@
         assert!(accepts_edits(&mut cluster, 0, 200), "{name}, seed {seed}: the group goes on");
     }
 }
+
+// Guards against a second consensus group beside the first when disks and seeds are replaced.
+#[test]
+fn no_second_group_is_founded() {
+    struct Case {
+        name: &'static str,
+        /// The instance whose disk is replaced; instance 0 is the founder.
+        wiped: usize,
+        /// Its seeds from then on; 3 and 4 are new and have no disk.
+        seeds: &'static [usize],
+    }
+    let cases = [
+        Case { name: "the founder alone", wiped: 0, seeds: &[0] },
+        Case { name: "the founder with a new seed", wiped: 0, seeds: &[0, 4] },
+        Case { name: "another alone", wiped: 1, seeds: &[1] },
+        Case { name: "another with a new seed", wiped: 1, seeds: &[1, 4] },
+    ];
+    for (case, seed) in cases.iter().flat_map(|case| SEEDS.map(move |seed| (case, seed))) {
+        let name = case.name;
+        let mut cluster = ready(seed, Faults::default(), 3);
+        assert_eq!(cluster.founders, [0], "{name}, seed {seed}: at the start");
+        cluster.add(false, &[2], 3);
+        cluster.run(Duration::from_secs(3));
+        cluster.kill(case.wiped);
+        cluster.run(Duration::from_secs(2));
+        cluster.wipe(case.wiped);
+        cluster.set_seeds(case.wiped, case.seeds);
+        cluster.add(false, &[case.wiped], 3);
+        cluster.restart(case.wiped);
+        cluster.run(REPAIR_TIME);
+        assert_eq!(cluster.founders, [0], "{name}, seed {seed}");
+        let (live, gone) = cluster.voters();
+        assert_eq!((live.len(), gone), (3, 0), "{name}, seed {seed}: live and gone voters");
+    }
+}
+
+// Guards against an instance that founds a group although its settings don't say so.
+#[test]
+fn only_a_founder_founds_a_group() {
+    for seed in SEEDS {
+        let mut cluster = Cluster::new(seed, 1);
+        cluster.kill(0);
+        let alone = cluster.add(true, &[1], 3);
+        let second = cluster.add(true, &[alone, 2], 3);
+        cluster.run(Duration::from_secs(30));
+        let founded_later = cluster.founders.iter().any(|at| [alone, second].contains(at));
+        assert!(!founded_later, "seed {seed}: {:?}", cluster.founders);
+        assert_eq!(cluster.leader(), None, "seed {seed}");
+    }
+}
