--- a/cli/src/duty/peers.rs
+++ b/cli/src/duty/peers.rs
@@ -27,7 +27,7 @@
 use crate::{
     clock::Clock,
     duty::send_all,
-    frame::{self, PeerKey},
+    frame::{self, Opened, PeerKey},
     metrics::Metrics,
     outboxes::{Outboxes, Rings},
     ring::RingSender,
@@ -69,6 +69,8 @@
     },
     /// The router has no requests in flight any more.
     Drained,
+    /// The consensus group doesn't need this instance's vote any more.
+    HandedOver,
 }
 
 /// The instance can't listen on its address for other instances.
@@ -94,6 +96,8 @@
     pub metrics: Arc<Metrics>,
     /// Signalled when the router has no requests in flight any more.
     pub drained: mpsc::Sender<()>,
+    /// Signalled when the consensus group doesn't need this instance's vote any more.
+    pub handed_over: mpsc::Sender<()>,
 }
 
 /// Runs until the ring is closed.
@@ -131,6 +135,7 @@
                 Some(Input::Event(event)) => directory.handle(setup.clock.now(), event, &mut out),
                 Some(Input::Send { to, message }) => links.send(to, message),
                 Some(Input::Drained) => drop(setup.drained.try_send(())),
+                Some(Input::HandedOver) => drop(setup.handed_over.try_send(())),
                 None => return Ok(()),
             },
             () = sleep(wait) => {}
@@ -177,12 +182,15 @@
 impl Inbound {
     fn receive_frame(&self, text: &str) -> Result<u32, ErrorObjectOwned> {
         self.metrics.peer_received(text.len());
-        let messages: Vec<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
+        let opened: Opened<PeerMessage> = frame::open(&self.key, text).map_err(|error| {
             warn!(self.log, "a frame from a peer is refused"; "error" => %error);
             ErrorObjectOwned::owned(1, error.to_string(), None::<()>)
         })?;
+        if let Some(error) = opened.unread {
+            warn!(self.log, "a message from an instance can't be read"; "error" => %error);
+        }
         let mut accepted = 0;
-        for message in messages {
+        for message in opened.messages {
             accepted += u32::from(self.forward(message));
         }
         Ok(accepted)
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -32,12 +32,14 @@
     time::{Time, WallTime, earliest},
 };
 
+mod admission;
 mod calls;
 mod capacity;
 pub mod config;
 mod handover;
 mod heartbeat;
 pub mod leader;
+mod occurrences;
 pub mod port;
 mod probation;
 mod proposal;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -23,6 +23,11 @@
 impl Leader {
     /// Handles a heartbeat. It is answered at the end of this turn or held open.
     pub(super) fn heartbeat(&mut self, now: Time, ticket: Ticket, report: &Report) {
+        if let Some(refusal) = self.refusal(now, report) {
+            self.answers.push((ticket, Answer::Acknowledged));
+            let (name, reason) = (report.name.to_string(), refusal.name());
+            return self.log_events.push(LogEvent::Ignored { name, reason });
+        }
         let arrival = self.fleet.arrive(now, report);
         if arrival == Arrival::Late {
             return self.late_heartbeat(now, ticket, report);
--- a/lib/src/replicated_log/answers.rs
+++ b/lib/src/replicated_log/answers.rs
@@ -1,12 +1,13 @@
 //! Replies to requesters, and the state that is published to other components.
 
 use super::{
-    Answer, Change, Effect, InstanceId, LogEvent, Output, Pending, ReplicaStatus, ReplicatedLog,
-    Reply, RequestId, Requester, Time, directory, router, scheduler,
+    Answer, Change, Departure, Effect, InstanceId, LogEvent, Output, Pending, ReplicaStatus,
+    ReplicatedLog, Reply, RequestId, Requester, Time, directory, router, scheduler,
 };
 use crate::{
     ids::{DataCentre, Epoch, TaskId},
     instance::port::{CentreStatus, CustomerCount, InstanceStatus, Query, TaskAnswer},
+    replicated_log::membership::can_leave,
     router::port::ClaimAnswer,
     task::{OpenTask, TaskState},
 };
@@ -216,6 +217,22 @@
             self.replica_status = replica_status.clone();
             out.push(Output::directory(directory::Event::ReplicaStatus(Box::new(replica_status))));
         }
+        if status.members != self.published_members {
+            let members = status.members.all().collect();
+            out.push(Output::directory(directory::Event::Members(members)));
+            self.published_members = status.members;
+        }
+    }
+
+    /// Reports once that an instance that drains isn't needed as a voter any more.
+    pub(super) fn report_departure(&mut self, out: &mut Vec<Output>) {
+        let status = self.consensus.status();
+        if self.departure == Departure::Draining
+            && can_leave(&status, self.config.me.instance, &self.alive)
+        {
+            self.departure = Departure::Ready;
+            out.push(Output::Effect(Effect::HandedOver));
+        }
     }
 
     /// Answers a query from the ledger.
