members: a standby that can't catch up holds up no other change

A request to promote a learner that hasn't caught up stayed at the head of the queue, and until the learner had caught up or was silent nothing else was changed, the removal and the replacement of silent voters included. Since the membership asks for the replacement of a voter that has gone, the best learner by data centre and number could be one that has just joined and whose disk hangs, while a standby that had caught up waited. Requests that were queued behind it were made later although the members had changed meanwhile, so two standbys could be promoted for one voter.

Change: a request for a change of voters replaces those that wait; one that must wait holds up nothing; the status names the learners that have caught up, and they go first while a voter is missing. While none is missing, the best data centre is still waited for.

--- a/lib/src/consensus.rs
+++ b/lib/src/consensus.rs
@@ -164,6 +164,7 @@
             last: self.log.last(),
             snapshot: self.log.snapshot().index,
             members: self.members().clone(),
+            caught_up: self.caught_up(),
             quorum_until: self.quorum_until(),
         }
     }
--- a/lib/src/consensus/port.rs
+++ b/lib/src/consensus/port.rs
@@ -219,6 +219,8 @@
         pub snapshot: Index,
         /// The effective members.
         pub members: Members,
+        /// The learners that a leader can promote at once.
+        pub caught_up: Vec<InstanceId>,
         /// When a leader steps down unless it hears from a quorum again. It isn't a lease, because
         /// it is measured from the arrival of answers and not from the sending of a round.
         pub quorum_until: Option<Time>,
--- a/lib/src/consensus/reconfigure.rs
+++ b/lib/src/consensus/reconfigure.rs
@@ -45,10 +45,20 @@
     pub(super) fn queue_change(&mut self, ctx: &mut EventContext<'_>) {
         match ctx.event {
             Event::AddLearner { instance } => self.queue(MemberChange::AddLearner(*instance)),
-            Event::Promote { instance } => self.queue(MemberChange::Promote(*instance)),
-            Event::Demote { instance } => self.queue(MemberChange::Demote(*instance)),
-            Event::RemoveMember { instance } => self.queue(MemberChange::Remove(*instance)),
+            Event::Promote { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Promote(*instance));
+            }
+            Event::Demote { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Demote(*instance));
+            }
+            Event::RemoveMember { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Remove(*instance));
+            }
             Event::ReplaceVoter { lost, by } => {
+                self.drop_voter_changes();
                 self.queue(MemberChange::Promote(*by));
                 self.queue(MemberChange::Remove(*lost));
             }
@@ -62,6 +72,15 @@
         }
     }
 
+    /// Drops the queued changes of voters: the last request is the one that fits the members.
+    fn drop_voter_changes(&mut self) {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        leader_state.changes.retain(|change| match change {
+            MemberChange::AddLearner(_) => true,
+            MemberChange::Promote(_) | MemberChange::Demote(_) | MemberChange::Remove(_) => false,
+        });
+    }
+
     fn queue(&mut self, change: MemberChange) {
         let Some(leader_state) = &mut self.leader_state else { return };
         if leader_state.changes.len() < MAX_QUEUED_CHANGES
@@ -121,7 +140,7 @@
         while let Some(change) = changes.front() {
             match self.decide_change(now, members, *change) {
                 ChangeDecision::Drop => {}
-                ChangeDecision::Keep => return members.clone(),
+                ChangeDecision::Keep => break,
                 ChangeDecision::Replace(changed) => {
                     changes.pop_front();
                     return changed;
@@ -185,6 +204,12 @@
         self.peer(instance).is_some_and(|peer| now.since(peer.heard) > self.config.replace_after)
     }
 
+    /// The learners that can be promoted at once; only a leader knows of any.
+    pub(super) fn caught_up(&self) -> Vec<InstanceId> {
+        let learners = self.members().learners.iter().copied();
+        learners.filter(|learner| self.has_caught_up(*learner)).collect()
+    }
+
     fn has_caught_up(&self, instance: InstanceId) -> bool {
         self.peer(instance).is_some_and(|peer| {
             matches!(peer.state, ReplicationState::Replicate)
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     consensus::{
-        log::{Entry, Payload},
+        log::{Entry, Members, Payload},
         port::{Event, Status},
     },
     ids::{DataCentre, InstanceId},
@@ -122,6 +122,22 @@
         departed
     }
 
+    /// If a new controller answers at the address of a voter, the voter has lost its disk.
+    fn replaced_voter(
+        &self,
+        status: &Status,
+        alive: &[&Node],
+        nodes: &BTreeMap<InstanceId, Node>,
+    ) -> Option<Event> {
+        let Members { voters, learners } = &status.members;
+        let mut unheard = voters.iter().filter(|voter| !self.seen.contains_key(voter));
+        unheard.find_map(|voter| {
+            let peer = nodes.get(voter)?.peer;
+            let new = alive.iter().find(|node| node.peer == peer && learners.contains(&node.id))?;
+            Some(Event::ReplaceVoter { lost: *voter, by: new.id })
+        })
+    }
+
     /// The next change of voters, if one is needed.
     fn voter_change(
         &self,
@@ -130,17 +146,15 @@
         alive: &[&Node],
         nodes: &BTreeMap<InstanceId, Node>,
     ) -> Option<Event> {
-        let learners = || alive.iter().filter(|node| status.members.learners.contains(&node.id));
-        let voters = &status.members.voters;
-        // If a new controller answers at the address of a voter, the voter has lost its disk.
-        for voter in voters.iter().filter(|voter| !self.seen.contains_key(voter)) {
-            let peer = nodes.get(voter).map(|node| node.peer);
-            let replacement = learners().find(|node| Some(node.peer) == peer);
-            if let Some(node) = replacement {
-                return Some(Event::ReplaceVoter { lost: *voter, by: node.id });
-            }
+        let Members { voters, learners } = &status.members;
+        if let Some(event) = self.replaced_voter(status, alive, nodes) {
+            return Some(event);
         }
         let departed = self.departed(now, status);
+        let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
+        let staying = || voters.iter().filter(|voter| !departed.contains(voter));
+        let voters_in =
+            |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
         if voters.len() > self.target_voters {
             // A group of even size bears no more losses than one that is smaller by one.
             let instance = *departed.first()?;
@@ -149,11 +163,11 @@
         if voters.len() == self.target_voters && departed.is_empty() {
             return None;
         }
-        let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
-        let staying = || voters.iter().filter(|voter| !departed.contains(voter));
-        let voters_in =
-            |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
-        let best = learners().min_by_key(|node| (voters_in(&node.centre), node.id))?;
+        // While a voter is missing, a standby in any data centre is better than one that may never
+        // catch up.
+        let lags = |node: &Node| !departed.is_empty() && !status.caught_up.contains(&node.id);
+        let standbys = alive.iter().filter(|node| learners.contains(&node.id));
+        let best = standbys.min_by_key(|node| (lags(node), voters_in(&node.centre), node.id))?;
         Some(Event::Promote { instance: best.id })
     }
 }
--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -223,6 +223,43 @@
     }
 }
 
+// Guards against a standby that can't catch up and for which the replacement of a voter waits.
+#[test]
+fn a_promotion_that_must_wait_holds_up_no_other_change() {
+    let mut member = TestMember::leader(&members(&[1, 2, 3], &[4, 5]));
+    member.feed(Event::Standbys { instances: vec![InstanceId(4), InstanceId(5)] });
+    for ticket in 1..=3 {
+        member.propose(ticket);
+    }
+    for _ in 0..60 {
+        member.sync();
+        let last = member.status().last.0;
+        member.advance(50);
+        member.acknowledge_as(2, 1, last);
+        member.acknowledge_as(4, 1, 0);
+        member.acknowledge_as(5, 1, last);
+        member.feed(Event::Promote { instance: InstanceId(4) });
+        member.feed(Event::Timer);
+    }
+    assert_eq!(member.status().members, members(&[1, 2, 5], &[4]));
+}
+
+// Guards against two standbys that are promoted in place of one voter.
+#[test]
+fn a_change_of_voters_takes_the_place_of_one_that_waits() {
+    let mut member = TestMember::leader(&members(&[1, 2, 3], &[4, 5]));
+    member.feed(Event::Promote { instance: InstanceId(4) });
+    member.feed(Event::Promote { instance: InstanceId(5) });
+    for _ in 0..3 {
+        member.sync();
+        let last = member.status().last.0;
+        for peer in 2..=5 {
+            member.acknowledge_as(peer, 1, last);
+        }
+    }
+    assert_eq!(member.status().members, members(&[1, 2, 3, 5], &[4]));
+}
+
 #[test]
 fn a_silent_learner_is_removed() {
     let mut member = TestMember::leader(&members(&[1, 2, 3], &[4, 5]));
--- a/lib/tests/jobs/standbys.rs
+++ b/lib/tests/jobs/standbys.rs
@@ -27,6 +27,8 @@
     target: usize,
     voters: &'static [u64],
     learners: &'static [u64],
+    /// The learners that haven't caught up.
+    lagging: &'static [u64],
     /// The controllers that have been silent for long.
     silent: &'static [u64],
     /// The controllers whose hellos say that they shut down.
@@ -61,7 +63,9 @@
     let controller = Controller::new(config(node(1, 1), Vec::new()), Recovered::default(), now);
     let status = controller.expect("there is no snapshot to decode").status();
     let members = Members { voters: ids(group.voters), learners: ids(group.learners) };
-    let status = Status { members, leader: Some(InstanceId(1)), ..status };
+    let lags = |learner: &InstanceId| group.lagging.contains(&learner.0);
+    let caught_up = members.learners.iter().copied().filter(|learner| !lags(learner)).collect();
+    let status = Status { members, caught_up, leader: Some(InstanceId(1)), ..status };
     let wanted = |event: &Event| {
         matches!(
             event,
@@ -81,6 +85,7 @@
             target: 5,
             voters: &[1, 2, 3, 4, 5, 6],
             learners: &[7],
+            lagging: &[],
             silent: &[2, 3],
             leaving: &[],
             want: remove(2),
@@ -90,6 +95,7 @@
             target: 5,
             voters: &[1, 2, 3, 4, 5, 6],
             learners: &[7],
+            lagging: &[],
             silent: &[],
             leaving: &[2, 3],
             want: remove(2),
@@ -99,6 +105,7 @@
             target: 3,
             voters: &[1, 2, 3, 4],
             learners: &[],
+            lagging: &[],
             silent: &[3],
             leaving: &[2],
             want: remove(3),
@@ -108,6 +115,7 @@
             target: 5,
             voters: &[1, 2, 3, 4, 5, 6],
             learners: &[7],
+            lagging: &[],
             silent: &[],
             leaving: &[1, 2],
             want: remove(2),
@@ -117,6 +125,7 @@
             target: 5,
             voters: &[1, 2, 3, 4, 5],
             learners: &[],
+            lagging: &[],
             silent: &[2, 3],
             leaving: &[],
             want: None,
@@ -136,6 +145,7 @@
             target: 5,
             voters: &[1, 2, 3, 4, 5],
             learners: &[6, 7],
+            lagging: &[],
             silent: &[5],
             leaving: &[],
             want: promote(7),
@@ -145,6 +155,7 @@
             target: 5,
             voters: &[1, 2, 4, 5, 8],
             learners: &[3, 6],
+            lagging: &[],
             silent: &[],
             leaving: &[2],
             want: promote(6),
@@ -154,6 +165,7 @@
             target: 5,
             voters: &[1, 4, 5, 6, 8],
             learners: &[2, 3],
+            lagging: &[],
             silent: &[8],
             leaving: &[],
             want: promote(3),
@@ -163,3 +175,43 @@
         assert_eq!(change(&group), group.want, "{}", group.name);
     }
 }
+
+// Guards against a voter that has gone and stays, as the standby that was chosen can't catch up.
+#[test]
+fn a_standby_that_has_caught_up_goes_first_while_a_voter_is_missing() {
+    let cases = [
+        Group {
+            name: "the better one lags",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5],
+            learners: &[6, 7],
+            lagging: &[7],
+            silent: &[5],
+            leaving: &[],
+            want: promote(6),
+        },
+        Group {
+            name: "all lag",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5],
+            learners: &[6, 7],
+            lagging: &[6, 7],
+            silent: &[5],
+            leaving: &[],
+            want: promote(7),
+        },
+        Group {
+            name: "no voter is missing, so the better one is waited for",
+            target: 5,
+            voters: &[1, 2, 3, 4],
+            learners: &[6, 7],
+            lagging: &[7],
+            silent: &[],
+            leaving: &[],
+            want: promote(7),
+        },
+    ];
+    for group in cases {
+        assert_eq!(change(&group), group.want, "{}", group.name);
+    }
+}
