--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -22,4 +22,5 @@
 mod standbys;
 mod standing;
 mod steps;
+mod voters;
 mod world;
