tests: random replacements of entry instances

Instances of a simulated deployment are added (with one or two random seeds), lost, wiped, crashed, told to leave, restarted and cut off, and all are given other seeds; 30 disturbances a seed, up to 20 s apart. 60 s after the last one each running instance with a disk is a voter or a standby of the leader, three of them vote and none that is gone, every instance counts exactly the running ones as alive, and a list is accepted. Disturbances that take the quorum away or leave fewer than three disks are skipped.

--- a/lib/tests/instances/cluster.rs
+++ b/lib/tests/instances/cluster.rs
@@ -109,7 +109,7 @@
     pub duplicate_holders: Vec<String>,
 }
 
-fn address(at: usize) -> SocketAddr {
+pub(crate) fn address(at: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 7100 + at as u16))
 }
 
--- a/lib/tests/instances/cluster/members.rs
+++ b/lib/tests/instances/cluster/members.rs
@@ -82,6 +82,31 @@
         (live, gone)
     }
 
+    /// Whether the voters keep a quorum if this instance is lost.
+    pub(crate) fn bears_loss_of(&self, at: usize) -> bool {
+        let (mut live, gone) = self.voters();
+        let quorum = (live.len() + gone) / 2 + 1;
+        live.remove(&at);
+        self.leader().is_some() && live.len() >= quorum
+    }
+
+    /// Whether an instance keeps its state when it restarts.
+    pub(crate) fn has_disk(&self, at: usize) -> bool {
+        self.nodes[at].config.directory.me.disk
+    }
+
+    /// The instances that an instance counts as alive, itself included.
+    pub(crate) fn known_alive(&self, at: usize) -> BTreeSet<InstanceId> {
+        let instance = self.nodes[at].instance.as_ref().expect("the instance runs");
+        instance.directory.alive().iter().map(|info| info.instance).collect()
+    }
+
+    /// The identities of the running instances.
+    pub(crate) fn identities(&self) -> BTreeSet<InstanceId> {
+        let running = self.running().into_iter();
+        running.map(|at| self.nodes[at].config.directory.me.instance).collect()
+    }
+
     /// The position of a running instance.
     fn position(&self, id: InstanceId) -> Option<usize> {
         self.running().into_iter().find(|at| self.nodes[*at].config.directory.me.instance == id)
--- a/lib/tests/instances/main.rs
+++ b/lib/tests/instances/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod membership;
+mod replacements;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/lib/tests/instances/membership.rs
+++ b/lib/tests/instances/membership.rs
@@ -18,13 +18,13 @@
 
 /// How long after the last change the group may take to become whole again: a voter is replaced
 /// after 30 s of silence.
-const REPAIR_TIME: Duration = Duration::from_secs(60);
+pub(crate) const REPAIR_TIME: Duration = Duration::from_secs(60);
 
 /// How long a process still runs once it has nothing to wait for.
 const LINGER: Duration = Duration::from_millis(600);
 
 /// Shuts an instance down as planned; returns how long its vote kept it.
-fn leave(cluster: &mut Cluster, at: usize) -> Duration {
+pub(crate) fn leave(cluster: &mut Cluster, at: usize) -> Duration {
     let start = cluster.now();
     cluster.handed_over.remove(&at);
     cluster.drain(at);
@@ -37,7 +37,7 @@
     waited
 }
 
-fn accepts_edits(cluster: &mut Cluster, at: usize, number: u64) -> bool {
+pub(crate) fn accepts_edits(cluster: &mut Cluster, at: usize, number: u64) -> bool {
     let version = cluster.newest_version() + 1;
     submit(cluster, at, number, edit(version, number.into()));
     cluster.run(Duration::from_secs(5));
