--- a/lib/src/consensus/reconfigure.rs
+++ b/lib/src/consensus/reconfigure.rs
@@ -159,7 +159,7 @@
             MemberChange::Promote(instance) if !members.learners.contains(&instance) => {
                 ChangeDecision::Drop
             }
-            MemberChange::Promote(instance) if self.has_caught_up(instance) => {
+            MemberChange::Promote(instance) if self.is_ready(now, instance) => {
                 ChangeDecision::Replace(members.with_voter(instance))
             }
             MemberChange::Promote(instance) if self.is_silent(now, instance) => {
@@ -188,11 +188,10 @@
         if members.voters.len().is_multiple_of(2) {
             return Some(members.without(lost));
         }
-        let standby = members.learners.iter().find(|learner| {
-            self.standbys.contains(learner)
-                && self.has_caught_up(**learner)
-                && !self.is_silent(now, **learner)
-        })?;
+        let standby = members
+            .learners
+            .iter()
+            .find(|learner| self.standbys.contains(learner) && self.is_ready(now, **learner))?;
         Some(members.with_voter(*standby))
     }
 
@@ -204,10 +203,19 @@
         self.peer(instance).is_some_and(|peer| now.since(peer.heard) > self.config.replace_after)
     }
 
-    /// The learners that can be promoted at once; only a leader knows of any.
+    /// The learners that could be promoted when a member was last heard; only a leader knows of any.
     pub(super) fn caught_up(&self) -> Vec<InstanceId> {
+        let peers = self.leader_state.iter().flat_map(|leader_state| leader_state.peers.values());
+        let Some(heard) = peers.map(|peer| peer.heard).max() else { return Vec::new() };
         let learners = self.members().learners.iter().copied();
-        learners.filter(|learner| self.has_caught_up(*learner)).collect()
+        learners.filter(|learner| self.is_ready(heard, *learner)).collect()
+    }
+
+    /// Whether a learner can vote at once: it has caught up and answers. With the vote of one that
+    /// is gone, a quorum would need one live voter more.
+    fn is_ready(&self, now: Time, learner: InstanceId) -> bool {
+        let answers = |peer: &Peer| now.since(peer.heard) <= self.config.election_timeout;
+        self.has_caught_up(learner) && self.peer(learner).is_some_and(answers)
     }
 
     fn has_caught_up(&self, instance: InstanceId) -> bool {
