members: a voter too many becomes a standby again

If a silent voter comes back between the promotion of a standby and its own removal, the group keeps one voter more than aimed at, for good. A group of six bears no more losses than one of five, and when it is split into halves, neither leads; of five voters and a standby, one half has three voters.

Change: while all voters are heard, the leader removes one that is too many, where most voters are, but not itself.

Ruled out: waiting for more silence before the promotion (each lost voter would count for longer).

--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -182,8 +182,14 @@
         let voters_in =
             |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
         if voters.len() > self.target_voters {
-            // A group of even size bears no more losses than one that is smaller by one.
-            let instance = *departed.first()?;
+            // A group of even size bears no more losses than one that is smaller by one, and no half
+            // of it is a quorum.
+            let surplus = || {
+                let all_heard = voters.iter().all(|voter| self.seen.contains_key(voter));
+                let others = voters.iter().filter(|voter| status.leader != Some(**voter));
+                others.max_by_key(|id| (centre(id).map(voters_in), **id)).filter(|_| all_heard)
+            };
+            let instance = *departed.first().or_else(surplus)?;
             return Some(Event::RemoveMember { instance });
         }
         if voters.len() == self.target_voters && departed.is_empty() {
--- a/lib/tests/jobs/standbys.rs
+++ b/lib/tests/jobs/standbys.rs
@@ -136,6 +136,56 @@
     }
 }
 
+// Guards against a group that stays at an even size, so that neither half of a split has a quorum.
+#[test]
+fn a_voter_too_many_becomes_a_standby() {
+    let cases = [
+        Group {
+            name: "where most voters are",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5, 6],
+            learners: &[],
+            lagging: &[],
+            silent: &[],
+            leaving: &[],
+            want: remove(6),
+        },
+        Group {
+            name: "not the leader",
+            target: 1,
+            voters: &[1, 3],
+            learners: &[],
+            lagging: &[],
+            silent: &[],
+            leaving: &[],
+            want: remove(3),
+        },
+        Group {
+            name: "rather one that shuts down",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5, 6],
+            learners: &[],
+            lagging: &[],
+            silent: &[],
+            leaving: &[3],
+            want: remove(3),
+        },
+        Group {
+            name: "none is too many",
+            target: 5,
+            voters: &[1, 2, 3, 4, 5],
+            learners: &[6],
+            lagging: &[],
+            silent: &[],
+            leaving: &[],
+            want: None,
+        },
+    ];
+    for group in cases {
+        assert_eq!(change(&group), group.want, "{}", group.name);
+    }
+}
+
 // Guards against voters that gather in one data centre, whose loss then is that of the quorum.
 #[test]
 fn a_standby_takes_the_place_of_a_voter_in_its_data_centre() {
