consensus: a standby that may be gone isn't promoted

When two voters and a standby vanish together, as with a data centre, the last hellos of the voters are up to 1 s older than that of the standby. The leader then promoted the standby, which counted as alive and whose log had caught up: six voters, three of them alive, and four are a quorum. Nobody led again until the others were back. The replacement by the consensus alone asked for 2.5 s of silence of the standby, too; there, the window was that between two answers.

Ruled out: more frequent hellos (the window gets smaller and stays).

--- a/lib/tests/consensus/leading.rs
+++ b/lib/tests/consensus/leading.rs
@@ -260,6 +260,31 @@
     assert_eq!(member.status().members, members(&[1, 2, 3, 5], &[4]));
 }
 
+// Guards against a quorum that needs the vote of a standby which has gone together with voters.
+#[test]
+fn a_standby_that_does_not_answer_is_not_promoted() {
+    struct Case {
+        name: &'static str,
+        /// The time since the standby's last answer, in milliseconds.
+        silence: u64,
+        want: Members,
+    }
+    let cases = [
+        Case { name: "it answers", silence: 100, want: members(&[1, 2, 3, 4], &[]) },
+        Case { name: "it may be gone", silence: 300, want: members(&[1, 2, 3], &[4]) },
+    ];
+    for case in cases {
+        let mut member = TestMember::leader(&members(&[1, 2, 3], &[4]));
+        member.acknowledge_as(4, 1, 1);
+        for _ in 0..case.silence / 50 {
+            member.advance(50);
+            member.acknowledge(1);
+        }
+        member.feed(Event::Promote { instance: InstanceId(4) });
+        assert_eq!(member.status().members, case.want, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_silent_learner_is_removed() {
     let mut member = TestMember::leader(&members(&[1, 2, 3], &[4, 5]));
