members: voters that aren't in the log yet count in their data centres

The leader promotes the learner in the data centre with the fewest voters, but knew the data centre of a voter from the log only. The founders come into the log with the first hello that the leader hears after its election, up to 1 s later, and until then they counted nowhere. So a new deployment could get three of its five voters in one data centre, whose loss is that of the quorum, for good.

Change: the data centre is that of the voter's hello, and that in the log if there was no hello.

--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -177,7 +177,9 @@
             return Some(event);
         }
         let departed = self.departed(now, status);
-        let centre = |id: &InstanceId| nodes.get(id).map(|node| &node.centre);
+        // The record of a voter may not be committed yet.
+        let seen = |id: &InstanceId| self.seen.get(id).map(|(node, _)| node);
+        let centre = |id: &InstanceId| seen(id).or_else(|| nodes.get(id)).map(|node| &node.centre);
         let staying = || voters.iter().filter(|voter| !departed.contains(voter));
         let voters_in =
             |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
--- a/lib/tests/jobs/standbys.rs
+++ b/lib/tests/jobs/standbys.rs
@@ -48,8 +48,13 @@
     ids.iter().copied().map(InstanceId).collect()
 }
 
-/// The change of voters that the leader asks for.
+/// The change of voters that a leader asks for once all controllers are in its log.
 fn change(group: &Group) -> Option<Event> {
+    change_with(group, true)
+}
+
+/// The change of voters that a leader asks for; `recorded` tells whether its log has the others.
+fn change_with(group: &Group, recorded: bool) -> Option<Event> {
     let (now, mut state, mut changes) = (Time::from_millis(60_000), State::default(), Vec::new());
     let mut membership = Membership::new(group.target, Time::from_millis(0));
     for (id, centre) in (1..).zip(CENTRES) {
@@ -58,7 +63,9 @@
             membership.record_hello(now, &node);
         }
         membership.set_leaving(node.id, group.leaving.contains(&id));
-        state.apply(&Record::Node(node), &mut changes);
+        if recorded {
+            state.apply(&Record::Node(node), &mut changes);
+        }
     }
     let controller = Controller::new(config(node(1, 1), Vec::new()), Recovered::default(), now);
     let status = controller.expect("there is no snapshot to decode").status();
@@ -226,6 +233,22 @@
     }
 }
 
+// Guards against a new deployment whose voters gather in one data centre.
+#[test]
+fn the_data_centres_of_voters_that_are_not_in_the_log_yet_count() {
+    let group = Group {
+        name: "a new deployment",
+        target: 5,
+        voters: &[1, 3, 5, 6],
+        learners: &[2, 4],
+        lagging: &[],
+        silent: &[],
+        leaving: &[],
+        want: promote(4),
+    };
+    assert_eq!(change_with(&group, false), group.want, "{}", group.name);
+}
+
 // Guards against a voter that has gone and stays, as the standby that was chosen can't catch up.
 #[test]
 fn a_standby_that_has_caught_up_goes_first_while_a_voter_is_missing() {
