replicated_log: report how many voters are alive and wanted

Operators saw: nothing, while a group had fewer live voters than it should, until the next losses stopped it.

Cause: `status` lists voters and live instances, but no metric or line joined them.

An instance that leaves doesn't count as live.

--- a/cli/src/duty/log_events.rs
+++ b/cli/src/duty/log_events.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use crossbeam_channel::Receiver;
-use hickorylink_lib::instance::port::LogEvent;
+use hickorylink_lib::instance::port::{LogEvent, VoterCounts};
 use hickorylink_runtime::log_events::log_step_down;
-use slog::{Logger, debug, error, info};
+use slog::{Logger, debug, error, info, warn};
 
 use crate::metrics::Metrics;
 
@@ -45,8 +45,20 @@
         LogEvent::Unhandled { reason } => {
             error!(log, "a state chart has no transition for an event"; "reason" => reason);
         }
+        LogEvent::Voters(counts) => write_voters(log, counts),
         LogEvent::Members { change } => {
             info!(log, "membership change requested"; "change" => change)
         }
     }
 }
+
+fn write_voters(log: &Logger, counts: &VoterCounts) {
+    let VoterCounts { voters, live, wanted, standbys, overdue } = *counts;
+    if overdue {
+        warn!(log, "voters are missing although standbys are there";
+            "voters" => voters, "live" => live, "wanted" => wanted, "standbys" => standbys);
+    } else {
+        info!(log, "the voters changed";
+            "voters" => voters, "live" => live, "wanted" => wanted, "standbys" => standbys);
+    }
+}
--- a/cli/src/metrics.rs
+++ b/cli/src/metrics.rs
@@ -48,6 +48,10 @@
     epoch: Family<CentreLabels, IntGauge>,
     term: IntGauge,
     leads: IntGauge,
+    voters: IntGauge,
+    live_voters: IntGauge,
+    wanted_voters: IntGauge,
+    standbys: IntGauge,
     task_events: Counter<u64, AtomicU64>,
     /// Entries of the replicated log that can't be read.
     unreadable: Counter<u64, AtomicU64>,
@@ -74,6 +78,10 @@
             epoch: Family::default(),
             term: IntGauge::default(),
             leads: IntGauge::default(),
+            voters: IntGauge::default(),
+            live_voters: IntGauge::default(),
+            wanted_voters: IntGauge::default(),
+            standbys: IntGauge::default(),
             task_events: Counter::default(),
             unreadable: Counter::default(),
             unhandled: Counter::default(),
@@ -99,6 +107,10 @@
         r.register("centre_epoch", "Epoch of a data centre as known here", self.epoch.clone());
         r.register("council_term", "Term of the council", self.term.clone());
         r.register("council_leads", "Whether this instance leads", self.leads.clone());
+        r.register("council_voters", "Voters", self.voters.clone());
+        r.register("council_live_voters", "Voters alive and staying", self.live_voters.clone());
+        r.register("council_wanted_voters", "Voters by settings", self.wanted_voters.clone());
+        r.register("council_standbys", "Live members to be voters", self.standbys.clone());
         r.register("task_events", "Steps of tasks applied here", self.task_events.clone());
         r.register("chart_unhandled", "Events without a rule in a chart", self.unhandled.clone());
         r.register("peer_sent_bytes", "Bytes sent to instances", self.peer_sent.clone());
@@ -152,6 +164,13 @@
                 let labels = CentreLabels { centre: centre.to_string() };
                 self.epoch.get_or_create(&labels).set(saturating_i64(epoch.0));
             }
+            LogEvent::Voters(counts) => {
+                let set = |gauge: &IntGauge, count| gauge.set(saturating_i64(count as u64));
+                set(&self.voters, counts.voters);
+                set(&self.live_voters, counts.live);
+                set(&self.wanted_voters, counts.wanted);
+                set(&self.standbys, counts.standbys);
+            }
             LogEvent::Task { .. } => drop(self.task_events.inc()),
             LogEvent::Unreadable { .. } => drop(self.unreadable.inc()),
             LogEvent::Unhandled { .. } => drop(self.unhandled.inc()),
--- a/lib/src/instance/port.rs
+++ b/lib/src/instance/port.rs
@@ -186,6 +186,8 @@
             /// The trigger and the state.
             reason: String,
         },
+        /// The numbers of voters changed, as this instance sees them.
+        Voters(VoterCounts),
         /// The leader requests a membership change.
         Members {
             /// The requested change.
@@ -193,6 +195,21 @@
         },
     }
 
+    /// The voters of the consensus group.
+    #[derive(Copy, Default)]
+    pub struct VoterCounts {
+        /// The voters.
+        pub voters: usize,
+        /// Those that are alive and don't drain.
+        pub live: usize,
+        /// How many there should be.
+        pub wanted: usize,
+        /// The live members with a disk that could become voters.
+        pub standbys: usize,
+        /// Whether live voters have been missing for long beside a standby.
+        pub overdue: bool,
+    }
+
     /// A query that is answered from the ledger.
     pub enum Query {
         /// The status of the instance.
--- a/lib/src/replicated_log.rs
+++ b/lib/src/replicated_log.rs
@@ -25,6 +25,7 @@
         port::{Event, Requester},
         proposals::{Pending, Proposals},
         spillover::Spillover,
+        voters::VoterWatch,
     },
     router::port as router,
     scheduler::port as scheduler,
@@ -38,6 +39,7 @@
 pub mod port;
 pub mod proposals;
 pub mod spillover;
+pub mod voters;
 
 /// The settings of the replicated log.
 #[derive(Clone, Debug)]
@@ -93,6 +95,7 @@
     membership: MembershipManager,
     spillover: Spillover,
     departure: Departure,
+    voter_watch: VoterWatch,
     /// The live instances, including this one.
     alive: Vec<InstanceInfo>,
     /// The status most recently sent to the directory.
@@ -129,6 +132,7 @@
             membership: MembershipManager::new(&config, now),
             spillover: Spillover::new(now),
             departure: Departure::None,
+            voter_watch: VoterWatch::default(),
             alive: vec![config.me.clone()],
             replica_status: ReplicaStatus::default(),
             published_members: Members::default(),
@@ -228,6 +232,7 @@
             }
             self.step_consensus(now, change);
         }
+        self.report_voters(now, out);
         if let Some(command) = self.leadership.next_command(now, &self.ledger, &self.alive) {
             self.submit(now, Requester::Leadership, command, out);
         }
--- a/lib/src/replicated_log/answers.rs
+++ b/lib/src/replicated_log/answers.rs
@@ -224,6 +224,18 @@
         }
     }
 
+    /// Reports a change of the numbers of voters, unless no group is known yet.
+    pub(super) fn report_voters(&mut self, now: Time, out: &mut Vec<Output>) {
+        let members = self.consensus.status().members;
+        if members.voters.is_empty() {
+            return;
+        }
+        let wanted = self.config.voters;
+        if let Some(counts) = self.voter_watch.update(now, wanted, &members, &self.alive) {
+            out.push(Output::Effect(Effect::Log(LogEvent::Voters(counts))));
+        }
+    }
+
     /// Reports once that an instance that drains isn't needed as a voter any more.
     pub(super) fn report_departure(&mut self, out: &mut Vec<Output>) {
         let status = self.consensus.status();
--- a/lib/tests/instances/cluster.rs
+++ b/lib/tests/instances/cluster.rs
@@ -19,7 +19,7 @@
     ids::{Attempt, Epoch, Incarnation, InstanceId, RequestId, TaskAttempt, TaskId},
     instance::{
         Config, Instance,
-        port::{Answer, DispatchCommand, Effect, Event, LogEvent},
+        port::{Answer, DispatchCommand, Effect, Event, LogEvent, VoterCounts},
     },
     ledger::Limits,
     replicated_log::{Config as ReplicatedLogConfig, port::Event as ReplicatedLogEvent},
@@ -91,6 +91,8 @@
     stalled_until: Time,
     /// The instances that shut down and have no requests in flight any more.
     pub(crate) drained: BTreeSet<usize>,
+    /// The numbers of voters that each instance reported last.
+    pub(crate) voter_counts: BTreeMap<usize, VoterCounts>,
     /// The instances that founded a consensus group.
     pub(crate) founders: Vec<usize>,
     /// The instances that shut down and aren't needed as voters any more.
@@ -190,6 +192,7 @@
             announce_to: None,
             stalled_until: Time::default(),
             drained: BTreeSet::new(),
+            voter_counts: BTreeMap::new(),
             founders: Vec::new(),
             handed_over: BTreeSet::new(),
             served: BTreeMap::new(),
@@ -386,6 +389,9 @@
                     }
                 }
                 Effect::Log(LogEvent::Bootstrapped) => self.founders.push(at),
+                Effect::Log(LogEvent::Voters(counts)) => {
+                    self.voter_counts.insert(at, counts);
+                }
                 Effect::Log(_)
                 | Effect::Dispatch(
                     DispatchCommand::Abandon { .. }
--- a/lib/tests/instances/membership.rs
+++ b/lib/tests/instances/membership.rs
@@ -172,3 +172,35 @@
         assert_eq!(cluster.leader(), None, "seed {seed}");
     }
 }
+
+// Guards against voters that are missing without any metric or log line that says so.
+#[test]
+fn missing_voters_are_reported() {
+    struct Case {
+        name: &'static str,
+        standby: bool,
+        /// How long after the loss of a voter the counts are read.
+        after: Duration,
+        /// The live voters and the standbys.
+        want: (usize, usize),
+    }
+    let soon = Duration::from_secs(3);
+    let cases = [
+        Case { name: "a standby, soon", standby: true, after: soon, want: (2, 1) },
+        Case { name: "a standby, later", standby: true, after: REPAIR_TIME, want: (3, 0) },
+        Case { name: "no standby, soon", standby: false, after: soon, want: (2, 0) },
+        Case { name: "no standby, later", standby: false, after: REPAIR_TIME * 2, want: (2, 0) },
+    ];
+    for (case, seed) in cases.iter().flat_map(|case| ROLL_SEEDS.map(move |seed| (case, seed))) {
+        let name = case.name;
+        let mut cluster = ready(seed, Faults::default(), 3);
+        cluster.add(case.standby, &[0], 3);
+        cluster.run(Duration::from_secs(5));
+        let lost = cluster.random_below(3);
+        cluster.kill(lost);
+        cluster.run(case.after);
+        let counts = cluster.voter_counts[&((lost + 1) % 3)];
+        assert_eq!((counts.live, counts.standbys), case.want, "{name}, seed {seed}");
+        assert_eq!((counts.wanted, counts.overdue), (3, false), "{name}, seed {seed}");
+    }
+}
