--- a/lib/src/consensus/reconfigure.rs
+++ b/lib/src/consensus/reconfigure.rs
@@ -18,9 +18,6 @@
 /// The maximum number of queued membership changes.
 const MAX_QUEUED_CHANGES: usize = 256;
 
-/// A learner that is promoted has answered one of this many last heartbeats.
-const ANSWERED_HEARTBEATS: u32 = 2;
-
 /// A requested membership change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(super) enum MemberChange {
@@ -48,10 +45,20 @@
     pub(super) fn queue_change(&mut self, ctx: &mut EventContext<'_>) {
         match ctx.event {
             Event::AddLearner { instance } => self.queue(MemberChange::AddLearner(*instance)),
-            Event::Promote { instance } => self.queue(MemberChange::Promote(*instance)),
-            Event::Demote { instance } => self.queue(MemberChange::Demote(*instance)),
-            Event::RemoveMember { instance } => self.queue(MemberChange::Remove(*instance)),
+            Event::Promote { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Promote(*instance));
+            }
+            Event::Demote { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Demote(*instance));
+            }
+            Event::RemoveMember { instance } => {
+                self.drop_voter_changes();
+                self.queue(MemberChange::Remove(*instance));
+            }
             Event::ReplaceVoter { lost, by } => {
+                self.drop_voter_changes();
                 self.queue(MemberChange::Promote(*by));
                 self.queue(MemberChange::Remove(*lost));
             }
@@ -65,6 +72,15 @@
         }
     }
 
+    /// Drops the queued changes of voters: the last request is the one that fits the members.
+    fn drop_voter_changes(&mut self) {
+        let Some(leader_state) = &mut self.leader_state else { return };
+        leader_state.changes.retain(|change| match change {
+            MemberChange::AddLearner(_) => true,
+            MemberChange::Promote(_) | MemberChange::Demote(_) | MemberChange::Remove(_) => false,
+        });
+    }
+
     fn queue(&mut self, change: MemberChange) {
         let Some(leader_state) = &mut self.leader_state else { return };
         if leader_state.changes.len() < MAX_QUEUED_CHANGES
@@ -124,7 +140,7 @@
         while let Some(change) = changes.front() {
             match self.decide_change(now, members, *change) {
                 ChangeDecision::Drop => {}
-                ChangeDecision::Keep => return members.clone(),
+                ChangeDecision::Keep => break,
                 ChangeDecision::Replace(changed) => {
                     changes.pop_front();
                     return changed;
@@ -143,7 +159,7 @@
             MemberChange::Promote(instance) if !members.learners.contains(&instance) => {
                 ChangeDecision::Drop
             }
-            MemberChange::Promote(instance) if self.can_vote(now, instance) => {
+            MemberChange::Promote(instance) if self.is_ready(now, instance) => {
                 ChangeDecision::Replace(members.with_voter(instance))
             }
             MemberChange::Promote(instance) if self.is_silent(now, instance) => {
@@ -175,7 +191,7 @@
         let standby = members
             .learners
             .iter()
-            .find(|learner| self.standbys.contains(learner) && self.can_vote(now, **learner))?;
+            .find(|learner| self.standbys.contains(learner) && self.is_ready(now, **learner))?;
         Some(members.with_voter(*standby))
     }
 
@@ -187,13 +203,25 @@
         self.peer(instance).is_some_and(|peer| now.since(peer.heard) > self.config.replace_after)
     }
 
-    /// Whether a learner has caught up and answers the heartbeats. One that has died would count
-    /// for the quorum at once and could leave the group without any.
-    fn can_vote(&self, now: Time, instance: InstanceId) -> bool {
+    /// The learners that could be promoted when a member was last heard; only a leader knows of any.
+    pub(super) fn caught_up(&self) -> Vec<InstanceId> {
+        let peers = self.leader_state.iter().flat_map(|leader_state| leader_state.peers.values());
+        let Some(heard) = peers.map(|peer| peer.heard).max() else { return Vec::new() };
+        let learners = self.members().learners.iter().copied();
+        learners.filter(|learner| self.is_ready(heard, *learner)).collect()
+    }
+
+    /// Whether a learner can vote at once: it has caught up and answers. With the vote of one that
+    /// is gone, a quorum would need one live voter more.
+    fn is_ready(&self, now: Time, learner: InstanceId) -> bool {
+        let answers = |peer: &Peer| now.since(peer.heard) <= self.config.election_timeout;
+        self.has_caught_up(learner) && self.peer(learner).is_some_and(answers)
+    }
+
+    fn has_caught_up(&self, instance: InstanceId) -> bool {
         self.peer(instance).is_some_and(|peer| {
             matches!(peer.state, ReplicationState::Replicate)
                 && peer.matched.0 + self.config.catch_up_margin >= self.log.last().0
-                && now.since(peer.heard) <= self.config.heartbeat_interval * ANSWERED_HEARTBEATS
         })
     }
 
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -7,11 +7,13 @@
 
 pub mod call;
 pub mod config;
+pub mod contacts;
 pub mod controller;
 pub mod crash;
 pub mod fleet;
 pub mod gateway;
 pub mod health;
+pub mod hello;
 pub mod lifecycle;
 pub mod link;
 pub mod members;
@@ -27,4 +29,5 @@
 pub mod response;
 pub mod state;
 pub mod suspects;
+pub mod voters;
 pub mod waiting;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -5,7 +5,7 @@
 //! its term drops the working copy and all uncommitted decisions.
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -19,7 +19,11 @@
     },
     ids::{Epoch, Index, InstanceId},
     jobs::{
-        controller::{leader::Leader, turn::PendingProposal},
+        contacts::Contacts,
+        controller::{
+            handover::Shutdown, leader::Leader, turn::PendingProposal, watch::Leaderless,
+        },
+        hello::Hello,
         link::{ControllerStatus, LinkMessage},
         members::{Membership, recorded_peers},
         record::{Batch, Node},
@@ -28,11 +32,14 @@
     time::{Time, WallTime, earliest},
 };
 
+mod admission;
 mod calls;
 mod capacity;
 pub mod config;
+mod handover;
 mod heartbeat;
 pub mod leader;
+mod occurrences;
 pub mod port;
 mod probation;
 mod proposal;
@@ -42,6 +49,7 @@
 mod round;
 mod schedule;
 mod turn;
+mod watch;
 
 pub use self::{
     config::{Config, Timing},
@@ -64,7 +72,10 @@
     pending: VecDeque<PendingProposal>,
     proposals: u64,
     membership: Membership,
+    contacts: Contacts,
     next_hello: Time,
+    shutdown: Shutdown,
+    leaderless: Leaderless,
     effects: Vec<consensus::Effect>,
 }
 
@@ -93,7 +104,10 @@
             Consensus::new(config.consensus.clone(), recovered, &founders, now, config.seed);
         Ok(Self {
             membership: Membership::new(config.voters, now),
+            contacts: Contacts::new(config.me.peer, &config.seeds),
             next_hello: now,
+            shutdown: Shutdown::None,
+            leaderless: Leaderless::Since(now),
             leader: None,
             pending: VecDeque::new(),
             proposals: 0,
@@ -152,18 +166,18 @@
         self.run_effects(now, wall, out);
         self.compact(now);
         self.run_effects(now, wall, out);
+        self.check_handover(out);
     }
 
     fn handle_event(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Timer => {}
-            Event::Hello(node) => {
-                self.addresses.insert(node.id, node.peer);
-                self.membership.record_hello(now, &node);
-                if let Some(leader) = &mut self.leader {
-                    leader.record_node(&node);
-                }
+            Event::Hello(hello) => self.receive_hello(now, &hello, out),
+            Event::Seeds(seeds) => {
+                self.contacts.set_seeds(&seeds);
+                self.next_hello = now;
             }
+            Event::ShutDown => self.shut_down(now),
             Event::Consensus { from, message } => {
                 self.step_consensus(now, consensus::Event::Receive { from, message });
                 self.run_effects(now, wall, out);
@@ -216,11 +230,14 @@
     }
 
     fn probe_status(&self, now: Time) -> ControllerStatus {
+        let mut controllers: BTreeSet<_> = self.member_peers().into_iter().collect();
+        controllers.extend(self.contacts.live(now));
+        controllers.insert(self.config.me.peer);
         ControllerStatus {
             leads: self.leads(now),
             configured: self.committed.config.is_some(),
             leader: self.leader_node().map(|node| node.peer),
-            controllers: self.committed.nodes.values().map(|node| node.peer).collect(),
+            controllers: controllers.into_iter().collect(),
         }
     }
 
@@ -234,11 +251,15 @@
         }
         if self.next_hello <= now {
             self.next_hello = now + HELLO_INTERVAL;
-            self.send_hello(out);
+            self.send_hello(now, out);
         }
+        self.report_leaderless(now, out);
         if self.leader.is_some() {
             self.membership.record_hello(now, &self.config.me);
-            let status = self.consensus.status();
+            let (status, due) = (self.consensus.status(), self.membership.next_deadline() <= now);
+            if due {
+                self.watch_voters(now, &status, out);
+            }
             for event in self.membership.tick(now, &status, &self.committed.nodes) {
                 if !matches!(event, consensus::Event::Standbys { .. }) {
                     let change = format!("{event:?}");
@@ -249,18 +270,37 @@
         }
     }
 
+    fn receive_hello(&mut self, now: Time, hello: &Hello, out: &mut Vec<Effect>) {
+        let node = &hello.node;
+        self.addresses.insert(node.id, node.peer);
+        self.membership.record_hello(now, node);
+        self.membership.set_leaving(node.id, hello.leaving);
+        let new = self.contacts.record_hello(now, node.peer, &hello.known);
+        if !new.is_empty() {
+            self.next_hello = now;
+        }
+        Self::report_heard(node.peer, &new, out);
+        if let Some(leader) = &mut self.leader {
+            leader.record_node(node);
+        }
+    }
+
     /// Sends a hello to all other known controllers.
-    fn send_hello(&self, out: &mut Vec<Effect>) {
-        let mut peers: Vec<_> = self.config.seeds.clone();
-        peers.extend(self.addresses.values());
-        peers.sort_unstable();
-        peers.dedup();
-        for to in peers.into_iter().filter(|peer| *peer != self.config.me.peer) {
-            let message = LinkMessage::Hello(self.config.me.clone());
-            out.push(Effect::Send { to, message });
+    fn send_hello(&self, now: Time, out: &mut Vec<Effect>) {
+        let known = self.contacts.live(now).collect();
+        let leaving = self.shutdown != Shutdown::None;
+        let hello = Hello { node: self.config.me.clone(), known, leaving };
+        for to in self.contacts.recipients(now, self.member_peers()) {
+            out.push(Effect::Send { to, message: LinkMessage::Hello(hello.clone()) });
         }
     }
 
+    /// The peer addresses of the members of the consensus group.
+    fn member_peers(&self) -> Vec<SocketAddr> {
+        let members = self.consensus.status().members;
+        members.all().filter_map(|id| self.addresses.get(&id).copied()).collect()
+    }
+
     /// Executes the effects of the consensus module until none is left.
     fn run_effects(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         while !self.effects.is_empty() {
@@ -294,6 +334,7 @@
             consensus::Effect::Restore(snapshot) => self.restore(&snapshot, out),
             consensus::Effect::Rejected { .. } => self.step_down(out),
             consensus::Effect::RoleChanged { role, term, leader } => {
+                self.record_leader(now, leader.is_some());
                 out.push(Effect::LogEvent(LogEvent::Role { role, term, leader }));
                 if role != Role::Leader {
                     self.step_down(out);
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -7,10 +7,12 @@
     ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
     jobs::{
         call::{Call, OperatorReply, OperatorRequest, Reply},
+        hello::Hello,
         link::{ControllerStatus, LinkMessage},
         record::Node,
         report::{Ended, Report},
         response::HeartbeatResponse,
+        voters::{AbsentVoter, MemberCounts},
     },
     resources::Resources,
     time::Time,
@@ -36,7 +38,11 @@
     /// The deadline given by [`next_deadline`](super::Controller::next_deadline) has passed.
     Timer,
     /// A controller announced itself.
-    Hello(Node),
+    Hello(Hello),
+    /// The addresses of controllers that the settings name now.
+    Seeds(Vec<SocketAddr>),
+    /// This controller is to shut down. It answers with [`Effect::HandedOver`].
+    ShutDown,
     /// A consensus message.
     Consensus {
         /// The sender.
@@ -143,6 +149,9 @@
         /// The answer must not be sent after this time, since another controller may lead by then.
         until: Option<Time>,
     },
+    /// This controller, which is to shut down, has handed over its vote or has nobody to hand it
+    /// over to.
+    HandedOver,
     /// Report an event to the log and the metrics.
     LogEvent(LogEvent),
 }
@@ -230,6 +239,13 @@
         /// The number of its runs.
         runs: usize,
     },
+    /// A heartbeat names no worker to use and was ignored.
+    Ignored {
+        /// The name in the heartbeat.
+        name: String,
+        /// Why it was ignored.
+        reason: &'static str,
+    },
     /// A worker reports another capacity than before.
     Resized {
         /// Its name.
@@ -262,6 +278,36 @@
         /// The requested change.
         change: String,
     },
+    /// Fewer controllers vote than the leader aims at.
+    TooFewVoters {
+        /// The controllers.
+        counts: MemberCounts,
+        /// The voters that are silent or shut down.
+        absent: Vec<AbsentVoter>,
+    },
+    /// As many controllers vote as the leader aims at, after too few.
+    EnoughVoters {
+        /// The controllers.
+        counts: MemberCounts,
+        /// For how long there were too few.
+        after: Duration,
+    },
+    /// The first sign of life of a controller, or the first after it was silent.
+    ControllerHeard {
+        /// The address of the controller.
+        peer: SocketAddr,
+        /// The sender of the hello: the controller itself, or one that has heard it.
+        from: SocketAddr,
+    },
+    /// No leader has been known for long.
+    NoLeader {
+        /// For how long.
+        waited: Duration,
+        /// The controllers that are greeted: the seeds, the members and those that were heard of.
+        asked: Vec<SocketAddr>,
+        /// Those of them that have answered.
+        heard: Vec<SocketAddr>,
+    },
     /// A change of the consensus group's members is committed.
     MembersCommitted {
         /// The members that vote from now on.
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -92,6 +92,21 @@
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
+/// Applies a write to what storage would recover.
+pub(crate) fn store(disk: &mut Recovered, write: &Write) {
+    if let Some(hard) = write.hard {
+        disk.hard = hard;
+    }
+    if let Some(snapshot) = &write.snapshot {
+        disk.entries.retain(|entry| entry.index > snapshot.index);
+        disk.snapshot = Some(snapshot.clone());
+    }
+    if let Some(from) = write.truncate {
+        disk.entries.retain(|entry| entry.index < from);
+    }
+    disk.entries.extend(write.entries.iter().cloned());
+}
+
 impl World {
     /// Creates a controller that leads, with a queue `/fold/` on service `desk` whose jobs fail
     /// after 4 failures of a task.
@@ -138,21 +153,6 @@
         matches!(&self.answers[&ticket], Answer::Status(status) if status.leads)
     }
 
-    fn store(&mut self, write: &Write) {
-        let stored = &mut self.stored;
-        if let Some(hard) = write.hard {
-            stored.hard = hard;
-        }
-        if let Some(snapshot) = &write.snapshot {
-            stored.entries.retain(|entry| entry.index > snapshot.index);
-            stored.snapshot = Some(snapshot.clone());
-        }
-        if let Some(from) = write.truncate {
-            stored.entries.retain(|entry| entry.index < from);
-        }
-        stored.entries.extend(write.entries.iter().cloned());
-    }
-
     /// Advances the clock in steps of at most 20 ms.
     pub(crate) fn advance(&mut self, span: Duration) {
         let end = self.now + span;
@@ -170,14 +170,17 @@
             for effect in out {
                 match effect {
                     Effect::Store(write) => {
-                        self.store(&write);
+                        store(&mut self.stored, &write);
                         events.push(Event::Stored { sequence: write.sequence });
                     }
                     Effect::Answer { ticket: Ticket::Front(ticket), answer, .. } => {
                         let previous = self.answers.insert(ticket, answer);
                         assert!(previous.is_none(), "ticket {ticket} was answered twice");
                     }
-                    Effect::Answer { .. } | Effect::Send { .. } | Effect::LogEvent(_) => {
+                    Effect::Answer { .. }
+                    | Effect::Send { .. }
+                    | Effect::HandedOver
+                    | Effect::LogEvent(_) => {
                         self.sent.push(effect);
                     }
                 }
@@ -279,11 +282,18 @@
     }
 }
 
+/// The address of a worker by its name.
+pub(crate) fn worker_address(name: &str) -> SocketAddr {
+    let sum = name.bytes().fold(0, |sum: u16, byte| sum.wrapping_mul(31).wrapping_add(byte.into()));
+    let [high, low] = sum.to_be_bytes();
+    SocketAddr::from(([10, 1, high, low], 8080))
+}
+
 /// A simulated worker that executes the responses to its heartbeats.
 #[derive(Clone, Debug)]
 pub(crate) struct FakeWorker {
     pub(crate) name: String,
-    pub(crate) address: String,
+    pub(crate) address: SocketAddr,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
@@ -309,7 +319,7 @@
     pub(crate) fn new(name: &str) -> Self {
         Self {
             name: name.to_owned(),
-            address: format!("{name}:1"),
+            address: worker_address(name),
             incarnation: 1,
             sequence: 0,
             leaving: None,
@@ -335,8 +345,8 @@
 
     /// The same machine after a crash and restart under another name.
     pub(crate) fn replaced(&self, name: &str) -> Self {
-        let address = self.address.clone();
-        Self { incarnation: self.incarnation + 1, address, ..Self::new(name) }
+        let (incarnation, address) = (self.incarnation + 1, self.address);
+        Self { incarnation, address, ..Self::new(name) }
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -346,7 +356,7 @@
             incarnation: Incarnation(self.incarnation),
             sequence: self.sequence,
             clock: self.clock,
-            address: self.address.as_str().into(),
+            address: self.address,
             service: "desk".into(),
             centre: "akl-a".into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -5,7 +5,7 @@
 //! as heartbeats, when it is nearly full. A message from another instance is dropped when the ring
 //! is full, and its sender retries.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hickorylink_lib::{
@@ -25,7 +25,7 @@
     net::TcpListener,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use crate::{
@@ -36,6 +36,7 @@
     log, log_events,
     metrics::{self, controller::Metrics},
     persist,
+    reload::watch_seeds,
     ring::{Outbox, RingSender, runtime_ring, thread_ring},
     settings::Settings,
     storage::{Folder, Identity, MAX_SEGMENT_BYTES, Store, StoreError},
@@ -80,6 +81,9 @@
 /// discard an answer that takes 1 s.
 const MAX_HOLD: Duration = Duration::from_millis(700);
 
+/// How long a controller that shuts down waits for a standby to take over its vote.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
+
 /// How long a controller continues to answer requests during its shutdown.
 const DRAIN_TIME: Duration = Duration::from_millis(300);
 
@@ -144,6 +148,8 @@
     storage: Outbox<Write>,
     links: Outbox<LinkCommand>,
     front: Outbox<(u64, TimedAnswer)>,
+    /// Set to true when this controller, which is to shut down, may stop.
+    handed_over: watch::Sender<bool>,
     metrics: Arc<Metrics>,
     log: Logger,
 }
@@ -164,6 +170,7 @@
                     self.links.send(LinkCommand::Answer { connection, message });
                 }
             }
+            Effect::HandedOver => drop(self.handed_over.send_replace(true)),
             Effect::LogEvent(event) => {
                 self.metrics.record(&event);
                 log_events::controller(&self.log, &event);
@@ -189,12 +196,16 @@
     }
 }
 
-/// Runs a controller until the process receives SIGTERM.
+/// Runs a controller until the process receives SIGTERM. `reload` reads the settings again.
 ///
 /// # Errors
 ///
 /// [`ControllerError`] if the controller can't start.
-pub fn run(settings: &Settings, front: impl Frontend<Handle>) -> Result<(), ControllerError> {
+pub fn run(
+    settings: &Settings,
+    reload: impl Fn() -> Option<Settings>,
+    front: impl Frontend<Handle>,
+) -> Result<(), ControllerError> {
     let clock = Clock::start();
     let instance_log = log::start(settings.log, &settings.name, clock);
     let log = &instance_log.root;
@@ -211,10 +222,12 @@
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, answers_ring) = runtime_ring("front", RING_CAPACITY);
     let metrics = Arc::new(Metrics::default());
+    let (handed_over, mut handover) = watch::channel(false);
     let outputs = Outputs {
         storage: Outbox::new(&storage),
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
+        handed_over,
         metrics: metrics.clone(),
         log: log.clone(),
     };
@@ -235,7 +248,8 @@
     spawn_links(me.peer, links_ring, control.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
-    let handle = Handle { events: control, waiters: waiters.clone(), clock, log: log.clone() };
+    let events = control.clone();
+    let handle = Handle { events, waiters: waiters.clone(), clock, log: log.clone() };
     let (stop, stopping) = watch::channel(false);
     let front_log = log.clone();
     let front_runtime = runtime().context(StartSnafu)?;
@@ -256,14 +270,20 @@
             metrics::spawn_server(at, text, log.clone());
         }
         let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
-        let mut reload = signal(SignalKind::hangup()).context(StartSnafu)?;
-        loop {
-            tokio::select! {
-                _ = term.recv() => break,
-                _ = reload.recv() => info!(log, "a controller reads its settings only at its start"),
+        let send_seeds = |seeds| control.push(Event::Seeds(seeds)).is_ok();
+        tokio::select! {
+            _ = term.recv() => {}
+            ended = watch_seeds(settings, reload, send_seeds, log) => {
+                let _: Infallible = ended.context(StartSnafu)?;
             }
         }
         info!(log, "the controller shuts down");
+        // If control's ring is full, the controller stops without a handover.
+        if control.push(Event::ShutDown).is_ok() {
+            let limit = HANDOVER_TIMEOUT.min(settings.grace / 4);
+            let waited = timeout(limit, handover.wait_for(|done| *done)).await;
+            info!(log, "the vote was handed over"; "in_time" => waited.is_ok());
+        }
         stop.send_replace(true);
         sleep(DRAIN_TIME).await;
         info!(log, "the controller has shut down");
@@ -379,7 +399,7 @@
 /// Converts a message from another instance to an event of control.
 fn to_event(connection: u64, message: LinkMessage) -> Option<Event> {
     match message {
-        LinkMessage::Hello(node) => Some(Event::Hello(node)),
+        LinkMessage::Hello(hello) => Some(Event::Hello(hello)),
         LinkMessage::Consensus { from, message } => Some(Event::Consensus { from, message }),
         LinkMessage::Forward { number, call } => {
             Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -97,6 +97,20 @@
         fs::write(self.settings(at), settings.to_string())
     }
 
+    /// Replaces the seeds in the settings of a member, whether it is running or not.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be read or written.
+    pub fn write_seeds(&self, at: usize, seeds: &[SocketAddr]) -> io::Result<()> {
+        let mut settings: Value = serde_json::from_str(&fs::read_to_string(self.settings(at))?)?;
+        settings["seeds"] = seeds.iter().map(ToString::to_string).collect();
+        // A reader must not see a part of the file.
+        let new = self.folder.join(format!("{at}.new"));
+        fs::write(&new, settings.to_string())?;
+        fs::rename(new, self.settings(at))
+    }
+
     fn settings(&self, at: usize) -> PathBuf {
         self.folder.join(format!("{at}.jsonc"))
     }
@@ -161,6 +175,12 @@
         fs::write(self.settings(at), text.replace("\"founding\":true", "\"founding\":false"))
     }
 
+    /// Whether the process of a member that was started last still runs.
+    pub fn is_running(&mut self, at: usize) -> bool {
+        let child = self.members[at].child.as_mut();
+        child.is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
     /// The number of controllers and gateways.
     pub fn member_count(&self) -> usize {
         self.members.len()
