tests: real controllers are replaced at new addresses with stale seeds

It waits for three live voters by the leader's gauges after each step, and for all jobs that were accepted. The stand-in for a deployment can add a controller; its members have a role each instead of a range of numbers.

--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -18,6 +18,7 @@
 mod odd_entries;
 mod operations;
 mod reload;
+mod replacement;
 mod soak;
 
 /// How long any condition may take. Generous, as no test here checks how fast something is.
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -35,19 +35,37 @@
 /// The limit on an operator's call, after which the next controller is called.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// A deployment of processes. Members are numbered from zero, controllers before gateways; the
-/// processes are killed when it is dropped.
+/// A deployment of processes. Members are numbered from zero: the first controllers, the gateways,
+/// and the controllers that were added. The processes are killed when it is dropped.
 #[derive(Debug)]
 pub struct Deployment {
     program: PathBuf,
     folder: PathBuf,
-    controllers: usize,
+    port: u16,
+    peer_port: u16,
     metrics_port: u16,
     members: Vec<Member>,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum MemberRole {
+    Controller,
+    Gateway,
+}
+
+impl MemberRole {
+    /// The subcommand that starts a process in this role.
+    fn command(self) -> &'static str {
+        match self {
+            Self::Controller => "controller",
+            Self::Gateway => "gateway",
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Member {
+    role: MemberRole,
     listen: SocketAddr,
     child: Option<Child>,
 }
@@ -67,30 +85,54 @@
         let ports = [(); 3].map(|()| free_address().map(|address| address.port()));
         let [port, peer_port, metrics_port] = ports;
         let (port, peer_port, metrics_port) = (port?, peer_port?, metrics_port?);
-        let host = |at: usize| Ipv4Addr::new(127, 0, 1, u8::try_from(at + 1).unwrap_or(u8::MAX));
-        let members: Vec<_> = (0..controllers + gateways)
-            .map(|at| Member { listen: (IpAddr::V4(host(at)), port).into(), child: None })
-            .collect();
-        let (program, folder) = (program.to_owned(), folder.to_owned());
-        let mut deployment = Self { program, folder, controllers, metrics_port, members };
+        let (program, folder, members) = (program.to_owned(), folder.to_owned(), Vec::new());
+        let mut deployment = Self { program, folder, port, peer_port, metrics_port, members };
+        for _ in 0..controllers {
+            deployment.add_member(MemberRole::Controller);
+        }
+        for _ in 0..gateways {
+            deployment.add_member(MemberRole::Gateway);
+        }
+        let seeds = deployment.controllers();
         for at in 0..controllers + gateways {
-            deployment.write_settings(at, peer_port, true)?;
+            deployment.write_settings(at, &seeds, true)?;
             deployment.launch(at)?;
         }
         Ok(deployment)
     }
 
-    fn write_settings(&self, at: usize, peer_port: u16, founding: bool) -> io::Result<()> {
-        let seeds: Vec<_> = self.controllers().iter().map(ToString::to_string).collect();
+    /// Starts a controller at a new address, which joins by these seeds, and returns its number.
+    ///
+    /// # Errors
+    ///
+    /// Fails if its settings can't be written or the process can't be started.
+    pub fn add_controller(&mut self, seeds: &[SocketAddr]) -> io::Result<usize> {
+        let at = self.add_member(MemberRole::Controller);
+        self.write_settings(at, seeds, false)?;
+        self.launch(at)?;
+        Ok(at)
+    }
+
+    /// Assigns the next number and address.
+    fn add_member(&mut self, role: MemberRole) -> usize {
+        let at = self.members.len();
+        let host = Ipv4Addr::new(127, 0, 1, u8::try_from(at + 1).unwrap_or(u8::MAX));
+        let listen = (IpAddr::V4(host), self.port).into();
+        self.members.push(Member { role, listen, child: None });
+        at
+    }
+
+    fn write_settings(&self, at: usize, seeds: &[SocketAddr], founding: bool) -> io::Result<()> {
+        let seeds: Vec<_> = seeds.iter().map(ToString::to_string).collect();
         let mut settings = json!({
             "name": format!("member-{at}"),
             "centre": format!("centre-{}", at % 3),
             "listen": self.members[at].listen.to_string(),
             "metrics": self.metrics_address(at).to_string(),
             "seeds": seeds,
-            "peer_port": peer_port,
+            "peer_port": self.peer_port,
         });
-        if at < self.controllers {
+        if self.members[at].role == MemberRole::Controller {
             settings["founding"] = founding.into();
             settings["data"] = self.data(at).display().to_string().into();
         }
@@ -125,11 +167,10 @@
     ///
     /// Fails if the process can't be started.
     pub fn launch(&mut self, at: usize) -> io::Result<()> {
-        let role = if at < self.controllers { "controller" } else { "gateway" };
         let path = self.folder.join(format!("{at}.log"));
         let log = File::options().create(true).append(true).open(path)?;
         let child = Command::new(&self.program)
-            .args([role, "--settings"])
+            .args([self.members[at].role.command(), "--settings"])
             .arg(self.settings(at))
             .stdin(Stdio::null())
             .stdout(log.try_clone()?)
@@ -193,7 +234,7 @@
 
     /// The controller with the highest epoch of leadership in the logs.
     pub fn leader(&self) -> Option<usize> {
-        let epochs = (0..self.controllers).filter_map(|at| {
+        let epochs = self.numbers(MemberRole::Controller).filter_map(|at| {
             let log = self.log(at);
             let lines = log.lines().filter(|line| line.contains("this controller leads"));
             let epochs = lines.filter_map(|line| serde_json::from_str::<Value>(line).ok());
@@ -219,7 +260,18 @@
 
     /// The addresses of the controllers for workers and operators.
     pub fn controllers(&self) -> Vec<SocketAddr> {
-        self.members[..self.controllers].iter().map(|member| member.listen).collect()
+        self.numbers(MemberRole::Controller).map(|at| self.members[at].listen).collect()
+    }
+
+    /// The address of a member for callers, workers or operators.
+    pub fn address(&self, at: usize) -> SocketAddr {
+        self.members[at].listen
+    }
+
+    /// The numbers of the members in a role.
+    fn numbers(&self, role: MemberRole) -> impl Iterator<Item = usize> {
+        let members = self.members.iter().enumerate();
+        members.filter(move |(_, member)| member.role == role).map(|(at, _)| at)
     }
 
     /// Applies a config with one route, `/fold/`, and returns the first conclusive response.
@@ -270,7 +322,8 @@
         path: &str,
         body: &str,
     ) -> Result<Response, CallError> {
-        let to = self.members[self.controllers + gateway].listen;
+        let at = self.numbers(MemberRole::Gateway).nth(gateway).expect("a gateway");
+        let to = self.members[at].listen;
         net::send(to, method, path, &[("host", HOST)], Bytes::from(body.to_owned())).await
     }
 
