tests: two schedules of members that failed are kept as cases

Seeds 2205 and 2779 failed in a trial on (2 of the 3000 seeds from 1000 on): two controllers left while a third voter was down, and a group of six kept the voters that had gone. They pass since, as the other 2998 do (`HICKORYLINK_MEMBERS_FIRST=1000 HICKORYLINK_MEMBERS_SEEDS=3000`, debug build, 201 s).

--- a/lib/tests/jobs/members_properties.rs
+++ b/lib/tests/jobs/members_properties.rs
@@ -36,6 +36,9 @@
 const FIRST_SEED_ENV: &str = "HICKORYLINK_MEMBERS_FIRST";
 const SCHEDULES: u64 = 200;
 
+/// Seeds outside of that range that failed once.
+const FAILED_SEEDS: [u64; 2] = [2205, 2779];
+
 /// What happens to a machine, or to all of them.
 #[derive(Clone, Copy, Debug)]
 enum Disruption {
@@ -331,15 +334,16 @@
 #[test]
 fn each_live_controller_is_a_member_and_no_gone_one_votes() {
     let first = number(FIRST_SEED_ENV, 0);
-    let seeds = first..first + number(SEED_COUNT_ENV, SCHEDULES);
+    let count = number(SEED_COUNT_ENV, SCHEDULES);
+    let seeds: Vec<u64> = FAILED_SEEDS.into_iter().chain(first..first + count).collect();
     let mut failures: Vec<(u64, String)> = Vec::new();
-    for seed in seeds.clone() {
-        let mut schedule = Schedule::new(seed);
+    for seed in &seeds {
+        let mut schedule = Schedule::new(*seed);
         if let Err(error) = schedule.run() {
-            failures.push((seed, format!("{error}\n  {}", schedule.trace.join("\n  "))));
+            failures.push((*seed, format!("{error}\n  {}", schedule.trace.join("\n  "))));
         }
     }
     let failed: Vec<u64> = failures.iter().map(|(seed, _)| *seed).collect();
     let first = failures.first().map(|(_, failure)| failure.as_str()).unwrap_or_default();
-    assert!(failures.is_empty(), "of seeds {seeds:?}, {failed:?} fail, the first by {first}");
+    assert!(failures.is_empty(), "of {} seeds, {failed:?} fail, the first by {first}", seeds.len());
 }
