controllers: one that shuts down doesn't wait for standbys that are gone or leave, too

A controller that shuts down waited for a handover as long as the group had learners, so all voters that were told to stop at once waited 1.5 s for standbys that were told the same. Its announcement was repeated after 1 s only, two thirds of the limit, if the first hello was lost.

Change: it waits while a standby is alive that doesn't shut down, and repeats its announcement every 250 ms. The effect and the log line say what they mean: the controller may stop, and whether it still votes.

a_controller_stops_once_it_is_replaced_or_nobody_can_replace_it failed before in "all at once".

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -59,6 +59,10 @@
 /// The interval between two hellos to the other controllers.
 const HELLO_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The interval between two hellos of a controller that shuts down. The leader must learn of it soon,
+/// and a hello may be lost.
+const LAST_HELLO_INTERVAL: Duration = Duration::from_millis(250);
+
 /// A controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -166,7 +170,7 @@
         self.run_effects(now, wall, out);
         self.compact(now);
         self.run_effects(now, wall, out);
-        self.check_handover(out);
+        self.check_handover(now, out);
     }
 
     fn handle_event(&mut self, now: Time, wall: WallTime, event: Event, out: &mut Vec<Effect>) {
@@ -250,7 +254,11 @@
             self.step_consensus(now, consensus::Event::Timer);
         }
         if self.next_hello <= now {
-            self.next_hello = now + HELLO_INTERVAL;
+            let interval = match self.shutdown {
+                Shutdown::None => HELLO_INTERVAL,
+                Shutdown::HandingOver | Shutdown::Done => LAST_HELLO_INTERVAL,
+            };
+            self.next_hello = now + interval;
             self.send_hello(now, out);
         }
         self.report_leaderless(now, out);
--- a/lib/src/jobs/controller/handover.rs
+++ b/lib/src/jobs/controller/handover.rs
@@ -32,7 +32,7 @@
 
     /// Reports once that this controller may stop: it doesn't vote any more, or no other controller
     /// can take its place.
-    pub(super) fn check_handover(&mut self, out: &mut Vec<Effect>) {
+    pub(super) fn check_handover(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.shutdown != Shutdown::HandingOver {
             return;
         }
@@ -40,10 +40,11 @@
         let members = &status.members;
         let replaced = !members.is_voter(self.config.me.id) && status.role != Role::Leader;
         // While the replacement is in progress, there is one more voter than is aimed at.
-        let replaceable = !members.learners.is_empty() || members.voters.len() > self.config.voters;
+        let standbys = self.membership.counts(now, members).standbys;
+        let replaceable = standbys > 0 || members.voters.len() > self.config.voters;
         if replaced || !replaceable {
             self.shutdown = Shutdown::Done;
-            out.push(Effect::HandedOver);
+            out.push(Effect::MayStop { votes: !replaced });
         }
     }
 }
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -41,7 +41,7 @@
     Hello(Hello),
     /// The addresses of controllers that the settings name now.
     Seeds(Vec<SocketAddr>),
-    /// This controller is to shut down. It answers with [`Effect::HandedOver`].
+    /// This controller is to shut down. It answers with [`Effect::MayStop`].
     ShutDown,
     /// A consensus message.
     Consensus {
@@ -149,9 +149,12 @@
         /// The answer must not be sent after this time, since another controller may lead by then.
         until: Option<Time>,
     },
-    /// This controller, which is to shut down, has handed over its vote or has nobody to hand it
-    /// over to.
-    HandedOver,
+    /// This controller, which is to shut down, may stop: it has handed over its vote, or no other
+    /// controller can take it over.
+    MayStop {
+        /// Whether it still votes.
+        votes: bool,
+    },
     /// Report an event to the log and the metrics.
     LogEvent(LogEvent),
 }
--- a/lib/tests/jobs/crashes.rs
+++ b/lib/tests/jobs/crashes.rs
@@ -487,7 +487,7 @@
         | Effect::Send { .. }
         | Effect::Store(_)
         | Effect::Answer { .. }
-        | Effect::HandedOver => None,
+        | Effect::MayStop { .. } => None,
     });
     events.collect()
 }
--- a/lib/tests/jobs/deployment.rs
+++ b/lib/tests/jobs/deployment.rs
@@ -70,7 +70,8 @@
     /// The writes that aren't synced yet.
     writes: VecDeque<Write>,
     inbox: Vec<Event>,
-    handed_over: bool,
+    /// Set when it is told to stop and may, to whether it still votes.
+    may_stop: Option<bool>,
 }
 
 /// What arrives at a machine after a delay.
@@ -181,8 +182,8 @@
         let controller = Controller::new(config, machine.disk.clone(), self.now)
             .expect("the snapshot can be decoded");
         let (writes, inbox) = (VecDeque::new(), vec![Event::Timer]);
-        let handed_over = false;
-        machine.process = Some(Process { number, controller, writes, inbox, handed_over });
+        let may_stop = None;
+        machine.process = Some(Process { number, controller, writes, inbox, may_stop });
     }
 
     /// Kills the process of a machine. Of the writes that aren't synced, some may be on the disk.
@@ -198,12 +199,25 @@
         self.machines.remove(&host);
     }
 
+    /// Tells a controller to stop. It waits for a handover of its vote.
+    pub(crate) fn shut_down(&mut self, host: u8) {
+        if let Some(process) = self.process_mut(host) {
+            process.inbox.push(Event::ShutDown);
+        }
+    }
+
+    /// Whether a controller that was told to stop still votes; `None` while it waits.
+    pub(crate) fn votes_at_stop(&self, host: u8) -> Option<bool> {
+        self.machines.get(&host)?.process.as_ref()?.may_stop
+    }
+
     /// Tells a controller to stop, and removes its machine for good when it has.
     pub(crate) fn leave(&mut self, host: u8) {
-        let Some(process) = self.process_mut(host) else { return self.remove(host) };
-        process.inbox.push(Event::ShutDown);
+        self.shut_down(host);
         let end = self.now + HANDOVER_TIMEOUT;
-        while self.now < end && self.process_mut(host).is_some_and(|process| !process.handed_over) {
+        while self.now < end
+            && self.process_mut(host).is_some_and(|process| process.may_stop.is_none())
+        {
             self.advance(TICK);
         }
         self.advance(DRAIN_TIME);
@@ -356,9 +370,9 @@
                     self.schedule(to, Arrival::Message(message));
                 }
             }
-            Effect::HandedOver => {
+            Effect::MayStop { votes } => {
                 if let Some(process) = self.process_mut(host) {
-                    process.handed_over = true;
+                    process.may_stop = Some(votes);
                 }
             }
             Effect::Store(write) => {
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod encoding;
 mod gateway;
+mod handover;
 mod leases;
 mod load;
 mod members;
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -57,7 +57,7 @@
                         events.push(Event::Stored { sequence: write.sequence });
                     }
                     Effect::Send { to, message } => sent.push((to, message)),
-                    Effect::Answer { .. } | Effect::HandedOver | Effect::LogEvent(_) => {}
+                    Effect::Answer { .. } | Effect::MayStop { .. } | Effect::LogEvent(_) => {}
                 }
             }
         }
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -179,7 +179,7 @@
                     }
                     Effect::Answer { .. }
                     | Effect::Send { .. }
-                    | Effect::HandedOver
+                    | Effect::MayStop { .. }
                     | Effect::LogEvent(_) => {
                         self.sent.push(effect);
                     }
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -148,8 +148,8 @@
     storage: Outbox<Write>,
     links: Outbox<LinkCommand>,
     front: Outbox<(u64, TimedAnswer)>,
-    /// Set to true when this controller, which is to shut down, may stop.
-    handed_over: watch::Sender<bool>,
+    /// Set when this controller, which is to shut down, may stop, to whether it still votes.
+    may_stop: watch::Sender<Option<bool>>,
     metrics: Arc<Metrics>,
     log: Logger,
 }
@@ -170,7 +170,7 @@
                     self.links.send(LinkCommand::Answer { connection, message });
                 }
             }
-            Effect::HandedOver => drop(self.handed_over.send_replace(true)),
+            Effect::MayStop { votes } => drop(self.may_stop.send_replace(Some(votes))),
             Effect::LogEvent(event) => {
                 self.metrics.record(&event);
                 log_events::controller(&self.log, &event);
@@ -222,12 +222,12 @@
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, answers_ring) = runtime_ring("front", RING_CAPACITY);
     let metrics = Arc::new(Metrics::default());
-    let (handed_over, mut handover) = watch::channel(false);
+    let (may_stop, mut stoppable) = watch::channel(None);
     let outputs = Outputs {
         storage: Outbox::new(&storage),
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
-        handed_over,
+        may_stop,
         metrics: metrics.clone(),
         log: log.clone(),
     };
@@ -281,8 +281,9 @@
         // If control's ring is full, the controller stops without a handover.
         if control.push(Event::ShutDown).is_ok() {
             let limit = HANDOVER_TIMEOUT.min(settings.grace / 4);
-            let waited = timeout(limit, handover.wait_for(|done| *done)).await;
-            info!(log, "the vote was handed over"; "in_time" => waited.is_ok());
+            let waited = timeout(limit, stoppable.wait_for(Option::is_some)).await;
+            let replaced = waited.is_ok_and(|votes| votes.is_ok_and(|votes| *votes == Some(false)));
+            info!(log, "the controller stops"; "votes" => !replaced);
         }
         stop.send_replace(true);
         sleep(DRAIN_TIME).await;
