controllers: a late hello from the own address is ignored

A hello of a controller that was at this controller's address before, with a disk that is lost, made the leader take itself for replaced: it didn't count itself as alive any more, and for its own data centre asked for another voter.

a_late_hello_from_the_own_address_is_ignored guards against it.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -279,7 +279,11 @@
     }
 
     fn receive_hello(&mut self, now: Time, hello: &Hello, out: &mut Vec<Effect>) {
-        let node = &hello.node;
+        let (node, me) = (&hello.node, &self.config.me);
+        if node.peer == me.peer && node.id != me.id {
+            // A controller that was at this address before, with another disk, is gone.
+            return;
+        }
         self.addresses.insert(node.id, node.peer);
         self.membership.record_hello(now, node);
         self.membership.set_leaving(node.id, hello.leaving);
--- a/lib/tests/jobs/deployment.rs
+++ b/lib/tests/jobs/deployment.rs
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Hands an event to a controller.
+    pub(crate) fn receive(&mut self, host: u8, event: Event) {
+        let process = self.process_mut(host).expect("a running controller");
+        process.inbox.push(event);
+    }
+
     /// Whether a controller that was told to stop still votes; `None` while it waits.
     pub(crate) fn votes_at_stop(&self, host: u8) -> Option<bool> {
         self.machines.get(&host)?.process.as_ref()?.may_stop
--- a/lib/tests/jobs/handover.rs
+++ b/lib/tests/jobs/handover.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use crate::deployment::{Deployment, VOTERS};
+use hickorylink_lib::jobs::{controller::Event, hello::Hello, record::Node};
+
+use crate::{
+    deployment::{Deployment, VOTERS},
+    world::node,
+};
 
 /// Longer than a handover takes, and shorter than the time that a controller waits for it at most.
 const HANDOVER_TIME: Duration = Duration::from_millis(900);
@@ -39,3 +44,16 @@
         assert_eq!(deployment.votes_at_stop(voters[0]), Some(case.votes), "{}", case.name);
     }
 }
+
+// Guards against a leader that takes itself for replaced by a controller that is gone.
+#[test]
+fn a_late_hello_from_the_own_address_is_ignored() {
+    let mut deployment = Deployment::new(5, 1);
+    let leader = deployment.leader().expect("a leader");
+    let former = Node { centre: "akl-a".into(), ..node(99, leader) };
+    let hello = Hello { node: former, known: Vec::new(), leaving: false };
+    deployment.receive(leader, Event::Hello(hello));
+    deployment.advance(Duration::from_secs(4));
+    assert_eq!(deployment.leader(), Some(leader));
+    assert_eq!(deployment.check(), Ok(()));
+}
