--- a/lib/tests/jobs/members.rs
+++ b/lib/tests/jobs/members.rs
@@ -2,7 +2,12 @@
 
 use std::time::Duration;
 
-use crate::deployment::{Deployment, LOSSES};
+use hickorylink_lib::jobs::controller::Event;
+
+use crate::{
+    deployment::{Deployment, LOSSES},
+    world::node,
+};
 
 /// How long a deployment has to settle after the last disruption.
 const CALM: Duration = Duration::from_secs(10);
@@ -124,3 +129,18 @@
     };
     assert_eq!(case.run(1), Ok(()));
 }
+
+// Guards against a controller that knows only others that are gone, and for good.
+#[test]
+fn a_controller_without_a_live_seed_joins_once_its_settings_name_one() {
+    let mut deployment = Deployment::new(5, 1);
+    deployment.start(NEW[0], &[NEW[1]]);
+    deployment.advance(CALM);
+    assert!(deployment.check().is_err(), "nobody has heard the new controller");
+    let follower =
+        deployment.live_voters().into_iter().find(|host| Some(*host) != deployment.leader());
+    let seed = node(0, follower.expect("a follower")).peer;
+    deployment.receive(NEW[0], Event::Seeds(vec![seed]));
+    deployment.advance(CALM);
+    assert_eq!(deployment.check(), Ok(()));
+}
