serve: watch the settings with the code of controllers and gateways

The same watcher had come to stand twice, one in `cli` and one in `runtime`. `watch_addresses` of `runtime/src/reload.rs` now serves all three programs; `cli/src/daemon/reload.rs` is gone.

--- a/cli/src/commands/serve.rs
+++ b/cli/src/commands/serve.rs
@@ -28,7 +28,7 @@
     if args.check {
         return Outcome::success("no findings");
     }
-    match daemon::run(settings, || read_settings(args).map_err(|outcome| outcome.errors)) {
+    match daemon::run(settings, || read_settings(args).ok()) {
         Ok(()) => Outcome::success(String::new()),
         Err(error) => Outcome::failure(Exit::Failed, error.to_string()),
     }
--- a/cli/src/daemon.rs
+++ b/cli/src/daemon.rs
@@ -1,6 +1,6 @@
 //! An instance of the scheduler: its duties, the rings between them, its start and its shutdown.
 
-use std::{io, path::Path, sync::Arc, time::Duration};
+use std::{convert::Infallible, io, path::Path, sync::Arc, time::Duration};
 
 use crossbeam_channel as ring;
 use hickorylink_lib::{
@@ -16,6 +16,7 @@
     settings::Settings,
     time::WallTime,
 };
+use hickorylink_runtime::reload::watch_addresses;
 use slog::{Logger, info, warn};
 use snafu::{ResultExt, Snafu};
 use tokio::{
@@ -27,10 +28,7 @@
 
 use crate::{
     clock::Clock,
-    daemon::{
-        reload::Reloader,
-        start::{Left, Starter, runtime},
-    },
+    daemon::start::{Left, Starter, runtime},
     duty::{
         counts::Input as CountsInput, peers::Input as PeersInput, router::Input as RouterInput,
         scheduler::Input as SchedulerInput, storage::LogStore,
@@ -47,7 +45,6 @@
 };
 
 mod config;
-mod reload;
 mod start;
 
 /// The capacity of most rings, in items.
@@ -121,16 +118,13 @@
     Listen,
 }
 
-/// Runs an instance until a signal tells it to shut down. `reload` reads the settings again, or says
-/// why that isn't possible.
+/// Runs an instance until a signal tells it to shut down. `reload` reads the settings again, if that is
+/// possible.
 ///
 /// # Errors
 ///
 /// [`DaemonError`] if it can't start, or its disk or one of its listeners fails.
-pub fn run(
-    settings: Settings,
-    reload: impl Fn() -> Result<Settings, String>,
-) -> Result<(), DaemonError> {
+pub fn run(settings: Settings, reload: impl Fn() -> Option<Settings>) -> Result<(), DaemonError> {
     let clock = Clock::start();
     // Dropping the log's guard writes the lines that are still buffered.
     let log_guard = log::start(settings.log, settings.name.as_str(), clock);
@@ -296,7 +290,7 @@
     /// Waits for a signal to shut down, drains the requests in flight, and stops the instance.
     fn run_until_shutdown(
         self,
-        reload: impl Fn() -> Result<Settings, String>,
+        reload: impl Fn() -> Option<Settings>,
         log: &Logger,
     ) -> Result<(), DaemonError> {
         let Self {
@@ -310,21 +304,18 @@
             mut faults,
             runtime,
         } = self;
-        let reloader = Reloader {
-            read: reload,
-            started: settings.clone(),
-            current: settings.clone(),
-            failure: None,
-            peers: rings.peers.clone(),
-            log: log.clone(),
-        };
         runtime.block_on(async move {
             let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
             let mut interrupt = signal(SignalKind::interrupt()).context(StartSnafu)?;
+            let read_peers = || reload().map(|settings| settings.peers);
+            let send_peers =
+                |seeds| rings.peers.push(PeersInput::Event(directory::Event::Seeds(seeds))).is_ok();
             tokio::select! {
                 _ = term.recv() => {}
                 _ = interrupt.recv() => {}
-                Err(error) = reloader.run() => return Err(error),
+                ended = watch_addresses(settings.peers, read_peers, send_peers, log) => {
+                    let _: Infallible = ended.context(StartSnafu)?;
+                }
                 fault = faults.recv() => {
                     return match fault {
                         Some(Fault::Disk) => DiskSnafu.fail(),
