--- a/lib/src/jobs/contacts.rs
+++ b/lib/src/jobs/contacts.rs
@@ -51,7 +51,8 @@
     }
 
     /// Records a hello from the controller at `from` that lists the controllers in `known`. Returns
-    /// those of which it is the first sign of life, so that a hello shouldn't wait.
+    /// those of which it is the first sign of life, or the first after a silence, so that the next
+    /// hello shouldn't wait.
     pub fn record_hello(
         &mut self,
         now: Time,
@@ -103,7 +104,7 @@
     }
 }
 
-/// Inserts an address. If there are too many, the one that was recorded first is dropped.
+/// Inserts an address. If there are too many, the one that was recorded the longest ago is dropped.
 fn insert_bounded(addresses: &mut BTreeMap<SocketAddr, Time>, address: SocketAddr, now: Time) {
     addresses.insert(address, now);
     if addresses.len() > MAX_CONTACTS
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -1,4 +1,7 @@
-//! Membership: which controllers vote. The leader adds controllers that announce themselves.
+//! Membership: which controllers vote.
+//!
+//! Every controller records whom it hears. The leader adds controllers that announce themselves, and
+//! replaces voters that are silent or shut down by standbys.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -26,10 +29,11 @@
 /// second.
 pub(crate) const ALIVE_TIMEOUT: Duration = Duration::from_millis(2500);
 
-/// The controllers from which the leader has received a hello.
+/// The controllers from which this one has received a hello.
 #[derive(Debug)]
 pub struct Membership {
     target_voters: usize,
+    /// A voter that was never heard counts as silent from here on.
     created: Time,
     next_check: Time,
     seen: BTreeMap<InstanceId, (Node, Time)>,
@@ -135,6 +139,7 @@
         now.since(heard) >= ALIVE_TIMEOUT
     }
 
+    /// Whether a voter is silent or shutting down.
     fn has_departed(&self, now: Time, voter: InstanceId) -> bool {
         self.is_silent(now, voter) || self.leaving.contains(&voter)
     }
