controllers: hellos and the configuration of a controller have files of their own

The exchange of hellos and what gateways are told of controllers move to controller/hellos.rs, the intervals and limits to runtime/src/controller/config.rs. In members.rs the voters that stay are counted by data centre once.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -5,9 +5,8 @@
 //! its term drops the working copy and all uncommitted decisions.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, VecDeque},
     net::SocketAddr,
-    time::Duration,
 };
 
 use crate::{
@@ -23,8 +22,7 @@
         controller::{
             handover::Shutdown, leader::Leader, turn::PendingProposal, watch::Leaderless,
         },
-        hello::Hello,
-        link::{ControllerStatus, LinkMessage},
+        link::LinkMessage,
         members::{Membership, recorded_peers},
         record::{Batch, Node},
         state::State,
@@ -38,6 +36,7 @@
 pub mod config;
 mod handover;
 mod heartbeat;
+mod hellos;
 pub mod leader;
 mod occurrences;
 pub mod port;
@@ -56,13 +55,6 @@
     port::{Answer, Effect, Event, LogEvent, Ticket},
 };
 
-/// The interval between two hellos to the other controllers.
-const HELLO_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The interval between two hellos of a controller that shuts down. The leader must learn of it soon,
-/// and a hello may be lost.
-const LAST_HELLO_INTERVAL: Duration = Duration::from_millis(250);
-
 /// A controller.
 #[derive(Debug)]
 pub struct Controller {
@@ -233,18 +225,6 @@
         out.push(Effect::Answer { ticket, answer, until: None });
     }
 
-    fn probe_status(&self, now: Time) -> ControllerStatus {
-        let mut controllers: BTreeSet<_> = self.member_peers().into_iter().collect();
-        controllers.extend(self.contacts.live(now));
-        controllers.insert(self.config.me.peer);
-        ControllerStatus {
-            leads: self.leads(now),
-            configured: self.committed.config.is_some(),
-            leader: self.leader_node().map(|node| node.peer),
-            controllers: controllers.into_iter().collect(),
-        }
-    }
-
     fn step_consensus(&mut self, now: Time, event: consensus::Event) {
         self.consensus.handle(now, event, &mut self.effects);
     }
@@ -254,12 +234,7 @@
             self.step_consensus(now, consensus::Event::Timer);
         }
         if self.next_hello <= now {
-            let interval = match self.shutdown {
-                Shutdown::None => HELLO_INTERVAL,
-                Shutdown::HandingOver | Shutdown::Done => LAST_HELLO_INTERVAL,
-            };
-            self.next_hello = now + interval;
-            self.send_hello(now, out);
+            self.send_hellos(now, out);
         }
         self.report_leaderless(now, out);
         if self.leader.is_some() {
@@ -278,41 +253,6 @@
         }
     }
 
-    fn receive_hello(&mut self, now: Time, hello: &Hello, out: &mut Vec<Effect>) {
-        let (node, me) = (&hello.node, &self.config.me);
-        if node.peer == me.peer && node.id != me.id {
-            // A controller that was at this address before, with another disk, is gone.
-            return;
-        }
-        self.addresses.insert(node.id, node.peer);
-        self.membership.record_hello(now, node);
-        self.membership.set_leaving(node.id, hello.leaving);
-        let new = self.contacts.record_hello(now, node.peer, &hello.known);
-        if !new.is_empty() {
-            self.next_hello = now;
-        }
-        Self::report_heard(node.peer, &new, out);
-        if let Some(leader) = &mut self.leader {
-            leader.record_node(node);
-        }
-    }
-
-    /// Sends a hello to all other known controllers.
-    fn send_hello(&self, now: Time, out: &mut Vec<Effect>) {
-        let known = self.contacts.live(now).collect();
-        let leaving = self.shutdown != Shutdown::None;
-        let hello = Hello { node: self.config.me.clone(), known, leaving };
-        for to in self.contacts.recipients(now, self.member_peers()) {
-            out.push(Effect::Send { to, message: LinkMessage::Hello(hello.clone()) });
-        }
-    }
-
-    /// The peer addresses of the members of the consensus group.
-    fn member_peers(&self) -> Vec<SocketAddr> {
-        let members = self.consensus.status().members;
-        members.all().filter_map(|id| self.addresses.get(&id).copied()).collect()
-    }
-
     /// Executes the effects of the consensus module until none is left.
     fn run_effects(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         while !self.effects.is_empty() {
--- a/lib/src/jobs/members.rs
+++ b/lib/src/jobs/members.rs
@@ -169,6 +169,16 @@
         })
     }
 
+    /// The data centre of a controller. The record of a voter may not be committed yet.
+    fn centre<'a>(
+        &'a self,
+        id: InstanceId,
+        nodes: &'a BTreeMap<InstanceId, Node>,
+    ) -> Option<&'a DataCentre> {
+        let seen = self.seen.get(&id).map(|(node, _)| node);
+        seen.or_else(|| nodes.get(&id)).map(|node| &node.centre)
+    }
+
     /// The next change of voters, if one is needed.
     fn voter_change(
         &self,
@@ -177,24 +187,24 @@
         alive: &[&Node],
         nodes: &BTreeMap<InstanceId, Node>,
     ) -> Option<Event> {
-        let Members { voters, learners } = &status.members;
         if let Some(event) = self.replaced_voter(status, alive, nodes) {
             return Some(event);
         }
+        let Members { voters, learners } = &status.members;
         let departed = self.departed(now, status);
-        // The record of a voter may not be committed yet.
-        let seen = |id: &InstanceId| self.seen.get(id).map(|(node, _)| node);
-        let centre = |id: &InstanceId| seen(id).or_else(|| nodes.get(id)).map(|node| &node.centre);
-        let staying = || voters.iter().filter(|voter| !departed.contains(voter));
-        let voters_in =
-            |there: &DataCentre| staying().filter(|voter| centre(voter) == Some(there)).count();
+        let mut staying: BTreeMap<_, usize> = BTreeMap::new();
+        for voter in voters.iter().filter(|voter| !departed.contains(voter)) {
+            *staying.entry(self.centre(*voter, nodes)).or_default() += 1;
+        }
+        let voters_in = |centre: Option<&DataCentre>| staying.get(&centre).copied().unwrap_or(0);
         if voters.len() > self.target_voters {
             // A group of even size bears no more losses than one that is smaller by one, and no half
             // of it is a quorum.
             let surplus = || {
                 let all_heard = voters.iter().all(|voter| self.seen.contains_key(voter));
                 let others = voters.iter().filter(|voter| status.leader != Some(**voter));
-                others.max_by_key(|id| (centre(id).map(voters_in), **id)).filter(|_| all_heard)
+                let most = others.max_by_key(|id| (voters_in(self.centre(**id, nodes)), **id));
+                most.filter(|_| all_heard)
             };
             let instance = *departed.first().or_else(surplus)?;
             return Some(Event::RemoveMember { instance });
@@ -206,7 +216,8 @@
         // catch up.
         let lags = |node: &Node| !departed.is_empty() && !status.caught_up.contains(&node.id);
         let standbys = alive.iter().filter(|node| learners.contains(&node.id));
-        let best = standbys.min_by_key(|node| (lags(node), voters_in(&node.centre), node.id))?;
+        let best =
+            standbys.min_by_key(|node| (lags(node), voters_in(Some(&node.centre)), node.id))?;
         Some(Event::Promote { instance: best.id })
     }
 }
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -10,10 +10,10 @@
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use hickorylink_lib::{
     codec::DecodeError,
-    consensus::{log::Recovered, log::Write, port as consensus},
+    consensus::log::{Recovered, Write},
     ids::InstanceId,
     jobs::{
-        controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
+        controller::{Answer, Controller, Effect, Event, Ticket},
         link::LinkMessage,
         record::Node,
     },
@@ -42,6 +42,8 @@
     storage::{Folder, Identity, MAX_SEGMENT_BYTES, Store, StoreError},
 };
 
+mod config;
+
 /// The capacity of each ring.
 const RING_CAPACITY: usize = 8192;
 
@@ -54,33 +56,6 @@
 /// The longest time that control waits for an event.
 const MAX_WAIT: Duration = Duration::from_secs(1);
 
-/// The number of log entries between two snapshots.
-const ENTRIES_PER_SNAPSHOT: u64 = 4000;
-
-/// The interval of the leader's heartbeats to the other members of the consensus group.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// The shortest time without a leader's heartbeat that triggers an election.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(900);
-
-/// How long a voter may be silent before a standby replaces it.
-const REPLACE_AFTER: Duration = Duration::from_millis(2500);
-
-/// The share of a lease by which a worker's clock may lag, as a divisor of the lease.
-const DRIFT_DIVISOR: u32 = 40;
-
-/// The maximum time by which a timer may fire late.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(150);
-
-/// The lease of a run, unless the settings limit it further. Runs in a data centre that is
-/// partitioned for 6 s keep their leases, and a long-running task of a lost worker restarts within
-/// the 9 s that the users require.
-const MAX_LEASE: Duration = Duration::from_millis(6800);
-
-/// How long the answer to a heartbeat may be delayed until there is something to report. Workers
-/// discard an answer that takes 1 s.
-const MAX_HOLD: Duration = Duration::from_millis(700);
-
 /// How long a controller that shuts down waits for a standby to take over its vote.
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -211,7 +186,7 @@
     let log = &instance_log.root;
     let folder = settings.data.as_ref().ok_or(ControllerError::NoData)?;
     let (me, store, recovered) = open(settings, folder, clock, log)?;
-    let config = config(settings, &me);
+    let config = config::config(settings, &me);
     info!(log, "the controller starts"; "id" => me.id.0, "listen" => %me.listen,
         "peer" => %me.peer, "founding" => settings.founding,
         "entries" => recovered.entries.len(), "term" => recovered.hard.term.0);
@@ -309,7 +284,7 @@
 ) -> Result<(Node, Store<Folder>, Recovered), ControllerError> {
     let peer = settings.peer();
     let is_founder = settings.founding && settings.seed_peers().contains(&peer);
-    let instance = if is_founder { founder_id(peer) } else { InstanceId(rand::random()) };
+    let instance = if is_founder { config::founder_id(peer) } else { InstanceId(rand::random()) };
     let fresh = Identity { instance, created: clock.wall() };
     let opened = Store::open(Folder::new(folder), fresh, MAX_SEGMENT_BYTES).context(DataSnafu)?;
     if let Some(truncation) = &opened.truncation {
@@ -325,45 +300,6 @@
     Ok((me, opened.store, opened.recovered))
 }
 
-/// Derives the identity of a founding controller from its address, so that all founders know each
-/// other's identities.
-fn founder_id(peer: SocketAddr) -> InstanceId {
-    let text = peer.to_string();
-    let low = u64::from(crc32c::crc32c(text.as_bytes()));
-    let high = u64::from(crc32c::crc32c_append(!0, text.as_bytes()));
-    InstanceId((high << u32::BITS) | low)
-}
-
-fn config(settings: &Settings, me: &Node) -> Config {
-    let founders = if settings.founding { settings.seed_peers() } else { Vec::new() };
-    let lease = MAX_LEASE.min(settings.max_lease);
-    Config {
-        me: me.clone(),
-        seeds: settings.seed_peers(),
-        founders: founders.into_iter().map(|peer| (founder_id(peer), peer)).collect(),
-        voters: 2 * settings.max_losses + 1,
-        snapshot_every: ENTRIES_PER_SNAPSHOT,
-        timing: Timing {
-            lease,
-            lease_margin: lease / DRIFT_DIVISOR + MAX_TIMER_DELAY,
-            max_hold: MAX_HOLD,
-            retain: settings.retain,
-        },
-        consensus: consensus::Config {
-            me: me.id,
-            heartbeat_interval: HEARTBEAT_INTERVAL,
-            election_timeout: ELECTION_TIMEOUT,
-            max_batch_bytes: 1 << 20,
-            max_inflight: 64,
-            chunk_bytes: 256 << 10,
-            max_pending: 8192,
-            catch_up_margin: 1000,
-            replace_after: REPLACE_AFTER,
-        },
-        seed: rand::random(),
-    }
-}
-
 fn spawn_links(
     peer: SocketAddr,
     ring: mpsc::Receiver<LinkCommand>,
