tests: connections fall silent once requests are processed on them

Its assertion printed neither the answers nor the logs.

Cause, by a reproduction: the test made the connections silent 0.9 s after its first request, whatever had become of the requests. While the disks stall, a leader gives way and no claim on an idempotency key is committed; after 1 s (CLAIM_TIMEOUT) a request is refused with `council_unavailable`, and it didn't run. The refusals are true and documented (docs/operate/cut-off.md), so it's the test's assumption that is wrong.

The test now waits until 20 requests are processed whose processing has another second to go, and makes the connections silent then. A failure prints the answers and the logs. Report::refusals counts the answers of refused requests.

--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -1,6 +1,7 @@
 //! An open-loop load generator: sends requests at a constant rate, independently of the responses.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
@@ -54,6 +55,8 @@
     pub doubts: Vec<String>,
     /// The bodies of the requests counted in `not_run`.
     pub refused: Vec<String>,
+    /// How many requests counted in `not_run` were refused with each answer.
+    pub refusals: BTreeMap<String, u32>,
     /// The bodies of the requests counted in `ran`.
     pub answered: Vec<String>,
     /// Responses that belong to another request.
@@ -72,6 +75,7 @@
             unknown: 0,
             doubts: Vec::new(),
             refused: Vec::new(),
+            refusals: BTreeMap::new(),
             answered: Vec::new(),
             mismatched: 0,
             latency,
@@ -84,6 +88,12 @@
         self.unknown += 1;
         self.doubts.push(why);
     }
+
+    fn refuse(&mut self, body: String, answer: String) {
+        self.not_run += 1;
+        self.refused.push(body);
+        *self.refusals.entry(answer).or_default() += 1;
+    }
 }
 
 /// Sends the load and waits for all responses.
@@ -127,15 +137,13 @@
             // Can't fail: the histogram resizes itself to fit any latency.
             let _ = report.latency.record(latency_us);
         }
-        Ok(response) if response.outcome.as_deref() == Some(OUTCOME_NOT_RUN) => {
-            report.not_run += 1;
-            report.refused.push(body);
+        Ok(Response { status, outcome, body: answer, .. })
+            if outcome.as_deref() == Some(OUTCOME_NOT_RUN) =>
+        {
+            report.refuse(body, format!("{status} {}", String::from_utf8_lossy(&answer)));
         }
         // Without a connection nothing was sent.
-        Err(net::CallError::Connect { .. }) => {
-            report.not_run += 1;
-            report.refused.push(body);
-        }
+        Err(error @ net::CallError::Connect { .. }) => report.refuse(body, error.to_string()),
         Ok(Response { status, body: answer, .. }) => {
             let text = String::from_utf8_lossy(&answer);
             report.doubt(format!("{body}: {status} {text} after {:?}", sent.elapsed()));
--- a/standin/src/history.rs
+++ b/standin/src/history.rs
@@ -80,6 +80,18 @@
         self.lock().iter().filter(matches).count()
     }
 
+    /// The bodies of the requests that targets started to process within the last `period`.
+    pub fn served_within(&self, period: Duration) -> Vec<String> {
+        let now = self.start.elapsed();
+        let body = |entry: &Entry| match &entry.event {
+            Event::Served { body, .. } => Some(body.clone()),
+            Event::Started(_) | Event::Stopped(_) | Event::SlotsExceeded { .. } => None,
+        };
+        let entries = self.lock();
+        let recent = entries.iter().rev().take_while(|entry| now.saturating_sub(entry.at) < period);
+        recent.filter_map(body).collect()
+    }
+
     /// Describes each violation of exclusive execution: a task with two concurrent attempts, or an
     /// attempt that started twice.
     pub fn overlapping_runs(&self) -> Vec<String> {
