tests: an instance may learn of a handover a moment after the leaver

a_leaving_voter_hands_over_to_the_standby_and_comes_back read the voters of another instance right after the leaver's exit, so it depended on how fast a commit spreads. It waits 10 s at most now, well below the 30 s after which the old code replaced a leaver, so it stays as strict. It hadn't failed; found in the reading of the diff.

--- a/cli/tests/real/shutdown.rs
+++ b/cli/tests/real/shutdown.rs
@@ -57,6 +57,9 @@
     assert_eq!(late.count(), 0, "the leaving target got no new request");
 }
 
+/// Well below the 30 s after which a silent voter is replaced.
+const HANDOVER_TIME: Duration = Duration::from_secs(10);
+
 // Guards against a planned leaver that stays a voter until it is silent although a standby is there.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_leaving_voter_hands_over_to_the_standby_and_comes_back() {
@@ -78,9 +81,11 @@
     let leaving = leaving.expect("a voter");
     fixture.cluster.signal(leaving, Signal::SIGTERM).expect("the instance can be signalled");
     assert!(fixture.cluster.wait_exit(leaving, CONDITION_TIMEOUT).expect("it exits"), "success");
-    let left = voters(&fixture, 4).await.expect("it answers");
-    assert_eq!(left.len(), 3, "{}", fixture.logs());
-    assert_ne!(left, before, "the standby votes instead\n{}", fixture.logs());
+    // Another instance may learn of it a moment after the leaver.
+    let replaced = eventually(HANDOVER_TIME, async || {
+        voters(&fixture, 4).await.filter(|voters| voters.len() == 3 && *voters != before)
+    });
+    assert!(replaced.await.is_some(), "the standby votes instead\n{}", fixture.logs());
     fixture.cluster.launch(leaving).expect("it starts again");
     fixture.wait_serving(leaving).await;
     assert_eq!(voters(&fixture, leaving).await.map(|voters| voters.len()), Some(3));
