tests: the line on damaged counts is waited for

Traced by the log that the assertion printed: it holds no line of the second process at all, not even its start, although that process had answered with the report before. The log is written by a thread of its own, so a line may reach the file after the answer; the test read the file once.

It waits for the line now. The assertion is the same: without the line it fails after the time limit.

--- a/cli/tests/real/burn.rs
+++ b/cli/tests/real/burn.rs
@@ -102,7 +102,11 @@
     assert_eq!(shown["rows"].as_array().map(Vec::len), Some(0), "{shown}");
     let part = shown["coverage"]["5m"]["part"].as_f64().expect("the report states its coverage");
     assert!(part < 1.0, "the report states that it is incomplete: {shown}");
-    assert!(fixture.cluster.log(0).contains("starts without earlier counts"), "{}", fixture.logs());
+    // The log is written by a separate thread, so a line may reach the file after the report.
+    let logged = eventually(CONDITION_TIMEOUT, async || {
+        fixture.cluster.log(0).contains("starts without earlier counts").then_some(())
+    });
+    assert!(logged.await.is_some(), "{}", fixture.logs());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
