--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A worker that is cut off for 4.5 s, while more than 1,000 of its tasks end."""
+"""A worker crashes with a member of a gang that saves checkpoints."""
 
 import pathlib
 import sys
@@ -8,68 +8,60 @@
 sys.path.insert(0, str(HERE.parent / "common"))
 import standin
 
-WORKERS, TASKS, WORK_S, CUT_S = 6, 7800, 4.4, 4.5
-WIDE = "00000000000000a1"
+JOB, SIZE, WORK_S, CRASH_AFTER_S, DOWN_S, WATCH_S = "00000000000000a1", 4, 6.0, 3.0, 1.0, 45
 
 
 def plan(task, run, spec):
-    return WORK_S, "done"
+    return None, ""
 
 
 def needs(task):
-    return 4, 4
+    return 9000, 9000
 
 
 def case(trouble, record, deployments):
-    system = standin.Deployment(record, controllers=3, gateways=2, net=12)
+    system = standin.Deployment(record, controllers=3, gateways=2, net=16)
     deployments.append(system)
     system.start()
     status, _ = system.configure(1, [{"name": "fold", "pathPrefix": "/fold/"}])
     if status != 200:
         return None
+    gangs = standin.Gangs(SIZE, WORK_S)
     workers = [
-        standin.Worker(record, f"i-{at}", f"127.0.12.{100 + at}:8080", system.controllers, plan,
-                       needs, zone="abc"[at % 3], rack=f"r1-{at}")
-        for at in range(WORKERS)]
+        standin.Worker(record, f"i-{at}", f"127.0.16.{100 + at}:8080", system.controllers, plan,
+                       needs, zone="abc"[at % 3], rack=f"r1-{at // 4}", gangs=gangs)
+        for at in range(8)]
     for worker in workers:
         worker.boot()
     time.sleep(3)
     client = standin.Client(system)
     body = {"spec": "fold", "steps": [
-        {"count": TASKS, "cpu": 4, "memMb": 4, "estimateMs": int(WORK_S * 1000)}]}
-    if not client.submit("/fold/", WIDE, body):
+        {"count": SIZE, "cpu": 9000, "memMb": 9000, "estimateMs": int(WORK_S * 1000),
+         "gang": True, "checkpointing": True}]}
+    if not client.submit("/fold/", JOB, body):
         return None
-    until = time.monotonic() + 3
-    while time.monotonic() < until and sum(len(w.running) for w in workers) < TASKS:
-        time.sleep(0.02)
-    # The lease must outlast the cut, so it begins right after a heartbeat was answered.
-    until = time.monotonic() + 2
-    while time.monotonic() < until and workers[0].lease < time.monotonic() + 6.3:
-        time.sleep(0.005)
-    runs = [len(worker.running) for worker in workers]
-    record.write("the tasks run", runs=runs, lease_s=workers[0].lease - time.monotonic())
-    if runs[0] < 1100:
+    until = time.monotonic() + 10
+    while time.monotonic() < until and sum(len(worker.running) for worker in workers) < SIZE:
+        time.sleep(0.05)
+    if sum(len(worker.running) for worker in workers) < SIZE:
         return None
     calm_from = time.monotonic()
     if trouble:
-        workers[0].cut(CUT_S)
-        calm_from += CUT_S + standin.BOUNDS["contactMs"] / 1000
-    until, state = time.monotonic() + 45, None
-    while time.monotonic() < until and state != "completed":
-        time.sleep(1)
-        state = client.state("/fold/", WIDE)
-        record.write("watch", state=state, running=[len(worker.running) for worker in workers])
-    time.sleep(4)
-    if any(worker.lapses for worker in workers):
-        record.write("a lease lapsed, which excuses the ends before")
-        return None
-    broken = standin.twice(workers, calm_from)
-    unacknowledged = [len(worker.finished) for worker in workers]
-    record.write("seen", state=state, twice=len(broken), unacknowledged=unacknowledged,
-                 first={task: broken[task] for task in sorted(broken)[:20]})
-    print(f"state: {state}; tasks that ran again after an end `done`: {len(broken)}; ends without "
-          f"an acknowledgement, by worker: {unacknowledged}")
-    return not broken
+        time.sleep(CRASH_AFTER_S)
+        member = next(worker for worker in workers if worker.running)
+        member.crash()
+        time.sleep(DOWN_S)
+        member.boot()
+        calm_from = time.monotonic() + 2 * standin.BOUNDS["contactMs"] / 1000
+    until, state = time.monotonic() + WATCH_S, None
+    while time.monotonic() < until and state not in ("completed", "failed"):
+        time.sleep(0.5)
+        state = client.state("/fold/", JOB)
+    alone = [(round(at - record.start, 1), task, run) for worker in workers
+             for at, task, run, what in worker.history if what == "alone" and at > calm_from]
+    record.write("seen", state=state, alone_in_calm=alone)
+    print(f"state: {state}; runs that ended `alone` in a calm: {len(alone)}")
+    return not alone
 
 
 standin.main(case, HERE)
