--- a/review/common/standin.py
+++ b/review/common/standin.py
@@ -620,7 +620,13 @@
     record = Record(folder)
     deployments = []
     code = 2
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+    def stop(*_):
+        # `timeout` signals the whole group: a second signal must not interrupt the clean-up.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
     try:
         held = case(trouble, record, deployments)
         code = 2 if held is None else 0 if held else 1
