jobs: bound the size of responses to heartbeats

Cause: a response carried all starts that the worker hadn't listed. Beyond 4 MiB the worker drops the response, so the starts stayed unlisted, the next response was the same, and the lease in it was lost each time.

Ruled out: a response that takes over a second (no failed heartbeat names a timeout), a leader that computes for too long (it didn't give way).

Change: a response has a maximum size, computed from a table of sizes that the front end gives, exact for texts with their escapes. What doesn't fit follows with the next response, in the order of the decisions. Starts that didn't arrive halve the next ones of that worker down to 64 KiB. All workers together get 8 MiB/s of starts in turn, so the responses to a wide job for many workers don't queue on the leader's link for over a second. Weighed: a bound by estimate with a margin, which for a spec of control characters would be off by six; a limit on the number of starts, which would have to assume the longest spec.

--- a/cli/src/commands/controller.rs
+++ b/cli/src/commands/controller.rs
@@ -1,6 +1,6 @@
 //! `hickorylink controller`: runs a controller of a deployment.
 
-use hickorylink_platform::control::ControlFrontend;
+use hickorylink_platform::{control::ControlFrontend, wire::response::LIMITS};
 use hickorylink_runtime::controller;
 
 use crate::{client::Outcome, commands::role::Args, exit::Exit};
@@ -15,7 +15,7 @@
         return Outcome::success("no findings");
     }
     let front = ControlFrontend { listen: settings.listen };
-    match controller::run(&settings, || args.read_settings().ok(), front) {
+    match controller::run(&settings, || args.read_settings().ok(), front, LIMITS) {
         Ok(()) => Outcome::success(String::new()),
         Err(error) => Outcome::failure(Exit::Failed, error.to_string()),
     }
--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -20,6 +20,7 @@
 mod reload;
 mod replacement;
 mod soak;
+mod wide_jobs;
 
 /// How long any condition may take. Generous, as no test here checks how fast something is.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -326,8 +326,8 @@
         let status = self.consensus.status();
         if self.leader.is_none() && status.role == Role::Leader && entry.term == status.term {
             let epoch = Epoch(status.term.0);
-            let (state, timing) = (self.committed.clone(), self.config.timing);
-            let mut leader = Leader::new(state, epoch, timing, now, wall, out);
+            let state = self.committed.clone();
+            let mut leader = Leader::new(state, epoch, &self.config, now, wall, out);
             leader.record_node(&self.config.me);
             self.leader = Some(leader);
         }
--- a/lib/src/jobs/controller/capacity.rs
+++ b/lib/src/jobs/controller/capacity.rs
@@ -18,6 +18,8 @@
 pub(super) struct UnlistedStart {
     /// The task.
     pub(super) task: TaskKey,
+    /// Its place in the order of the leader's decisions.
+    pub(super) order: u64,
     /// Whether the heartbeat before this one didn't list it either, although it was sent.
     pub(super) was_missing: bool,
 }
--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -4,7 +4,11 @@
 
 use core::net::SocketAddr;
 
-use crate::{consensus::port as consensus, ids::InstanceId, jobs::record::Node};
+use crate::{
+    consensus::port as consensus,
+    ids::InstanceId,
+    jobs::{record::Node, response_size::ResponseLimits},
+};
 
 /// The settings of a controller.
 #[derive(Clone, Debug)]
@@ -21,6 +25,8 @@
     pub snapshot_every: u64,
     /// The leader's timing.
     pub timing: Timing,
+    /// The limits on responses to heartbeats.
+    pub responses: ResponseLimits,
     /// The settings of the consensus module.
     pub consensus: consensus::Config,
     /// The seed of the random number generator.
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -327,14 +327,16 @@
         let missing: Vec<_> = missing
             .map(|(task, view)| {
                 let was_missing = std::mem::replace(&mut view.missing, true);
-                (*task, view.run, view.listed, was_missing)
+                (*task, (view.run, view.order), (view.listed, view.sent), was_missing)
             })
             .collect();
         let mut unlisted = Vec::new();
-        for (task, run, was_listed, was_missing) in missing {
+        let mut arrived = true;
+        for (task, (run, order), (was_listed, was_sent), was_missing) in missing {
             let current = self.is_current(number, &task, run);
             if current && !was_listed {
-                unlisted.push(UnlistedStart { task, was_missing });
+                unlisted.push(UnlistedStart { task, order, was_missing });
+                arrived &= !was_sent;
                 continue;
             }
             if was_listed && !was_missing {
@@ -347,6 +349,10 @@
                 self.record_lost_run(task, run, checkpoint);
             }
         }
+        if let Some(worker) = self.fleet.workers.get_mut(&number) {
+            worker.delivery.record_outcome(arrived, self.responses.max_bytes);
+        }
+        unlisted.sort_by_key(|start| start.order);
         let starts = self.select_starts(now, number, &unlisted);
         if starts.is_empty() {
             self.pending_starts.remove(&number);
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -8,7 +8,7 @@
 use crate::{
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
-        controller::{Answer, Effect, LogEvent, Ticket, Timing},
+        controller::{Answer, Config, Effect, LogEvent, Ticket, Timing},
         crash::CrashEntry,
         fleet::{Fleet, RunView, Worker},
         model::{JobId, StepKey, TaskKey, WorkerNumber},
@@ -16,6 +16,8 @@
         rank::{Rank, rank},
         record::{Node, Record},
         report::Ended,
+        response_size::ResponseLimits,
+        send_budget::SendBudget,
         state::{Change, State},
         suspects::Suspects,
         voters::VoterWatch,
@@ -70,6 +72,7 @@
     pub voters: VoterWatch,
     pub(super) epoch: Epoch,
     pub(super) timing: Timing,
+    pub(super) responses: ResponseLimits,
     /// Steps that have tasks to place.
     pub(super) waiting: WaitingSteps,
     /// Workers whose runs or held heartbeat have changed in this turn.
@@ -82,6 +85,12 @@
     pub(super) failed_on: HashMap<TaskKey, Vec<WorkerNumber>>,
     /// Starts that are sent with the next answer to their worker.
     pub(super) pending_starts: BTreeMap<WorkerNumber, Vec<TaskKey>>,
+    /// Limits the rate at which they are sent.
+    pub(super) start_budget: SendBudget,
+    /// The worker that receives starts next if the budget doesn't suffice for all.
+    pub(super) next_served: WorkerNumber,
+    /// The number of starts that were decided on.
+    pub(super) starts: u64,
     /// The runs that may have crashed their worker.
     pub(super) suspects: Suspects,
     pub(super) records: Vec<Record>,
@@ -108,11 +117,12 @@
     pub(super) fn new(
         state: State,
         epoch: Epoch,
-        timing: Timing,
+        config: &Config,
         now: Time,
         wall: WallTime,
         out: &mut Vec<Effect>,
     ) -> Self {
+        let (timing, responses) = (config.timing, config.responses);
         let mut leader = Self {
             fleet: Fleet::default(),
             interference: Interference::default(),
@@ -123,6 +133,9 @@
             upcoming: BTreeSet::new(),
             failed_on: HashMap::new(),
             pending_starts: BTreeMap::new(),
+            start_budget: SendBudget::new(responses.bytes_per_second, now),
+            next_served: WorkerNumber::default(),
+            starts: 0,
             suspects: Suspects::default(),
             records: Vec::new(),
             crashes: Vec::new(),
@@ -137,6 +150,7 @@
             state,
             epoch,
             timing,
+            responses,
             wall,
         };
         let runs = leader.restore_runs(now);
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -1,13 +1,17 @@
 //! Responses to heartbeats: their timing and their content.
+//!
+//! The size of a response is limited, and so is the rate at which starts are sent. What doesn't fit is
+//! sent with a later response, in the same order.
 
 use std::{collections::BTreeSet, time::Duration};
 
 use crate::{
     jobs::{
         controller::{Answer, leader::Leader},
-        fleet::Worker,
-        model::WorkerNumber,
+        fleet::{RunView, Worker},
+        model::{TaskKey, WorkerNumber},
         response::{HeartbeatResponse, RunStart},
+        state::State,
     },
     time::Time,
 };
@@ -68,44 +72,61 @@
 
     /// Answers the held heartbeats that are due or for which there is something to send.
     pub(super) fn answer_held(&mut self, now: Time) {
+        self.start_budget.refill(now);
         let changed = std::mem::take(&mut self.changed)
             .into_iter()
             .filter(|number| self.fleet.workers.get(number).is_some_and(has_updates));
         let mut due: BTreeSet<_> = self.fleet.due(now).collect();
         due.extend(changed);
-        due.extend(self.pending_starts.keys());
-        due.retain(|number| {
-            self.fleet.workers.get(number).is_some_and(|worker| worker.held.is_some())
-        });
+        due.retain(|number| self.is_held(*number));
         for number in due {
             self.answer_worker(now, number);
         }
+        self.send_starts(now);
+    }
+
+    /// Answers the held heartbeats of workers with pending starts, in turn, until the budget is spent.
+    fn send_starts(&mut self, now: Time) {
+        let from = self.pending_starts.range(self.next_served..).map(|(number, _)| *number);
+        let others = self.pending_starts.range(..self.next_served).map(|(number, _)| *number);
+        let numbers: Vec<_> = from.chain(others).filter(|number| self.is_held(*number)).collect();
+        for number in numbers {
+            if self.start_budget.is_spent() {
+                self.next_served = number;
+                return;
+            }
+            self.answer_worker(now, number);
+        }
+    }
+
+    fn is_held(&self, number: WorkerNumber) -> bool {
+        self.fleet.workers.get(&number).is_some_and(|worker| worker.held.is_some())
     }
 
     fn answer_worker(&mut self, now: Time, number: WorkerNumber) {
         let (timing, epoch) = (self.timing, self.epoch);
         let Some(held) = self.fleet.release(number) else { return };
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
-        let starts = match worker.confirmed {
-            true => self.pending_starts.remove(&number).unwrap_or_default(),
-            false => Vec::new(),
-        };
         // A worker that may be gone must not keep its runs for another lease.
         let lease = worker.confirmed.then_some(timing.lease);
         if let Some(lease) = lease {
             let until = held.since + lease + timing.lease_margin;
             worker.lease_until = worker.lease_until.max(until);
         }
+        let sizes = &self.responses.sizes;
+        let mut room = self.responses.max_bytes.saturating_sub(sizes.envelope);
         let mut stops: Vec<_> = worker.orphans.keys().copied().collect();
+        let stopping = worker.runs.iter().filter(|(_, view)| view.stopping && view.listed);
+        stops.extend(stopping.map(|(task, view)| (*task, view.run)));
+        stops.truncate(room / sizes.stop);
+        room -= stops.len() * sizes.stop;
         let mut paces = Vec::new();
-        for (task, view) in &mut worker.runs {
-            if view.stopping && view.listed {
-                stops.push((*task, view.run));
-            } else if view.is_opportunistic() && view.listed && view.sent_pace != view.pace {
-                view.sent_pace = view.pace;
-                paces.push((*task, view.run, view.pace));
-            }
+        let paced = worker.runs.iter_mut().filter(|(_, view)| needs_pace(view));
+        for (task, view) in paced.take(room / sizes.pace) {
+            view.sent_pace = view.pace;
+            paces.push((*task, view.run, view.pace));
         }
+        room -= paces.len() * sizes.pace;
         let mut response = HeartbeatResponse {
             epoch,
             lease,
@@ -115,16 +136,64 @@
             next_heartbeat: next_heartbeat(worker, now),
             starts: Vec::new(),
         };
-        for key in starts {
-            let Some(job) = self.state.jobs.get(&key.job) else { continue };
-            let Some(task) = self.state.task(&key) else { continue };
-            let Some(view) = worker.runs.get_mut(&key) else { continue };
-            (view.sent, view.missing) = (true, false);
-            let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
-            response.starts.push(RunStart { task: key, run: task.run, spec, checkpoint });
+        if worker.confirmed {
+            response.starts = self.take_starts(number, room);
+        }
+        if self.pending_starts.contains_key(&number) {
+            response.next_heartbeat = response.next_heartbeat.min(FREE_INTERVAL);
         }
         self.answers.push((held.ticket, Answer::Heartbeat(response)));
     }
+
+    /// Takes the pending starts of a worker that a response has room for, in order.
+    fn take_starts(&mut self, number: WorkerNumber, room: usize) -> Vec<RunStart> {
+        let mut starts = Vec::new();
+        let Some(pending) = self.pending_starts.remove(&number) else { return starts };
+        let Some(worker) = self.fleet.workers.get_mut(&number) else { return starts };
+        let window = worker.delivery.bytes(self.responses.max_bytes);
+        let mut bytes = 0;
+        let mut taken = 0;
+        for key in &pending {
+            if self.start_budget.is_spent() {
+                break;
+            }
+            if let Some(start) = new_start(&self.state, key)
+                && let Some(view) = worker.runs.get_mut(key)
+            {
+                let size = self.responses.sizes.start(&start);
+                // A start that exceeds the window by itself is sent alone.
+                let fits = starts.is_empty() || bytes + size <= window;
+                if !fits || bytes + size > room {
+                    break;
+                }
+                bytes += size;
+                self.start_budget.spend(size);
+                (view.sent, view.missing) = (true, false);
+                starts.push(start);
+            }
+            taken += 1;
+        }
+        if !starts.is_empty() {
+            worker.delivery.record_sent();
+        }
+        if let Some(left) = pending.get(taken..).filter(|left| !left.is_empty()) {
+            self.pending_starts.insert(number, left.to_vec());
+        }
+        starts
+    }
+}
+
+/// The start of a task's current run.
+fn new_start(state: &State, key: &TaskKey) -> Option<RunStart> {
+    let (job, task) = (state.jobs.get(&key.job)?, state.task(key)?);
+    let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
+    Some(RunStart { task: *key, run: task.run, spec, checkpoint })
+}
+
+/// Whether the worker has to be told the pace of a run.
+fn needs_pace(view: &RunView) -> bool {
+    let stopping = view.stopping && view.listed;
+    !stopping && view.is_opportunistic() && view.listed && view.sent_pace != view.pace
 }
 
 /// Whether a run on the worker has to be stopped or needs a new pace.
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -4,6 +4,7 @@
     ids::ServiceName,
     jobs::{
         controller::{Effect, LogEvent, leader::Leader, proposal::Proposal, round::Round},
+        fleet::RunView,
         lifecycle::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
         placement::SpeedRequirement,
@@ -204,7 +205,8 @@
     fn start(&mut self, now: Time, task: TaskKey, run: Run, worker: WorkerNumber, step: &Step) {
         self.record(Record::Start { task, run, worker });
         self.suspects.release(&task);
-        let view = self.new_view(now, &task, run, step);
+        self.starts += 1;
+        let view = RunView { order: self.starts, ..self.new_view(now, &task, run, step) };
         if let Some(worker) = self.fleet.workers.get_mut(&worker) {
             worker.add(task, view);
             self.interference.summarize(worker);
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -45,6 +45,9 @@
     pub estimate: Duration,
     /// When it was sent to the worker or first listed by it.
     pub since: Time,
+    /// Its place in the order in which this leader decided on starts; 0 for a run that an earlier leader
+    /// started.
+    pub order: u64,
     /// Whether the worker may have received its start.
     pub sent: bool,
     /// Whether the worker has listed it at least once.
@@ -92,6 +95,7 @@
             image: step.image.clone(),
             estimate: Duration::from_millis(step.estimate),
             since: now,
+            order: 0,
             sent: false,
             listed: false,
             listed_at: None,
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -10,6 +10,7 @@
     ids::{DataCentre, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::Ticket,
+        delivery::DeliveryWindow,
         fleet::{Orphan, RunView},
         health::Health,
         model::{Label, Run, StepKey, TaskKey},
@@ -48,6 +49,8 @@
     pub lease_until: Time,
     /// The heartbeat that is held open until there is something to send.
     pub held: Option<HeldHeartbeat>,
+    /// How many starts a response may carry.
+    pub delivery: DeliveryWindow,
     /// The runs that it lists, and those that it was sent.
     pub runs: BTreeMap<TaskKey, RunView>,
     /// The sum of what these runs and the orphans reserve.
@@ -123,6 +126,7 @@
             confirmed: true,
             lease_until,
             held: None,
+            delivery: DeliveryWindow::default(),
             runs: BTreeMap::new(),
             reserved: Resources::ZERO,
             demand: 0,
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -20,6 +20,7 @@
 mod pace;
 mod properties;
 mod recovery;
+mod responses;
 mod standbys;
 mod standing;
 mod steps;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -21,6 +21,7 @@
         record::{Ending, Node},
         report::{Ended, Report, Running},
         response::HeartbeatResponse,
+        response_size::{ResponseLimits, ResponseSizes},
     },
     resources::Resources,
     time::{Time, WallTime},
@@ -30,6 +31,13 @@
 pub(crate) const LEASE: Duration = Duration::from_secs(5);
 pub(crate) const MARGIN: Duration = Duration::from_millis(300);
 
+/// The limits on responses: more than any test reaches that doesn't change them.
+pub(crate) const RESPONSES: ResponseLimits = ResponseLimits {
+    max_bytes: 4 << 20,
+    bytes_per_second: 1 << 30,
+    sizes: ResponseSizes { envelope: 100, start: 50, stop: 50, pace: 50, text: [1; 256] },
+};
+
 /// A single controller with a simulated clock.
 pub(crate) struct World {
     pub(crate) controller: Controller,
@@ -39,6 +47,7 @@
     /// What storage would recover.
     stored: Recovered,
     lease: (Duration, Duration),
+    responses: ResponseLimits,
     next: u64,
 }
 
@@ -79,16 +88,23 @@
             max_hold: Duration::from_millis(700),
             retain: Duration::from_secs(120),
         },
+        responses: RESPONSES,
         seed: 1,
     }
 }
 
 /// The only controller of a deployment.
-fn controller(lease: Duration, margin: Duration, stored: Recovered, now: Time) -> Controller {
+fn controller(
+    (lease, margin): (Duration, Duration),
+    responses: ResponseLimits,
+    stored: Recovered,
+    now: Time,
+) -> Controller {
     let me = node(1, 1);
     let founders = vec![(me.id, me.peer)];
     let mut config = config(me, founders);
     (config.timing.lease, config.timing.lease_margin) = (lease, margin);
+    config.responses = responses;
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
@@ -116,10 +132,20 @@
 
     /// The same with other leases and their margin.
     pub(crate) fn with_lease(lease: Duration, margin: Duration) -> Self {
+        Self::with((lease, margin), RESPONSES)
+    }
+
+    /// The same with other limits on responses.
+    pub(crate) fn with_responses(responses: ResponseLimits) -> Self {
+        Self::with((LEASE, MARGIN), responses)
+    }
+
+    fn with(lease: (Duration, Duration), responses: ResponseLimits) -> Self {
         let now = Time::from_millis(1);
         let mut world = Self {
-            controller: controller(lease, margin, Recovered::default(), now),
-            lease: (lease, margin),
+            controller: controller(lease, responses, Recovered::default(), now),
+            lease,
+            responses,
             now,
             answers: BTreeMap::new(),
             sent: Vec::new(),
@@ -136,8 +162,7 @@
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
-        let (lease, margin) = self.lease;
-        self.controller = controller(lease, margin, self.stored.clone(), self.now);
+        self.controller = controller(self.lease, self.responses, self.stored.clone(), self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
@@ -209,7 +234,12 @@
     }
 
     pub(crate) fn submit(&mut self, id: u64, steps: Vec<Step>) -> JobId {
-        let spec = JobSpec { text: "spec".into(), steps, schedule: None };
+        self.submit_text(id, "spec", steps)
+    }
+
+    /// Submits a job with this payload.
+    pub(crate) fn submit_text(&mut self, id: u64, text: &str, steps: Vec<Step>) -> JobId {
+        let spec = JobSpec { text: text.into(), steps, schedule: None };
         let reply = self.call(&path(id), Action::Submit(spec));
         assert_eq!(reply, Reply::Accepted);
         JobId(id)
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -16,6 +16,7 @@
         controller::{Answer, Controller, Effect, Event, Ticket},
         link::LinkMessage,
         record::Node,
+        response_size::ResponseLimits,
     },
     time::Time,
 };
@@ -171,7 +172,8 @@
     }
 }
 
-/// Runs a controller until the process receives SIGTERM. `reload` reads the settings again.
+/// Runs a controller until the process receives SIGTERM. `reload` reads the settings again, and
+/// `responses` are the limits on the responses that the frontend encodes.
 ///
 /// # Errors
 ///
@@ -180,13 +182,14 @@
     settings: &Settings,
     reload: impl Fn() -> Option<Settings>,
     front: impl Frontend<Handle>,
+    responses: ResponseLimits,
 ) -> Result<(), ControllerError> {
     let clock = Clock::start();
     let instance_log = log::start(settings.log, &settings.name, clock);
     let log = &instance_log.root;
     let folder = settings.data.as_ref().ok_or(ControllerError::NoData)?;
     let (me, store, recovered) = open(settings, folder, clock, log)?;
-    let config = config::config(settings, &me);
+    let config = config::config(settings, &me, responses);
     info!(log, "the controller starts"; "id" => me.id.0, "listen" => %me.listen,
         "peer" => %me.peer, "founding" => settings.founding,
         "entries" => recovered.entries.len(), "term" => recovered.hard.term.0);
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -8,6 +8,7 @@
     jobs::{
         controller::{Config, Timing},
         record::Node,
+        response_size::ResponseLimits,
     },
 };
 
@@ -50,7 +51,7 @@
 }
 
 /// The configuration of a controller with these settings.
-pub(super) fn config(settings: &Settings, me: &Node) -> Config {
+pub(super) fn config(settings: &Settings, me: &Node, responses: ResponseLimits) -> Config {
     let founders = if settings.founding { settings.seed_peers() } else { Vec::new() };
     let lease = MAX_LEASE.min(settings.max_lease);
     Config {
@@ -65,6 +66,7 @@
             max_hold: MAX_HOLD,
             retain: settings.retain,
         },
+        responses,
         consensus: consensus::Config {
             me: me.id,
             heartbeat_interval: HEARTBEAT_INTERVAL,
--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -327,10 +327,15 @@
         net::send(to, method, path, &[("host", HOST)], Bytes::from(body.to_owned())).await
     }
 
-    /// Submits a job with these steps, with up to 100 attempts until a conclusive response, and
-    /// returns whether it was accepted.
+    /// Submits a job with these steps; see [`Deployment::submit_payload`].
     pub async fn submit(&self, id: u64, steps: &Value) -> bool {
-        let body = json!({ "spec": "stand-in", "steps": steps }).to_string();
+        self.submit_payload(id, "stand-in", steps).await
+    }
+
+    /// Submits a job with this payload and these steps, with up to 100 attempts until a conclusive
+    /// response, and returns whether it was accepted.
+    pub async fn submit_payload(&self, id: u64, payload: &str, steps: &Value) -> bool {
+        let body = json!({ "spec": payload, "steps": steps }).to_string();
         for _ in 0..100 {
             match self.call(0, Method::POST, &job_path(id), &body).await {
                 Ok(response) if response.status == 200 => return true,
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -26,6 +26,9 @@
 /// The limit on a heartbeat, from sending it to the complete response.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The largest response that a worker accepts.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// The delay before the next heartbeat after one that failed.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -147,7 +150,7 @@
             let body = self.heartbeat().to_string();
             let call = net::send(to, Method::PUT, &path, &[], body.into());
             let pause = match timeout(HEARTBEAT_TIMEOUT, call).await {
-                Ok(Ok(reply)) if reply.status == 200 => {
+                Ok(Ok(reply)) if reply.status == 200 && reply.body.len() <= MAX_RESPONSE_BYTES => {
                     let response = serde_json::from_slice(&reply.body).unwrap_or_default();
                     controller = heartbeat_address(&response).or(controller);
                     self.apply_response(&response, sent)
