jobs: split the records of a turn into entries that fit frames

All records of a turn were one log entry, and a frame between controllers has at most 16 MiB. An entry beyond that closes the connection to each follower again and again, so nothing is committed any more.

Change: a turn with more than 1 MiB of records becomes several entries in order. Its answers wait for the last one. Crash counts keep their place among the records. Ruled out: a larger frame, which moves the bound and holds up the messages behind it.

After: the test passes, with a table for the split.

--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -7,11 +7,16 @@
     jobs::{
         call::{OperatorReply, Reply},
         controller::{Answer, Controller, Effect, Ticket, leader::Leader},
-        record::Batch,
+        crash::CrashEntry,
+        record::{Batch, Record},
     },
     time::{Time, WallTime},
 };
 
+/// The size beyond which the records of a turn become several log entries, in bytes. Entries have to fit
+/// frames between controllers, and a large one holds up those behind it.
+const MAX_ENTRY_BYTES: usize = 1 << 20;
+
 /// A proposal that isn't committed yet, with the answers that depend on it.
 #[derive(Debug)]
 pub(super) struct PendingProposal {
@@ -45,7 +50,7 @@
         }));
     }
 
-    /// Places waiting tasks and proposes the new records as one log entry.
+    /// Places waiting tasks and proposes the new records, usually as one log entry.
     pub(super) fn finish_turn(&mut self, now: Time, wall: WallTime, out: &mut Vec<Effect>) {
         if !self.leads(now) {
             return;
@@ -53,20 +58,17 @@
         let Some(leader) = &mut self.leader else { return };
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
-            self.proposals += 1;
-            let number = self.proposals;
             let (since, records) = (now, proposal.len());
-            self.pending.push_back(PendingProposal {
-                number,
-                since,
-                records,
-                answers: proposal.answers,
-            });
-            let (records, crashes) = (proposal.records, proposal.crashes);
-            let batch = Batch { origin: self.config.me.id, number, records, crashes };
-            let command = Bytes::from(batch.encode());
-            let ticket = crate::ids::Ticket(number);
-            self.step_consensus(now, consensus::Event::Propose { ticket, command });
+            let commands = self.encode_records(proposal.records, proposal.crashes);
+            let first = self.proposals + 1;
+            self.proposals += commands.len() as u64;
+            // The entries are committed in order, so the answers wait for the last one.
+            let (number, answers) = (self.proposals, proposal.answers);
+            self.pending.push_back(PendingProposal { number, since, records, answers });
+            for (number, command) in (first..).zip(commands) {
+                let ticket = crate::ids::Ticket(number);
+                self.step_consensus(now, consensus::Event::Propose { ticket, command });
+            }
         } else if let Some(last) = self.pending.back_mut() {
             last.answers.extend(proposal.answers);
         } else {
@@ -76,6 +78,18 @@
         }
     }
 
+    /// Encodes the records of a turn, as several batches if they are too large for one.
+    fn encode_records(&self, records: Vec<Record>, crashes: Vec<CrashEntry>) -> Vec<Bytes> {
+        let number = self.proposals + 1;
+        let batch = Batch { origin: self.config.me.id, number, records, crashes };
+        let encoded = batch.encode();
+        if encoded.len() <= MAX_ENTRY_BYTES {
+            return vec![encoded.into()];
+        }
+        let parts = batch.split(MAX_ENTRY_BYTES);
+        parts.iter().map(|part| Bytes::from(part.encode())).collect()
+    }
+
     pub(super) fn compact(&mut self, now: Time) {
         if self.applied.0 < self.compacted.0 + self.config.snapshot_every {
             return;
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -135,6 +135,34 @@
         if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
     }
 
+    /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
+    /// single record. The parts are numbered from the batch's number on.
+    pub fn split(self, max_bytes: usize) -> Vec<Self> {
+        let mut parts = vec![Self { records: Vec::new(), crashes: Vec::new(), ..self }];
+        let mut crashes = self.crashes.into_iter().peekable();
+        let (mut before, mut bytes) = (0, 0);
+        for (at, record) in (0..).zip(self.records) {
+            let size = append(Vec::new(), &record).len();
+            let Some(part) = parts.last() else { break };
+            if !part.records.is_empty() && bytes + size > max_bytes {
+                let number = part.number + 1;
+                parts.push(Self { number, records: Vec::new(), crashes: Vec::new(), ..*part });
+                (before, bytes) = (at, 0);
+            }
+            bytes += size;
+            let Some(part) = parts.last_mut() else { break };
+            while let Some(crash) = crashes.next_if(|crash| crash.after <= at) {
+                part.crashes.push(CrashEntry { after: crash.after - before, ..crash });
+            }
+            part.records.push(record);
+        }
+        if let Some(last) = parts.last_mut() {
+            last.crashes
+                .extend(crashes.map(|crash| CrashEntry { after: crash.after - before, ..crash }));
+        }
+        parts
+    }
+
     /// Decodes a batch of the log.
     ///
     /// # Errors
--- /dev/null
+++ b/lib/tests/jobs/limits.rs
@@ -0,0 +1,122 @@
+//! Limits on what a job may make controllers and workers exchange.
+
+use hickorylink_lib::{
+    ids::{Incarnation, InstanceId},
+    jobs::{
+        call::{Action, Call, Reply},
+        controller::{Answer, Event, Ticket},
+        crash::{CrashEntry, CrashRecord},
+        lifecycle::JobPhase,
+        model::{JobSpec, Step, TaskKey, WorkerNumber},
+        record::{Batch, Ending, Record},
+    },
+    resources::Resources,
+};
+
+use crate::world::{FakeWorker, HOST, World, path, step, task};
+
+/// The largest frame between instances; see `runtime/src/link.rs`.
+const MAX_FRAME_BYTES: usize = 16 << 20;
+
+/// Guards against an entry that is larger than a frame between controllers: no follower receives it, and
+/// nothing is committed any more.
+#[test]
+fn the_records_of_a_turn_fit_frames() {
+    struct Case {
+        name: &'static str,
+        jobs: u64,
+        text_bytes: usize,
+    }
+    let cases = [
+        Case { name: "small jobs", jobs: 200, text_bytes: 1 },
+        Case { name: "large jobs", jobs: 100, text_bytes: 250 << 10 },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let calls: Vec<_> = (0..case.jobs)
+            .map(|id| {
+                let text = "x".repeat(case.text_bytes).into();
+                let spec = JobSpec { text, steps: vec![step(1)], schedule: None };
+                let action = Action::Submit(spec);
+                let call = Call { host: HOST.into(), path: path(id).into(), action };
+                Event::Call { ticket: Ticket::Front(1000 + id), call }
+            })
+            .collect();
+        world.handle(calls);
+        for id in 0..case.jobs {
+            let answer = &world.answers[&(1000 + id)];
+            assert!(matches!(answer, Answer::Reply(Reply::Accepted)), "{}: {answer:?}", case.name);
+        }
+        let largest = world.largest_entry();
+        assert!(largest < MAX_FRAME_BYTES / 4, "{}: {largest}", case.name);
+        world.restart();
+        for id in 0..case.jobs {
+            assert_eq!(world.phase(id), JobPhase::Queued, "{}", case.name);
+        }
+    }
+}
+
+#[test]
+fn a_split_batch_has_the_same_records() {
+    struct Case {
+        name: &'static str,
+        records: usize,
+        /// The numbers of the records before each change of the crash counts.
+        crashes: &'static [u32],
+        max_bytes: usize,
+        want: &'static [(usize, &'static [u32])],
+    }
+    let cases = [
+        Case { name: "nothing", records: 0, crashes: &[], max_bytes: 10, want: &[(0, &[])] },
+        Case { name: "fits", records: 3, crashes: &[0, 3], max_bytes: 999, want: &[(3, &[0, 3])] },
+        Case {
+            name: "each record by itself",
+            records: 3,
+            crashes: &[0, 1, 2, 2, 3],
+            max_bytes: 1,
+            want: &[(1, &[0]), (1, &[0]), (1, &[0, 0, 1])],
+        },
+        Case {
+            name: "only crashes",
+            records: 0,
+            crashes: &[0, 0],
+            max_bytes: 1,
+            want: &[(0, &[0, 0])],
+        },
+    ];
+    for case in cases {
+        let worker = |number| Record::AddWorker {
+            number: WorkerNumber(number),
+            name: "w".into(),
+            incarnation: Incarnation(1),
+        };
+        let records = (0..).map(worker).take(case.records).collect();
+        let absolve = |after: &u32| {
+            let task = TaskKey { job: JOB, occurrence: 0, step: 0, index: *after };
+            CrashEntry { after: *after, record: CrashRecord::Absolve { task } }
+        };
+        let crashes = case.crashes.iter().map(absolve).collect();
+        let batch = Batch { origin: InstanceId(1), number: 7, records, crashes };
+        let parts = batch.clone().split(case.max_bytes);
+        let shape: Vec<_> = parts
+            .iter()
+            .map(|part| {
+                let crashes = part.crashes.iter().map(|crash| crash.after);
+                (part.records.len(), crashes.collect::<Vec<_>>())
+            })
+            .collect();
+        let want: Vec<_> = case.want.iter().map(|(len, at)| (*len, at.to_vec())).collect();
+        assert_eq!(shape, want, "{}", case.name);
+        let numbers: Vec<u64> = parts.iter().map(|part| part.number).collect();
+        assert_eq!(numbers, (7..).take(parts.len()).collect::<Vec<_>>(), "{}", case.name);
+        let records: Vec<_> = parts.iter().flat_map(|part| part.records.clone()).collect();
+        assert_eq!(records, batch.records, "{}", case.name);
+        let crashes = |batch: &Batch| -> Vec<_> {
+            batch.crashes.iter().map(|crash| crash.record.clone()).collect()
+        };
+        let all: Vec<_> = parts.iter().flat_map(crashes).collect();
+        assert_eq!(all, crashes(&batch), "{}", case.name);
+    }
+}
+
+const JOB: hickorylink_lib::jobs::model::JobId = hickorylink_lib::jobs::model::JobId(7);
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod gateway;
 mod handover;
 mod leases;
+mod limits;
 mod load;
 mod members;
 mod members_properties;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -8,7 +8,7 @@
 
 use hickorylink_lib::{
     consensus::{
-        log::{Recovered, Write},
+        log::{Payload, Recovered, Write},
         port as consensus,
     },
     ids::{Incarnation, InstanceId},
@@ -159,6 +159,15 @@
         world
     }
 
+    /// The size of the largest entry that was stored, in bytes.
+    pub(crate) fn largest_entry(&self) -> usize {
+        let commands = self.stored.entries.iter().filter_map(|entry| match &entry.payload {
+            Payload::Command(command) => Some(command.len()),
+            Payload::Empty | Payload::Members(_) => None,
+        });
+        commands.max().unwrap_or(0)
+    }
+
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
