jobs: a worker gets no more runs than its heartbeats can list

A heartbeat lists all runs of its worker, and one with more than 10,000 rows is refused. Tasks that ask for next to nothing could exceed that on one worker, which then counted as silent with all its runs, those of other customers included.

Evidence: a_worker_gets_no_more_runs_than_a_heartbeat_can_list fails before with 12,000 runs on a worker (a scratch copy with the test). Change: a worker with 8,000 runs has no room. Ruled out: accepting longer lists, since the body of a heartbeat is bounded, too. After: the test passes.

--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -30,6 +30,10 @@
 /// rise steeply once all processors are in use.
 const MAX_USED_PERCENT: u64 = 104;
 
+/// The maximum number of runs on a worker. Its heartbeats list them all, and a frontend limits the size of
+/// heartbeats.
+const MAX_RUNS: usize = 8000;
+
 /// One incarnation of a worker.
 #[derive(Debug)]
 pub struct Worker {
@@ -322,6 +326,11 @@
         self.runs.values().all(|view| view.settled)
     }
 
+    /// Whether it has as many runs as a worker may have.
+    pub fn is_full(&self) -> bool {
+        self.runs.len() + self.orphans.len() >= MAX_RUNS
+    }
+
     /// Whether it leaves or has left.
     pub fn is_leaving(&self) -> bool {
         let leaves = self.profile.as_ref().is_some_and(|profile| profile.leaves_at.is_some());
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -60,6 +60,9 @@
 
     /// What is left on a worker, on probation or not.
     pub fn left(worker: &Worker) -> Self {
+        if worker.is_full() {
+            return Self::NONE;
+        }
         Self { free: worker.free(), unused: worker.unused() }
     }
 
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -120,3 +120,21 @@
 }
 
 const JOB: hickorylink_lib::jobs::model::JobId = hickorylink_lib::jobs::model::JobId(7);
+
+/// Guards against a worker whose heartbeats list more runs than a controller accepts. It counted as
+/// silent, and all its runs were given up.
+#[test]
+fn a_worker_gets_no_more_runs_than_a_heartbeat_can_list() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.submit(7, vec![Step { needs: Resources::ZERO, ..step(12_000) }]);
+    for _ in 0..5 {
+        world.heartbeat(&mut worker).expect("a response");
+        assert!(worker.running.len() <= 8000, "{} runs", worker.running.len());
+    }
+    assert_eq!(worker.running.len(), 8000);
+    worker.end_all(Ending::Done);
+    while worker.running.len() < 4000 {
+        world.heartbeat(&mut worker).expect("a response");
+    }
+}
