jobs: don't keep checkpoints that are too long

A checkpoint is a worker's string without a bound. It is replicated and sent with the task's next start, which could then exceed every response and hold up the starts behind it.

Evidence: a_checkpoint_that_is_too_long_is_not_kept fails before (a scratch copy with the test). Change: one of more than 16 KiB isn't kept, and the task starts from the beginning. Ruled out: refusing the heartbeat, which would take the worker from all its other tasks. After: the test passes.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -14,7 +14,7 @@
         model::{Run, Step, TaskKey, WorkerNumber},
         pace,
         record::{Ending, Record},
-        report::{Ended, Report, Running},
+        report::{Ended, Report, Running, keepable},
     },
     time::Time,
     transit::Arrival,
@@ -220,7 +220,8 @@
             let (task, run, ending) = (ended.task.to_string(), ended.run.0, ended.ending.name());
             self.log_events.push(LogEvent::Ended { task, run, ending, worker: name });
         }
-        self.record_end(now, ended.task, ended.run, ended.ending, &ended.checkpoint);
+        let checkpoint = keepable(&ended.checkpoint);
+        self.record_end(now, ended.task, ended.run, ended.ending, checkpoint);
         let key = ended.task.step_key();
         let gang = self.state.step(&key).is_some_and(|step| step.options.gang);
         if ended.ending == Ending::Refused && gang {
@@ -306,8 +307,9 @@
             view.missing = false;
             view.stopping |= !current;
             view.percent = row.percent;
-            if view.checkpoint != row.checkpoint {
-                view.checkpoint = row.checkpoint.clone();
+            let checkpoint = keepable(&row.checkpoint);
+            if &*view.checkpoint != checkpoint {
+                view.checkpoint = checkpoint.into();
             }
             view.gauge = row.gauge;
         }
--- a/lib/src/jobs/report.rs
+++ b/lib/src/jobs/report.rs
@@ -12,6 +12,15 @@
     resources::Resources,
 };
 
+/// The longest checkpoint that is kept, in bytes. Checkpoints are replicated, and a start has to fit a
+/// response.
+const MAX_CHECKPOINT_BYTES: usize = 16 << 10;
+
+/// The checkpoint, or none if it is too long to be kept.
+pub fn keepable(checkpoint: &str) -> &str {
+    if checkpoint.len() > MAX_CHECKPOINT_BYTES { "" } else { checkpoint }
+}
+
 data! {
     /// The content of a worker's heartbeat.
     pub struct Report {
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -138,3 +138,40 @@
         world.heartbeat(&mut worker).expect("a response");
     }
 }
+
+/// Guards against a checkpoint that makes a start larger than a response may be.
+#[test]
+fn a_checkpoint_that_is_too_long_is_not_kept() {
+    struct Case {
+        name: &'static str,
+        bytes: usize,
+        kept: bool,
+    }
+    let cases = [
+        Case { name: "the longest", bytes: 16 << 10, kept: true },
+        Case { name: "too long", bytes: (16 << 10) + 1, kept: false },
+    ];
+    for case in cases {
+        for ends in [true, false] {
+            let mut world = World::new();
+            let (mut first, mut second) = (FakeWorker::new("w1"), FakeWorker::new("w2"));
+            let job = world.submit(7, vec![step(1)]);
+            world.heartbeat(&mut first).expect("a response");
+            first.checkpoint = "x".repeat(case.bytes);
+            first.leaving = Some(0);
+            if ends {
+                first.end(task(job, 0, 0), Ending::Stopped);
+                world.heartbeat(&mut first).expect("a response");
+            } else {
+                world.heartbeat(&mut first).expect("a response");
+                world.heartbeat(&mut FakeWorker { leaving: Some(0), ..first.restarted() });
+            }
+            let mut starts = Vec::new();
+            while starts.is_empty() {
+                starts = world.heartbeat(&mut second).expect("a response").starts;
+            }
+            let want = if case.kept { case.bytes } else { 0 };
+            assert_eq!(starts[0].checkpoint.len(), want, "{}, listed as ended: {ends}", case.name);
+        }
+    }
+}
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -346,7 +346,7 @@
     pub(crate) stopped: BTreeSet<TaskKey>,
     /// The progress of all its runs.
     pub(crate) percent: u8,
-    /// The checkpoint of all its runs.
+    /// The checkpoint of all its runs, and of their ends.
     pub(crate) checkpoint: String,
     /// Its clock; `None` if its heartbeats don't say.
     pub(crate) clock: Option<Duration>,
@@ -435,7 +435,7 @@
     pub(crate) fn end(&mut self, task: TaskKey, ending: Ending) {
         let run = self.running.remove(&task).expect("the task is running");
         self.end_count += 1;
-        let (number, checkpoint) = (self.end_count, "".into());
+        let (number, checkpoint) = (self.end_count, self.checkpoint.as_str().into());
         self.ended.push(Ended { number, task, run, ending, checkpoint });
     }
 
