jobs: one checkpoint for all members of a gang

Callers saw: after a crash of one worker a gang with checkpoints never worked again.

Cause: the checkpoint was kept for each task. The end of a member changed its own only, and a member that was lost with its worker had none, so the next run carried two values.

Change: the replicated state has one checkpoint for each gang, encoded behind the state, where older releases don't look. A value of an end of the latest run replaces it; a value that only the list of a lost member had counts unless the run has saved one. Once a member's run has ended, the others of that run are stopped and none of them is started or sent again, so a run has one value.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -88,11 +88,32 @@
 pub(crate) fn decode_extended<'b, T: Deserialize<'b>, E: Deserialize<'b> + Default>(
     bytes: &'b [u8],
 ) -> Result<(T, E), DecodeError> {
-    let (value, rest) = postcard::take_from_bytes(bytes).context(MalformedSnafu)?;
-    if rest.is_empty() {
-        return Ok((value, E::default()));
-    }
-    Ok((value, postcard::from_bytes(rest).context(MalformedSnafu)?))
+    let (value, rest) = decode_first(bytes)?;
+    let (extension, _) = decode_extension(rest)?;
+    Ok((value, extension))
+}
+
+/// Decodes the value at the beginning of the bytes. Returns it with the remaining bytes.
+///
+/// # Errors
+///
+/// [`DecodeError::Malformed`] if it is damaged.
+pub(crate) fn decode_first<'b, T: Deserialize<'b>>(
+    bytes: &'b [u8],
+) -> Result<(T, &'b [u8]), DecodeError> {
+    postcard::take_from_bytes(bytes).context(MalformedSnafu)
+}
+
+/// Decodes a value that older releases don't write; the default if there are no bytes left. Returns it
+/// with the remaining bytes.
+///
+/// # Errors
+///
+/// [`DecodeError::Malformed`] if it is damaged.
+pub(crate) fn decode_extension<'b, T: Deserialize<'b> + Default>(
+    bytes: &'b [u8],
+) -> Result<(T, &'b [u8]), DecodeError> {
+    if bytes.is_empty() { Ok((T::default(), bytes)) } else { decode_first(bytes) }
 }
 
 /// Encodes an envelope for the replicated log.
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod delivery;
 pub mod fleet;
+pub mod gang;
 pub mod gateway;
 pub mod health;
 pub mod hello;
--- a/lib/src/jobs/controller/capacity.rs
+++ b/lib/src/jobs/controller/capacity.rs
@@ -102,6 +102,22 @@
         }
     }
 
+    /// Notes that the run of a task has ended without being done, if it was a member of a gang.
+    pub(super) fn note_broken(&mut self, task: &TaskKey) {
+        let key = task.step_key();
+        if self.state.step(&key).is_some_and(|step| step.options.gang) {
+            self.broken_gangs.insert(key);
+        }
+    }
+
+    /// Stops the other members of the gangs of which a member's run has ended: they would wait for it in
+    /// vain, or with another checkpoint.
+    pub(super) fn stop_broken_gangs(&mut self, now: Time) {
+        for key in std::mem::take(&mut self.broken_gangs) {
+            self.stop_gang(now, &key);
+        }
+    }
+
     /// Stops the members of a gang of which one doesn't start: they would wait for it in vain.
     pub(super) fn stop_gang(&mut self, now: Time, key: &StepKey) {
         let Some(progress) = self.state.progress(key) else { return };
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -222,10 +222,8 @@
         }
         let checkpoint = keepable(&ended.checkpoint);
         self.record_end(now, ended.task, ended.run, ended.ending, checkpoint);
-        let key = ended.task.step_key();
-        let gang = self.state.step(&key).is_some_and(|step| step.options.gang);
-        if ended.ending == Ending::Refused && gang {
-            self.stop_gang(now, &key);
+        if ended.ending != Ending::Done {
+            self.note_broken(&ended.task);
         }
     }
 
@@ -258,9 +256,7 @@
 
     /// Records that a run was lost. Its task continues from the latest checkpoint that was listed.
     pub(super) fn record_lost_run(&mut self, task: TaskKey, run: Run, checkpoint: Box<str>) {
-        // The members of a gang have to continue from the same checkpoint.
-        let gang = self.state.step(&task.step_key()).is_some_and(|step| step.options.gang);
-        let checkpoint = if gang { Box::default() } else { checkpoint };
+        self.note_broken(&task);
         self.record(Record::End { task, run, ending: Ending::LeaseExpired, checkpoint });
     }
 
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -91,6 +91,8 @@
     pub(super) next_served: WorkerNumber,
     /// The number of starts that were decided on.
     pub(super) starts: u64,
+    /// The gangs of which a member's run has ended without being done in this turn.
+    pub(super) broken_gangs: BTreeSet<StepKey>,
     /// The runs that may have crashed their worker.
     pub(super) suspects: Suspects,
     pub(super) records: Vec<Record>,
@@ -136,6 +138,7 @@
             start_budget: SendBudget::new(responses.bytes_per_second, now),
             next_served: WorkerNumber::default(),
             starts: 0,
+            broken_gangs: BTreeSet::new(),
             suspects: Suspects::default(),
             records: Vec::new(),
             crashes: Vec::new(),
@@ -338,7 +341,12 @@
             runs: worker.runs.len(),
         });
         for (task, view) in worker.runs {
-            if !view.checkpoint.is_empty() && self.is_current(number, &task, view.run) {
+            if !self.is_current(number, &task, view.run) {
+                continue;
+            }
+            if view.checkpoint.is_empty() {
+                self.note_broken(&task);
+            } else {
                 self.record_lost_run(task, view.run, view.checkpoint);
             }
         }
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -186,7 +186,7 @@
 /// The start of a task's current run.
 fn new_start(state: &State, key: &TaskKey) -> Option<RunStart> {
     let (job, task) = (state.jobs.get(&key.job)?, state.task(key)?);
-    let (spec, checkpoint) = (job.spec.clone(), task.checkpoint.clone());
+    let (spec, checkpoint) = (job.spec.clone(), state.checkpoint(key).into());
     Some(RunStart { task: *key, run: task.run, spec, checkpoint })
 }
 
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -31,6 +31,7 @@
         self.wall = wall;
         self.start_due_occurrences();
         self.expire_leases(now);
+        self.stop_broken_gangs(now);
         self.place_waiting(now);
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
--- a/lib/src/jobs/model.rs
+++ b/lib/src/jobs/model.rs
@@ -81,7 +81,9 @@
 }
 
 /// The key of a step in one occurrence of a job.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, serde::Serialize, serde::Deserialize,
+)]
 pub struct StepKey {
     /// The job.
     pub job: JobId,
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -7,12 +7,13 @@
 };
 
 use crate::{
-    codec::{DecodeError, append, decode_extended},
+    codec::{DecodeError, append, decode_extension, decode_first},
     data,
     ids::{Incarnation, InstanceId, WorkerName},
     jobs::{
         config::{Config, Queue},
         crash::CrashCounts,
+        gang::Gangs,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
         progress::{JobInput, TaskInput},
@@ -40,6 +41,9 @@
         /// The crashes that tasks may have caused. They are encoded behind the state.
         #[serde(skip)]
         pub crashes: CrashCounts,
+        /// What the members of each gang share. It is encoded behind the crash counts.
+        #[serde(skip)]
+        pub gangs: Gangs,
     }
 
     /// One incarnation of a worker.
@@ -91,7 +95,7 @@
         pub worker: WorkerNumber,
         /// The number of failed runs.
         pub failures: u32,
-        /// The latest checkpoint; empty if there is none.
+        /// The latest checkpoint; empty if there is none. That of a gang is in [`State::gangs`].
         pub checkpoint: Box<str>,
     }
 }
@@ -114,14 +118,20 @@
     ///
     /// The bytes aren't a valid snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let (state, crashes): (Self, _) = decode_extended(bytes)?;
-        Ok(Self { crashes, ..state })
+        let (state, rest): (Self, _) = decode_first(bytes)?;
+        let (crashes, rest) = decode_extension(rest)?;
+        let (gangs, _) = decode_extension(rest)?;
+        Ok(Self { crashes, gangs, ..state })
     }
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
         let bytes = append(Vec::new(), self);
-        if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
+        match (self.crashes.is_empty(), self.gangs.is_empty()) {
+            (true, true) => bytes,
+            (false, true) => append(bytes, &self.crashes),
+            (_, false) => append(append(bytes, &self.crashes), &self.gangs),
+        }
     }
 
     /// The queue of a job; `None` if the current configuration no longer has it.
@@ -135,6 +145,15 @@
         progress.tasks.get(usize::try_from(key.index).ok()?)
     }
 
+    /// The checkpoint that the next run of a task continues from; empty if there is none.
+    pub fn checkpoint(&self, key: &TaskKey) -> &str {
+        let step = key.step_key();
+        if self.step(&step).is_some_and(|step| step.options.gang) {
+            return self.gangs.checkpoint(&step);
+        }
+        self.task(key).map_or("", |task| &task.checkpoint)
+    }
+
     /// The progress of a step; `None` before the first task of its occurrence has started.
     pub fn progress(&self, key: &StepKey) -> Option<&Progress> {
         let occurrence = self.jobs.get(&key.job)?.occurrences.get(&key.occurrence)?;
@@ -185,6 +204,7 @@
                 for id in jobs {
                     self.jobs.remove(id);
                     self.crashes.remove_job(*id);
+                    self.gangs.remove_job(*id);
                 }
             }
         }
@@ -286,12 +306,15 @@
         } else {
             key.index..key.index.saturating_add(1)
         };
+        // What a gang saves is kept for all members together.
+        let own_checkpoint = if gang { "" } else { checkpoint };
         let mut failed = 0;
         let mut changed = false;
         for index in indexes {
             let member = TaskKey { index, ..key };
             let Some(task) = job.task_mut(&member) else { continue };
-            let input = TaskInput { event, run, worker: task.worker, checkpoint };
+            let (worker, checkpoint) = (task.worker, own_checkpoint);
+            let input = TaskInput { event, run, worker, checkpoint };
             let ended = task.transition(&input);
             changed |= ended;
             failed = failed.max(task.failures);
@@ -304,6 +327,13 @@
             return;
         }
         job.recount_done(&key.step_key());
+        match event {
+            _ if !gang => {}
+            TaskEvent::Done => self.gangs.remove(&key.step_key()),
+            TaskEvent::Start | TaskEvent::Failed | TaskEvent::Interrupted => {
+                self.gangs.end(key.step_key(), run, ending, checkpoint);
+            }
+        }
         if failed >= max_attempts {
             self.end_job(key.job, JobEvent::Exhaust, changes);
             return;
@@ -355,6 +385,7 @@
             return;
         }
         self.crashes.remove_job(id);
+        self.gangs.remove_job(id);
         changes.push(Change::Ended(id));
         if before == JobPhase::Queued {
             let queue = job.queue.clone();
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -8,6 +8,7 @@
 mod crashes;
 mod deployment;
 mod encoding;
+mod gangs;
 mod gateway;
 mod handover;
 mod leases;
