jobs: count the failed runs of a gang, not of each member

A gang of which another member fails each time was started up to maxAttempts times for each member.

Change: the gang's failed runs are counted beside its checkpoint, each run once. Ruled out: the sum over the members, which counts a run twice in which two of them fail. After: the test passes.

--- a/lib/src/jobs/gang.rs
+++ b/lib/src/jobs/gang.rs
@@ -23,15 +23,19 @@
         checkpoint: Box<str>,
         /// The run that saved it.
         saved: Run,
+        /// The number of runs that have failed.
+        failures: u32,
+        /// The last run that has failed.
+        failed: Run,
     }
 }
 
-/// The gangs with a checkpoint.
+/// The gangs with a checkpoint or a failed run.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Gangs(BTreeMap<StepKey, Gang>);
 
 impl Gangs {
-    /// Whether no gang has a checkpoint.
+    /// Whether no gang has a checkpoint or a failed run.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
@@ -41,20 +45,25 @@
         self.0.get(key).map_or("", |gang| &gang.checkpoint)
     }
 
-    /// Records the end of a member's run.
+    /// Records the end of a member's run. Returns the number of runs of the gang that have failed.
     ///
     /// The checkpoint of any member is valid for the gang. That of an end replaces an earlier one. That
     /// of a lost member, which only its last heartbeat has listed, counts unless the run has saved one
     /// before.
-    pub(super) fn end(&mut self, key: StepKey, run: Run, ending: Ending, checkpoint: &str) {
-        if checkpoint.is_empty() {
-            return;
+    pub(super) fn end(&mut self, key: StepKey, run: Run, ending: Ending, checkpoint: &str) -> u32 {
+        let failed = ending == Ending::Failed;
+        if checkpoint.is_empty() && !failed {
+            return self.0.get(&key).map_or(0, |gang| gang.failures);
         }
         let gang = self.0.entry(key).or_default();
         let listed = ending == Ending::LeaseExpired;
-        if !listed || gang.saved < run {
+        if !checkpoint.is_empty() && (!listed || gang.saved < run) {
             (gang.checkpoint, gang.saved) = (checkpoint.into(), run);
         }
+        if failed && gang.failed < run {
+            (gang.failures, gang.failed) = (gang.failures + 1, run);
+        }
+        gang.failures
     }
 
     pub(super) fn remove(&mut self, key: &StepKey) {
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -331,7 +331,7 @@
             _ if !gang => {}
             TaskEvent::Done => self.gangs.remove(&key.step_key()),
             TaskEvent::Start | TaskEvent::Failed | TaskEvent::Interrupted => {
-                self.gangs.end(key.step_key(), run, ending, checkpoint);
+                failed = self.gangs.end(key.step_key(), run, ending, checkpoint);
             }
         }
         if failed >= max_attempts {
--- a/lib/tests/jobs/gangs.rs
+++ b/lib/tests/jobs/gangs.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hickorylink_lib::jobs::{
+    lifecycle::JobPhase,
     model::{JobId, Run, Step, StepOptions},
     record::Ending,
 };
@@ -220,6 +221,41 @@
     }
 }
 
+/// Guards against a gang that fails without end, a member at a time, as failures were counted for each
+/// member.
+#[test]
+fn a_gang_fails_after_the_maximum_of_failed_runs() {
+    struct Case {
+        name: &'static str,
+        /// The workers whose members fail, for each run. The other members are broken.
+        failing: &'static [&'static [usize]],
+        want: JobPhase,
+    }
+    let cases = [
+        Case {
+            name: "the same members",
+            failing: &[&[0], &[0], &[0], &[0]],
+            want: JobPhase::Failed,
+        },
+        Case { name: "other members", failing: &[&[0], &[1], &[0], &[1]], want: JobPhase::Failed },
+        Case { name: "three times", failing: &[&[0], &[1], &[0]], want: JobPhase::Active },
+        Case { name: "all at once", failing: &[&[0, 1], &[0, 1]], want: JobPhase::Active },
+        Case { name: "not at all", failing: &[&[], &[], &[], &[], &[]], want: JobPhase::Active },
+    ];
+    for case in cases {
+        let mut gangs = Gangs::start(4);
+        for (run, failing) in (1..).zip(case.failing) {
+            gangs.run_until(Run(run), 4);
+            for at in 0..gangs.workers.len() {
+                let ending =
+                    if failing.contains(&at) { Ending::Failed } else { Ending::GangBroken };
+                gangs.end(at, ending, "");
+            }
+        }
+        assert_eq!(gangs.world.phase(7), case.want, "{}", case.name);
+    }
+}
+
 /// Guards against any order of ends, crashes, lost responses and changes of the leader in which two
 /// members of one run are started with different checkpoints.
 #[test]
