jobs: log what keeps long-running tasks from starting again

The leader now logs once a second the step that has waited longest, from 3 s on, with the number of workers by the first obstacle.

--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -21,6 +21,7 @@
 pub mod members;
 pub mod model;
 pub mod neighbours;
+pub mod obstacle;
 pub mod pace;
 pub mod placement;
 pub mod pool;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -47,6 +47,7 @@
 mod respond;
 mod round;
 mod schedule;
+mod stranded;
 mod turn;
 mod watch;
 
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -276,6 +276,19 @@
         /// The number of crashes.
         crashes: u32,
     },
+    /// Long-running tasks that have run before wait for long.
+    Stranded {
+        /// The step.
+        step: String,
+        /// The number of tasks that wait.
+        tasks: usize,
+        /// The number of these that may have crashed a worker.
+        suspects: usize,
+        /// For how long the step has waited, in milliseconds.
+        waited_ms: u64,
+        /// The number of workers by what keeps them from running a task.
+        workers: Vec<(&'static str, u32)>,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -143,7 +143,7 @@
     }
 
     /// The indexes of the step's tasks without a current run.
-    fn waiting_tasks(&self, key: &StepKey, step: &Step) -> Vec<u32> {
+    pub(super) fn waiting_tasks(&self, key: &StepKey, step: &Step) -> Vec<u32> {
         match self.state.progress(key) {
             None => (0..step.count).collect(),
             Some(progress) => (0..)
--- a/lib/src/jobs/placement.rs
+++ b/lib/src/jobs/placement.rs
@@ -152,17 +152,20 @@
     if request.avoid.contains(&number) { AVOIDED_COST } else { 0 }
 }
 
+/// Whether the service, the labels and the spread allow the task on a worker.
+pub fn may_run(worker: &Worker, request: &Request<'_>) -> bool {
+    let Some(profile) = &worker.profile else { return false };
+    let step = request.step;
+    profile.service == *request.service
+        && step.label.as_ref().is_none_or(|label| profile.labels.contains(label))
+        && step.spread.is_none_or(|max| worker.count(&request.key) < max)
+}
+
 /// The cost of placing the task on a worker; `None` if it may not run there.
 fn cost(worker: &Worker, request: &Request<'_>) -> Option<u64> {
     let step = request.step;
     let profile = worker.profile.as_ref()?;
-    if profile.service != *request.service {
-        return None;
-    }
-    if step.label.as_ref().is_some_and(|label| !profile.labels.contains(label)) {
-        return None;
-    }
-    if step.spread.is_some_and(|max| worker.count(&request.key) >= max) {
+    if !may_run(worker, request) {
         return None;
     }
     let far = step.rack.as_ref().is_some_and(|rack| !profile.labels.contains(rack));
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -31,7 +31,7 @@
 
 impl Candidates {
     /// Whether runs may be started on the worker.
-    fn include(self, worker: &Worker, now: Time) -> bool {
+    pub(super) fn include(self, worker: &Worker, now: Time) -> bool {
         let reachable = match self {
             Self::Held => worker.held.is_some(),
             Self::Live => worker.held.is_some() || now.since(worker.last_heartbeat) < LIVE_TIMEOUT,
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -5,7 +5,7 @@
 use crate::{
     jobs::{
         model::{JobId, Step, StepKey},
-        rank::Rank,
+        rank::{Class, Rank},
     },
     resources::Resources,
     time::WallTime,
@@ -71,6 +71,12 @@
         self.order.values()
     }
 
+    /// The steps of this class.
+    pub fn of_class(&self, class: Class) -> impl Iterator<Item = &WaitingStep> {
+        let steps = self.order.iter();
+        steps.filter(move |((rank, _), _)| rank.class == class).map(|(_, step)| step)
+    }
+
     /// A step and its rank.
     pub fn get(&self, key: &StepKey) -> Option<(Rank, &WaitingStep)> {
         let rank = *self.ranks.get(key)?;
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -1,5 +1,6 @@
 //! Tests of jobs: the replicated state, controllers and gateways.
 
+mod avoidance;
 mod calls;
 mod capacity;
 mod capacity_properties;
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -32,6 +32,11 @@
             debug!(log, "tasks start"; "step" => step, "tasks" => tasks, "waiting" => waiting,
                 "worker" => worker, "age_ms" => age_ms);
         }
+        LogEvent::Stranded { step, tasks, suspects, waited_ms, workers } => {
+            let workers: Vec<_> = workers.iter().map(|(what, n)| format!("{what}:{n}")).collect();
+            info!(log, "long-running tasks wait"; "step" => step, "tasks" => tasks,
+                "suspects" => suspects, "waited_ms" => waited_ms, "workers" => workers.join(" "));
+        }
         LogEvent::Committed { .. } => {}
         LogEvent::Ended { task, run, ending, worker } => {
             info!(log, "a run ended"; "task" => task, "run" => run, "ending" => ending,
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -194,6 +194,7 @@
             LogEvent::Unreadable { .. } | LogEvent::Unhandled { .. } => drop(self.faults.inc()),
             LogEvent::Leading { .. }
             | LogEvent::Ignored { .. }
+            | LogEvent::Stranded { .. }
             | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
             | LogEvent::TooFewVoters { .. }
