jobs: start long-running tasks on avoided workers as a last resort

Cause: no run starts for 6 s on a worker whose runs fail, stall or are slow, and further failures renew that. In a full service it is the worker that has room. Most of the time there is no room for a whole task, which the rule doesn't count.

That it is what the users saw is only suspected.

--- a/lib/src/jobs/controller/round.rs
+++ b/lib/src/jobs/controller/round.rs
@@ -6,7 +6,7 @@
     jobs::{
         fleet::Fleet,
         model::WorkerNumber,
-        placement::{Request, Unplaceable, choose_worker},
+        placement::{Request, SpeedRequirement, Unplaceable, choose_worker},
         pool::{Candidates, Pool},
         waiting::{Demand, WaitingStep},
     },
@@ -22,13 +22,28 @@
 struct Pools {
     held: Pool,
     live: Pool,
+    last_resort: Pool,
     unplaceable: Unplaceable,
 }
 
 impl Pools {
+    fn new(pool: impl Fn(Candidates) -> Pool) -> Self {
+        Self {
+            held: pool(Candidates::Held),
+            live: pool(Candidates::Live),
+            last_resort: pool(Candidates::LastResort),
+            unplaceable: Unplaceable::default(),
+        }
+    }
+
     fn pool(&self, demand: &Demand) -> &Pool {
         if demand.patient { &self.live } else { &self.held }
     }
+
+    /// The workers on which a task may start however long it has waited.
+    fn widest(&self, demand: &Demand) -> &Pool {
+        if demand.long_running { &self.last_resort } else { self.pool(demand) }
+    }
 }
 
 /// A round of placement. A step that was tried before is tried only on workers that have changed in
@@ -44,12 +59,7 @@
 impl Round {
     pub(super) fn new(fleet: &Fleet, now: Time, changed: &BTreeSet<WorkerNumber>) -> Self {
         let pool = |candidates| Pool::of(fleet, now, candidates, changed.iter().copied());
-        let changed = Pools {
-            held: pool(Candidates::Held),
-            live: pool(Candidates::Live),
-            unplaceable: Unplaceable::default(),
-        };
-        Self { changed, all: None, evaluated: 0 }
+        Self { changed: Pools::new(pool), all: None, evaluated: 0 }
     }
 
     /// Whether too many workers were evaluated to go on in this turn.
@@ -60,7 +70,7 @@
     /// Whether a task of the step may find a worker. `false` is certain.
     pub(super) fn may_fit(&self, step: &WaitingStep) -> bool {
         let pools = if step.tried { Some(&self.changed) } else { self.all.as_ref() };
-        pools.is_none_or(|pools| pools.pool(&step.demand).may_fit(&step.demand))
+        pools.is_none_or(|pools| pools.widest(&step.demand).may_fit(&step.demand))
     }
 
     /// The best worker for a task of the step.
@@ -74,22 +84,24 @@
         let pools = if step.tried {
             &mut self.changed
         } else {
-            self.all.get_or_insert_with(|| Pools {
-                held: Pool::all(fleet, now, Candidates::Held),
-                live: Pool::all(fleet, now, Candidates::Live),
-                unplaceable: Unplaceable::default(),
-            })
+            self.all
+                .get_or_insert_with(|| Pools::new(|candidates| Pool::all(fleet, now, candidates)))
         };
         if pools.unplaceable.covers(request) {
             return None;
         }
         let found = choose_worker(fleet, pools.pool(&step.demand), request, &mut self.evaluated);
-        if found.is_none() {
-            pools.unplaceable.add(request);
-            pools.held.tighten();
-            pools.live.tighten();
+        if found.is_some() {
+            return found;
+        }
+        pools.unplaceable.add(request);
+        pools.held.tighten();
+        pools.live.tighten();
+        pools.last_resort.tighten();
+        if step.demand.long_running && request.speed == SpeedRequirement::Any {
+            return choose_worker(fleet, &pools.last_resort, request, &mut self.evaluated);
         }
-        found
+        None
     }
 
     /// Updates the room of a worker whose runs have changed.
@@ -98,6 +110,7 @@
         for pools in std::iter::once(&mut self.changed).chain(&mut self.all) {
             pools.held.update(number, worker);
             pools.live.update(number, worker);
+            pools.last_resort.update(number, worker);
         }
     }
 }
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -339,12 +339,12 @@
 
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
-        let heard = self.profile.is_some();
-        heard
-            && self.confirmed
-            && !self.is_leaving()
-            && !self.is_overcommitted()
-            && self.health.is_healthy(now)
+        self.can_start() && self.health.is_healthy(now)
+    }
+
+    /// Whether runs could be started on the worker if its health allowed it.
+    pub fn can_start(&self) -> bool {
+        self.profile.is_some() && self.confirmed && !self.is_leaving() && !self.is_overcommitted()
     }
 }
 
--- a/lib/src/jobs/placement.rs
+++ b/lib/src/jobs/placement.rs
@@ -41,7 +41,8 @@
     pub avoid: &'a [WorkerNumber],
     /// The learned interference between images.
     pub interference: &'a Interference,
-    /// The minimum speed at which an opportunistic task may be placed.
+    /// The minimum speed at which an opportunistic task may be placed. Long-running tasks that may run at
+    /// any speed may also run on workers that are avoided, if no other has room.
     pub speed: SpeedRequirement,
     /// Whether the task may have crashed a worker, so that it should endanger few other runs.
     pub probation: bool,
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -27,16 +27,19 @@
     Held,
     /// Workers with a recent heartbeat: they receive a start with the answer to their next one.
     Live,
+    /// Live workers, and those of them that are avoided since their runs fail, stall or are slow.
+    LastResort,
 }
 
 impl Candidates {
     /// Whether runs may be started on the worker.
     pub(super) fn include(self, worker: &Worker, now: Time) -> bool {
-        let reachable = match self {
-            Self::Held => worker.held.is_some(),
-            Self::Live => worker.held.is_some() || now.since(worker.last_heartbeat) < LIVE_TIMEOUT,
-        };
-        reachable && worker.is_usable(now)
+        let live = worker.held.is_some() || now.since(worker.last_heartbeat) < LIVE_TIMEOUT;
+        match self {
+            Self::Held => worker.held.is_some() && worker.is_usable(now),
+            Self::Live => live && worker.is_usable(now),
+            Self::LastResort => live && worker.can_start(),
+        }
     }
 }
 
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -21,6 +21,8 @@
     pub unreserved: u64,
     /// Whether its start may wait for the worker's next heartbeat.
     pub patient: bool,
+    /// Whether it runs until its job is cancelled.
+    pub long_running: bool,
 }
 
 impl Demand {
@@ -30,6 +32,7 @@
             reserved: step.reserved(),
             unreserved: if step.options.opportunistic { step.needs.millicores } else { 0 },
             patient: step.options.long_running || step.options.gang,
+            long_running: step.options.long_running,
         }
     }
 }
