--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -322,22 +322,18 @@
     fn reconcile(&mut self, now: Time, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
-        let missing: Vec<_> = missing
-            .map(|(task, view)| {
-                let was_missing = std::mem::replace(&mut view.missing, true);
-                (*task, (view.run, view.order), (view.listed, view.sent), was_missing)
-            })
-            .collect();
+        let missing: Vec<_> = missing.map(|(task, view)| MissingRun::new(*task, view)).collect();
         let mut unlisted = Vec::new();
         let mut arrived = true;
-        for (task, (run, order), (was_listed, was_sent), was_missing) in missing {
+        for MissingRun { start, run, was_listed, was_sent } in missing {
+            let task = start.task;
             let current = self.is_current(number, &task, run);
             if current && !was_listed {
-                unlisted.push(UnlistedStart { task, order, was_missing });
+                unlisted.push(start);
                 arrived &= !was_sent;
                 continue;
             }
-            if was_listed && !was_missing {
+            if was_listed && !start.was_missing {
                 continue;
             }
             let worker = self.fleet.workers.get_mut(&number);
@@ -360,6 +356,23 @@
     }
 }
 
+/// A run that is absent from its worker's list.
+struct MissingRun {
+    start: UnlistedStart,
+    run: Run,
+    was_listed: bool,
+    was_sent: bool,
+}
+
+impl MissingRun {
+    /// Marks the run as missing.
+    fn new(task: TaskKey, view: &mut RunView) -> Self {
+        let was_missing = std::mem::replace(&mut view.missing, true);
+        let start = UnlistedStart { task, order: view.order, was_missing };
+        Self { start, run: view.run, was_listed: view.listed, was_sent: view.sent }
+    }
+}
+
 /// Stops runs on a leaving worker that can continue elsewhere: long-running tasks, and tasks with
 /// checkpoints that won't be done in time.
 fn evacuate(worker: &mut Worker, now: Time) {
--- a/lib/src/jobs/controller/stranded.rs
+++ b/lib/src/jobs/controller/stranded.rs
@@ -50,11 +50,11 @@
         for worker in self.fleet.workers.values() {
             *workers.entry(Obstacle::of(worker, now, &request)).or_default() += 1;
         }
-        let delayed = tasks.iter().filter(|index| self.is_suspect(&key.task(**index))).count();
+        let suspects = tasks.iter().filter(|index| self.is_suspect(&key.task(**index))).count();
         Some(LogEvent::Stranded {
             step: key.to_string(),
             tasks: tasks.len(),
-            suspects: delayed,
+            suspects,
             waited_ms,
             workers: workers.into_iter().map(|(what, count)| (what.name(), count)).collect(),
         })
--- a/lib/tests/jobs/gangs.rs
+++ b/lib/tests/jobs/gangs.rs
@@ -2,14 +2,19 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use hickorylink_lib::jobs::{
-    lifecycle::JobPhase,
-    model::{JobId, Run, Step, StepOptions},
-    record::Ending,
+use hickorylink_lib::{
+    jobs::{
+        call::{Action, Reply},
+        controller::Event,
+        lifecycle::JobPhase,
+        model::{JobId, Run, Step, StepOptions},
+        record::Ending,
+    },
+    resources::Resources,
 };
 use quickcheck::{Gen, QuickCheck, TestResult};
 
-use crate::world::{FakeWorker, World, step, task};
+use crate::world::{FakeWorker, World, path, step, task};
 
 /// A gang with checkpoints.
 fn gang(count: u32) -> Step {
@@ -49,11 +54,7 @@
     /// A gang of `count` members that all run.
     fn start(count: u32) -> Self {
         let workers = (0..2).map(|at| FakeWorker {
-            capacity: hickorylink_lib::resources::Resources {
-                millicores: 2000,
-                memory_mib: 4000,
-                accelerators: 0,
-            },
+            capacity: Resources { millicores: 2000, memory_mib: 4000, accelerators: 0 },
             ..FakeWorker::new(&format!("w{at}"))
         });
         let world = World::new();
@@ -275,11 +276,7 @@
                 6 => {
                     // A heartbeat whose response is lost.
                     let report = Box::new(gangs.workers[at].report());
-                    let event = |ticket| hickorylink_lib::jobs::controller::Event::Heartbeat {
-                        ticket,
-                        report,
-                    };
-                    let ticket = gangs.world.send(event);
+                    let ticket = gangs.world.send(|ticket| Event::Heartbeat { ticket, report });
                     if let Some(response) = gangs.world.response(ticket) {
                         for start in response.starts {
                             let sent = gangs.starts.entry(start.run).or_default();
@@ -313,8 +310,7 @@
         }
     };
     let cancel = |gangs: &mut Gangs| {
-        use hickorylink_lib::jobs::call::{Action, Reply};
-        let reply = gangs.world.call(&crate::world::path(7), Action::Cancel);
+        let reply = gangs.world.call(&path(7), Action::Cancel);
         assert_eq!(reply, Reply::Cancelled);
     };
     let cases = [Case { name: "done", finish: done }, Case { name: "cancelled", finish: cancel }];
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -7,7 +7,7 @@
         controller::{Answer, Event, Ticket},
         crash::{CrashEntry, CrashRecord},
         lifecycle::JobPhase,
-        model::{JobSpec, Step, TaskKey, WorkerNumber},
+        model::{JobId, JobSpec, Step, WorkerNumber},
         record::{Batch, Ending, Record},
     },
     resources::Resources,
@@ -92,7 +92,7 @@
         };
         let records = (0..).map(worker).take(case.records).collect();
         let absolve = |after: &u32| {
-            let task = TaskKey { job: JOB, occurrence: 0, step: 0, index: *after };
+            let task = task(JobId(7), 0, *after);
             CrashEntry { after: *after, record: CrashRecord::Absolve { task } }
         };
         let crashes = case.crashes.iter().map(absolve).collect();
@@ -119,8 +119,6 @@
     }
 }
 
-const JOB: hickorylink_lib::jobs::model::JobId = hickorylink_lib::jobs::model::JobId(7);
-
 /// Guards against a worker whose heartbeats list more runs than a controller accepts. It counted as
 /// silent, and all its runs were given up.
 #[test]
