jobs: collect avoided workers by themselves for placement

A round collected the live workers twice, once with those that are avoided. Computing the room of each worker a third time per turn costs most where there are thousands of workers; the avoided ones are few. No change of what is placed where: the pool of avoided workers is used only once the pool of live ones had none.

--- a/lib/src/jobs/controller/round.rs
+++ b/lib/src/jobs/controller/round.rs
@@ -22,7 +22,7 @@
 struct Pools {
     held: Pool,
     live: Pool,
-    last_resort: Pool,
+    avoided: Pool,
     unplaceable: Unplaceable,
 }
 
@@ -31,7 +31,7 @@
         Self {
             held: pool(Candidates::Held),
             live: pool(Candidates::Live),
-            last_resort: pool(Candidates::LastResort),
+            avoided: pool(Candidates::Avoided),
             unplaceable: Unplaceable::default(),
         }
     }
@@ -40,9 +40,9 @@
         if demand.patient { &self.live } else { &self.held }
     }
 
-    /// The workers on which a task may start however long it has waited.
-    fn widest(&self, demand: &Demand) -> &Pool {
-        if demand.long_running { &self.last_resort } else { self.pool(demand) }
+    /// Whether a task may find a worker, however long it has waited. `false` is certain.
+    fn may_fit(&self, demand: &Demand) -> bool {
+        self.pool(demand).may_fit(demand) || demand.long_running && self.avoided.may_fit(demand)
     }
 }
 
@@ -70,7 +70,7 @@
     /// Whether a task of the step may find a worker. `false` is certain.
     pub(super) fn may_fit(&self, step: &WaitingStep) -> bool {
         let pools = if step.tried { Some(&self.changed) } else { self.all.as_ref() };
-        pools.is_none_or(|pools| pools.widest(&step.demand).may_fit(&step.demand))
+        pools.is_none_or(|pools| pools.may_fit(&step.demand))
     }
 
     /// The best worker for a task of the step.
@@ -97,9 +97,9 @@
         pools.unplaceable.add(request);
         pools.held.tighten();
         pools.live.tighten();
-        pools.last_resort.tighten();
+        pools.avoided.tighten();
         if step.demand.long_running && request.speed == SpeedRequirement::Any {
-            return choose_worker(fleet, &pools.last_resort, request, &mut self.evaluated);
+            return choose_worker(fleet, &pools.avoided, request, &mut self.evaluated);
         }
         None
     }
@@ -110,7 +110,7 @@
         for pools in std::iter::once(&mut self.changed).chain(&mut self.all) {
             pools.held.update(number, worker);
             pools.live.update(number, worker);
-            pools.last_resort.update(number, worker);
+            pools.avoided.update(number, worker);
         }
     }
 }
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -27,8 +27,8 @@
     Held,
     /// Workers with a recent heartbeat: they receive a start with the answer to their next one.
     Live,
-    /// Live workers, and those of them that are avoided since their runs fail, stall or are slow.
-    LastResort,
+    /// Workers with a recent heartbeat that are avoided, since their runs fail, stall or are slow.
+    Avoided,
 }
 
 impl Candidates {
@@ -38,7 +38,7 @@
         match self {
             Self::Held => worker.held.is_some() && worker.is_usable(now),
             Self::Live => live && worker.is_usable(now),
-            Self::LastResort => live && worker.can_start(),
+            Self::Avoided => !worker.health.is_healthy(now) && live && worker.can_start(),
         }
     }
 }
