jobs: measure how long a step waits on the monotonic clock

Operators and users saw long-running tasks wait longer for a place than the 2 s that are meant, or less long, after a step of the leader's wall clock; the reports of waiting tasks came late, or early and with a wrong duration.

Cause: the queue kept the wall-clock time at which a step was queued, and `starving_tasks` and `report_stranded` compared it with the current one. After a step back the difference was zero until the clock had caught up. A duration inside one leader needs no wall clock: the queue isn't replicated.

The queue keeps `Time`, and `now` is an argument of everything that may queue a step, which is every record. Rebuilding the queue keeps the ages as before. Ranks and due times stay on the wall clock, since the time at which a job was accepted is replicated.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -329,7 +329,7 @@
             let epoch = Epoch(status.term.0);
             let state = self.committed.clone();
             let mut leader = Leader::new(state, epoch, &self.config, now, wall, out);
-            leader.record_node(&self.config.me);
+            leader.record_node(now, &self.config.me);
             self.leader = Some(leader);
         }
     }
--- a/lib/src/jobs/controller/calls.rs
+++ b/lib/src/jobs/controller/calls.rs
@@ -83,7 +83,7 @@
                 age_ms: 0,
             }));
             leader.wall = wall;
-            leader.record(Record::Submit { id, queue, at: wall, spec });
+            leader.record(now, Record::Submit { id, queue, at: wall, spec });
         }
         leader.answers.push((ticket, Answer::Reply(Reply::Accepted)));
     }
@@ -94,7 +94,7 @@
             return self.answer(now, ticket, Answer::Reply(Reply::NoJob), out);
         };
         if job.phase.is_open() {
-            leader.record(Record::Cancel { id });
+            leader.record(now, Record::Cancel { id });
             leader.schedule_forget(now, id);
         }
         leader.answers.push((ticket, Answer::Reply(Reply::Cancelled)));
@@ -122,8 +122,8 @@
                 let Some(leader) = &mut self.leader else { return };
                 let current = leader.state.config.as_ref().map(|current| current.version);
                 if current.is_none_or(|current| current < config.version) {
-                    leader.record(Record::Configure(*config));
-                    leader.requeue();
+                    leader.record(now, Record::Configure(*config));
+                    leader.requeue(now);
                 }
                 leader.answers.push((ticket, Answer::Operator(OperatorReply::Stored)));
             }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -154,7 +154,7 @@
         self.blame_lapsed(now, report);
         let number = WorkerNumber(self.state.last_worker.0 + 1);
         let (name, incarnation) = (report.name.clone(), report.incarnation);
-        self.record(Record::AddWorker { number, name: name.clone(), incarnation });
+        self.record(now, Record::AddWorker { number, name: name.clone(), incarnation });
         let (state, runs) = ("was heard first", report.running.len());
         self.log_events.push(LogEvent::Worker {
             name: name.to_string(),
@@ -248,16 +248,22 @@
         ending: Ending,
         checkpoint: &str,
     ) {
-        self.record(Record::End { task, run, ending, checkpoint: checkpoint.into() });
+        self.record(now, Record::End { task, run, ending, checkpoint: checkpoint.into() });
         if self.state.jobs.get(&task.job).is_some_and(|job| !job.phase.is_open()) {
             self.schedule_forget(now, task.job);
         }
     }
 
     /// Records that a run was lost. Its task continues from the latest checkpoint that was listed.
-    pub(super) fn record_lost_run(&mut self, task: TaskKey, run: Run, checkpoint: Box<str>) {
+    pub(super) fn record_lost_run(
+        &mut self,
+        now: Time,
+        task: TaskKey,
+        run: Run,
+        checkpoint: Box<str>,
+    ) {
         self.note_broken(&task);
-        self.record(Record::End { task, run, ending: Ending::LeaseExpired, checkpoint });
+        self.record(now, Record::End { task, run, ending: Ending::LeaseExpired, checkpoint });
     }
 
     /// Updates the runs that the worker lists and returns their tasks.
@@ -340,7 +346,7 @@
             let view = worker.and_then(|worker| worker.remove(&task));
             if current {
                 let checkpoint = view.map(|view| view.checkpoint).unwrap_or_default();
-                self.record_lost_run(task, run, checkpoint);
+                self.record_lost_run(now, task, run, checkpoint);
             }
         }
         if let Some(worker) = self.fleet.workers.get_mut(&number) {
--- a/lib/src/jobs/controller/hellos.rs
+++ b/lib/src/jobs/controller/hellos.rs
@@ -35,7 +35,7 @@
         }
         Self::report_heard(node.peer, &new, out);
         if let Some(leader) = &mut self.leader {
-            leader.record_node(node);
+            leader.record_node(now, node);
         }
     }
 
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -164,7 +164,7 @@
         let open = leader.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         for id in &open {
-            leader.admit_job(*id);
+            leader.admit_job(now, *id);
         }
         let closed = leader.state.jobs.iter().filter(|(_, job)| !job.phase.is_open());
         leader.ended = closed.map(|(id, _)| (now + timing.retain, *id)).collect();
@@ -212,9 +212,9 @@
     }
 
     /// Records the addresses of a controller if they have changed.
-    pub(super) fn record_node(&mut self, node: &Node) {
+    pub(super) fn record_node(&mut self, now: Time, node: &Node) {
         if self.state.nodes.get(&node.id) != Some(node) {
-            self.record(Record::Node(node.clone()));
+            self.record(now, Record::Node(node.clone()));
         }
     }
 
@@ -226,9 +226,9 @@
         Some((rank(job, queue, key, self.wall), Demand::new(step)))
     }
 
-    pub(super) fn enqueue(&mut self, step: StepKey) {
+    pub(super) fn enqueue(&mut self, now: Time, step: StepKey) {
         if let Some((rank, demand)) = self.rank(&step) {
-            self.waiting.insert(step, rank, demand, self.wall);
+            self.waiting.insert(step, rank, demand, now);
         }
     }
 
@@ -317,7 +317,7 @@
             jobs.push(id);
         }
         if !jobs.is_empty() {
-            self.record(Record::Forget { jobs });
+            self.record(now, Record::Forget { jobs });
         }
     }
 
@@ -351,10 +351,10 @@
             if view.checkpoint.is_empty() {
                 self.note_broken(&task);
             } else {
-                self.record_lost_run(task, view.run, view.checkpoint);
+                self.record_lost_run(now, task, view.run, view.checkpoint);
             }
         }
-        self.record(Record::RemoveWorker { worker: number });
+        self.record(now, Record::RemoveWorker { worker: number });
     }
 
     /// Handles a worker's message that it leaves, including its last ends. Its other runs are given
--- a/lib/src/jobs/controller/occurrences.rs
+++ b/lib/src/jobs/controller/occurrences.rs
@@ -1,22 +1,25 @@
 //! Occurrences of repeated jobs, which begin when they are due.
 
-use crate::jobs::{controller::leader::Leader, model::JobId};
+use crate::{
+    jobs::{controller::leader::Leader, model::JobId},
+    time::Time,
+};
 
 impl Leader {
     /// Queues the steps of a job that are ready and schedules its next occurrence.
-    pub(super) fn admit_job(&mut self, id: JobId) {
+    pub(super) fn admit_job(&mut self, now: Time, id: JobId) {
         let Some(job) = self.state.jobs.get(&id) else { return };
         let spec = job.spec.clone();
         if spec.schedule.is_none() {
             for step in self.state.ready_steps(id, 0) {
-                self.enqueue(step);
+                self.enqueue(now, step);
             }
             return;
         }
         let begun: Vec<u32> = job.occurrences.keys().copied().collect();
         for occurrence in begun {
             for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(step);
+                self.enqueue(now, step);
             }
         }
         let first = self.state.jobs.get(&id).map_or(0, |job| {
@@ -38,7 +41,7 @@
     }
 
     /// Queues the steps of the occurrences that are due.
-    pub(super) fn start_due_occurrences(&mut self) {
+    pub(super) fn start_due_occurrences(&mut self, now: Time) {
         let mut blocked = Vec::new();
         while let Some(next) = self.upcoming.first().copied().filter(|(due, ..)| *due <= self.wall)
         {
@@ -49,7 +52,7 @@
                 continue;
             }
             for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(step);
+                self.enqueue(now, step);
             }
             self.schedule_occurrence(id, occurrence + 1);
         }
--- a/lib/src/jobs/controller/probation.rs
+++ b/lib/src/jobs/controller/probation.rs
@@ -76,7 +76,7 @@
         let names = tasks.iter().map(TaskKey::to_string);
         let suspects = names.zip(counts.iter().copied()).collect();
         self.log_events.push(LogEvent::Crash { worker: worker.to_owned(), suspects });
-        self.record_crash(CrashRecord::Blame { tasks: tasks.to_vec() });
+        self.record_crash(now, CrashRecord::Blame { tasks: tasks.to_vec() });
         for (task, crashes) in tasks.iter().zip(counts) {
             let long_running =
                 self.state.step(&task.step_key()).is_some_and(|step| step.options.long_running);
@@ -143,7 +143,7 @@
                 worker.probation = None;
             }
             if self.is_suspect(&task) && self.is_current(number, &task, run) {
-                self.record_crash(CrashRecord::Absolve { task });
+                self.record_crash(now, CrashRecord::Absolve { task });
                 self.suspects.absolve(&task);
             }
         }
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -1,10 +1,13 @@
 //! The records and answers that a turn of the leader produces.
 
-use crate::jobs::{
-    controller::{Answer, Ticket, leader::Leader},
-    crash::{CrashEntry, CrashRecord},
-    record::Record,
-    state::Change,
+use crate::{
+    jobs::{
+        controller::{Answer, Ticket, leader::Leader},
+        crash::{CrashEntry, CrashRecord},
+        record::Record,
+        state::Change,
+    },
+    time::Time,
 };
 
 /// The result of a turn: records to propose, and answers.
@@ -30,28 +33,28 @@
 
 impl Leader {
     /// Applies a decision to the working copy and adds it to the next proposal.
-    pub(super) fn record(&mut self, record: Record) {
+    pub(super) fn record(&mut self, now: Time, record: Record) {
         let mut changes = std::mem::take(&mut self.changes);
         self.state.apply(&record, &mut changes);
         self.records.push(record);
-        self.follow(changes);
+        self.follow(now, changes);
     }
 
     /// Applies a change of the crash counts to the working copy and adds it to the next proposal.
-    pub(super) fn record_crash(&mut self, record: CrashRecord) {
+    pub(super) fn record_crash(&mut self, now: Time, record: CrashRecord) {
         let mut changes = std::mem::take(&mut self.changes);
         self.state.apply_crash(&record, &mut changes);
         let after = u32::try_from(self.records.len()).unwrap_or(u32::MAX);
         self.crashes.push(CrashEntry { after, record });
-        self.follow(changes);
+        self.follow(now, changes);
     }
 
     /// Acts on the effects of a record.
-    fn follow(&mut self, mut changes: Vec<Change>) {
+    fn follow(&mut self, now: Time, mut changes: Vec<Change>) {
         for change in changes.drain(..) {
             match change {
-                Change::Accepted(id) => self.admit_job(id),
-                Change::Ready(step) => self.enqueue(step),
+                Change::Accepted(id) => self.admit_job(now, id),
+                Change::Ready(step) => self.enqueue(now, step),
                 Change::Ended(id) => self.close_job(id),
             }
         }
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -1,5 +1,7 @@
 //! Placement of waiting tasks at the end of each turn.
 
+use std::time::Duration;
+
 use crate::{
     ids::ServiceName,
     jobs::{
@@ -16,9 +18,9 @@
     time::{Time, WallTime},
 };
 
-/// How long a step waits for a place at full speed while its service is idle, in milliseconds.
-/// Users give a job up if it doesn't run within 3 s.
-const STARVATION_MS: u64 = 2000;
+/// How long a step waits for a place at full speed while its service is idle. Users give a job up if
+/// it doesn't run within 3 s.
+const STARVATION_TIMEOUT: Duration = Duration::from_secs(2);
 
 impl Leader {
     /// Ends a turn: places waiting tasks and answers heartbeats. Returns the records to propose.
@@ -29,7 +31,7 @@
         out: &mut Vec<Effect>,
     ) -> Proposal {
         self.wall = wall;
-        self.start_due_occurrences();
+        self.start_due_occurrences(now);
         self.expire_leases(now);
         self.stop_broken_gangs(now);
         self.place_waiting(now);
@@ -43,13 +45,13 @@
 
     /// Rebuilds the queue after a change of the queues' priorities or services. A step keeps the time
     /// for which it has waited.
-    pub(super) fn requeue(&mut self) {
+    pub(super) fn requeue(&mut self, now: Time) {
         let open = self.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         let before = std::mem::take(&mut self.waiting);
         self.upcoming.clear();
         for id in open {
-            self.admit_job(id);
+            self.admit_job(now, id);
         }
         self.waiting.keep_ages(&before);
     }
@@ -92,7 +94,7 @@
         if step.options.gang {
             return self.place_gang(now, waiting, (step, &service), &indexes, round);
         }
-        let starving = self.starving_tasks(job, step, &key, &service);
+        let starving = self.starving_tasks(now, job, step, &key, &service);
         let mut started = 0;
         let mut last = None;
         // The suspects come last: that one of them finds no worker says nothing about the others.
@@ -123,17 +125,18 @@
     }
 
     /// The number of tasks that may start at any speed: one, if the step is overdue or has waited
-    /// longer than `STARVATION_MS` while its service has free capacity, and no task of its occurrence
+    /// longer than `STARVATION_TIMEOUT` while its service has free capacity, and no task of its occurrence
     /// runs. Each task that lasts has users of its own, so all of them may after that time.
     fn starving_tasks(
         &self,
+        now: Time,
         job: &Job,
         step: &Step,
         key: &StepKey,
         service: &ServiceName,
     ) -> usize {
         let Some((rank, waiting)) = self.waiting.get(key) else { return 0 };
-        let waited = self.wall.0.saturating_sub(waiting.since.0) > STARVATION_MS;
+        let waited = now.since(waiting.since) > STARVATION_TIMEOUT;
         if step.options.long_running {
             return if waited { usize::MAX } else { 0 };
         }
@@ -204,7 +207,7 @@
     }
 
     fn start(&mut self, now: Time, task: TaskKey, run: Run, worker: WorkerNumber, step: &Step) {
-        self.record(Record::Start { task, run, worker });
+        self.record(now, Record::Start { task, run, worker });
         self.suspects.release(&task);
         self.starts += 1;
         let view = RunView { order: self.starts, ..self.new_view(now, &task, run, step) };
--- a/lib/src/jobs/controller/stranded.rs
+++ b/lib/src/jobs/controller/stranded.rs
@@ -13,8 +13,8 @@
     time::Time,
 };
 
-/// How long a step must have waited to be reported, in milliseconds.
-const STRANDED_MS: u64 = 3000;
+/// How long a step must have waited to be reported.
+const STRANDED_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// The interval between two reports.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
@@ -28,10 +28,11 @@
         self.next_stranded = now + REPORT_INTERVAL;
         let restarted = self.waiting.of_class(Class::Restarted);
         let Some(step) = restarted.min_by_key(|step| step.since).copied() else { return };
-        let waited_ms = self.wall.0.saturating_sub(step.since.0);
-        if waited_ms < STRANDED_MS {
+        let waited = now.since(step.since);
+        if waited < STRANDED_TIMEOUT {
             return;
         }
+        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
         if let Some(event) = self.stranded(now, &step, waited_ms) {
             self.log_events.push(event);
         }
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -8,7 +8,7 @@
         rank::{Class, Rank},
     },
     resources::Resources,
-    time::WallTime,
+    time::Time,
 };
 
 /// What one task of a step asks of a worker.
@@ -44,8 +44,8 @@
     pub key: StepKey,
     /// What each of its tasks asks for.
     pub demand: Demand,
-    /// When it was queued, by the wall clock.
-    pub since: WallTime,
+    /// When it was queued.
+    pub since: Time,
     /// Whether all workers were considered since its tasks became ready. It is then reconsidered
     /// only for workers that have changed.
     pub tried: bool,
@@ -87,7 +87,7 @@
     }
 
     /// Queues a step, or changes its rank. All workers will be considered for its tasks.
-    pub fn insert(&mut self, key: StepKey, rank: Rank, demand: Demand, now: WallTime) {
+    pub fn insert(&mut self, key: StepKey, rank: Rank, demand: Demand, now: Time) {
         let since = self.remove(&key).map_or(now, |step| step.since);
         self.ranks.insert(key, rank);
         self.order.insert((rank, key), WaitingStep { key, demand, since, tried: false });
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -4,6 +4,7 @@
 mod calls;
 mod capacity;
 mod capacity_properties;
+mod clock_steps;
 mod cluster;
 mod contacts;
 mod crashes;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -42,6 +42,8 @@
 pub(crate) struct World {
     pub(crate) controller: Controller,
     pub(crate) now: Time,
+    /// The wall-clock time when `now` is zero.
+    wall_start: WallTime,
     pub(crate) answers: BTreeMap<u64, Answer>,
     pub(crate) sent: Vec<Effect>,
     /// What storage would recover.
@@ -147,6 +149,7 @@
             lease,
             responses,
             now,
+            wall_start: WallTime(1_000_000),
             answers: BTreeMap::new(),
             sent: Vec::new(),
             stored: Recovered::default(),
@@ -196,8 +199,13 @@
         }
     }
 
+    /// Sets the wall clock forward, or back if `millis` is negative.
+    pub(crate) fn step_clock(&mut self, millis: i64) {
+        self.wall_start = WallTime(self.wall_start.0.saturating_add_signed(millis));
+    }
+
     pub(crate) fn handle(&mut self, mut events: Vec<Event>) {
-        let wall = WallTime(1_000_000 + self.now.as_nanos() / 1_000_000);
+        let wall = WallTime(self.wall_start.0 + self.now.as_nanos() / 1_000_000);
         while !events.is_empty() {
             let mut out = Vec::new();
             self.controller.handle(self.now, wall, events.drain(..), &mut out);
