jobs tests: show the room that held heartbeats hide from waiting tasks

Cause: a heartbeat of a full worker is held for up to 700 ms. A worker tells of an end 50 ms after it, or after the response that is outstanding, so the end of a run that fails (long-running ones may at any time) reaches the leader up to 0.7 s later. `hold_time` shortens the hold only for runs near or past their estimated end, and a long-running run has none.

--- /dev/null
+++ b/lib/tests/jobs/waiting.rs
@@ -0,0 +1,129 @@
+//! Long-running tasks that have run before wait no longer than it takes while a worker has room for them.
+
+use std::time::Duration;
+
+use hickorylink_lib::{
+    jobs::{
+        controller::{Answer, Event},
+        model::{Step, StepOptions},
+        record::Ending,
+    },
+    resources::Resources,
+    time::Time,
+};
+
+use crate::world::{FakeWorker, World, step};
+
+/// The interval between two steps of a simulation.
+const TICK: Duration = Duration::from_millis(10);
+
+/// How long after the end of a run a worker sends a heartbeat, unless one is outstanding.
+const END_DELAY: Duration = Duration::from_millis(50);
+
+/// How long the room of a run that has ended may stay unused. While a run may end at any time, heartbeats
+/// are held for 250 ms at most.
+const MAX_UNUSED: Duration = Duration::from_millis(400);
+
+fn long_running(count: u32) -> Step {
+    let options = StepOptions { long_running: true, ..StepOptions::default() };
+    Step { options, ..step(count) }
+}
+
+/// Lets a worker start the tasks, and leave or crash at once.
+fn lose(world: &mut World, capacity: Resources, crashes: bool, count: usize) {
+    let mut worker = FakeWorker { capacity, ..FakeWorker::new("lost") };
+    while worker.running.len() < count {
+        world.heartbeat(&mut worker).expect("a response");
+    }
+    if crashes {
+        world.heartbeat(&mut FakeWorker { leaving: Some(600_000), ..worker.restarted() });
+        return;
+    }
+    worker.leaving = Some(2000);
+    worker.end_all(Ending::Stopped);
+    world.heartbeat(&mut worker);
+}
+
+/// A worker that keeps one heartbeat outstanding and tells of an end only with the next one.
+struct Beating {
+    worker: FakeWorker,
+    ticket: Option<u64>,
+    next: Time,
+}
+
+impl Beating {
+    fn new(worker: FakeWorker, now: Time) -> Self {
+        Self { worker, ticket: None, next: now }
+    }
+
+    fn tick(&mut self, world: &mut World) {
+        if let Some(ticket) = self.ticket {
+            let Some(answer) = world.answers.get(&ticket).cloned() else { return };
+            self.ticket = None;
+            self.next = world.now + END_DELAY;
+            if let Answer::Heartbeat(response) = answer {
+                self.worker.apply(&response);
+                if self.worker.ended.is_empty() {
+                    self.next = world.now + response.next_heartbeat;
+                }
+            }
+        }
+        if world.now >= self.next {
+            let report = Box::new(self.worker.report());
+            self.ticket = Some(world.send(|ticket| Event::Heartbeat { ticket, report }));
+        }
+    }
+
+    fn run(&mut self, world: &mut World, span: Duration) {
+        let end = world.now + span;
+        while world.now < end {
+            self.tick(world);
+            world.advance(TICK);
+        }
+    }
+
+    fn end(&mut self, now: Time, ending: Ending) {
+        self.worker.end_all(ending);
+        self.next = self.next.min(now + END_DELAY);
+    }
+}
+
+/// Guards against long-running tasks that wait for a held heartbeat: a run may end at any time, and its
+/// worker tells so only once its last heartbeat has been answered.
+#[test]
+fn the_room_of_a_run_that_fails_is_used_soon() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+    }
+    let cases = [
+        Case { name: "a long-running task", step: long_running(1) },
+        Case { name: "a task that ends", step: Step { estimate: 60_000, ..step(1) } },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let after = (0..1000).step_by(50).map(|shift| {
+            let mut world = World::new();
+            let mut beating = Beating::new(FakeWorker::new("w1"), world.now);
+            beating.worker.capacity.millicores = 1000;
+            world.submit(8, vec![case.step.clone()]);
+            beating.run(&mut world, Duration::from_secs(1));
+            assert_eq!(beating.worker.running.len(), 1, "{}", case.name);
+            world.submit(7, vec![long_running(1)]);
+            let capacity = beating.worker.capacity;
+            lose(&mut world, capacity, false, 1);
+            beating.run(&mut world, Duration::from_millis(7000 + shift));
+            beating.end(world.now, Ending::Failed);
+            let ended = world.now;
+            while beating.worker.running.is_empty() {
+                beating.run(&mut world, TICK);
+            }
+            world.now.since(ended)
+        });
+        let longest = after.max().unwrap_or_default();
+        if longest > MAX_UNUSED {
+            late.push((case.name, longest));
+        }
+    }
+    assert!(late.is_empty(), "unused for longer than {MAX_UNUSED:?}: {late:?}");
+}
