jobs tests: show gangs that wait for the end of an avoidance

Cause: `place_gang` asks for full speed for each member, and only requests for any speed consider workers that are avoided. A gang that lasts thus waits as long as an avoidance lasts (6 s, renewed by each further failure), while a single long-running task starts there after 2 s. The rule on tasks that last makes no difference between them.

`avoided` is shared with the tests of avoidance.

Evidence (failing run): running and wanted: [("no other", [0, 0], [2, 0]), ("room for one on another", [0, 0], [1, 1])]; the case with room for both on a worker that isn't avoided holds.

--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -12,7 +12,10 @@
     time::Time,
 };
 
-use crate::world::{FakeWorker, World, step};
+use crate::{
+    avoidance::avoided,
+    world::{FakeWorker, World, step},
+};
 
 /// The interval between two steps of a simulation.
 const TICK: Duration = Duration::from_millis(10);
@@ -127,3 +130,41 @@
     }
     assert!(late.is_empty(), "unused for longer than {MAX_UNUSED:?}: {late:?}");
 }
+
+/// Guards against gangs of long-running tasks that wait for the end of an avoidance while no other worker
+/// has room for them.
+#[test]
+fn a_long_running_gang_starts_on_an_avoided_worker_if_no_other_has_room() {
+    struct Case {
+        name: &'static str,
+        /// The processors of the other worker.
+        other: u64,
+        /// The number of members on the avoided and on the other worker after 4 s.
+        want: [usize; 2],
+    }
+    let cases = [
+        Case { name: "no other", other: 0, want: [2, 0] },
+        Case { name: "room for one on another", other: 1000, want: [1, 1] },
+        Case { name: "room for both on another", other: 2000, want: [0, 2] },
+    ];
+    let mut failures = Vec::new();
+    for case in cases {
+        let mut world = World::new();
+        let first = avoided(&mut world, "w1");
+        let mut second = FakeWorker::new("w2");
+        second.capacity.millicores = case.other;
+        let mut workers = [first, second].map(|worker| Beating::new(worker, world.now));
+        let options = StepOptions { long_running: true, gang: true, ..StepOptions::default() };
+        world.submit(7, vec![Step { options, ..step(2) }]);
+        let begun = world.now;
+        while world.now.since(begun) < Duration::from_secs(4) {
+            workers.iter_mut().for_each(|worker| worker.tick(&mut world));
+            world.advance(TICK);
+        }
+        let running = workers.map(|worker| worker.worker.running.len());
+        if running != case.want {
+            failures.push((case.name, running, case.want));
+        }
+    }
+    assert!(failures.is_empty(), "running and wanted: {failures:?}");
+}
