jobs tests: show tasks that wait longer after a step of the wall clock

Cause: `starving_tasks` and `report_stranded` take the time for which a step has waited from the leader's wall clock (`WaitingStep::since`). After a step back it counts as 0 for the length of the step, so the 2 s after which a long-running task may start at any speed or on an avoided worker last that much longer.

Evidence (failing run): "assertion `left == right` failed: back by 10 s, left: 0, right: 1" tasks after 4 s; the case without a step holds.

--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -168,3 +168,23 @@
     }
     assert!(failures.is_empty(), "running and wanted: {failures:?}");
 }
+
+/// Guards against long-running tasks that wait for longer since the leader's wall clock was set back.
+#[test]
+fn a_long_running_task_waits_no_longer_after_a_step_of_the_wall_clock() {
+    struct Case {
+        name: &'static str,
+        /// What the wall clock is ahead after the step, in milliseconds.
+        ahead: u64,
+    }
+    let cases =
+        [Case { name: "no step", ahead: 1_000_000 }, Case { name: "back by 10 s", ahead: 990_000 }];
+    for case in cases {
+        let mut world = World::new();
+        let mut worker = Beating::new(avoided(&mut world, "w1"), world.now);
+        world.submit(7, vec![long_running(1)]);
+        world.ahead = case.ahead;
+        worker.run(&mut world, Duration::from_secs(4));
+        assert_eq!(worker.worker.running.len(), 1, "{}", case.name);
+    }
+}
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -42,6 +42,8 @@
 pub(crate) struct World {
     pub(crate) controller: Controller,
     pub(crate) now: Time,
+    /// What the wall clock is ahead of `now`, in milliseconds.
+    pub(crate) ahead: u64,
     pub(crate) answers: BTreeMap<u64, Answer>,
     pub(crate) sent: Vec<Effect>,
     /// What storage would recover.
@@ -147,6 +149,7 @@
             lease,
             responses,
             now,
+            ahead: 1_000_000,
             answers: BTreeMap::new(),
             sent: Vec::new(),
             stored: Recovered::default(),
@@ -197,7 +200,7 @@
     }
 
     pub(crate) fn handle(&mut self, mut events: Vec<Event>) {
-        let wall = WallTime(1_000_000 + self.now.as_nanos() / 1_000_000);
+        let wall = WallTime(self.ahead + self.now.as_nanos() / 1_000_000);
         while !events.is_empty() {
             let mut out = Vec::new();
             self.controller.handle(self.now, wall, events.drain(..), &mut out);
