jobs tests: show suspects that wait for their turn on probation

Cause: a task that may have crashed a worker starts only where all runs have settled, and nothing else starts there until it has settled (0.5 s). With heartbeats about 0.65 s each, so the suspects of a crash start one after the other on each worker, and at most on half of the workers at once. Tasks that last are missed from 6 s after their last run, and lost 3 s later, although the worker has room for all of them.

--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -27,6 +27,10 @@
 /// are held for 250 ms at most.
 const MAX_UNUSED: Duration = Duration::from_millis(400);
 
+/// How long after its last run a long-running task is missed, while a worker has room for it: it has to
+/// be at work again after 6 s, and is lost if it is missed for 3 s.
+const RESTART_TIME: Duration = Duration::from_secs(9);
+
 fn long_running(count: u32) -> Step {
     let options = StepOptions { long_running: true, ..StepOptions::default() };
     Step { options, ..step(count) }
@@ -188,3 +192,34 @@
         assert_eq!(worker.worker.running.len(), 1, "{}", case.name);
     }
 }
+
+/// Guards against long-running tasks that wait for their turn on probation although a worker has room for
+/// all of them.
+#[test]
+fn the_suspects_of_a_crash_are_at_work_again_in_time() {
+    struct Case {
+        name: &'static str,
+        crashes: bool,
+        tasks: u32,
+    }
+    let cases = [
+        Case { name: "left", crashes: false, tasks: 16 },
+        Case { name: "crashed, few tasks", crashes: true, tasks: 4 },
+        Case { name: "crashed, many tasks", crashes: true, tasks: 16 },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let mut world = World::new();
+        let capacity = Resources { millicores: 18_000, memory_mib: 64_000, accelerators: 0 };
+        world.submit(7, vec![long_running(case.tasks)]);
+        lose(&mut world, capacity, case.crashes, case.tasks as usize);
+        let worker = FakeWorker { capacity, sequence: 100, ..FakeWorker::new("w1") };
+        let mut worker = Beating::new(worker, world.now);
+        worker.run(&mut world, RESTART_TIME);
+        let running = worker.worker.running.len();
+        if running < case.tasks as usize {
+            late.push((case.name, running, case.tasks));
+        }
+    }
+    assert!(late.is_empty(), "running after {RESTART_TIME:?} and wanted: {late:?}");
+}
