jobs: answer heartbeats at once where long-running tasks wait for room

Cause: a heartbeat is held for up to 0.7 s (0.3 s beside opportunistic tasks), also on a worker that has no room for anything that waits, and a worker reports the end of a run only after its heartbeat was answered. `hold_time` knows the expected ends only: a run that ends early, fails or is stopped leaves room that the leader learns of when the hold is over.

Ruled out: one worker with lasting room, avoided or not.

Change: where a long-running task that has run before waits for room on a worker, its heartbeat is answered at once, and its next one comes with the next end, or after the time that it would have been held longer. Timing moves to hold.rs.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -37,6 +37,7 @@
 mod handover;
 mod heartbeat;
 mod hellos;
+mod hold;
 pub mod leader;
 mod occurrences;
 pub mod port;
--- /dev/null
+++ b/lib/src/jobs/controller/hold.rs
@@ -0,0 +1,118 @@
+//! How long heartbeats are held open, and when workers send the next ones.
+//!
+//! A worker whose heartbeat is held receives a start at once, but it reports the end of a run only after the
+//! heartbeat has been answered.
+
+use std::time::Duration;
+
+use crate::{
+    jobs::{
+        controller::leader::Leader,
+        fleet::Worker,
+        model::{StepKey, WorkerNumber},
+        placement::{Request, SpeedRequirement, may_run},
+        pool::Room,
+        rank::Class,
+    },
+    time::Time,
+};
+
+/// The heartbeat interval of a full worker. A run that ends triggers a heartbeat earlier.
+const FULL_INTERVAL: Duration = Duration::from_millis(900);
+
+/// The heartbeat interval of a worker that has both opportunistic and serving tasks.
+const MIXED_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The heartbeat interval of a worker with free capacity.
+pub(super) const FREE_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The heartbeat interval of a leaving worker. It is short, since the ends of its runs must be
+/// reported before it is gone.
+const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
+
+/// A heartbeat isn't held if a run is expected to end within this time, so that the worker can
+/// report the end with its next heartbeat.
+const END_NEAR: Duration = Duration::from_millis(120);
+
+/// The maximum hold time for a worker that has both opportunistic and serving tasks: its next
+/// measurements tell whether the paces are right.
+const MAX_HOLD_MIXED: Duration = Duration::from_millis(300);
+
+/// The maximum hold time while a run is past its estimated end, since it may end at any time.
+const MAX_HOLD_OVERDUE: Duration = Duration::from_millis(250);
+
+/// The heartbeat interval of a worker on probation, and the maximum hold time of its heartbeats:
+/// nothing else starts there until its runs have settled.
+const PROBATION_INTERVAL: Duration = Duration::from_millis(100);
+
+/// A worker counts as full if a smaller percentage of its processors than this is unused.
+const FULL_BELOW_PERCENT: u64 = 5;
+
+impl Leader {
+    /// How long a heartbeat of this worker may be held open.
+    pub(super) fn hold_time(&self, number: WorkerNumber, now: Time) -> Duration {
+        let Some(worker) = self.fleet.workers.get(&number) else { return Duration::ZERO };
+        let max = if worker.probation.is_some() {
+            self.timing.max_hold.min(PROBATION_INTERVAL)
+        } else if worker.is_mixed() {
+            self.timing.max_hold.min(MAX_HOLD_MIXED)
+        } else {
+            self.timing.max_hold
+        };
+        if worker.is_leaving() || !worker.confirmed {
+            return Duration::ZERO;
+        }
+        let ends = worker.runs.values().filter_map(|view| view.expected_end());
+        let max = if ends.clone().any(|end| end <= now) { max.min(MAX_HOLD_OVERDUE) } else { max };
+        let Some(next) = ends.filter(|end| *end > now).min() else {
+            return max;
+        };
+        let until = now.until(next);
+        if until < END_NEAR { Duration::ZERO } else { until.min(max) }
+    }
+
+    /// Whether a long-running task that has run before waits until runs on the worker end. Any run may end
+    /// early, so the worker's heartbeat isn't held then.
+    pub(super) fn is_awaited(&self, worker: &Worker) -> bool {
+        let room = Room::left(worker);
+        self.waiting.of_class(Class::Restarted).any(|waiting| {
+            !room.fits(&waiting.demand)
+                && worker.capacity().fits(&waiting.demand.reserved)
+                && self.allows(worker, &waiting.key)
+        })
+    }
+
+    /// Whether the service, the labels and the spread allow a task of the step on the worker.
+    fn allows(&self, worker: &Worker, key: &StepKey) -> bool {
+        let Some(job) = self.state.jobs.get(&key.job) else { return false };
+        let Some(queue) = self.state.queue_of(job) else { return false };
+        let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return false };
+        let (service, interference) = (&queue.service, &self.interference);
+        let speed = SpeedRequirement::Any;
+        let request =
+            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
+        may_run(worker, &request)
+    }
+
+    /// The time until the next heartbeat of the worker, whose last one is answered now.
+    pub(super) fn heartbeat_interval(&self, worker: &Worker, now: Time) -> Duration {
+        if worker.is_leaving() {
+            return LEAVING_INTERVAL;
+        }
+        if worker.probation.is_some() {
+            return PROBATION_INTERVAL;
+        }
+        let awaited = self.is_awaited(worker);
+        if worker.is_mixed() {
+            // Includes the time for which the heartbeat wasn't held.
+            return if awaited { MIXED_INTERVAL + MAX_HOLD_MIXED } else { MIXED_INTERVAL };
+        }
+        if !worker.confirmed {
+            return FREE_INTERVAL;
+        }
+        let capacity = worker.capacity().millicores;
+        let is_full =
+            worker.unused().saturating_mul(100) < capacity.saturating_mul(FULL_BELOW_PERCENT);
+        if awaited || is_full || !worker.is_usable(now) { FULL_INTERVAL } else { FREE_INTERVAL }
+    }
+}
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -321,6 +321,11 @@
         first.map_or(self.last_end, |first| self.last_end.min(first - 1))
     }
 
+    /// Whether it has both opportunistic and serving tasks.
+    pub fn is_mixed(&self) -> bool {
+        self.serving > 0 && self.demand > 0
+    }
+
     /// Whether all its runs have settled.
     pub fn is_settled(&self) -> bool {
         self.runs.values().all(|view| view.settled)
