jobs: start long-running gangs on avoided workers as a last resort, too

Cause: `place_gang` asked for full speed for each member, and only requests for any speed consider avoided workers.

--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -136,7 +136,7 @@
         service: &ServiceName,
     ) -> usize {
         let Some((rank, waiting)) = self.waiting.get(key) else { return 0 };
-        let waited = now.since(waiting.since) > STARVATION_TIMEOUT;
+        let waited = is_starving(now, waiting);
         if step.options.long_running {
             return if waited { usize::MAX } else { 0 };
         }
@@ -178,10 +178,12 @@
         }
         let runs = indexes.iter().map(|index| self.next_run(&key.task(*index)));
         let Some(run) = runs.max() else { return true };
+        let starving = step.options.long_running && is_starving(now, waiting);
+        let speed = if starving { SpeedRequirement::Any } else { SpeedRequirement::FullSpeed };
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in indexes {
             let task = key.task(*index);
-            let member = (task, SpeedRequirement::FullSpeed);
+            let member = (task, speed);
             let found = self.find_worker(now, waiting, member, (step, service), round);
             let Some(number) = found else { break };
             let view = self.new_view(now, &task, run, step);
@@ -241,3 +243,8 @@
         });
     }
 }
+
+/// Whether the step has waited for so long that its tasks may start at any speed.
+fn is_starving(now: Time, waiting: &WaitingStep) -> bool {
+    now.since(waiting.since) > STARVATION_TIMEOUT
+}
