jobs: report all stranded tasks, workers with room for them, and unlisted starts

`long-running tasks wait` told of one step, the one that has waited longest and may need the largest room, and counted workers by obstacle without their room. It couldn't tell room on a worker that is kept out from room that the books have given to a start that doesn't arrive, nor from no room at all.

Change: - The line sums up all steps that have waited for 3 s: steps, tasks, the smallest demand, and by obstacle the largest room that a worker lists. The obstacle of a worker is that of the smallest task that it may run. - `a worker has room for a long-running task that waits` names up to 8 workers a second whose own list leaves room at two reports in a row, with the room in the leader's books, the obstacle, the rest of the avoidance and the starts that it hasn't listed. Those that leave come last. - `starts aren't listed by their workers` tells of starts that are a second old, also if nothing waits. Runs of an earlier leader don't count until their worker has been heard. - Gauges `waiting_restarts` and `longest_restart_wait_seconds`, from the report of each second.

Nothing that decides on placement has changed.

Evidence: lib/tests/jobs/waiting.rs.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -49,6 +49,9 @@
 mod schedule;
 mod stranded;
 mod turn;
+mod unlisted;
+mod vacancy;
+pub mod wait_reports;
 mod watch;
 
 pub use self::{
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -8,7 +8,7 @@
 use crate::{
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
-        controller::{Answer, Config, Effect, LogEvent, Ticket, Timing},
+        controller::{Answer, Config, Effect, LogEvent, Ticket, Timing, wait_reports::WaitReports},
         crash::CrashEntry,
         fleet::{Fleet, RunView, Worker},
         model::{JobId, StepKey, TaskKey, WorkerNumber},
@@ -107,8 +107,8 @@
     /// When all workers are considered for all waiting steps again, unless the search is still in
     /// progress.
     next_retry: Time,
-    /// When stranded steps are reported next.
-    pub(super) next_stranded: Time,
+    /// The periodic reports on tasks that wait.
+    pub(super) reports: WaitReports,
     /// Whether the last round of placement considered all waiting steps.
     pub(super) search_ended: bool,
     /// The wall clock of the current turn.
@@ -151,7 +151,7 @@
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
             next_retry: now,
-            next_stranded: now,
+            reports: WaitReports::default(),
             search_ended: true,
             state,
             epoch,
@@ -286,7 +286,7 @@
             self.waiting.retry_all();
         }
         self.idle_services = self.fleet.idle_services();
-        self.report_stranded(now);
+        self.report_waits(now);
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.last_heartbeat) > IDLE_WORKER_RETENTION;
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -9,6 +9,7 @@
         call::{Call, OperatorReply, OperatorRequest, Reply},
         hello::Hello,
         link::{ControllerStatus, LinkMessage},
+        obstacle::ObstacleGroup,
         record::Node,
         report::{Ended, Report},
         response::HeartbeatResponse,
@@ -278,16 +279,62 @@
     },
     /// Long-running tasks that have run before wait for long.
     Stranded {
-        /// The step.
+        /// The step that has waited longest.
         step: String,
-        /// The number of tasks that wait.
+        /// The number of its tasks that wait.
         tasks: usize,
         /// The number of these that may have crashed a worker.
         suspects: usize,
         /// For how long the step has waited, in milliseconds.
         waited_ms: u64,
-        /// The number of workers by what keeps them from running a task.
-        workers: Vec<(&'static str, u32)>,
+        /// The number of steps that have waited for long.
+        all_steps: usize,
+        /// The number of tasks of these steps that wait.
+        all_tasks: usize,
+        /// The step with the smallest tasks.
+        smallest: String,
+        /// What one of these requests.
+        needs: Resources,
+        /// The workers by what keeps each of them from running the smallest task that it may run.
+        workers: Vec<(&'static str, ObstacleGroup)>,
+    },
+    /// A worker has listed room for a long-running task that has run before and waits for long.
+    Vacant {
+        /// The name of the worker.
+        worker: String,
+        /// Its room by its last list of runs.
+        listed: Resources,
+        /// Its room as the leader sees it.
+        free: Resources,
+        /// The smallest step that fits.
+        step: String,
+        /// What a task of the step requests.
+        needs: Resources,
+        /// What keeps the worker from running it.
+        obstacle: &'static str,
+        /// For how long the worker is still avoided; `None` if it isn't.
+        avoided: Option<Duration>,
+        /// The number of starts that it hasn't listed.
+        unlisted: usize,
+        /// The age of the oldest of these; zero if there is none.
+        oldest: Duration,
+    },
+    /// Workers haven't listed starts for long.
+    Unlisted {
+        /// The number of starts.
+        starts: usize,
+        /// The number of workers.
+        workers: usize,
+        /// The task of the oldest start.
+        task: String,
+        /// The worker of that start.
+        worker: String,
+        /// The time since the decision on that start.
+        age: Duration,
+        /// Whether the worker may have received it.
+        sent: bool,
+        /// Whether a heartbeat of the worker is held.
+        held: bool,
     },
     /// The membership of the consensus group changes.
     Members {
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -239,6 +239,23 @@
         self.capacity().saturating_sub(&self.reserved)
     }
 
+    /// The resources that the runs and orphans in its last list don't reserve. Starts that it hasn't
+    /// listed take none of them, other than in [`Worker::free`].
+    pub fn listed_room(&self) -> Resources {
+        let runs = self.runs.values().filter(|view| view.listed && !view.missing);
+        let orphans = self.orphans.values().filter(|orphan| !orphan.missing);
+        let reserved =
+            runs.map(|view| &view.reserved).chain(orphans.map(|orphan| &orphan.reserved));
+        let reserved = reserved.fold(Resources::ZERO, |sum, each| sum.saturating_add(each));
+        self.capacity().saturating_sub(&reserved)
+    }
+
+    /// The starts that it hasn't listed. Before its first heartbeat to this leader none is known.
+    pub fn unlisted(&self) -> impl Iterator<Item = (&TaskKey, &RunView)> {
+        let runs = self.runs.iter().filter(|_| self.profile.is_some());
+        runs.filter(|(_, view)| !view.listed)
+    }
+
     /// Whether its runs reserve more than it has. It may have shrunk since they were started.
     pub fn is_overcommitted(&self) -> bool {
         !self.capacity().fits(&self.reserved)
--- a/lib/src/jobs/obstacle.rs
+++ b/lib/src/jobs/obstacle.rs
@@ -7,6 +7,7 @@
         pool::{Candidates, Room},
         waiting::Demand,
     },
+    resources::Resources,
     symbols,
     time::Time,
 };
@@ -53,3 +54,26 @@
         }
     }
 }
+
+/// The workers with the same obstacle.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ObstacleGroup {
+    /// The number of workers.
+    pub count: u32,
+    /// The largest room that one of them lists.
+    pub room: Resources,
+    /// The name of that worker.
+    pub worker: String,
+}
+
+impl ObstacleGroup {
+    /// Adds a worker. Its room is compared with that of the others by how much of `needs` it covers.
+    pub fn add(&mut self, worker: &Worker, needs: &Resources) {
+        let room = worker.listed_room();
+        if self.count == 0 || room.covered_percent(needs) > self.room.covered_percent(needs) {
+            self.room = room;
+            self.worker = worker.name.to_string();
+        }
+        self.count += 1;
+    }
+}
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -62,6 +62,16 @@
         }
     }
 
+    /// The percentage of `requested` that `self` covers in the scarcest dimension; may exceed 100.
+    pub fn covered_percent(&self, requested: &Self) -> u64 {
+        let percent = |has: u64, requested: u64| {
+            has.saturating_mul(100).checked_div(requested).unwrap_or(u64::MAX)
+        };
+        percent(self.millicores, requested.millicores)
+            .min(percent(self.memory_mib, requested.memory_mib))
+            .min(percent(self.accelerators.into(), requested.accelerators.into()))
+    }
+
     /// The dominant share: the largest fraction of `total` that `self` uses in any dimension.
     ///
     /// The share is infinite if `self` uses a dimension of which `total` has nothing.
--- a/lib/tests/jobs/avoidance.rs
+++ b/lib/tests/jobs/avoidance.rs
@@ -15,7 +15,7 @@
 use crate::world::{FakeWorker, World, path, step};
 
 /// A worker that is avoided since three jobs in a row have failed there.
-fn avoided(world: &mut World, name: &str) -> FakeWorker {
+pub(crate) fn avoided(world: &mut World, name: &str) -> FakeWorker {
     let mut worker = FakeWorker::new(name);
     for id in 101..104 {
         world.submit(id, vec![step(1)]);
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -28,4 +28,5 @@
 mod standing;
 mod steps;
 mod voters;
+mod waiting;
 mod world;
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -5,7 +5,7 @@
 use hickorylink_lib::{
     consensus::port::StepDown,
     ids::InstanceId,
-    jobs::{controller, gateway, voters::AbsentVoter},
+    jobs::{controller, gateway, obstacle::ObstacleGroup, voters::AbsentVoter},
     resources::Resources,
 };
 use slog::{Logger, debug, error, info, warn};
@@ -32,10 +32,43 @@
             debug!(log, "tasks start"; "step" => step, "tasks" => tasks, "waiting" => waiting,
                 "worker" => worker, "age_ms" => age_ms);
         }
-        LogEvent::Stranded { step, tasks, suspects, waited_ms, workers } => {
-            let workers: Vec<_> = workers.iter().map(|(what, n)| format!("{what}:{n}")).collect();
+        LogEvent::Stranded {
+            step,
+            tasks,
+            suspects,
+            waited_ms,
+            all_steps,
+            all_tasks,
+            smallest,
+            needs,
+            workers,
+        } => {
             info!(log, "long-running tasks wait"; "step" => step, "tasks" => tasks,
-                "suspects" => suspects, "waited_ms" => waited_ms, "workers" => workers.join(" "));
+                "suspects" => suspects, "waited_ms" => waited_ms, "all_steps" => all_steps,
+                "all_tasks" => all_tasks, "smallest" => smallest, "needs" => amounts(needs),
+                "workers" => counts(workers), "rooms" => rooms(workers));
+        }
+        LogEvent::Vacant {
+            worker,
+            listed,
+            free,
+            step,
+            needs,
+            obstacle,
+            avoided,
+            unlisted,
+            oldest,
+        } => {
+            info!(log, "a worker has room for a long-running task that waits"; "worker" => worker,
+                "listed" => amounts(listed), "free" => amounts(free), "step" => step,
+                "needs" => amounts(needs), "obstacle" => obstacle,
+                "avoided_ms" => avoided.map(millis), "unlisted" => unlisted,
+                "oldest_ms" => millis(*oldest));
+        }
+        LogEvent::Unlisted { starts, workers, task, worker, age, sent, held } => {
+            info!(log, "starts aren't listed by their workers"; "starts" => starts,
+                "workers" => workers, "task" => task, "worker" => worker, "age_ms" => millis(*age),
+                "sent" => sent, "held" => held);
         }
         LogEvent::Committed { .. } => {}
         LogEvent::Ended { task, run, ending, worker } => {
@@ -96,6 +129,23 @@
     format!("{millicores} millicores, {memory_mib} MiB, {accelerators} accelerators")
 }
 
+/// The number of workers with each obstacle (`OBSTACLE:COUNT`).
+fn counts(groups: &[(&str, ObstacleGroup)]) -> String {
+    let texts: Vec<_> =
+        groups.iter().map(|(what, group)| format!("{what}:{}", group.count)).collect();
+    texts.join(" ")
+}
+
+/// The largest room on a worker with each obstacle (`OBSTACLE:MILLICORES/MIB@WORKER`).
+fn rooms(groups: &[(&str, ObstacleGroup)]) -> String {
+    let text = |(what, group): &(&str, ObstacleGroup)| {
+        let ObstacleGroup { room, worker, .. } = group;
+        format!("{what}:{}/{}@{worker}", room.millicores, room.memory_mib)
+    };
+    let texts: Vec<_> = groups.iter().map(text).collect();
+    texts.join(" ")
+}
+
 /// The maximum number of suspects that are written for a crash.
 const MAX_SUSPECTS: usize = 16;
 
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -4,11 +4,11 @@
 
 use hickorylink_lib::{
     consensus::chart::Role,
-    jobs::controller::{Answer, Controller, LogEvent},
+    jobs::controller::{Answer, Controller, LogEvent, leader::Leader},
 };
 use prometheus_client::{
     encoding::EncodeLabelSet,
-    metrics::{counter::Counter, family::Family, histogram::Histogram},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
     registry::Registry,
 };
 
@@ -53,6 +53,8 @@
     leads: IntGauge,
     job_count: IntGauge,
     waiting_steps: IntGauge,
+    waiting_restarts: IntGauge,
+    restart_wait: Gauge<f64, AtomicU64>,
     worker_count: IntGauge,
     voters: IntGauge,
     live_voters: IntGauge,
@@ -88,6 +90,8 @@
             leads: IntGauge::default(),
             job_count: IntGauge::default(),
             waiting_steps: IntGauge::default(),
+            waiting_restarts: IntGauge::default(),
+            restart_wait: Gauge::default(),
             worker_count: IntGauge::default(),
             voters: IntGauge::default(),
             live_voters: IntGauge::default(),
@@ -141,6 +145,16 @@
         r.register("jobs", "Jobs that are held", self.job_count.clone());
         r.register("waiting_steps", "Steps with tasks to be placed", self.waiting_steps.clone());
         r.register("workers", "Workers that are known", self.worker_count.clone());
+        r.register(
+            "waiting_restarts",
+            "Long-running tasks that have run before and wait",
+            self.waiting_restarts.clone(),
+        );
+        r.register(
+            "longest_restart_wait_seconds",
+            "Longest wait of a long-running task that has run before",
+            self.restart_wait.clone(),
+        );
         self.register_members();
     }
 
@@ -195,6 +209,8 @@
             LogEvent::Leading { .. }
             | LogEvent::Ignored { .. }
             | LogEvent::Stranded { .. }
+            | LogEvent::Vacant { .. }
+            | LogEvent::Unlisted { .. }
             | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
             | LogEvent::TooFewVoters { .. }
@@ -211,6 +227,9 @@
         self.job_count.set(saturating_i64(controller.committed().jobs.len() as u64));
         self.waiting_steps
             .set(saturating_i64(leader.map_or(0, |leader| leader.waiting_steps() as u64)));
+        let backlog = leader.map(Leader::restart_backlog).unwrap_or_default();
+        self.waiting_restarts.set(saturating_i64(backlog.tasks as u64));
+        self.restart_wait.set(seconds(backlog.longest_ms));
         self.worker_count
             .set(saturating_i64(leader.map_or(0, |leader| leader.fleet.workers.len() as u64)));
         let counts = leader.map(|leader| leader.voters.counts()).unwrap_or_default();
