--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -14,7 +14,9 @@
 use hickorylink_lib::{
     ids::{Epoch, Revision},
     instance::port::LogEvent,
+    jobs::controller::{self as jobs, Answer},
 };
+use hickorylink_runtime::metrics::controller;
 use hickorylink_standin::{
     cluster::{Cluster, InstanceSpec, OPERATOR, eventually},
     demo::worker_spec,
@@ -222,6 +224,35 @@
     assert_eq!(rows, names, "metrics.md has one row per metric");
 }
 
+#[test]
+fn every_metric_of_a_controller_is_documented() {
+    let page = fs::read_to_string(Path::new(ROOT).join("docs/OPERATIONS.md"));
+    let page = page.expect("the page can be read");
+    let metrics = controller::Metrics::default();
+    // A metric with labels is only exported once it has a value.
+    metrics.count_answer(&Answer::Acknowledged);
+    let (id, queue, worker) = ("1".to_owned(), "fold".to_owned(), "w1".to_owned());
+    let (name, silent_ms, runs) = (worker.clone(), 0, 0);
+    for event in [
+        jobs::LogEvent::Job { id: id.clone(), state: "accepted", queue, age_ms: 1 },
+        jobs::LogEvent::Ended { task: id, run: 1, ending: "failed", worker },
+        jobs::LogEvent::Worker { name, state: "left", silent_ms, runs },
+    ] {
+        metrics.record(&event);
+    }
+    let (ring, _) = thread_ring::<()>("control", 1);
+    let text = metrics.encode(&[ring.reading()]).expect("metrics can be written");
+    let names = text.lines().filter_map(|line| line.strip_prefix("# HELP hickorylink_"));
+    let names: BTreeSet<_> = names.filter_map(|line| line.split(' ').next()).collect();
+    assert!(names.contains("waiting_restarts"), "{names:?}");
+    let rows = page.lines().filter(|line| line.starts_with("| `"));
+    let listed = rows.filter_map(|row| row.split('|').nth(1)).flat_map(|cell| cell.split('`'));
+    let listed = listed.filter_map(|name| name.split('{').next());
+    let listed: BTreeSet<_> = listed.map(|name| name.trim_end_matches("_total")).collect();
+    let missing: Vec<_> = names.difference(&listed).collect();
+    assert_eq!(missing, Vec::<&&str>::new(), "OPERATIONS.md names each metric");
+}
+
 /// The first string literal after each call of these macros in the sources of this crate.
 fn messages(macros: &[&str]) -> Vec<String> {
     let mut found = Vec::new();
