--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -28,5 +28,5 @@
 mod standing;
 mod steps;
 mod voters;
-mod waiting;
+mod wait_reports;
 mod world;
