--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -50,6 +50,9 @@
 mod schedule;
 mod stranded;
 mod turn;
+mod unlisted;
+mod vacancy;
+pub mod wait_reports;
 mod watch;
 
 pub use self::{
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -7,12 +7,8 @@
 
 use crate::{
     jobs::{
-        controller::leader::Leader,
-        fleet::Worker,
-        model::{StepKey, WorkerNumber},
-        placement::{Request, SpeedRequirement, may_run},
-        pool::Room,
-        rank::Class,
+        controller::leader::Leader, fleet::Worker, model::WorkerNumber, placement::may_run,
+        pool::Room, rank::Class,
     },
     time::Time,
 };
@@ -78,22 +74,10 @@
         self.waiting.of_class(Class::Restarted).any(|waiting| {
             !room.fits(&waiting.demand)
                 && worker.capacity().fits(&waiting.demand.reserved)
-                && self.allows(worker, &waiting.key)
+                && self.request(&waiting.key).is_some_and(|request| may_run(worker, &request))
         })
     }
 
-    /// Whether the service, the labels and the spread allow a task of the step on the worker.
-    fn allows(&self, worker: &Worker, key: &StepKey) -> bool {
-        let Some(job) = self.state.jobs.get(&key.job) else { return false };
-        let Some(queue) = self.state.queue_of(job) else { return false };
-        let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return false };
-        let (service, interference) = (&queue.service, &self.interference);
-        let speed = SpeedRequirement::Any;
-        let request =
-            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
-        may_run(worker, &request)
-    }
-
     /// The time until the next heartbeat of the worker, whose last one is answered now.
     pub(super) fn heartbeat_interval(&self, worker: &Worker, now: Time) -> Duration {
         if worker.is_leaving() {
--- a/lib/src/jobs/controller/relocate.rs
+++ b/lib/src/jobs/controller/relocate.rs
@@ -57,14 +57,25 @@
 
     /// The best worker of the pool for a task of the step.
     pub(super) fn destination(&self, pool: &Pool, key: &StepKey) -> Option<WorkerNumber> {
+        choose_worker(&self.fleet, pool, &self.request(key)?, &mut 0)
+    }
+
+    /// A request to place any task of the step at full speed.
+    pub(super) fn request(&self, key: &StepKey) -> Option<Request<'_>> {
         let job = self.state.jobs.get(&key.job)?;
         let queue = self.state.queue_of(job)?;
         let step = job.spec.steps.get(usize::from(key.step))?;
         let (service, interference) = (&queue.service, &self.interference);
         let speed = SpeedRequirement::FullSpeed;
-        let request =
-            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
-        choose_worker(&self.fleet, pool, &request, &mut 0)
+        Some(Request {
+            service,
+            step,
+            key: *key,
+            avoid: &[],
+            interference,
+            speed,
+            probation: false,
+        })
     }
 
     /// The number of a step's tasks that aren't at work.
--- a/lib/src/jobs/controller/stranded.rs
+++ b/lib/src/jobs/controller/stranded.rs
@@ -1,63 +1,104 @@
-//! Reports long-running tasks that wait for long although they have run before.
+//! Long-running tasks that have run before and wait, and what keeps the workers from running them.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     jobs::{
         controller::{LogEvent, leader::Leader},
-        obstacle::Obstacle,
-        placement::{Request, SpeedRequirement},
+        obstacle::{Obstacle, ObstacleGroup},
+        placement::{Request, may_run},
         rank::Class,
         waiting::WaitingStep,
     },
+    resources::Resources,
     time::Time,
 };
 
 /// How long a step must have waited to be reported.
 const STRANDED_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// The interval between two reports.
-const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// A step with long-running tasks that wait and of which at least one has run before.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RestartedStep<'a> {
+    /// A request to place one of its tasks.
+    pub(super) request: Request<'a>,
+    /// The number of tasks that wait.
+    pub(super) tasks: usize,
+    /// The number of these that may have crashed a worker.
+    pub(super) suspects: usize,
+    /// For how long it has waited.
+    pub(super) waited: Duration,
+}
+
+impl RestartedStep<'_> {
+    /// Whether it has waited for long.
+    pub(super) fn is_stranded(&self) -> bool {
+        self.waited >= STRANDED_TIMEOUT
+    }
+
+    /// What one of its tasks needs.
+    pub(super) fn needs(&self) -> &Resources {
+        &self.request.step.needs
+    }
+}
 
 impl Leader {
-    /// Reports the step that has waited longest, with what keeps the workers from running its tasks.
-    pub(super) fn report_stranded(&mut self, now: Time) {
-        if now < self.next_stranded {
-            return;
-        }
-        self.next_stranded = now + REPORT_INTERVAL;
+    /// The steps with long-running tasks that have run before and wait; the smallest tasks come first.
+    pub(super) fn restarted_steps(&self, now: Time) -> Vec<RestartedStep<'_>> {
         let restarted = self.waiting.of_class(Class::Restarted);
-        let Some(step) = restarted.min_by_key(|step| step.since).copied() else { return };
-        let waited = now.since(step.since);
-        if waited < STRANDED_TIMEOUT {
-            return;
-        }
-        let waited_ms = u64::try_from(waited.as_millis()).unwrap_or(u64::MAX);
-        if let Some(event) = self.stranded(now, &step, waited_ms) {
-            self.log_events.push(event);
-        }
+        let mut steps: Vec<_> =
+            restarted.filter_map(|step| self.restarted_step(now, step)).collect();
+        steps.sort_by_key(|step| (step.needs().millicores, step.needs().memory_mib));
+        steps
     }
 
-    fn stranded(&self, now: Time, waiting: &WaitingStep, waited_ms: u64) -> Option<LogEvent> {
+    fn restarted_step(&self, now: Time, waiting: &WaitingStep) -> Option<RestartedStep<'_>> {
         let key = waiting.key;
-        let job = self.state.jobs.get(&key.job)?;
-        let service = &self.state.queue_of(job)?.service;
-        let step = job.spec.steps.get(usize::from(key.step))?;
-        let tasks = self.waiting_tasks(&key, step);
-        let (interference, speed) = (&self.interference, SpeedRequirement::FullSpeed);
-        let request =
-            Request { service, step, key, avoid: &[], interference, speed, probation: false };
-        let mut workers: BTreeMap<Obstacle, u32> = BTreeMap::new();
-        for worker in self.fleet.workers.values() {
-            *workers.entry(Obstacle::of(worker, now, &request)).or_default() += 1;
-        }
+        let request = self.request(&key)?;
+        let tasks = self.waiting_tasks(&key, request.step);
         let suspects = tasks.iter().filter(|index| self.is_suspect(&key.task(**index))).count();
+        let waited = now.since(waiting.since);
+        Some(RestartedStep { request, tasks: tasks.len(), suspects, waited })
+    }
+
+    /// Reports the step that has waited longest, the smallest tasks of all steps, and what keeps the
+    /// workers from running them. `steps` is in the order of [`Leader::restarted_steps`].
+    pub(super) fn stranded(&self, now: Time, steps: &[RestartedStep<'_>]) -> Option<LogEvent> {
+        let smallest = steps.first()?;
+        let longest = steps.iter().max_by_key(|step| step.waited)?;
+        let groups = self.group_workers(now, smallest, steps);
         Some(LogEvent::Stranded {
-            step: key.to_string(),
-            tasks: tasks.len(),
-            suspects,
-            waited_ms,
-            workers: workers.into_iter().map(|(what, count)| (what.name(), count)).collect(),
+            step: longest.request.key.to_string(),
+            tasks: longest.tasks,
+            suspects: longest.suspects,
+            waited_ms: millis(longest.waited),
+            all_steps: steps.len(),
+            all_tasks: steps.iter().map(|step| step.tasks).sum(),
+            smallest: smallest.request.key.to_string(),
+            needs: *smallest.needs(),
+            workers: groups.into_iter().map(|(what, group)| (what.name(), group)).collect(),
         })
     }
+
+    /// The workers by what keeps each of them from running the smallest task that it may run.
+    fn group_workers(
+        &self,
+        now: Time,
+        smallest: &RestartedStep<'_>,
+        steps: &[RestartedStep<'_>],
+    ) -> BTreeMap<Obstacle, ObstacleGroup> {
+        let mut groups: BTreeMap<Obstacle, ObstacleGroup> = BTreeMap::new();
+        for worker in self.fleet.workers.values() {
+            let allowed = steps.iter().find(|step| may_run(worker, &step.request));
+            let request = allowed.unwrap_or(smallest).request;
+            let group = groups.entry(Obstacle::of(worker, now, &request)).or_default();
+            group.add(worker, smallest.needs());
+        }
+        groups
+    }
+}
+
+/// A duration in milliseconds.
+pub(super) fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -30,5 +30,6 @@
 mod standing;
 mod steps;
 mod voters;
+mod wait_reports;
 mod waiting;
 mod world;
