tests: room on an avoided worker is room for one member of a gang

Since gangs start on avoided workers, a gang of which both members fit doesn't wait there. Room for one of two is as much of a vacancy, and stays.

--- a/lib/tests/jobs/wait_reports.rs
+++ b/lib/tests/jobs/wait_reports.rs
@@ -200,7 +200,7 @@
         },
         Case {
             name: "it is avoided",
-            step: Step { options: gang, ..long_running(2, small) },
+            step: Step { options: gang, ..long_running(2, resources(3000, 100)) },
             workers: |world| vec![avoided(world, "w2")],
             hears: true,
             want: Some(("avoided", true, 4000, 4000, false)),
@@ -219,7 +219,7 @@
         },
         Case {
             name: "one that stays comes first",
-            step: Step { options: gang, ..long_running(2, small) },
+            step: Step { options: gang, ..long_running(2, resources(3000, 100)) },
             workers: |world| {
                 let large = FakeWorker { capacity: resources(9000, 9000), ..FakeWorker::new("w3") };
                 vec![FakeWorker { leaving: Some(60_000), ..large }, avoided(world, "w2")]
