jobs: start the smallest of the long-running tasks that have run first

Cause: steps rank by their remaining work, an estimate; the trace fits jobs without one, which rank by their identifiers alone: in a full service a job with a high one gets what the others leave. Each start of another task is room for a task that waits.

Weighed: the longest wait first. What becomes free in a full service is smaller than most tasks, so that the small ones would be started anyhow, and large ones that wait behind each other keep small ones waiting.

Change: the product of what a task needs ranks steps within the class; no weights between processors and memory.

`the_smallest_long_running_tasks_start_again_first` failed before: "by memory, left: [1, 0], right: [0, 3]".

--- a/lib/src/jobs/rank.rs
+++ b/lib/src/jobs/rank.rs
@@ -2,12 +2,15 @@
 
 use crate::{
     jobs::{config::Queue, model::StepKey, state::Job},
+    resources::Resources,
     time::WallTime,
 };
 
 /// The rank of a step; smaller ranks are placed first.
 ///
-/// Tasks that have run and last until their job is cancelled come first: their users wait for them.
+/// Tasks that have run and last until their job is cancelled come first: their users wait for them. In
+/// a full service the smallest of them come first, so that the most of them are at work and room is left
+/// unused only by tasks that it is too small for.
 /// Next, in the order of the queues' priorities, come jobs that end and can still be of use, and
 /// then tasks that last and haven't run yet. These keep their processors for minutes, so they take
 /// what the others leave; the other way round, a full service would run no short job at all.
@@ -21,8 +24,10 @@
     pub class: Class,
     /// Whether the job can still meet its objective; long-running jobs always can.
     pub lateness: Lateness,
-    /// The remaining work of the occurrence, in milliseconds of one processor.
-    pub work: u64,
+    /// The remaining work of the occurrence, in milliseconds of one processor. For
+    /// [`Class::Restarted`], the product of the resources that each task takes, which orders demands
+    /// without weights between them.
+    pub size: u64,
 }
 
 /// The kind of a step's tasks, with the priority of its queue.
@@ -88,5 +93,16 @@
         (false, Lateness::Overdue) => Class::Queued(queue.priority, Tenure::Overdue),
     };
     let lateness = if long_running { Lateness::InTime } else { lateness };
-    Rank { class, lateness, work: remaining.work }
+    let size = match class {
+        Class::Restarted => spec.map_or(0, |spec| volume(&spec.needs)),
+        Class::Queued(..) => remaining.work,
+    };
+    Rank { class, lateness, size }
+}
+
+/// The product of the resources.
+fn volume(needs: &Resources) -> u64 {
+    let accelerators = u64::from(needs.accelerators).saturating_add(1);
+    let processors = needs.millicores.max(1).saturating_mul(accelerators);
+    processors.saturating_mul(needs.memory_mib.max(1))
 }
--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -173,6 +173,42 @@
     assert!(failures.is_empty(), "running and wanted: {failures:?}");
 }
 
+/// Guards against small long-running tasks that wait behind large ones with a smaller identifier, while
+/// these leave room for them again and again.
+#[test]
+fn the_smallest_long_running_tasks_start_again_first() {
+    struct Case {
+        name: &'static str,
+        /// What a task of each job needs, in millicores and MiB.
+        needs: [(u64, u64); 2],
+        /// The number of tasks of each job that run again on a worker with room for three small ones.
+        want: [usize; 2],
+    }
+    let cases = [
+        Case { name: "first", needs: [(1000, 1000), (3000, 3000)], want: [3, 0] },
+        Case { name: "last", needs: [(3000, 3000), (1000, 1000)], want: [0, 3] },
+        Case { name: "by memory", needs: [(1000, 3000), (1000, 1000)], want: [0, 3] },
+        Case { name: "by processors", needs: [(3000, 1000), (1000, 1000)], want: [0, 3] },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let jobs = [7, 8].map(|id| {
+            let (millicores, memory_mib) = case.needs[id as usize - 7];
+            let needs = Resources { millicores, memory_mib, accelerators: 0 };
+            world.submit(id, vec![Step { needs, ..long_running(3) }])
+        });
+        let large = Resources { millicores: 18_000, memory_mib: 64_000, accelerators: 0 };
+        lose(&mut world, large, false, 6);
+        let capacity = Resources { millicores: 3000, memory_mib: 3000, accelerators: 0 };
+        let worker = FakeWorker { capacity, ..FakeWorker::new("w1") };
+        let mut worker = Beating::new(worker, world.now);
+        worker.run(&mut world, Duration::from_secs(3));
+        let running =
+            jobs.map(|job| worker.worker.running.keys().filter(|task| task.job == job).count());
+        assert_eq!(running, case.want, "{}", case.name);
+    }
+}
+
 /// Guards against long-running tasks that wait for longer since the leader's wall clock was set back.
 #[test]
 fn a_long_running_task_waits_no_longer_after_a_step_of_the_wall_clock() {
