jobs: ask often for the ends of runs that are stopped for tasks that wait

Cause: a customer's cancelling stops all tasks of a long-running job at once, often several on one worker. Their room is free as soon as each has ended, and the worker tells of that 50 ms later; with a response outstanding, 50 ms after that.

Change: while such a task waits for room on a worker that stops a run, the worker's heartbeats come every 25 ms.

--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -26,6 +26,10 @@
 /// reported before it is gone.
 const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The heartbeat interval of a worker that stops a run while a long-running task waits for room there. It is
+/// shorter than the time after which a worker reports an end by itself.
+const STOPPING_INTERVAL: Duration = Duration::from_millis(25);
+
 /// A heartbeat isn't held if a run is expected to end within this time, so that the worker can
 /// report the end with its next heartbeat.
 const END_NEAR: Duration = Duration::from_millis(120);
@@ -87,6 +91,9 @@
             return PROBATION_INTERVAL;
         }
         let awaited = self.is_awaited(worker);
+        if awaited && worker.is_stopping() {
+            return STOPPING_INTERVAL;
+        }
         if worker.is_mixed() {
             // Includes the time for which the heartbeat wasn't held.
             return if awaited { MIXED_INTERVAL + MAX_HOLD_MIXED } else { MIXED_INTERVAL };
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -343,6 +343,11 @@
         self.serving > 0 && self.demand > 0
     }
 
+    /// Whether it stops a run that reserves processors.
+    pub fn is_stopping(&self) -> bool {
+        self.runs.values().any(|view| view.listed && view.stopping && view.reserved.millicores > 0)
+    }
+
     /// Whether all its runs have settled.
     pub fn is_settled(&self) -> bool {
         self.runs.values().all(|view| view.settled)
--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -1,12 +1,14 @@
 //! Long-running tasks that have run before wait no longer than it takes while a worker has room for them.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use hickorylink_lib::{
     jobs::{
+        call::{Action, Reply},
         controller::{Answer, Event},
-        model::{Step, StepOptions},
+        model::{Step, StepOptions, TaskKey},
         record::Ending,
+        response::HeartbeatResponse,
     },
     resources::Resources,
     time::Time,
@@ -14,7 +16,7 @@
 
 use crate::{
     avoidance::avoided,
-    world::{FakeWorker, World, step},
+    world::{FakeWorker, World, path, step},
 };
 
 /// The interval between two steps of a simulation.
@@ -56,23 +58,48 @@
     worker: FakeWorker,
     ticket: Option<u64>,
     next: Time,
+    /// How long it takes to stop a run.
+    stop_time: Duration,
+    /// The runs that are being stopped, and when they end.
+    stopping: BTreeMap<TaskKey, Time>,
 }
 
 impl Beating {
     fn new(worker: FakeWorker, now: Time) -> Self {
-        Self { worker, ticket: None, next: now }
+        let (stop_time, stopping) = (Duration::ZERO, BTreeMap::new());
+        Self { worker, ticket: None, next: now, stop_time, stopping }
+    }
+
+    fn receive(&mut self, now: Time, mut response: HeartbeatResponse) {
+        for (task, _) in std::mem::take(&mut response.stops) {
+            self.stopping.entry(task).or_insert(now + self.stop_time);
+        }
+        self.worker.apply(&response);
+    }
+
+    fn end_stopped(&mut self, now: Time) {
+        let ended: Vec<_> =
+            self.stopping.iter().filter(|(_, at)| **at <= now).map(|(task, _)| *task).collect();
+        for task in ended {
+            self.stopping.remove(&task);
+            self.worker.end(task, Ending::Stopped);
+            self.next = self.next.min(now + END_DELAY);
+        }
     }
 
     fn tick(&mut self, world: &mut World) {
+        self.end_stopped(world.now);
         if let Some(ticket) = self.ticket {
             let Some(answer) = world.answers.get(&ticket).cloned() else { return };
             self.ticket = None;
             self.next = world.now + END_DELAY;
             if let Answer::Heartbeat(response) = answer {
-                self.worker.apply(&response);
-                if self.worker.ended.is_empty() {
-                    self.next = world.now + response.next_heartbeat;
-                }
+                let interval = response.next_heartbeat;
+                self.receive(world.now, response);
+                self.end_stopped(world.now);
+                let unreported = !self.worker.ended.is_empty();
+                let next = if unreported { interval.min(END_DELAY) } else { interval };
+                self.next = world.now + next;
             }
         }
         if world.now >= self.next {
@@ -135,6 +162,41 @@
     assert!(late.is_empty(), "unused for longer than {MAX_UNUSED:?}: {late:?}");
 }
 
+/// Guards against room that stays unused until a worker tells by itself that a run has been stopped.
+#[test]
+fn the_room_of_a_run_that_is_stopped_is_used_at_once() {
+    struct Case {
+        name: &'static str,
+        stop_time: Duration,
+    }
+    let cases = [
+        Case { name: "a quick stop", stop_time: Duration::from_millis(130) },
+        Case { name: "a stop", stop_time: Duration::from_millis(480) },
+        Case { name: "a slow stop", stop_time: Duration::from_millis(890) },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let mut beating = Beating::new(FakeWorker::new("w1"), world.now);
+        (beating.worker.capacity.millicores, beating.stop_time) = (1000, case.stop_time);
+        world.submit(8, vec![long_running(1)]);
+        beating.run(&mut world, Duration::from_secs(1));
+        world.submit(7, vec![long_running(1)]);
+        let capacity = beating.worker.capacity;
+        lose(&mut world, capacity, false, 1);
+        beating.run(&mut world, Duration::from_secs(7));
+        assert_eq!(world.call(&path(8), Action::Cancel), Reply::Cancelled);
+        while !beating.worker.running.is_empty() {
+            beating.run(&mut world, TICK);
+        }
+        let ended = world.now;
+        while beating.worker.running.is_empty() {
+            beating.run(&mut world, TICK);
+        }
+        let after = world.now.since(ended);
+        assert!(after < END_DELAY, "{}: {after:?}", case.name);
+    }
+}
+
 /// Guards against gangs of long-running tasks that wait for the end of an avoidance while no other worker
 /// has room for them.
 #[test]
