--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -4,6 +4,7 @@
 
 use hickorylink_lib::{
     jobs::{
+        call::Action,
         controller::{Answer, Event},
         model::{Step, StepOptions},
         record::Ending,
@@ -14,7 +15,7 @@
 
 use crate::{
     avoidance::avoided,
-    world::{FakeWorker, World, step},
+    world::{FakeWorker, World, path, step},
 };
 
 /// The interval between two steps of a simulation.
@@ -258,3 +259,114 @@
     }
     assert!(late.is_empty(), "running after {RESTART_TIME:?} and wanted: {late:?}");
 }
+
+/// Guards against gangs of long-running tasks that wait for a held heartbeat of a worker with room for some
+/// of the members: the room for the others becomes free there as well.
+#[test]
+fn the_room_of_a_run_that_fails_is_used_soon_by_a_gang() {
+    let after = (0..1000).step_by(50).map(|shift| {
+        let mut world = World::new();
+        let mut beating = Beating::new(FakeWorker::new("w1"), world.now);
+        beating.worker.capacity.millicores = 2000;
+        world.submit(8, vec![Step { estimate: 60_000, ..step(1) }]);
+        beating.run(&mut world, Duration::from_secs(1));
+        assert_eq!(beating.worker.running.len(), 1);
+        let options = StepOptions { long_running: true, gang: true, ..StepOptions::default() };
+        world.submit(7, vec![Step { options, ..step(2) }]);
+        let capacity = beating.worker.capacity;
+        lose(&mut world, capacity, false, 2);
+        beating.run(&mut world, Duration::from_millis(7000 + shift));
+        assert_eq!(beating.worker.running.len(), 1, "the gang waits");
+        beating.end(world.now, Ending::Failed);
+        let ended = world.now;
+        while beating.worker.running.len() < 2 && world.now.since(ended) < RESTART_TIME {
+            beating.run(&mut world, TICK);
+        }
+        world.now.since(ended)
+    });
+    let longest = after.max().unwrap_or_default();
+    assert!(longest <= MAX_UNUSED, "unused for {longest:?}");
+}
+
+/// Guards against requests that reach a worker later because a long-running task waits that has no room there.
+#[test]
+fn a_long_running_task_that_waits_does_not_delay_others() {
+    struct Case {
+        name: &'static str,
+        /// Whether a long-running task waits that has no room.
+        waits: bool,
+        /// Whether a job is cancelled, instead of a short one submitted.
+        cancels: bool,
+    }
+    let cases = [
+        Case { name: "a start, none waits", waits: false, cancels: false },
+        Case { name: "a start, one waits", waits: true, cancels: false },
+        Case { name: "a stop, none waits", waits: false, cancels: true },
+        Case { name: "a stop, one waits", waits: true, cancels: true },
+    ];
+    let mut late = Vec::new();
+    for case in cases {
+        let after = (0..2000).step_by(50).map(|shift| {
+            let mut world = World::new();
+            let large = Resources { millicores: 3000, ..step(1).needs };
+            let mut lost = FakeWorker { capacity: large, ..FakeWorker::new("lost") };
+            if case.waits {
+                world.submit(7, vec![Step { needs: large, ..long_running(1) }]);
+                while lost.running.is_empty() {
+                    world.heartbeat(&mut lost);
+                }
+            }
+            let mut beating = Beating::new(FakeWorker::new("w1"), world.now);
+            beating.worker.capacity.millicores = 3000;
+            let needs = Resources { millicores: 500, ..step(1).needs };
+            world.submit(8, vec![Step { needs, ..long_running(1) }]);
+            beating.run(&mut world, Duration::from_secs(1));
+            if case.waits {
+                lost.leaving = Some(2000);
+                lost.end_all(Ending::Stopped);
+                world.heartbeat(&mut lost);
+            }
+            beating.run(&mut world, Duration::from_millis(5000 + shift));
+            let before = beating.worker.started.len();
+            assert_eq!(before, 1, "{}", case.name);
+            let asked = world.now;
+            if case.cancels {
+                world.call(&path(8), Action::Cancel);
+            } else {
+                world.submit(9, vec![Step { needs, ..step(1) }]);
+            }
+            while beating.worker.started.len() <= before
+                && beating.worker.stopped.is_empty()
+                && world.now.since(asked) < RESTART_TIME
+            {
+                beating.run(&mut world, TICK);
+            }
+            world.now.since(asked)
+        });
+        let longest = after.max().unwrap_or_default();
+        if longest > MAX_UNUSED {
+            late.push((case.name, longest));
+        }
+    }
+    assert!(late.is_empty(), "later than {MAX_UNUSED:?}: {late:?}");
+}
+
+/// Guards against a long-running task that waits while other tasks of its step stop and start again.
+#[test]
+fn the_task_of_a_step_that_has_waited_longest_starts_again_first() {
+    let mut world = World::new();
+    world.submit(7, vec![long_running(4)]);
+    let capacity = Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 };
+    lose(&mut world, capacity, false, 4);
+    let mut beating = Beating::new(FakeWorker::new("w1"), world.now);
+    beating.worker.capacity.millicores = 1000;
+    let mut started = Vec::new();
+    for _ in 0..4 {
+        beating.run(&mut world, Duration::from_secs(2));
+        started.extend(beating.worker.running.keys().map(|task| task.index));
+        // It is stopped for a reason that isn't the worker's.
+        beating.end(world.now, Ending::Stopped);
+    }
+    started.sort_unstable();
+    assert_eq!(started, [0, 1, 2, 3], "each task runs again once");
+}
