jobs: hold heartbeats of workers with room for others

A worker with room for one member of a gang still had its heartbeat held for 0.7 s (`the_room_of_a_run_that_fails_is_used_soon_by_a_gang`, 740 ms).

Change: only a worker of which less than a quarter is free is answered at once; others are held for 250 ms at most while such a task waits. A gang waits for room in more than one place, so any worker of its service counts.

--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -13,7 +13,8 @@
     time::Time,
 };
 
-/// The heartbeat interval of a full worker. A run that ends triggers a heartbeat earlier.
+/// The heartbeat interval of a worker that takes no start before a run ends there. A run that ends triggers
+/// a heartbeat earlier.
 const FULL_INTERVAL: Duration = Duration::from_millis(900);
 
 /// The heartbeat interval of a worker that has both opportunistic and serving tasks.
@@ -38,13 +39,17 @@
 /// measurements tell whether the paces are right.
 const MAX_HOLD_MIXED: Duration = Duration::from_millis(300);
 
-/// The maximum hold time while a run is past its estimated end, since it may end at any time.
+/// The maximum hold time while a run is past its estimated end, since it may end at any time, or while a
+/// long-running task waits for any run to end.
 const MAX_HOLD_OVERDUE: Duration = Duration::from_millis(250);
 
 /// The heartbeat interval of a worker on probation, and the maximum hold time of its heartbeats:
 /// nothing else starts there until its runs have settled.
 const PROBATION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// A worker counts as crowded if a smaller percentage of its processors or of its memory than this is free.
+const CROWDED_BELOW_PERCENT: u64 = 25;
+
 /// A worker counts as full if a smaller percentage of its processors than this is unused.
 const FULL_BELOW_PERCENT: u64 = 5;
 
@@ -63,7 +68,8 @@
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
-        let max = if ends.clone().any(|end| end <= now) { max.min(MAX_HOLD_OVERDUE) } else { max };
+        let uncertain = ends.clone().any(|end| end <= now) || self.is_awaited(worker);
+        let max = if uncertain { max.min(MAX_HOLD_OVERDUE) } else { max };
         let Some(next) = ends.filter(|end| *end > now).min() else {
             return max;
         };
@@ -71,14 +77,22 @@
         if until < END_NEAR { Duration::ZERO } else { until.min(max) }
     }
 
+    /// Whether the worker's heartbeat is answered although nothing is to be sent: a long-running task waits for
+    /// the end of a run there, and other tasks find hardly any room.
+    pub(super) fn is_unheld(&self, worker: &Worker) -> bool {
+        is_crowded(worker) && self.is_awaited(worker)
+    }
+
     /// Whether a long-running task that has run before waits until runs on the worker end. Any run may end
-    /// early, so the worker's heartbeat isn't held then.
-    pub(super) fn is_awaited(&self, worker: &Worker) -> bool {
+    /// early.
+    fn is_awaited(&self, worker: &Worker) -> bool {
         let room = Room::left(worker);
         self.waiting.of_class(Class::Restarted).any(|waiting| {
-            !room.fits(&waiting.demand)
+            let Some(request) = self.request(&waiting.key) else { return false };
+            // The other members of a gang need room, too.
+            (request.step.options.gang || !room.fits(&waiting.demand))
                 && worker.capacity().fits(&waiting.demand.reserved)
-                && self.request(&waiting.key).is_some_and(|request| may_run(worker, &request))
+                && may_run(worker, &request)
         })
     }
 
@@ -90,13 +104,13 @@
         if worker.probation.is_some() {
             return PROBATION_INTERVAL;
         }
-        let awaited = self.is_awaited(worker);
-        if awaited && worker.is_stopping() {
+        let unheld = self.is_unheld(worker);
+        if unheld && worker.is_stopping() {
             return STOPPING_INTERVAL;
         }
         if worker.is_mixed() {
             // Includes the time for which the heartbeat wasn't held.
-            return if awaited { MIXED_INTERVAL + MAX_HOLD_MIXED } else { MIXED_INTERVAL };
+            return if unheld { MIXED_INTERVAL + MAX_HOLD_MIXED } else { MIXED_INTERVAL };
         }
         if !worker.confirmed {
             return FREE_INTERVAL;
@@ -104,6 +118,16 @@
         let capacity = worker.capacity().millicores;
         let is_full =
             worker.unused().saturating_mul(100) < capacity.saturating_mul(FULL_BELOW_PERCENT);
-        if awaited || is_full || !worker.is_usable(now) { FULL_INTERVAL } else { FREE_INTERVAL }
+        if unheld || is_full || !worker.is_usable(now) { FULL_INTERVAL } else { FREE_INTERVAL }
     }
 }
+
+/// Whether little of the worker's processors or memory is free.
+fn is_crowded(worker: &Worker) -> bool {
+    let (free, capacity) = (worker.free(), worker.capacity());
+    let is_scarce = |free: u64, total: u64| {
+        free.saturating_mul(100) < total.saturating_mul(CROWDED_BELOW_PERCENT)
+    };
+    is_scarce(free.millicores, capacity.millicores)
+        || is_scarce(free.memory_mib, capacity.memory_mib)
+}
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -23,7 +23,7 @@
         let mut due: BTreeSet<_> = self.fleet.due(now).collect();
         for number in std::mem::take(&mut self.changed) {
             let worker = self.fleet.workers.get(&number);
-            if worker.is_some_and(|worker| has_updates(worker) || self.is_awaited(worker)) {
+            if worker.is_some_and(|worker| has_updates(worker) || self.is_unheld(worker)) {
                 due.insert(number);
             }
         }
