jobs: start the task of a step first that has waited longest

Users count each task by itself, from 6 s after its last run.

Cause: the tasks of a step that wait are tried in the order of their indexes. They need the same, so any other order costs nothing.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -249,6 +249,7 @@
         checkpoint: &str,
     ) {
         self.record(now, Record::End { task, run, ending, checkpoint: checkpoint.into() });
+        self.note_stopped(now, task);
         if self.state.jobs.get(&task.job).is_some_and(|job| !job.phase.is_open()) {
             self.schedule_forget(now, task.job);
         }
@@ -264,6 +265,16 @@
     ) {
         self.note_broken(&task);
         self.record(now, Record::End { task, run, ending: Ending::LeaseExpired, checkpoint });
+        self.note_stopped(now, task);
+    }
+
+    /// Notes when the last run of a long-running task has ended.
+    fn note_stopped(&mut self, now: Time, task: TaskKey) {
+        let step = self.state.step(&task.step_key());
+        let waits = self.state.task(&task).is_some_and(|task| task.phase == TaskPhase::Waiting);
+        if waits && step.is_some_and(|step| step.options.long_running) {
+            self.stopped.insert(task, now);
+        }
     }
 
     /// Updates the runs that the worker lists and returns their tasks.
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -79,6 +79,8 @@
     pub(super) changed: BTreeSet<WorkerNumber>,
     /// Services that used less than half of their processors at the last check.
     pub(super) idle_services: Vec<ServiceName>,
+    /// When the last run of each long-running task that waits has ended.
+    pub(super) stopped: HashMap<TaskKey, Time>,
     /// Occurrences that aren't due yet, or wait until earlier ones of their job are finished.
     pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
     /// The workers on which each task has failed or was refused.
@@ -134,6 +136,7 @@
             waiting: WaitingSteps::default(),
             changed: BTreeSet::new(),
             idle_services: Vec::new(),
+            stopped: HashMap::new(),
             upcoming: BTreeSet::new(),
             failed_on: HashMap::new(),
             pending_starts: BTreeMap::new(),
@@ -250,6 +253,7 @@
         }
         self.upcoming.retain(|(_, job, _)| *job != id);
         self.failed_on.retain(|task, _| task.job != id);
+        self.stopped.retain(|task, _| task.job != id);
         self.interference.forget(id);
         self.suspects.forget(id);
         self.stop_runs(id);
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -98,8 +98,13 @@
         let mut started = 0;
         let mut last = None;
         // The suspects come last: that one of them finds no worker says nothing about the others.
-        let tasks = indexes.iter().map(|index| key.task(*index));
-        let (suspects, others): (Vec<_>, Vec<_>) = tasks.partition(|task| self.is_suspect(task));
+        let mut tasks: Vec<_> = indexes.iter().map(|index| key.task(*index)).collect();
+        tasks.sort_by_key(|task| {
+            let stopped = self.stopped.get(task);
+            (stopped.is_none(), stopped.copied())
+        });
+        let (suspects, others): (Vec<_>, Vec<_>) =
+            tasks.into_iter().partition(|task| self.is_suspect(task));
         for task in others.into_iter().chain(suspects) {
             let speed = if started < starving {
                 SpeedRequirement::Any
@@ -211,6 +216,7 @@
     fn start(&mut self, now: Time, task: TaskKey, run: Run, worker: WorkerNumber, step: &Step) {
         self.record(now, Record::Start { task, run, worker });
         self.suspects.release(&task);
+        self.stopped.remove(&task);
         self.starts += 1;
         let view = RunView { order: self.starts, ..self.new_view(now, &task, run, step) };
         if let Some(worker) = self.fleet.workers.get_mut(&worker) {
