jobs: rank long-running tasks by their share of a worker

Change: the larger of the shares of the service's largest worker ranks them.

`the_smallest_long_running_tasks_start_again_first` has a case for it. Its lost worker has as much memory as processors now, as the share is that of the largest worker.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -103,6 +103,7 @@
 
     /// Updates the properties of a worker. A change of its capacity and its leaving are logged.
     fn update_profile(&mut self, now: Time, number: WorkerNumber, report: &Report) {
+        self.fleet.add_capacity(&report.service, &report.capacity);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let was_leaving = worker.is_leaving();
         if let Some(profile) = &worker.profile
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -226,7 +226,8 @@
         let job = self.state.jobs.get(&key.job).filter(|job| job.phase.is_open())?;
         let queue = self.state.queue_of(job)?;
         let step = job.spec.steps.get(usize::from(key.step))?;
-        Some((rank(job, queue, key, self.wall), Demand::new(step)))
+        let largest = self.fleet.largest_worker(&queue.service);
+        Some((rank(job, queue, key, &largest, self.wall), Demand::new(step)))
     }
 
     pub(super) fn enqueue(&mut self, now: Time, step: StepKey) {
@@ -283,6 +284,7 @@
             return;
         }
         self.next_expiry = now + EXPIRY_INTERVAL;
+        self.fleet.update_largest();
         self.rerank();
         // A search that begins again before it has reached the last step would never reach it.
         if now >= self.next_retry && self.search_ended {
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -9,6 +9,7 @@
 use crate::{
     ids::{Incarnation, ServiceName, WorkerName},
     jobs::{model::WorkerNumber, report::Report},
+    resources::Resources,
     time::Time,
     transit::{Arrival, Transit},
 };
@@ -29,6 +30,8 @@
     names: HashMap<WorkerName, WorkerNumber>,
     /// The transit of the heartbeats of the last incarnation of each worker, known or removed.
     transits: HashMap<WorkerName, IncarnationTransit>,
+    /// The most of each resource that a worker of each service has.
+    largest: BTreeMap<ServiceName, Resources>,
     /// The deadlines of the held heartbeats.
     deadlines: BTreeSet<(Time, WorkerNumber)>,
 }
@@ -120,6 +123,29 @@
         idle.map(|(service, _)| service.clone()).collect()
     }
 
+    /// The most of each resource that a worker of the service has.
+    pub fn largest_worker(&self, service: &ServiceName) -> Resources {
+        self.largest.get(service).copied().unwrap_or_default()
+    }
+
+    /// Takes the capacity of a worker into account for the largest worker of its service.
+    pub fn add_capacity(&mut self, service: &ServiceName, capacity: &Resources) {
+        match self.largest.get_mut(service) {
+            Some(largest) => *largest = largest.max(capacity),
+            None => drop(self.largest.insert(service.clone(), *capacity)),
+        }
+    }
+
+    /// Computes the largest worker of each service again, after workers have shrunk or gone.
+    pub fn update_largest(&mut self) {
+        self.largest.clear();
+        let profiles = self.workers.values().filter_map(|worker| worker.profile.as_ref());
+        for profile in profiles {
+            let largest = self.largest.entry(profile.service.clone()).or_default();
+            *largest = largest.max(&profile.capacity);
+        }
+    }
+
     /// Holds a worker's heartbeat. Returns the one that was held before, if any.
     pub fn hold(
         &mut self,
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -78,15 +78,7 @@
     }
 
     fn max(&self, other: &Self) -> Self {
-        let (free, others) = (&self.free, &other.free);
-        Self {
-            free: Resources {
-                millicores: free.millicores.max(others.millicores),
-                memory_mib: free.memory_mib.max(others.memory_mib),
-                accelerators: free.accelerators.max(others.accelerators),
-            },
-            unused: self.unused.max(other.unused),
-        }
+        Self { free: self.free.max(&other.free), unused: self.unused.max(other.unused) }
     }
 }
 
--- a/lib/src/jobs/rank.rs
+++ b/lib/src/jobs/rank.rs
@@ -8,9 +8,8 @@
 
 /// The rank of a step; smaller ranks are placed first.
 ///
-/// Tasks that have run and last until their job is cancelled come first: their users wait for them. In
-/// a full service the smallest of them come first, so that the most of them are at work and room is left
-/// unused only by tasks that it is too small for.
+/// Tasks that have run and last until their job is cancelled come first: their users wait for them. The
+/// smallest of them come first: in a full service what becomes free is rarely enough for a large one.
 /// Next, in the order of the queues' priorities, come jobs that end and can still be of use, and
 /// then tasks that last and haven't run yet. These keep their processors for minutes, so they take
 /// what the others leave; the other way round, a full service would run no short job at all.
@@ -25,8 +24,7 @@
     /// Whether the job can still meet its objective; long-running jobs always can.
     pub lateness: Lateness,
     /// The remaining work of the occurrence, in milliseconds of one processor. For
-    /// [`Class::Restarted`], the product of the resources that each task takes, which orders demands
-    /// without weights between them.
+    /// [`Class::Restarted`], the dominant share of a task in the service's largest worker, in millionths.
     pub size: u64,
 }
 
@@ -69,7 +67,15 @@
 const TOLERANCE_DIVISOR: u64 = 10;
 
 /// The rank of a step.
-pub(crate) fn rank(job: &Job, queue: &Queue, step: &StepKey, wall: WallTime) -> Rank {
+///
+/// `largest` is the most of each resource that a worker of the service has.
+pub(crate) fn rank(
+    job: &Job,
+    queue: &Queue,
+    step: &StepKey,
+    largest: &Resources,
+    wall: WallTime,
+) -> Rank {
     let spec = job.spec.steps.get(usize::from(step.step));
     let long_running = spec.is_some_and(|spec| spec.options.long_running);
     let begin = job.spec.due(step.occurrence).unwrap_or(job.accepted);
@@ -94,15 +100,10 @@
     };
     let lateness = if long_running { Lateness::InTime } else { lateness };
     let size = match class {
-        Class::Restarted => spec.map_or(0, |spec| volume(&spec.needs)),
+        Class::Restarted => {
+            spec.map_or(0, |spec| (spec.needs.dominant_share(largest) * 1e6) as u64)
+        }
         Class::Queued(..) => remaining.work,
     };
     Rank { class, lateness, size }
 }
-
-/// The product of the resources.
-fn volume(needs: &Resources) -> u64 {
-    let accelerators = u64::from(needs.accelerators).saturating_add(1);
-    let processors = needs.millicores.max(1).saturating_mul(accelerators);
-    processors.saturating_mul(needs.memory_mib.max(1))
-}
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -62,6 +62,15 @@
         }
     }
 
+    /// The larger amount in each dimension.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            millicores: self.millicores.max(other.millicores),
+            memory_mib: self.memory_mib.max(other.memory_mib),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// The percentage of `requested` that `self` covers in the scarcest dimension; may exceed 100.
     pub fn covered_percent(&self, requested: &Self) -> u64 {
         let percent = |has: u64, requested: u64| {
--- a/lib/tests/jobs/waiting.rs
+++ b/lib/tests/jobs/waiting.rs
@@ -83,6 +83,7 @@
         for task in ended {
             self.stopping.remove(&task);
             self.worker.end(task, Ending::Stopped);
+            self.worker.stopped.insert(task);
             self.next = self.next.min(now + END_DELAY);
         }
     }
@@ -249,6 +250,7 @@
     let cases = [
         Case { name: "first", needs: [(1000, 1000), (3000, 3000)], want: [3, 0] },
         Case { name: "last", needs: [(3000, 3000), (1000, 1000)], want: [0, 3] },
+        Case { name: "by share", needs: [(1500, 1500), (2000, 1000)], want: [2, 0] },
         Case { name: "by memory", needs: [(1000, 3000), (1000, 1000)], want: [0, 3] },
         Case { name: "by processors", needs: [(3000, 1000), (1000, 1000)], want: [0, 3] },
     ];
@@ -259,7 +261,7 @@
             let needs = Resources { millicores, memory_mib, accelerators: 0 };
             world.submit(id, vec![Step { needs, ..long_running(3) }])
         });
-        let large = Resources { millicores: 18_000, memory_mib: 64_000, accelerators: 0 };
+        let large = Resources { millicores: 18_000, memory_mib: 18_000, accelerators: 0 };
         lose(&mut world, large, false, 6);
         let capacity = Resources { millicores: 3000, memory_mib: 3000, accelerators: 0 };
         let worker = FakeWorker { capacity, ..FakeWorker::new("w1") };
