--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -99,6 +99,7 @@
         let mut last = None;
         // The suspects come last: that one of them finds no worker says nothing about the others.
         let mut tasks: Vec<_> = indexes.iter().map(|index| key.task(*index)).collect();
+        // Those that have waited longest come first, those that haven't run yet last.
         tasks.sort_by_key(|task| {
             let stopped = self.stopped.get(task);
             (stopped.is_none(), stopped.copied())
