--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -9,7 +9,10 @@
     jobs::{
         controller::{Answer, leader::Leader},
         fleet::{RunView, Worker},
-        model::{Run, TaskKey, WorkerNumber},
+        model::{Run, StepKey, TaskKey, WorkerNumber},
+        placement::{Request, SpeedRequirement, may_run},
+        pool::Room,
+        rank::Class,
         response::{HeartbeatResponse, RunStart},
         state::State,
     },
@@ -73,11 +76,13 @@
     /// Answers the held heartbeats that are due or for which there is something to send.
     pub(super) fn answer_held(&mut self, now: Time) {
         self.start_budget.refill(now);
-        let changed = std::mem::take(&mut self.changed)
-            .into_iter()
-            .filter(|number| self.fleet.workers.get(number).is_some_and(has_updates));
         let mut due: BTreeSet<_> = self.fleet.due(now).collect();
-        due.extend(changed);
+        for number in std::mem::take(&mut self.changed) {
+            let Some(worker) = self.fleet.workers.get(&number) else { continue };
+            if has_updates(worker) || self.is_awaited(worker) {
+                due.insert(number);
+            }
+        }
         due.retain(|number| self.is_held(*number));
         for number in due {
             self.answer_worker(now, number);
@@ -85,6 +90,29 @@
         self.send_starts(now);
     }
 
+    /// Whether a long-running task that has run before waits for room on the worker. The worker reports
+    /// the end of a run only after its heartbeat was answered, so that it isn't held then.
+    fn is_awaited(&self, worker: &Worker) -> bool {
+        let room = Room::left(worker);
+        self.waiting.of_class(Class::Restarted).any(|waiting| {
+            !room.fits(&waiting.demand)
+                && worker.capacity().fits(&waiting.demand.reserved)
+                && self.may_host(worker, &waiting.key)
+        })
+    }
+
+    /// Whether the service, the labels and the spread allow a task of the step on the worker.
+    fn may_host(&self, worker: &Worker, key: &StepKey) -> bool {
+        let Some(job) = self.state.jobs.get(&key.job) else { return false };
+        let Some(queue) = self.state.queue_of(job) else { return false };
+        let Some(step) = job.spec.steps.get(usize::from(key.step)) else { return false };
+        let (service, interference) = (&queue.service, &self.interference);
+        let speed = SpeedRequirement::Any;
+        let request =
+            Request { service, step, key: *key, avoid: &[], interference, speed, probation: false };
+        may_run(worker, &request)
+    }
+
     /// Answers the held heartbeats of workers with pending starts, in turn, until the budget is spent.
     fn send_starts(&mut self, now: Time) {
         let from = self.pending_starts.range(self.next_served..).map(|(number, _)| *number);
@@ -105,8 +133,10 @@
 
     fn answer_worker(&mut self, now: Time, number: WorkerNumber) {
         let (timing, epoch) = (self.timing, self.epoch);
+        let awaited = self.fleet.workers.get(&number).is_some_and(|worker| self.is_awaited(worker));
         let Some(held) = self.fleet.release(number) else { return };
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        let interval = next_heartbeat(worker, now, awaited);
         // A worker that may be gone must not keep its runs for another lease.
         let lease = worker.confirmed.then_some(timing.lease);
         if let Some(lease) = lease {
@@ -130,7 +160,7 @@
             stops,
             paces,
             acknowledged: worker.acknowledged(),
-            next_heartbeat: next_heartbeat(worker, now),
+            next_heartbeat: interval,
             starts: Vec::new(),
         };
         if worker.confirmed {
@@ -210,7 +240,7 @@
 }
 
 /// The time until the worker's next heartbeat.
-fn next_heartbeat(worker: &Worker, now: Time) -> Duration {
+fn next_heartbeat(worker: &Worker, now: Time, awaited: bool) -> Duration {
     if worker.is_leaving() {
         return LEAVING_INTERVAL;
     }
@@ -220,12 +250,13 @@
     let capacity = worker.profile.as_ref().map_or(0, |profile| profile.capacity.millicores);
     let unused = worker.unused();
     if worker.serving > 0 && worker.demand > 0 {
-        return MIXED_INTERVAL;
+        return if awaited { MIXED_INTERVAL + MAX_HOLD_MIXED } else { MIXED_INTERVAL };
     }
     if !worker.confirmed {
         return FREE_INTERVAL;
     }
-    if !worker.is_usable(now)
+    if awaited
+        || !worker.is_usable(now)
         || unused.saturating_mul(100) < capacity.saturating_mul(FULL_BELOW_PERCENT)
     {
         return FULL_INTERVAL;
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -76,8 +76,9 @@
 
     /// The steps of this class.
     pub fn of_class(&self, class: Class) -> impl Iterator<Item = &WaitingStep> {
-        let steps = self.order.iter();
-        steps.filter(move |((rank, _), _)| rank.class == class).map(|(_, step)| step)
+        // The steps are in the order of their classes.
+        let steps = self.order.iter().skip_while(move |((rank, _), _)| rank.class < class);
+        steps.take_while(move |((rank, _), _)| rank.class == class).map(|(_, step)| step)
     }
 
     /// A step and its rank.
