--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -44,6 +44,24 @@
         self.update_profile(now, number, report);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         worker.confirmed = arrival == Arrival::Timely;
+        if let Some((at, held)) = worker.answered {
+            let after = u64::try_from(now.since(at).as_millis()).unwrap_or(0);
+            let held = u64::try_from(held.as_millis()).unwrap_or(0);
+            let kind = if after < 75 { "waited" } else { "prompt" };
+            for ended in &report.ended {
+                if ended.number <= worker.last_end { continue }
+                let long = worker.runs.get(&ended.task).is_some_and(|view| view.long_running);
+                let kind = match (kind, long, ended.ending) {
+                    ("waited", true, _) => "waited long",
+                    ("waited", false, Ending::Failed) => "waited failed",
+                    ("waited", false, _) => "waited short",
+                    (_, true, _) => "prompt long",
+                    (_, false, Ending::Failed) => "prompt failed",
+                    (_, false, _) => "prompt short",
+                };
+                *self.ends.entry((kind, held / 100)).or_default() += 1;
+            }
+        }
         for ended in &report.ended {
             self.process_end(now, number, ended);
         }
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -111,6 +111,8 @@
     pub(super) next_stranded: Time,
     /// Whether the last round of placement considered all waiting steps.
     pub(super) search_ended: bool,
+    /// Trial.
+    pub(super) ends: BTreeMap<(&'static str, u64), u64>,
     /// The wall clock of the current turn.
     pub(super) wall: WallTime,
 }
@@ -153,6 +155,7 @@
             next_retry: now,
             next_stranded: now,
             search_ended: true,
+            ends: BTreeMap::new(),
             state,
             epoch,
             timing,
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -289,6 +289,11 @@
         /// The number of workers by what keeps them from running a task.
         workers: Vec<(&'static str, u32)>,
     },
+    /// Trial.
+    Trace {
+        /// Trial.
+        text: String,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -107,6 +107,7 @@
         let (timing, epoch) = (self.timing, self.epoch);
         let Some(held) = self.fleet.release(number) else { return };
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
+        worker.answered = Some((now, now.since(held.since)));
         // A worker that may be gone must not keep its runs for another lease.
         let lease = worker.confirmed.then_some(timing.lease);
         if let Some(lease) = lease {
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -85,6 +85,8 @@
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
     pub health: Health,
+    /// Trial.
+    pub answered: Option<(Time, Duration)>,
     /// The task that runs here alone until it has settled, or for which the worker is reserved.
     pub probation: Option<TaskKey>,
 }
@@ -146,6 +148,7 @@
             neighbours: Neighbours::default(),
             health: Health::default(),
             probation: None,
+            answered: None,
         }
     }
 
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -37,6 +37,9 @@
             info!(log, "long-running tasks wait"; "step" => step, "tasks" => tasks,
                 "suspects" => suspects, "waited_ms" => waited_ms, "workers" => workers.join(" "));
         }
+        LogEvent::Trace { text } => {
+            info!(log, "trace"; "text" => text);
+        }
         LogEvent::Committed { .. } => {}
         LogEvent::Ended { task, run, ending, worker } => {
             info!(log, "a run ended"; "task" => task, "run" => run, "ending" => ending,
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -195,6 +195,7 @@
             LogEvent::Leading { .. }
             | LogEvent::Ignored { .. }
             | LogEvent::Stranded { .. }
+            | LogEvent::Trace { .. }
             | LogEvent::SteppedDown(_)
             | LogEvent::Members { .. }
             | LogEvent::TooFewVoters { .. }
