--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -49,6 +49,7 @@
 mod round;
 mod schedule;
 mod stranded;
+mod trace;
 mod turn;
 mod unlisted;
 mod vacancy;
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -286,6 +286,7 @@
             self.waiting.retry_all();
         }
         self.idle_services = self.fleet.idle_services();
+        self.trace(now);
         self.report_waits(now);
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -336,6 +336,11 @@
         /// Whether a heartbeat of the worker is held.
         held: bool,
     },
+    /// Trial.
+    Trace {
+        /// Trial.
+        text: String,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -70,6 +70,9 @@
                 "workers" => workers, "task" => task, "worker" => worker, "age_ms" => millis(*age),
                 "sent" => sent, "held" => held);
         }
+        LogEvent::Trace { text } => {
+            info!(log, "trace"; "text" => text);
+        }
         LogEvent::Committed { .. } => {}
         LogEvent::Ended { task, run, ending, worker } => {
             info!(log, "a run ended"; "task" => task, "run" => run, "ending" => ending,
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -209,6 +209,7 @@
             LogEvent::Leading { .. }
             | LogEvent::Ignored { .. }
             | LogEvent::Stranded { .. }
+            | LogEvent::Trace { .. }
             | LogEvent::Vacant { .. }
             | LogEvent::Unlisted { .. }
             | LogEvent::SteppedDown(_)
