--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -75,6 +75,11 @@
 FAILURES = (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, IndexError, ValueError)
 
 
+def encode(body):
+    """A body without blanks."""
+    return json.dumps(body, separators=(",", ":")).encode()
+
+
 def fill(template, fields):
     """Fills in a settings template as the platform does; the project's templates need only values."""
 
@@ -281,7 +286,7 @@
     async def call(self, method, job, body=None, gateway=0, limit=3.0):
         """One call; `None` if there is no answer in time."""
         to = self.deployment.gateways[gateway]
-        content = json.dumps(body).encode() if body is not None else b""
+        content = encode(body) if body is not None else b""
         headers = [
             ("Host", HOST), ("Content-Type", "application/json"),
             ("X-Deadline-Ms", str(int(limit * 1000))),
@@ -296,7 +301,8 @@
             return None
         shown = answer[2].decode(errors="replace")[:80]
         self.record(f"requester: {method} {path} at {to.name} -> {answer[0]} {shown}")
-        return answer[0], json.loads(answer[2] or b"{}")
+        is_json = answer[1].get("content-type") == "application/json"
+        return answer[0], json.loads(answer[2]) if is_json and answer[2] else {}
 
     async def submit(self, job, work, steps, **options):
         """Submits until the submission is accepted."""
