review: a few submissions of many steps stop all controllers

Up to eight submissions of 6500 steps that can't be done come beside 80 small ones:

TROUBLE=1 review/8/run.sh

--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+PYTHONDONTWRITEBYTECODE=1 exec python3 "$(dirname "$0")/case.py"
