jobs: a full list of ends doesn't prove that other runs are lost

Cause: a worker lists 500 ends at a time. A run that is in neither list of two heartbeats in a row was given up, also when the list of ends was full and the run's end among those that follow. Its end was withheld when it came, and with it all later ones.

A run that such a heartbeat lacks is kept, with its room, and neither counted as stalled nor started again; a run that is to be stopped keeps its room, too. Starts that were decided on but not sent still go out. A worker with a full list is answered at once and asked for its next heartbeat after 25 ms, so a backlog drains.

Related paths: starts that a full list hides, with and without a change of the leader; a cut within the lease; a leaving worker: cases of the test. The list of runs isn't cut: a worker has at most 8000 runs. Hellos, states and lists of controllers carry no list whose gaps are read as events.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -41,6 +41,7 @@
             self.answers.push((ticket, Answer::Acknowledged));
             return;
         }
+        let more_before = worker.more_ends;
         self.update_profile(now, number, report);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         worker.confirmed = arrival == Arrival::Timely;
@@ -52,7 +53,7 @@
         self.log_withheld(number, withheld);
         let listed = self.process_running(now, number, &report.running);
         self.settle_runs(now, number, &listed);
-        self.reconcile(now, number, &listed);
+        self.reconcile(now, number, &listed, more_before);
         self.adjust_runs(now, number);
         let until = now + self.hold_time(number, now);
         if let Some(older) = self.fleet.hold(number, HeldHeartbeat { ticket, since: now, until }) {
@@ -304,7 +305,9 @@
             }
             view.gauge = row.gauge;
         }
-        if let Some(worker) = self.fleet.workers.get_mut(&number) {
+        if let Some(worker) = self.fleet.workers.get_mut(&number)
+            && !worker.more_ends
+        {
             worker.expire_orphans(&orphans);
         }
         listed
@@ -314,10 +317,26 @@
     /// with its answer and is sent again if it still fits. A run that was listed before is given up if it is missing
     /// from two heartbeats in a row, since its end may still come with the next one and its room is
     /// free only then.
-    fn reconcile(&mut self, now: Time, number: WorkerNumber, listed: &BTreeSet<TaskKey>) {
+    ///
+    /// Heartbeats with a full list of ends don't count: a run that they lack has probably ended, and its
+    /// end follows. `more_before` tells whether the last list was full.
+    fn reconcile(
+        &mut self,
+        now: Time,
+        number: WorkerNumber,
+        listed: &BTreeSet<TaskKey>,
+        more_before: bool,
+    ) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
-        let missing = worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task));
-        let missing: Vec<_> = missing.map(|(task, view)| MissingRun::new(*task, view)).collect();
+        let more_ends = worker.more_ends;
+        let mut missing = Vec::new();
+        for (task, view) in worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task)) {
+            if more_ends && view.sent {
+                (view.missing, view.progressed_at) = (true, now);
+            } else {
+                missing.push(MissingRun::new(*task, view, more_before));
+            }
+        }
         let mut unlisted = Vec::new();
         let mut arrived = true;
         for MissingRun { start, run, was_listed, was_sent } in missing {
@@ -338,7 +357,9 @@
                 self.record_lost_run(now, task, run, checkpoint);
             }
         }
-        if let Some(worker) = self.fleet.workers.get_mut(&number) {
+        if let Some(worker) = self.fleet.workers.get_mut(&number)
+            && !more_ends
+        {
             worker.delivery.record_outcome(arrived, self.responses.max_bytes);
         }
         unlisted.sort_by_key(|start| start.order);
@@ -360,9 +381,10 @@
 }
 
 impl MissingRun {
-    /// Marks the run as missing.
-    fn new(task: TaskKey, view: &mut RunView) -> Self {
-        let was_missing = std::mem::replace(&mut view.missing, true);
+    /// Marks the run as missing. `more_before` tells whether its end may have been left out of the last
+    /// list.
+    fn new(task: TaskKey, view: &mut RunView, more_before: bool) -> Self {
+        let was_missing = std::mem::replace(&mut view.missing, true) && !more_before;
         let start = UnlistedStart { task, order: view.order, was_missing };
         Self { start, run: view.run, was_listed: view.listed, was_sent: view.sent }
     }
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -20,7 +20,7 @@
 /// The heartbeat interval of a worker that has both opportunistic and serving tasks.
 const MIXED_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The heartbeat interval of a worker with free capacity.
+/// The heartbeat interval of a worker with free capacity, or with more ends than it lists.
 pub(super) const FREE_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The heartbeat interval of a leaving worker. It is short, since the ends of its runs must be
@@ -64,7 +64,7 @@
         } else {
             self.timing.max_hold
         };
-        if worker.is_leaving() || !worker.confirmed {
+        if worker.is_leaving() || !worker.confirmed || worker.more_ends {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
@@ -98,6 +98,9 @@
 
     /// The time until the next heartbeat of the worker, whose last one is answered now.
     pub(super) fn heartbeat_interval(&self, worker: &Worker, now: Time) -> Duration {
+        if worker.more_ends {
+            return FREE_INTERVAL;
+        }
         if worker.is_leaving() {
             return LEAVING_INTERVAL;
         }
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -71,6 +71,8 @@
     pub orphans: BTreeMap<(TaskKey, Run), Orphan>,
     /// The number of the last reported end that was processed.
     pub last_end: u64,
+    /// Whether its last list of ends was full, so that further runs may have ended.
+    pub more_ends: bool,
     /// The ends that aren't acknowledged, by their numbers, with their tasks; see
     /// [`Worker::acknowledged`].
     pub withheld: BTreeMap<u64, TaskKey>,
@@ -146,6 +148,7 @@
             serving_used: 0,
             orphans: BTreeMap::new(),
             last_end: 0,
+            more_ends: false,
             withheld: BTreeMap::new(),
             departure: None,
             excess_since: None,
@@ -159,6 +162,7 @@
     pub fn update_profile(&mut self, now: Time, report: &Report) {
         self.sequence = report.sequence;
         self.last_heartbeat = now;
+        self.more_ends = report.more_ends;
         let leaves_at = report.leaving.map(|left| now + Duration::from_millis(left));
         self.profile = Some(Profile {
             service: report.service.clone(),
--- a/lib/src/jobs/report.rs
+++ b/lib/src/jobs/report.rs
@@ -48,6 +48,8 @@
         pub running: Vec<Running>,
         /// The runs that have ended and weren't acknowledged.
         pub ended: Vec<Ended>,
+        /// Whether that list is full, so that further runs may have ended.
+        pub more_ends: bool,
     }
 
     /// A run in progress.
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod deployment;
 mod encoding;
 mod evacuations;
+mod full_lists;
 mod gangs;
 mod gateway;
 mod handover;
--- a/lib/tests/jobs/odd_workers.rs
+++ b/lib/tests/jobs/odd_workers.rs
@@ -203,6 +203,7 @@
             leaving: self.leaving,
             running: Vec::new(),
             ended: Vec::new(),
+            more_ends: false,
             labels: good.labels.iter().map(|label| label.as_str().into()).collect(),
         }
     }
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -348,6 +348,8 @@
     pub(crate) capacity: Resources,
     pub(crate) running: BTreeMap<TaskKey, Run>,
     pub(crate) ended: Vec<Ended>,
+    /// The maximum number of ends in a heartbeat.
+    pub(crate) max_listed: usize,
     pub(crate) end_count: u64,
     pub(crate) gauges: BTreeMap<TaskKey, u64>,
     pub(crate) started: Vec<(TaskKey, Run)>,
@@ -374,6 +376,7 @@
             capacity: Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 },
             running: BTreeMap::new(),
             ended: Vec::new(),
+            max_listed: usize::MAX,
             end_count: 0,
             gauges: BTreeMap::new(),
             started: Vec::new(),
@@ -420,7 +423,8 @@
                     gauge: self.gauges.get(task).copied().unwrap_or(0),
                 })
                 .collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(self.max_listed).cloned().collect(),
+            more_ends: self.ended.len() >= self.max_listed,
         }
     }
 
