jobs: withheld ends never fill a worker's list for good

Callers: an end that is withheld holds back all later ones, as an acknowledgement covers all ends up to its number. Once ends that can't be acknowledged fill the worker's list of 500, it reports no other end as long as it lives, and all that it runs is taken for lost.

Cause: an end was withheld until its task was done elsewhere, however long that takes, or for good if the worker hadn't returned. A long-running task is never done, so its end was withheld until the job was cancelled.

Change: the ends of a returned worker are released as before, and all of them when they fill its list. The lease of any other worker whose list they fill isn't renewed; it is removed when the lease has run out, returns, and gets rid of them. Only a worker whose runs vanished from its lists and ended as done afterwards comes there, which the protocol rules out. Ends of long-running tasks aren't withheld: these start again however they end.

Weighed: acknowledging the ends of a worker that holds its lease.

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -49,7 +49,7 @@
         for ended in &report.ended {
             self.process_end(now, number, ended);
         }
-        self.release_ends(number);
+        self.release_ends(now, number, report);
         self.log_withheld(number, withheld);
         let listed = self.process_running(now, number, &report.running);
         self.settle_runs(now, number, &listed);
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -64,7 +64,7 @@
         } else {
             self.timing.max_hold
         };
-        if worker.is_leaving() || !worker.confirmed || worker.more_ends {
+        if worker.is_leaving() || !worker.renews_lease() || worker.more_ends {
             return Duration::ZERO;
         }
         let ends = worker.runs.values().filter_map(|view| view.expected_end());
@@ -98,7 +98,7 @@
 
     /// The time until the next heartbeat of the worker, whose last one is answered now.
     pub(super) fn heartbeat_interval(&self, worker: &Worker, now: Time) -> Duration {
-        if worker.more_ends {
+        if worker.more_ends && !worker.blocked {
             return FREE_INTERVAL;
         }
         if worker.is_leaving() {
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -295,7 +295,8 @@
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.last_heartbeat) > IDLE_WORKER_RETENTION;
             let expired = worker.held.is_none() && now > worker.lease_until;
-            expired && worker.departure.is_none() && (silent || !worker.runs.is_empty())
+            let occupied = worker.blocked || !worker.runs.is_empty();
+            expired && worker.departure.is_none() && (silent || occupied)
         });
         let lost: Vec<_> = lost.map(|(number, _)| *number).collect();
         for number in lost {
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -59,7 +59,7 @@
         let interval = self.heartbeat_interval(worker, now);
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         // A worker that may be gone must not keep its runs for another lease.
-        let lease = worker.confirmed.then_some(timing.lease);
+        let lease = worker.renews_lease().then_some(timing.lease);
         if let Some(lease) = lease {
             let until = held.since + lease + timing.lease_margin;
             worker.lease_until = worker.lease_until.max(until);
@@ -84,7 +84,7 @@
             next_heartbeat: interval,
             starts: Vec::new(),
         };
-        if worker.confirmed {
+        if lease.is_some() {
             response.starts = self.take_starts(number, room);
         }
         if self.pending_starts.contains_key(&number) {
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -76,6 +76,8 @@
     /// The ends that aren't acknowledged, by their numbers, with their tasks; see
     /// [`Worker::acknowledged`].
     pub withheld: BTreeMap<u64, TaskKey>,
+    /// Whether withheld ends fill its list, so that it can't report others.
+    pub blocked: bool,
     /// `None` if it hasn't left.
     pub departure: Option<Departure>,
     /// Since when its runs have reserved more than it has, or when some were last moved away for it.
@@ -150,6 +152,7 @@
             last_end: 0,
             more_ends: false,
             withheld: BTreeMap::new(),
+            blocked: false,
             departure: None,
             excess_since: None,
             neighbours: Neighbours::default(),
@@ -342,7 +345,8 @@
     /// acknowledgement covers all ends up to its number.
     ///
     /// A worker that was removed and has returned ([`crate::jobs::returns`]) has surely dropped its lease
-    /// after such a run. Its ends are acknowledged once their tasks need no further run.
+    /// after such a run. Its ends are acknowledged once their tasks need no further run or they fill its
+    /// list. The lease of any other worker isn't renewed once they do.
     pub fn acknowledged(&self) -> u64 {
         let first = self.withheld.keys().next();
         first.map_or(self.last_end, |first| self.last_end.min(first - 1))
@@ -381,7 +385,15 @@
 
     /// Whether runs could be started on the worker if its health allowed it.
     pub fn can_start(&self) -> bool {
-        self.profile.is_some() && self.confirmed && !self.is_leaving() && !self.is_overcommitted()
+        self.profile.is_some()
+            && self.renews_lease()
+            && !self.is_leaving()
+            && !self.is_overcommitted()
+    }
+
+    /// Whether responses to its heartbeats grant a lease.
+    pub fn renews_lease(&self) -> bool {
+        self.confirmed && !self.blocked
     }
 }
 
--- a/lib/tests/jobs/full_lists.rs
+++ b/lib/tests/jobs/full_lists.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use hickorylink_lib::{
-    jobs::{lifecycle::JobPhase, model::Run, record::Ending},
+    jobs::{
+        lifecycle::JobPhase,
+        model::{Run, Step, StepOptions},
+        record::Ending,
+    },
     resources::Resources,
 };
 
-use crate::world::{FakeWorker, LEASE, World, step, task};
+use crate::world::{FakeWorker, LEASE, MARGIN, World, step, task};
 
 /// The number of ends that the workers of these tests list at a time.
 const MAX_LISTED: usize = 4;
@@ -82,3 +86,104 @@
         assert_eq!(other.started, [], "{}", case.name);
     }
 }
+
+/// Guards against returned workers with more ends than they list, whose later ends are never heard: the
+/// first ends are withheld until their tasks are done elsewhere.
+#[test]
+fn a_returned_worker_with_many_ends_gets_rid_of_them() {
+    struct Case {
+        name: &'static str,
+        /// Whether the leader changes after the worker has returned.
+        change: bool,
+    }
+    let cases = [
+        Case { name: "one leader", change: false },
+        Case { name: "a change of the leader", change: true },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let (mut cut, mut other) = (worker("w1"), worker("w2"));
+        world.submit(7, vec![step(TASKS)]);
+        world.heartbeat(&mut cut).expect("a response");
+        world.heartbeat(&mut cut).expect("a response");
+        cut.end_all(Ending::Done);
+        let end = world.now + LEASE + MARGIN + Duration::from_secs(1);
+        while world.now < end {
+            world.heartbeat(&mut other);
+        }
+        assert_eq!(other.running.len(), 18, "{}", case.name);
+        for round in 0..HEARTBEATS {
+            world.heartbeat(&mut cut).expect("a response");
+            if case.change && round == 0 {
+                world.restart();
+            }
+        }
+        assert!(cut.ended.len() < MAX_LISTED, "{}: {} ends are left", case.name, cut.ended.len());
+        assert_eq!(world.phase(7), JobPhase::Active, "{}: the tasks run elsewhere", case.name);
+        other.end_all(Ending::Done);
+        for _ in 0..HEARTBEATS {
+            world.heartbeat(&mut other).expect("a response");
+        }
+        assert_eq!(world.phase(7), JobPhase::Completed, "{}", case.name);
+        world.heartbeat(&mut cut).expect("a response");
+        assert!(cut.ended.is_empty(), "{}: {} ends are left", case.name, cut.ended.len());
+    }
+}
+
+/// Guards against workers that are lost for good because ends fill their list that can't be
+/// acknowledged: runs vanished from the worker's lists, started again, and were reported as done later.
+#[test]
+fn a_worker_whose_list_is_full_of_withheld_ends_returns() {
+    let mut world = World::new();
+    let mut busy = worker("w1");
+    world.submit(7, vec![step(TASKS)]);
+    for _ in 0..2 {
+        world.heartbeat(&mut busy).expect("a response");
+    }
+    let vanished: Vec<_> =
+        busy.running.iter().take(MAX_LISTED).map(|(task, run)| (*task, *run)).collect();
+    for (task, _) in &vanished {
+        busy.running.remove(task);
+    }
+    for _ in 0..2 {
+        world.heartbeat(&mut busy).expect("a response");
+    }
+    for (task, run) in &vanished {
+        let second = busy.running.insert(*task, *run).expect("the task has started again");
+        busy.end(*task, Ending::Done);
+        busy.running.insert(*task, second);
+    }
+    busy.end_all(Ending::Done);
+    let response = world.heartbeat(&mut busy).expect("a response");
+    assert_eq!((response.acknowledged, response.lease), (0, None));
+    let end = world.now + LEASE + MARGIN + Duration::from_secs(1);
+    while world.now < end {
+        world.heartbeat(&mut busy);
+        world.advance(Duration::from_millis(100));
+    }
+    for _ in 0..HEARTBEATS {
+        world.heartbeat(&mut busy);
+        busy.end_all(Ending::Done);
+    }
+    for _ in 0..HEARTBEATS {
+        world.heartbeat(&mut busy);
+    }
+    assert!(busy.ended.is_empty(), "{} ends are left", busy.ended.len());
+    assert_eq!(world.phase(7), JobPhase::Completed);
+}
+
+/// Guards against ends that are withheld for as long as a job lasts: a long-running task is never done.
+#[test]
+fn ends_of_long_running_tasks_are_acknowledged_after_a_return() {
+    let mut world = World::new();
+    let mut cut = worker("w1");
+    let options = StepOptions { long_running: true, ..StepOptions::default() };
+    world.submit(7, vec![Step { options, ..step(1) }]);
+    for _ in 0..2 {
+        world.heartbeat(&mut cut).expect("a response");
+    }
+    cut.end_all(Ending::Done);
+    world.advance(LEASE + MARGIN + Duration::from_secs(1));
+    let response = world.heartbeat(&mut cut).expect("a response");
+    assert_eq!(response.acknowledged, 1);
+}
