runtime: log how long a turn of control took

A leader that computes for too long couldn't be told from one whose links or disk fail: both show as `leadership is given up` and changes of role. Control now writes `a turn took long` for a batch of events that took 250 ms or more, with the events, jobs and waiting steps, and the metric `turn_duration_seconds` has all of them.

--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -13,7 +13,7 @@
     consensus::log::{Recovered, Write},
     ids::InstanceId,
     jobs::{
-        controller::{Answer, Controller, Effect, Event, Ticket},
+        controller::{Answer, Controller, Effect, Event, Ticket, leader::Leader},
         link::LinkMessage,
         record::Node,
         response_size::ResponseLimits,
@@ -51,6 +51,10 @@
 /// The maximum number of events that control handles in one batch.
 const MAX_BATCH: usize = 256;
 
+/// The shortest time for which a turn is logged as long. A leader whose turns take several times as long
+/// loses its lease.
+const LONG_TURN: Duration = Duration::from_millis(250);
+
 /// The pause before control retries to send to a full ring.
 const RETRY_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -154,6 +158,17 @@
         }
     }
 
+    /// Records how long a turn took. The time includes that for which the process was suspended.
+    fn record_turn(&self, took: Duration, events: usize, controller: &Controller) {
+        self.metrics.turns.observe(took.as_secs_f64());
+        if took >= LONG_TURN {
+            let took_ms = u64::try_from(took.as_millis()).unwrap_or(u64::MAX);
+            let waiting = controller.leader().map(Leader::waiting_steps);
+            warn!(self.log, "a turn took long"; "took_ms" => took_ms, "events" => events,
+                "jobs" => controller.committed().jobs.len(), "waiting_steps" => waiting);
+        }
+    }
+
     fn flush(&mut self) -> usize {
         self.storage.flush() + self.links.flush() + self.front.flush()
     }
@@ -358,7 +373,9 @@
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
     loop {
-        controller.handle(clock.now(), wall_now(), events.drain(..), &mut out);
+        let (began, count) = (clock.now(), events.len());
+        controller.handle(began, wall_now(), events.drain(..), &mut out);
+        outputs.record_turn(began.until(clock.now()), count, &controller);
         for effect in out.drain(..) {
             outputs.deliver(effect);
         }
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -47,6 +47,8 @@
     given_up: Counter<u64, AtomicU64>,
     records: Counter<u64, AtomicU64>,
     commits: Histogram,
+    /// How long the turns of control take, in seconds.
+    pub turns: Histogram,
     faults: Counter<u64, AtomicU64>,
     version: IntGauge,
     term: IntGauge,
@@ -84,6 +86,7 @@
             given_up: Counter::default(),
             records: Counter::default(),
             commits: latency_histogram(),
+            turns: latency_histogram(),
             faults: Counter::default(),
             version: IntGauge::default(),
             term: IntGauge::default(),
@@ -138,6 +141,11 @@
             "Time from a proposal until it was committed",
             self.commits.clone(),
         );
+        r.register(
+            "turn_duration_seconds",
+            "Time that control takes to handle a batch of events",
+            self.turns.clone(),
+        );
         r.register("faults", "Entries or events that can't be handled", self.faults.clone());
         r.register("config_version", "Version of the configuration", self.version.clone());
         r.register("term", "Term of the agreement", self.term.clone());
