jobs: the work of a turn doesn't grow with what callers hand in

Cause: each 100 ms the leader ranked each waiting step again, and the rank of a step walked over all steps of its job: 338 million visits for eight such jobs. A turn then takes longer than the leader's lease; the next leader ranks them all when it takes over. `a turn took long` shows it: 297 ms with 6,500 waiting steps, 1,137 ms with more.

Ruled out: links and disk. The turns by themselves take that long, and the benchmark below has neither.

Change: what the ranks of an occurrence have in common (`Outlook`) is computed once for all its steps. Each turn has limits, and the rest is carried over: - 8192 waiting steps are ranked again, in the order of their keys, and outlooks are computed over 16,384 steps; - 8192 steps of new jobs, of all jobs after a takeover and after a change of the queues, are examined (`Admissions`); - 4096 waiting steps are considered for placement: the first 2048, and 2048 further ones that move on with each turn; - a round of placement also ends within a step, which the next turn continues; - a batch of events has 16,384 steps, runs and ends at most, as far as whole events allow.

Related paths, each of which grew with the square of a submission or a worker: the ends of a step's tasks (each counted all tasks that are done), the steps that follow a step (`Dependents`), the summary of a worker with each start, the sort of a step's waiting tasks, and the ends of jobs, which walked over the waiting steps and failed tasks of all others.

A gang is placed in one turn, as its members start together or not at all.

Evidence: the_work_of_a_turn_is_bounded counts what a turn looks at, at most 80,000 items.

--- a/lib/benches/jobs.rs
+++ b/lib/benches/jobs.rs
@@ -5,13 +5,16 @@
 #[allow(dead_code, reason = "only a part of the test harness is used")]
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use divan::{Bencher, black_box};
-use hickorylink_lib::jobs::{
-    call::{Action, Call},
-    controller::{Answer, Event, Ticket},
-    model::JobSpec,
+use hickorylink_lib::{
+    jobs::{
+        call::{Action, Call},
+        controller::{Answer, Event, Ticket},
+        model::{JobSpec, Step},
+    },
+    resources::Resources,
 };
 
 use crate::world::{FakeWorker, HOST, World, path, step};
@@ -108,6 +111,30 @@
     bencher.bench_local(|| service.world.advance(Duration::from_millis(100)));
 }
 
+/// The numbers of steps of the jobs that can't be done.
+const STEPS: [usize; 4] = [100, 800, 3200, 6500];
+
+/// The longest of the turns of a second beside eight jobs that can't be done; the time is that of the
+/// second, and the longest turn is printed.
+#[divan::bench(args = STEPS, sample_count = 3, sample_size = 1)]
+fn hopeless_steps(bencher: Bencher<'_, '_>, steps: usize) {
+    let mut service = Service::new(SIZES[0]);
+    let needs = Resources { millicores: 90_000, memory_mib: 1, accelerators: 0 };
+    for id in 0..8 {
+        let steps = vec![Step { needs, estimate: 9, ..step(1) }; steps];
+        service.world.submit(0x900_0000 + id, steps);
+    }
+    let mut longest = Duration::ZERO;
+    bencher.bench_local(|| {
+        for _ in 0..50 {
+            let began = Instant::now();
+            service.world.advance(Duration::from_millis(20));
+            longest = longest.max(began.elapsed());
+        }
+    });
+    println!("8 jobs of {steps} steps: the longest turn took {longest:?}");
+}
+
 /// A restart of the controller until it leads again, with about a hundred turns in between.
 #[divan::bench(args = SIZES, sample_count = 3, sample_size = 1)]
 fn takeover(bencher: Bencher<'_, '_>, size: usize) {
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -31,6 +31,7 @@
 };
 
 mod admission;
+mod admissions;
 mod calls;
 mod capacity;
 pub mod config;
--- a/lib/src/jobs/controller/calls.rs
+++ b/lib/src/jobs/controller/calls.rs
@@ -123,7 +123,7 @@
                 let current = leader.state.config.as_ref().map(|current| current.version);
                 if current.is_none_or(|current| current < config.version) {
                     leader.record(now, Record::Configure(*config));
-                    leader.requeue(now);
+                    leader.requeue();
                 }
                 leader.answers.push((ticket, Answer::Operator(OperatorReply::Stored)));
             }
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -47,6 +47,9 @@
 /// nothing else starts there until its runs have settled.
 const PROBATION_INTERVAL: Duration = Duration::from_millis(100);
 
+/// The number of steps that are asked whether they wait for a worker, which every heartbeat does.
+const MAX_AWAITING: usize = 256;
+
 /// A worker counts as crowded if a smaller percentage of its processors or of its memory than this is free.
 const CROWDED_BELOW_PERCENT: u64 = 25;
 
@@ -87,7 +90,8 @@
     /// early.
     fn is_awaited(&self, worker: &Worker) -> bool {
         let room = Room::left(worker);
-        self.waiting.of_class(Class::Restarted).any(|waiting| {
+        let mut steps = self.waiting.of_class(Class::Restarted).take(MAX_AWAITING);
+        steps.any(|waiting| {
             let Some(request) = self.request(&waiting.key) else { return false };
             // The other members of a gang need room, too.
             (request.step.options.gang || !room.fits(&waiting.demand))
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -1,17 +1,21 @@
 //! The leader's working state, beyond the replicated state.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet},
     time::Duration,
 };
 
 use crate::{
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
-        controller::{Answer, Config, Effect, LogEvent, Ticket, Timing, wait_reports::WaitReports},
+        controller::{
+            Answer, Config, Effect, LogEvent, Ticket, Timing, admissions::Admissions,
+            wait_reports::WaitReports,
+        },
         crash::CrashEntry,
         fleet::{Departure, Fleet, RunView, Worker},
         model::{JobId, StepKey, TaskKey, WorkerNumber},
+        outlook::{Outlook, Outlooks},
         pace::Interference,
         rank::{Rank, rank},
         record::{Node, Record},
@@ -20,6 +24,7 @@
         send_budget::SendBudget,
         state::{Change, State},
         suspects::Suspects,
+        turn_work::TurnWork,
         voters::VoterWatch,
         waiting::{Demand, WaitingSteps},
     },
@@ -34,6 +39,12 @@
 /// that found no worker is placed only on workers that have sent a heartbeat since.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// The maximum number of waiting steps that are ranked again in a turn; the others follow in later turns.
+const MAX_RANKED: usize = 8192;
+
+/// The number of steps over which outlooks are computed in a turn before earlier ones are used.
+const MAX_ESTIMATED: usize = 16_384;
+
 /// How long a silent worker without runs is kept.
 const IDLE_WORKER_RETENTION: Duration = Duration::from_secs(30);
 
@@ -73,16 +84,24 @@
     pub(super) responses: ResponseLimits,
     /// Steps that have tasks to place.
     pub(super) waiting: WaitingSteps,
+    /// The outlooks of occurrences with steps to place.
+    pub(super) outlooks: Outlooks,
+    /// Occurrences whose steps are still to be queued.
+    pub(super) admissions: Admissions,
+    /// The work of the current turn.
+    pub(super) work: TurnWork,
+    /// The work of the last turn.
+    pub(super) last_work: TurnWork,
     /// Workers whose runs or held heartbeat have changed in this turn.
     pub(super) changed: BTreeSet<WorkerNumber>,
     /// Services that used less than half of their processors at the last check.
     pub(super) idle_services: Vec<ServiceName>,
     /// When the last run of each long-running task that waits has ended.
-    pub(super) stopped: HashMap<TaskKey, Time>,
+    pub(super) stopped: BTreeMap<TaskKey, Time>,
     /// Occurrences that aren't due yet, or wait until earlier ones of their job are finished.
     pub(super) upcoming: BTreeSet<(WallTime, JobId, u32)>,
     /// The workers on which each task has failed or was refused.
-    pub(super) failed_on: HashMap<TaskKey, Vec<WorkerNumber>>,
+    pub(super) failed_on: BTreeMap<TaskKey, Vec<WorkerNumber>>,
     /// Starts that are sent with the next answer to their worker.
     pub(super) pending_starts: BTreeMap<WorkerNumber, Vec<TaskKey>>,
     /// Limits the rate at which they are sent.
@@ -109,7 +128,7 @@
     next_retry: Time,
     /// The periodic reports on tasks that wait.
     pub(super) reports: WaitReports,
-    /// Whether the last round of placement considered all waiting steps.
+    /// Whether all waiting steps were considered for placement since all workers were last considered.
     pub(super) search_ended: bool,
     /// The wall clock of the current turn.
     pub(super) wall: WallTime,
@@ -132,11 +151,15 @@
             interference: Interference::default(),
             voters: VoterWatch::default(),
             waiting: WaitingSteps::default(),
+            outlooks: Outlooks::default(),
+            admissions: Admissions::default(),
+            work: TurnWork::default(),
+            last_work: TurnWork::default(),
             changed: BTreeSet::new(),
             idle_services: Vec::new(),
-            stopped: HashMap::new(),
+            stopped: BTreeMap::new(),
             upcoming: BTreeSet::new(),
-            failed_on: HashMap::new(),
+            failed_on: BTreeMap::new(),
             pending_starts: BTreeMap::new(),
             start_budget: SendBudget::new(responses.bytes_per_second, now),
             next_served: WorkerNumber::default(),
@@ -165,7 +188,7 @@
         let open = leader.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         for id in &open {
-            leader.admit_job(now, *id);
+            leader.admit_job(*id);
         }
         let closed = leader.state.jobs.iter().filter(|(_, job)| !job.phase.is_open());
         leader.ended = closed.map(|(id, _)| (now + timing.retain, *id)).collect();
@@ -197,7 +220,13 @@
 
     /// The next time at which the leader has something to do.
     pub(super) fn next_deadline(&self) -> Option<Time> {
-        earliest(self.fleet.next_deadline(), Some(self.next_expiry))
+        let deadline = earliest(self.fleet.next_deadline(), self.admissions.next_deadline());
+        earliest(deadline, Some(self.next_expiry))
+    }
+
+    /// The work of the last turn.
+    pub fn last_work(&self) -> &TurnWork {
+        &self.last_work
     }
 
     /// The number of steps with tasks that wait for placement.
@@ -219,25 +248,55 @@
         }
     }
 
+    /// The outlook of the step's occurrence. An earlier one is used if this turn has computed enough.
+    fn outlook(&mut self, key: &StepKey) -> Option<Outlook> {
+        let StepKey { job: id, occurrence, .. } = *key;
+        let known = self.outlooks.get(id, occurrence);
+        if let Some((outlook, current)) = known
+            && (current || self.work.estimated >= MAX_ESTIMATED)
+        {
+            return Some(outlook);
+        }
+        let job = self.state.jobs.get(&id)?;
+        let outlook = Outlook::new(job, self.state.queue_of(job)?, occurrence);
+        self.work.estimated += job.spec.steps.len();
+        self.outlooks.insert(id, occurrence, outlook);
+        Some(outlook)
+    }
+
     /// The rank of a step of an open job, and what its tasks ask for.
-    fn rank(&self, key: &StepKey) -> Option<(Rank, Demand)> {
+    fn rank(&mut self, key: &StepKey) -> Option<(Rank, Demand)> {
+        let outlook = self.outlook(key)?;
         let job = self.state.jobs.get(&key.job).filter(|job| job.phase.is_open())?;
         let queue = self.state.queue_of(job)?;
         let step = job.spec.steps.get(usize::from(key.step))?;
         let largest = self.fleet.largest_worker(&queue.service);
-        Some((rank(job, queue, key, &largest, self.wall), Demand::new(step)))
+        Some((rank(job, queue, key, &outlook, &largest, self.wall), Demand::new(step)))
     }
 
     pub(super) fn enqueue(&mut self, now: Time, step: StepKey) {
         if let Some((rank, demand)) = self.rank(&step) {
-            self.waiting.insert(step, rank, demand, now);
+            let since = self.admissions.waits_since(&step, now);
+            self.waiting.insert(step, rank, demand, since);
         }
     }
 
-    /// Computes the ranks of all queued steps again, since lateness and remaining work change with
-    /// time.
+    /// Removes a step from the queue.
+    pub(super) fn dequeue(&mut self, step: &StepKey) {
+        self.waiting.remove(step);
+        // A repeated job may have any number of occurrences.
+        let job = self.state.jobs.get(&step.job);
+        if job.is_some_and(|job| job.spec.schedule.is_some())
+            && !self.waiting.has_occurrence(step.job, step.occurrence)
+        {
+            self.outlooks.remove(step.job, step.occurrence);
+        }
+    }
+
+    /// Computes the ranks of queued steps again, since lateness and remaining work change with time.
     fn rerank(&mut self) {
-        let steps: Vec<_> = self.waiting.iter().map(|step| step.key).collect();
+        let steps = self.waiting.next_ranked(MAX_RANKED);
+        self.work.ranked += steps.len();
         for step in steps {
             if let Some((rank, _)) = self.rank(&step) {
                 self.waiting.update_rank(&step, rank);
@@ -250,9 +309,13 @@
         for step in self.waiting.of_job(id) {
             self.waiting.remove(&step);
         }
-        self.upcoming.retain(|(_, job, _)| *job != id);
-        self.failed_on.retain(|task, _| task.job != id);
-        self.stopped.retain(|task, _| task.job != id);
+        self.outlooks.remove_job(id);
+        let job = self.state.jobs.get(&id);
+        if job.is_none_or(|job| job.spec.schedule.is_some()) {
+            self.upcoming.retain(|(_, job, _)| *job != id);
+        }
+        remove_job(&mut self.failed_on, id);
+        remove_job(&mut self.stopped, id);
         self.interference.forget(id);
         self.suspects.forget(id);
         self.stop_runs(id);
@@ -287,6 +350,7 @@
         // A search that begins again before it has reached the last step would never reach it.
         if now >= self.next_retry && self.search_ended {
             self.next_retry = now + RETRY_INTERVAL;
+            self.search_ended = false;
             self.waiting.retry_all();
         }
         self.idle_services = self.fleet.idle_services();
@@ -418,3 +482,11 @@
         self.answers.push((ticket, Answer::Acknowledged));
     }
 }
+
+/// Removes the tasks of a job.
+fn remove_job<T>(tasks: &mut BTreeMap<TaskKey, T>, id: JobId) {
+    let removed: Vec<_> = tasks.range(id.tasks()).map(|(task, _)| *task).collect();
+    for task in removed {
+        tasks.remove(&task);
+    }
+}
--- a/lib/src/jobs/controller/occurrences.rs
+++ b/lib/src/jobs/controller/occurrences.rs
@@ -1,26 +1,18 @@
 //! Occurrences of repeated jobs, which begin when they are due.
 
-use crate::{
-    jobs::{controller::leader::Leader, model::JobId},
-    time::Time,
-};
+use crate::jobs::{controller::leader::Leader, model::JobId};
 
 impl Leader {
-    /// Queues the steps of a job that are ready and schedules its next occurrence.
-    pub(super) fn admit_job(&mut self, now: Time, id: JobId) {
+    /// Admits a job and schedules its next occurrence.
+    pub(super) fn admit_job(&mut self, id: JobId) {
         let Some(job) = self.state.jobs.get(&id) else { return };
         let spec = job.spec.clone();
         if spec.schedule.is_none() {
-            for step in self.state.ready_steps(id, 0) {
-                self.enqueue(now, step);
-            }
-            return;
+            return self.admissions.push(id, 0);
         }
         let begun: Vec<u32> = job.occurrences.keys().copied().collect();
         for occurrence in begun {
-            for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(now, step);
-            }
+            self.admissions.push(id, occurrence);
         }
         let first = self.state.jobs.get(&id).map_or(0, |job| {
             (0..spec.occurrences())
@@ -40,8 +32,8 @@
         }
     }
 
-    /// Queues the steps of the occurrences that are due.
-    pub(super) fn start_due_occurrences(&mut self, now: Time) {
+    /// Admits the occurrences that are due.
+    pub(super) fn start_due_occurrences(&mut self) {
         let mut blocked = Vec::new();
         while let Some(next) = self.upcoming.first().copied().filter(|(due, ..)| *due <= self.wall)
         {
@@ -51,9 +43,7 @@
                 blocked.push(next);
                 continue;
             }
-            for step in self.state.ready_steps(id, occurrence) {
-                self.enqueue(now, step);
-            }
+            self.admissions.push(id, occurrence);
             self.schedule_occurrence(id, occurrence + 1);
         }
         self.upcoming.extend(blocked);
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -4,7 +4,7 @@
     jobs::{
         controller::{Answer, Ticket, leader::Leader},
         crash::{CrashEntry, CrashRecord},
-        record::Record,
+        record::{Ending, Record},
         state::Change,
     },
     time::Time,
@@ -36,6 +36,7 @@
     pub(super) fn record(&mut self, now: Time, record: Record) {
         let mut changes = std::mem::take(&mut self.changes);
         self.state.apply(&record, &mut changes);
+        self.invalidate_outlooks(&record);
         self.records.push(record);
         self.follow(now, changes);
     }
@@ -49,11 +50,29 @@
         self.follow(now, changes);
     }
 
+    /// Marks the outlooks that a record has changed.
+    fn invalidate_outlooks(&mut self, record: &Record) {
+        match record {
+            Record::Configure(_) => self.outlooks.invalidate_all(),
+            Record::End { task, ending: Ending::Done, .. } => {
+                self.outlooks.invalidate(task.job, task.occurrence);
+            }
+            Record::End { .. }
+            | Record::Submit { .. }
+            | Record::Cancel { .. }
+            | Record::AddWorker { .. }
+            | Record::RemoveWorker { .. }
+            | Record::Start { .. }
+            | Record::Node(_)
+            | Record::Forget { .. } => {}
+        }
+    }
+
     /// Acts on the effects of a record.
     fn follow(&mut self, now: Time, mut changes: Vec<Change>) {
         for change in changes.drain(..) {
             match change {
-                Change::Accepted(id) => self.admit_job(now, id),
+                Change::Accepted(id) => self.admit_job(id),
                 Change::Ready(step) => self.enqueue(now, step),
                 Change::Ended(id) => self.close_job(id),
             }
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -22,6 +22,17 @@
 /// it doesn't run within 3 s.
 const STARVATION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What became of the waiting tasks of a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Placed {
+    /// None waits any more.
+    All,
+    /// For those that wait there is no worker.
+    Waiting,
+    /// The turn has done enough work. Those that wait are placed in the next one.
+    Interrupted,
+}
+
 impl Leader {
     /// Ends a turn: places waiting tasks and answers heartbeats. Returns the records to propose.
     pub(super) fn finish_turn(
@@ -31,7 +42,8 @@
         out: &mut Vec<Effect>,
     ) -> Proposal {
         self.wall = wall;
-        self.start_due_occurrences(now);
+        self.start_due_occurrences();
+        self.admit_steps(now);
         self.expire_leases(now);
         self.stop_broken_gangs(now);
         self.place_waiting(now);
@@ -40,73 +52,77 @@
         let records = std::mem::take(&mut self.records);
         let crashes = std::mem::take(&mut self.crashes);
         let answers = std::mem::take(&mut self.answers);
+        self.last_work = std::mem::take(&mut self.work);
         Proposal { records, crashes, answers }
     }
 
     /// Rebuilds the queue after a change of the queues' priorities or services. A step keeps the time
     /// for which it has waited.
-    pub(super) fn requeue(&mut self, now: Time) {
+    pub(super) fn requeue(&mut self) {
         let open = self.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         let before = std::mem::take(&mut self.waiting);
+        self.admissions.restart(before.iter().map(|step| (step.key, step.since)));
         self.upcoming.clear();
         for id in open {
-            self.admit_job(now, id);
+            self.admit_job(id);
         }
-        self.waiting.keep_ages(&before);
     }
 
     fn place_waiting(&mut self, now: Time) {
         let mut round = Round::new(&self.fleet, now, &self.changed);
         let startable = self.suspects.startable(&self.fleet);
-        let steps = self.waiting.iter();
-        let steps: Vec<WaitingStep> = steps
-            .filter(|step| round.may_fit(step) || startable.contains(&step.key))
-            .copied()
-            .collect();
-        self.search_ended = true;
-        for step in steps {
+        let may_fit = |step: &WaitingStep| round.may_fit(step) || startable.contains(&step.key);
+        let window = self.waiting.next_window(may_fit);
+        self.work.considered += window.considered;
+        let mut finished = true;
+        for step in &window.steps {
             if round.is_exhausted() {
-                self.search_ended = false;
-                return;
+                finished = false;
+                break;
             }
-            let may_fit = round.may_fit(&step) || startable.contains(&step.key);
-            if may_fit && self.place_step(now, &step, &mut round) {
-                self.waiting.remove(&step.key);
-            } else if !step.tried {
-                self.waiting.mark_tried(&step.key);
+            let may_fit = round.may_fit(step) || startable.contains(&step.key);
+            let placed =
+                if may_fit { self.place_step(now, step, &mut round) } else { Placed::Waiting };
+            match placed {
+                Placed::All => self.dequeue(&step.key),
+                Placed::Waiting if step.tried => {}
+                Placed::Waiting => self.waiting.mark_tried(&step.key),
+                Placed::Interrupted => {}
             }
         }
+        self.work.evaluated += round.evaluated();
+        if !finished {
+            self.waiting.repeat_window(&window);
+        }
+        self.search_ended |= finished && window.complete;
     }
 
-    /// Places as many tasks of a step as possible. Returns whether none is left waiting.
-    fn place_step(&mut self, now: Time, waiting: &WaitingStep, round: &mut Round) -> bool {
+    /// Places as many tasks of a step as possible.
+    fn place_step(&mut self, now: Time, waiting: &WaitingStep, round: &mut Round) -> Placed {
         let key = waiting.key;
         let Some(job) = self.state.jobs.get(&key.job).filter(|job| job.phase.is_open()) else {
-            return true;
+            return Placed::All;
         };
         let Some(service) = self.state.queue_of(job).map(|queue| queue.service.clone()) else {
-            return true;
+            return Placed::All;
         };
         let spec = job.spec.clone();
-        let Some(step) = spec.steps.get(usize::from(key.step)) else { return true };
+        let Some(step) = spec.steps.get(usize::from(key.step)) else { return Placed::All };
         let indexes = self.waiting_tasks(&key, step);
+        round.add_tasks(indexes.len());
         if step.options.gang {
             return self.place_gang(now, waiting, (step, &service), &indexes, round);
         }
-        let starving = self.starving_tasks(now, job, step, &key, &service);
+        let starving = self.starving_tasks(now, job, step, &key, &service, round);
         let mut started = 0;
         let mut last = None;
-        // The suspects come last: that one of them finds no worker says nothing about the others.
-        let mut tasks: Vec<_> = indexes.iter().map(|index| key.task(*index)).collect();
-        // Those that have waited longest come first, those that haven't run yet last.
-        tasks.sort_by_key(|task| {
-            let stopped = self.stopped.get(task);
-            (stopped.is_none(), stopped.copied())
-        });
-        let (suspects, others): (Vec<_>, Vec<_>) =
-            tasks.into_iter().partition(|task| self.is_suspect(task));
-        for task in others.into_iter().chain(suspects) {
+        let mut interrupted = false;
+        for task in self.placement_order(&key, step, &indexes) {
+            if round.is_exhausted() {
+                interrupted = true;
+                break;
+            }
             let speed = if started < starving {
                 SpeedRequirement::Any
             } else {
@@ -122,12 +138,34 @@
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
             round.update(&self.fleet, number);
+            round.record_start(&self.fleet, &key, number);
             started += 1;
             last = Some(number);
         }
         let still_waiting = indexes.len() - started;
         self.log_started(&key, started, still_waiting, last);
-        still_waiting == 0
+        match still_waiting {
+            0 => Placed::All,
+            _ if interrupted => Placed::Interrupted,
+            _ => Placed::Waiting,
+        }
+    }
+
+    /// The order in which a step's waiting tasks are placed. Long-running ones that have waited longest come
+    /// first, those that haven't run yet last. The suspects come behind all others: that one of them finds
+    /// no worker says nothing about these.
+    fn placement_order(&self, key: &StepKey, step: &Step, indexes: &[u32]) -> Vec<TaskKey> {
+        let mut tasks: Vec<_> = indexes.iter().map(|index| key.task(*index)).collect();
+        if step.options.long_running {
+            tasks.sort_by_cached_key(|task| {
+                let stopped = self.stopped.get(task);
+                (stopped.is_none(), stopped.copied())
+            });
+        }
+        let (mut tasks, suspects): (Vec<_>, Vec<_>) =
+            tasks.into_iter().partition(|task| !self.is_suspect(task));
+        tasks.extend(suspects);
+        tasks
     }
 
     /// The number of tasks that may start at any speed: one, if the step is overdue or has waited
@@ -140,15 +178,16 @@
         step: &Step,
         key: &StepKey,
         service: &ServiceName,
+        round: &mut Round,
     ) -> usize {
         let Some((rank, waiting)) = self.waiting.get(key) else { return 0 };
-        let waited = is_starving(now, waiting);
+        let waited = is_starving(now, &waiting);
         if step.options.long_running {
             return if waited { usize::MAX } else { 0 };
         }
         let starving =
             rank.lateness == Lateness::Overdue || waited && self.idle_services.contains(service);
-        usize::from(starving && !job.is_running(key.occurrence))
+        usize::from(starving && !round.is_running(job, key))
     }
 
     /// The indexes of the step's tasks without a current run.
@@ -168,7 +207,7 @@
     }
 
     /// Starts all members of a gang or none. Each start is sent with the next answer to its worker.
-    /// Returns whether the gang needs no further placement.
+    /// Returns what is left to place.
     fn place_gang(
         &mut self,
         now: Time,
@@ -176,14 +215,14 @@
         (step, service): (&Step, &ServiceName),
         indexes: &[u32],
         round: &mut Round,
-    ) -> bool {
+    ) -> Placed {
         let key = &waiting.key;
         // A member is still running from the gang's previous start and has yet to be stopped.
         if indexes.len() != usize::try_from(step.count).unwrap_or(usize::MAX) {
-            return false;
+            return Placed::Waiting;
         }
         let runs = indexes.iter().map(|index| self.next_run(&key.task(*index)));
-        let Some(run) = runs.max() else { return true };
+        let Some(run) = runs.max() else { return Placed::All };
         let starving = step.options.long_running && is_starving(now, waiting);
         let speed = if starving { SpeedRequirement::Any } else { SpeedRequirement::FullSpeed };
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
@@ -211,7 +250,11 @@
         }
         let last = chosen.last().map(|(_, number)| *number);
         self.log_started(key, if complete { chosen.len() } else { 0 }, 0, last);
-        complete
+        if complete {
+            chosen.iter().for_each(|(_, number)| round.record_start(&self.fleet, key, *number));
+            return Placed::All;
+        }
+        Placed::Waiting
     }
 
     fn start(&mut self, now: Time, task: TaskKey, run: Run, worker: WorkerNumber, step: &Step) {
@@ -222,7 +265,10 @@
         let view = RunView { order: self.starts, ..self.new_view(now, &task, run, step) };
         if let Some(worker) = self.fleet.workers.get_mut(&worker) {
             worker.add(task, view);
-            self.interference.summarize(worker);
+            // Other runs aren't part of the summary.
+            if step.options.opportunistic || step.serves() {
+                self.interference.summarize(worker);
+            }
         }
         self.pending_starts.entry(worker).or_default().push(task);
     }
--- a/lib/src/jobs/controller/stranded.rs
+++ b/lib/src/jobs/controller/stranded.rs
@@ -47,7 +47,7 @@
     pub(super) fn restarted_steps(&self, now: Time) -> Vec<RestartedStep<'_>> {
         let restarted = self.waiting.of_class(Class::Restarted);
         let mut steps: Vec<_> =
-            restarted.filter_map(|step| self.restarted_step(now, step)).collect();
+            restarted.filter_map(|step| self.restarted_step(now, &step)).collect();
         steps.sort_by_key(|step| (step.needs().millicores, step.needs().memory_mib));
         steps
     }
--- a/lib/src/jobs/crash.rs
+++ b/lib/src/jobs/crash.rs
@@ -76,9 +76,7 @@
     }
 
     pub(super) fn remove_job(&mut self, id: JobId) {
-        let first = TaskKey { job: id, occurrence: 0, step: 0, index: 0 };
-        let last = TaskKey { job: id, occurrence: u32::MAX, step: u16::MAX, index: u32::MAX };
-        let tasks: Vec<_> = self.0.range(first..=last).map(|(task, _)| *task).collect();
+        let tasks: Vec<_> = self.0.range(id.tasks()).map(|(task, _)| *task).collect();
         for task in tasks {
             self.0.remove(&task);
         }
--- a/lib/src/jobs/gang.rs
+++ b/lib/src/jobs/gang.rs
@@ -71,9 +71,7 @@
     }
 
     pub(super) fn remove_job(&mut self, id: JobId) {
-        let first = StepKey { job: id, occurrence: 0, step: 0 };
-        let last = StepKey { job: id, occurrence: u32::MAX, step: u16::MAX };
-        let keys: Vec<_> = self.0.range(first..=last).map(|(key, _)| *key).collect();
+        let keys: Vec<_> = self.0.range(id.steps()).map(|(key, _)| *key).collect();
         for key in keys {
             self.0.remove(&key);
         }
--- a/lib/src/jobs/model.rs
+++ b/lib/src/jobs/model.rs
@@ -1,6 +1,6 @@
 //! The job model: jobs, steps and tasks, and their keys.
 
-use std::{fmt, sync::Arc};
+use std::{fmt, ops::RangeInclusive, sync::Arc};
 
 use crate::{data, key, name, resources::Resources, time::WallTime};
 
@@ -36,6 +36,17 @@
         u64::from_str_radix(text, 16).ok().map(Self)
     }
 
+    /// The range of its steps, of all occurrences.
+    pub fn steps(self) -> RangeInclusive<StepKey> {
+        let first = StepKey { job: self, occurrence: 0, step: 0 };
+        first..=StepKey { job: self, occurrence: u32::MAX, step: u16::MAX }
+    }
+
+    /// The range of its tasks, of all occurrences.
+    pub fn tasks(self) -> RangeInclusive<TaskKey> {
+        self.steps().start().task(0)..=self.steps().end().task(u32::MAX)
+    }
+
     /// The identifier as 16 hexadecimal digits.
     pub fn hex(self) -> String {
         format!("{:016x}", self.0)
--- a/lib/src/jobs/neighbours.rs
+++ b/lib/src/jobs/neighbours.rs
@@ -41,6 +41,11 @@
 }
 
 impl Neighbours {
+    /// Whether no run on the worker is part of it.
+    pub fn is_empty(&self) -> bool {
+        self.serving.is_empty() && self.demands.is_empty()
+    }
+
     /// Adds a serving task.
     pub(crate) fn add_serving(&mut self, number: u32, budget: TailBudget) {
         match self.serving.iter_mut().find(|image| image.number == number) {
--- a/lib/src/jobs/progress.rs
+++ b/lib/src/jobs/progress.rs
@@ -75,6 +75,9 @@
     /// Ends the runs on a lost worker. Returns whether there were any.
     pub(super) fn interrupt_runs(&mut self, worker: WorkerNumber) -> bool {
         let mut any = false;
+        if usize::try_from(self.done).is_ok_and(|done| done >= self.tasks.len()) {
+            return any;
+        }
         for task in &mut self.tasks {
             if task.phase == TaskPhase::Running && task.worker == worker {
                 let (event, run) = (TaskEvent::Interrupted, task.run);
@@ -125,15 +128,14 @@
         self.occurrences.get(&key.occurrence)?.steps.get(usize::from(key.step))
     }
 
-    pub(super) fn recount_done(&mut self, key: &StepKey) {
+    /// Counts tasks of a step that have just been done.
+    pub(super) fn add_done(&mut self, key: &StepKey, count: u32) {
         let occurrence = self.occurrences.get_mut(&key.occurrence);
-        let Some(progress) =
-            occurrence.and_then(|occurrence| occurrence.steps.get_mut(usize::from(key.step)))
-        else {
-            return;
-        };
-        let done = progress.tasks.iter().filter(|task| task.phase == TaskPhase::Done).count();
-        progress.done = u32::try_from(done).unwrap_or(u32::MAX);
+        let progress =
+            occurrence.and_then(|occurrence| occurrence.steps.get_mut(usize::from(key.step)));
+        if let Some(progress) = progress {
+            progress.done = progress.done.saturating_add(count);
+        }
     }
 
     /// Whether all tasks of a step are done.
@@ -196,7 +198,8 @@
             occurrence,
             step: u16::try_from(step).unwrap_or(u16::MAX),
         };
-        if !steps.map(key).all(|key| self.is_done(&key)) {
+        // The last steps are usually done last.
+        if !steps.rev().map(key).all(|key| self.is_done(&key)) {
             return false;
         }
         self.done += 1;
--- a/lib/src/jobs/rank.rs
+++ b/lib/src/jobs/rank.rs
@@ -1,7 +1,7 @@
 //! The order in which waiting steps are placed.
 
 use crate::{
-    jobs::{config::Queue, model::StepKey, state::Job},
+    jobs::{config::Queue, model::StepKey, outlook::Outlook, state::Job},
     resources::Resources,
     time::WallTime,
 };
@@ -66,21 +66,21 @@
 /// Estimates are assumed to be wrong by at most the objective divided by this.
 const TOLERANCE_DIVISOR: u64 = 10;
 
-/// The rank of a step.
+/// The rank of a step. `outlook` is that of its occurrence.
 ///
 /// `largest` is the most of each resource that a worker of the service has.
 pub(crate) fn rank(
     job: &Job,
     queue: &Queue,
     step: &StepKey,
+    outlook: &Outlook,
     largest: &Resources,
     wall: WallTime,
 ) -> Rank {
     let spec = job.spec.steps.get(usize::from(step.step));
     let long_running = spec.is_some_and(|spec| spec.options.long_running);
     let begin = job.spec.due(step.occurrence).unwrap_or(job.accepted);
-    let objective = queue.objective(job.spec.critical_path());
-    let remaining = job.remaining(step.occurrence);
+    let Outlook { objective, remaining } = *outlook;
     let done = wall.0.saturating_add(remaining.critical_path);
     let tolerance = objective / TOLERANCE_DIVISOR;
     let within = |times: u64| {
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -13,6 +13,7 @@
     jobs::{
         config::{Config, Queue},
         crash::CrashCounts,
+        dependents::Dependents,
         gang::Gangs,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -72,6 +73,9 @@
         pub occurrences: BTreeMap<u32, Occurrence>,
         /// The number of completed occurrences.
         pub done: u32,
+        /// The steps by those that they wait for.
+        #[serde(skip)]
+        pub dependents: Dependents,
     }
 
     /// One occurrence of a job; a job that isn't repeated has only one.
@@ -260,6 +264,7 @@
             phase: JobPhase::Queued,
             occurrences: BTreeMap::new(),
             done: 0,
+            dependents: Dependents::default(),
         };
         self.jobs.insert(id, job);
         *self.pending.entry(queue.clone()).or_default() += 1;
@@ -322,7 +327,7 @@
         };
         // What a gang saves is kept for all members together.
         let own_checkpoint = if gang { "" } else { checkpoint };
-        let mut failed = 0;
+        let (mut failed, mut done) = (0, 0);
         let mut changed = false;
         for index in indexes {
             let member = TaskKey { index, ..key };
@@ -331,6 +336,7 @@
             let input = TaskInput { event, run, worker, checkpoint };
             let ended = task.transition(&input);
             changed |= ended;
+            done += u32::from(ended && task.phase == TaskPhase::Done);
             failed = failed.max(task.failures);
             if ended && matches!(ending, Ending::Done | Ending::Failed) {
                 // Its worker has survived the run.
@@ -340,7 +346,7 @@
         if !changed {
             return;
         }
-        job.recount_done(&key.step_key());
+        job.add_done(&key.step_key(), done);
         match event {
             _ if !gang => {}
             TaskEvent::Done => self.gangs.remove(&key.step_key()),
@@ -370,10 +376,8 @@
             self.end_job(key.job, JobEvent::Finish, changes);
             return;
         }
-        let steps = job.spec.steps.iter().enumerate();
-        let next = steps.filter(|(_, step)| step.after.contains(&key.step));
-        for (at, _) in next {
-            let next = StepKey { step: u16::try_from(at).unwrap_or(u16::MAX), ..*key };
+        for step in job.dependents.of(&job.spec, key.step) {
+            let next = StepKey { step: *step, ..*key };
             if job.is_ready(&next) {
                 changes.push(Change::Ready(next));
             }
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -18,6 +18,7 @@
 mod leases;
 mod limits;
 mod load;
+mod long_turns;
 mod members;
 mod members_properties;
 mod odd_jobs;
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -13,6 +13,7 @@
     consensus::log::{Recovered, Write},
     ids::InstanceId,
     jobs::{
+        call::{Action, Call},
         controller::{Answer, Controller, Effect, Event, Ticket, leader::Leader},
         link::LinkMessage,
         record::Node,
@@ -51,6 +52,9 @@
 /// The maximum number of events that control handles in one batch.
 const MAX_BATCH: usize = 256;
 
+/// The number of steps, runs and ends in the events of a batch after which no further event is added.
+const MAX_BATCH_ITEMS: usize = 16_384;
+
 /// The shortest time for which a turn is logged as long. A leader whose turns take several times as long
 /// loses its lease.
 const LONG_TURN: Duration = Duration::from_millis(250);
@@ -391,6 +395,31 @@
             Err(RecvTimeoutError::Timeout) => {}
             Err(RecvTimeoutError::Disconnected) => return,
         }
-        events.extend(ring.try_iter().take(MAX_BATCH - 1));
+        let mut items: usize = events.iter().map(count_items).sum();
+        while events.len() < MAX_BATCH
+            && items < MAX_BATCH_ITEMS
+            && let Ok(event) = ring.try_recv()
+        {
+            items += count_items(&event);
+            events.push(event);
+        }
+    }
+}
+
+/// The number of items in an event that control looks at one by one.
+fn count_items(event: &Event) -> usize {
+    match event {
+        Event::Call { call: Call { action: Action::Submit(spec), .. }, .. } => spec.steps.len(),
+        Event::Heartbeat { report, .. } => report.running.len() + report.ended.len(),
+        Event::Call { .. }
+        | Event::Leave { .. }
+        | Event::Operator { .. }
+        | Event::Consensus { .. }
+        | Event::Stored { .. }
+        | Event::Hello(_)
+        | Event::Seeds(_)
+        | Event::Probe { .. }
+        | Event::ShutDown
+        | Event::Timer => 1,
     }
 }
