cli: the test of replaced controllers waits for the right voters

It went on with two live voters of three, stopped one of them and wiped another's disk, which no deployment bears.

The test was wrong: three live voters don't say which. It now waits until the voters in the last committed change are the very controllers that it means, beside the counts that it had. That asks for more than before.

The failure itself wasn't brought back on this machine.

--- a/cli/tests/deployment/replacement.rs
+++ b/cli/tests/deployment/replacement.rs
@@ -1,7 +1,10 @@
 //! Controllers that are replaced by ones at new addresses while the deployment serves calls.
 
+use std::collections::BTreeSet;
+
 use hickorylink_standin::cluster::eventually;
 use nix::sys::signal::Signal;
+use serde_json::Value;
 
 use crate::{CONDITION_TIMEOUT, Fixture, metric};
 
@@ -17,15 +20,38 @@
         leader.await.unwrap_or_else(|| panic!("another one leads\n{}", self.logs()))
     }
 
-    /// Waits until the leader counts as many live voters as it aims at, and no other voters.
-    async fn all_places_taken(&self) {
+    /// Waits until these controllers, and no others, vote, and the leader counts all of them as live.
+    async fn all_places_taken(&self, by: &[usize]) {
         let taken = eventually(CONDITION_TIMEOUT, async || {
-            let text = self.deployment.metrics(self.deployment.leader()?).await.ok()?;
+            let leader = self.deployment.leader()?;
+            let text = self.deployment.metrics(leader).await.ok()?;
             let counted = |name| metric(&text, &format!("hickorylink_{name}")) == Some(VOTERS);
             let names = ["wanted_voters", "voters", "live_voters"];
-            names.into_iter().all(counted).then_some(())
+            // A controller that was killed counts as live for a while.
+            let voters: Option<BTreeSet<u64>> = by.iter().map(|at| self.identity(*at)).collect();
+            let taken = names.into_iter().all(counted) && self.voters(leader)? == voters?;
+            taken.then_some(())
         });
-        assert!(taken.await.is_some(), "{VOTERS} live controllers vote\n{}", self.logs());
+        assert!(taken.await.is_some(), "{by:?} vote and are live\n{}", self.logs());
+    }
+
+    /// The field of the last record with this message in a controller's log.
+    fn last_logged(&self, at: usize, message: &str, field: &str) -> Option<Value> {
+        let log = self.deployment.log(at);
+        let records = log.lines().rev().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        let mut found = records.filter(|record| record["msg"] == message);
+        found.next().map(|record| record[field].clone())
+    }
+
+    /// The identity that a controller had at its last start.
+    fn identity(&self, at: usize) -> Option<u64> {
+        self.last_logged(at, "the controller starts", "id")?.as_u64()
+    }
+
+    /// The identities of the voters, as this controller knows them.
+    fn voters(&self, at: usize) -> Option<BTreeSet<u64>> {
+        let voters = self.last_logged(at, "members changed", "voters")?;
+        voters.as_str()?.split_whitespace().map(|id| id.parse().ok()).collect()
     }
 
     /// Starts a controller that knows these others.
@@ -40,7 +66,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn controllers_are_replaced_at_new_addresses_with_stale_seeds() {
     let mut fixture = Fixture::start().await;
-    fixture.all_places_taken().await;
+    fixture.all_places_taken(&[0, 1, 2]).await;
     fixture.submit(1..4).await;
 
     // The leader is gone for good, and the successor knows it and a follower.
@@ -49,7 +75,7 @@
     let leader = fixture.leader_besides(&[first]).await;
     let follower = (0..3).find(|at| ![first, leader].contains(at)).expect("a follower");
     let successor = fixture.add_controller(&[first, follower]);
-    fixture.all_places_taken().await;
+    fixture.all_places_taken(&[leader, follower, successor]).await;
     fixture.submit(4..7).await;
 
     // A planned replacement: the new one starts, then the follower is told to stop.
@@ -63,11 +89,11 @@
     let stopped =
         eventually(CONDITION_TIMEOUT, async || (!deployment.is_running(follower)).then_some(()));
     assert!(stopped.await.is_some(), "the follower stops\n{}", fixture.logs());
-    fixture.all_places_taken().await;
+    let running = [leader, successor, second];
+    fixture.all_places_taken(&running).await;
     fixture.submit(7..10).await;
 
     // All lose power, and one its disk.
-    let running = [leader, successor, second];
     for at in running {
         fixture.deployment.kill(at).expect("the process can be killed");
     }
@@ -75,7 +101,7 @@
     for at in running {
         fixture.deployment.launch(at).expect("the process can be restarted");
     }
-    fixture.all_places_taken().await;
+    fixture.all_places_taken(&running).await;
     fixture.submit(10..13).await;
     fixture.completed(1..13).await;
     fixture.check(12 * 5);
