jobs: long-running suspects of one crash share a probation

Cause: a suspect's next run has to settle with no other unsettled run beside it, which takes 0.7 s for each.

Change: up to four long-running suspects with one crash each start on a worker on probation together, as long as none of them was sent. If it crashes, each of them has two crashes and starts alone. The culprit crashes as many workers as before.

Ruled out: sharing by tasks that end. After two shared crashes a third one with another cause would fail an innocent's job. A shorter time to settle: crashes later than that would be blamed on nobody.

--- a/lib/src/jobs/controller/probation.rs
+++ b/lib/src/jobs/controller/probation.rs
@@ -15,7 +15,7 @@
         fleet::{RunView, Worker},
         lifecycle::TaskPhase,
         model::{Run, Step, TaskKey, WorkerNumber},
-        placement::{Request, SpeedRequirement},
+        placement::{Request, SpeedRequirement, may_run},
         pool::Room,
         report::Report,
         suspects::SETTLING,
@@ -28,6 +28,10 @@
 /// The others take the starts of all other tasks.
 const MAX_PROBATION_PERCENT: usize = 50;
 
+/// The maximum number of long-running tasks with one crash each that start on a worker on probation
+/// together. If it crashes again, each of them starts alone.
+const MAX_SHARED: usize = 4;
+
 impl Leader {
     /// The runs that may have crashed the worker, if it has crashed. The age of a run that an
     /// earlier leader started isn't known, so it is a suspect only if its task is one or has run
@@ -179,6 +183,9 @@
             if let Some(number) = self.suspects.reserved(&task) {
                 return self.is_ready(now, number, &waiting.demand).then_some(number);
             }
+            if let Some(number) = self.shared_probation(now, waiting, &task, (step, service)) {
+                return Some(number);
+            }
             if self.is_probation_full() {
                 return None;
             }
@@ -197,6 +204,37 @@
         None
     }
 
+    /// A worker on probation whose unsettled runs are still to be sent, and on which the task may start
+    /// together with them.
+    fn shared_probation(
+        &self,
+        now: Time,
+        waiting: &WaitingStep,
+        task: &TaskKey,
+        (step, service): (&Step, &ServiceName),
+    ) -> Option<WorkerNumber> {
+        if !step.options.long_running || self.state.crashes.of(task) != 1 {
+            return None;
+        }
+        let (key, interference, speed) = (waiting.key, &self.interference, SpeedRequirement::Any);
+        let request =
+            Request { service, step, key, avoid: &[], interference, speed, probation: true };
+        let mut shared = self.fleet.present().filter(|(_, worker)| {
+            let mut unsettled = worker.runs.iter().filter(|(_, view)| !view.settled);
+            let shares = |(task, view): (&TaskKey, &RunView)| {
+                !view.sent && view.long_running && self.state.crashes.of(task) == 1
+            };
+            worker.probation.is_some()
+                && (1..MAX_SHARED).contains(&unsettled.clone().count())
+                && unsettled.all(shares)
+                && worker.held.is_some()
+                && worker.is_usable(now)
+                && Room::left(worker).fits(&waiting.demand)
+                && may_run(worker, &request)
+        });
+        shared.next().map(|(number, _)| number)
+    }
+
     /// Whether the reserved worker can start the task that it is reserved for.
     fn is_ready(&self, now: Time, number: WorkerNumber, demand: &Demand) -> bool {
         let worker = self.fleet.workers.get(&number);
--- a/lib/tests/jobs/crashes.rs
+++ b/lib/tests/jobs/crashes.rs
@@ -325,6 +325,38 @@
     assert!(second.running.len() > 1, "other tasks start once the suspect has settled");
 }
 
+/// Guards against innocents that stay suspects because they share their probation with the task that
+/// crashes the workers.
+#[test]
+fn suspects_that_share_a_probation_are_told_apart() {
+    struct Case {
+        name: &'static str,
+        machines: usize,
+        /// The number of long-running tasks beside the one that crashes the workers.
+        innocents: u32,
+    }
+    let cases = [
+        Case { name: "all on one worker", machines: 1, innocents: 3 },
+        Case { name: "a few workers", machines: 3, innocents: 8 },
+        Case { name: "many workers", machines: 8, innocents: 20 },
+    ];
+    for case in cases {
+        let mut cluster = Cluster::new(case.machines);
+        cluster.downtime = seconds(1);
+        let job = cluster.world.submit(8, vec![long_running(case.innocents)]);
+        cluster.lasting.insert(job);
+        submit_deadly(&mut cluster, 7, vec![long_running(1)]);
+        cluster.run(seconds(20));
+        let crashes = &cluster.world.controller.committed().crashes;
+        let deadly = crashes.of(&task(JobId(7), 0, 0));
+        assert!(deadly as usize >= MAX_CRASHES, "{}: {deadly} crashes", case.name);
+        for index in 0..case.innocents {
+            let key = task(job, 0, index);
+            assert_eq!(crashes.of(&key), 0, "{}: {key}", case.name);
+        }
+    }
+}
+
 /// Guards against innocent tasks that are given up: a worker that goes down again and again is empty
 /// each time it comes up.
 #[test]
