platform: a heartbeat without a field of every worker is refused

Cause: the adapter didn't look at `version`, `slots` and `coldLeftMs` and took `labels` for optional, so that such a heartbeat counted as the worker's successor at its address.

Change: a heartbeat in which one of them is missing or of another type is refused with 400, all findings together.

--- a/cli/tests/deployment/odd_entries.rs
+++ b/cli/tests/deployment/odd_entries.rs
@@ -30,7 +30,8 @@
 fn heartbeat(change: impl Fn(&mut Value)) -> Vec<u8> {
     let mut body = json!({
         "service": SERVICE, "address": "10.9.9.9:8080", "zone": "centre-0", "version": "v1",
-        "slots": 8, "state": "ready", "born": 1, "seqNum": 1, "clockMs": 1, "labels": ["a", "r1"],
+        "slots": 8, "state": "ready", "coldLeftMs": 0, "born": 1, "seqNum": 1, "clockMs": 1,
+        "labels": ["a", "r1"],
         "capacity": { "cpu": 64_000, "memMb": 64_000, "gpu": 8 }, "running": [], "finished": [],
     });
     change(&mut body);
@@ -55,6 +56,7 @@
         refused("a negative number", heartbeat(|body| body["seqNum"] = json!(-1))),
         refused("a fraction", heartbeat(|body| body["born"] = json!(1.5))),
         refused("another type", heartbeat(|body| body["labels"] = json!("a"))),
+        refused("no version", heartbeat(|body| drop(body["version"].take()))),
         refused("an unknown state", heartbeat(|body| body["state"] = json!("gone"))),
         refused("an odd row", heartbeat(|body| body["running"] = json!([["x", 1, "", 0]]))),
         ignored("an unknown service", heartbeat(|body| body["service"] = json!("nowhere"))),
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -216,7 +216,7 @@
         let finished: Vec<_> = self.finished.iter().map(|(_, row)| row).collect();
         json!({
             "service": SERVICE, "address": address(&self.name), "zone": "centre-0",
-            "version": "v1", "slots": 8, "state": "ready", "born": self.born,
+            "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "born": self.born,
             "seqNum": self.sequence, "clockMs": self.clock_ms(), "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 },
             "running": running, "finished": finished,
