--- a/lib/src/consensus/entries.rs
+++ b/lib/src/consensus/entries.rs
@@ -15,6 +15,10 @@
 /// The largest encoded size of one member in an entry.
 const MAX_MEMBER_BYTES: usize = 10;
 
+/// The maximum size of the entries before a snapshot that are kept, in bytes. They are for followers that
+/// lag behind.
+const MAX_TAIL_BYTES: usize = 8 << 20;
+
 /// The entries after `base`, in order and without gaps.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Log {
@@ -104,9 +108,21 @@
         at
     }
 
-    /// Records a snapshot and drops the entries that are more than `tail` behind it.
+    /// Records a snapshot and drops the entries that are more than `tail` behind it, or more than
+    /// [`MAX_TAIL_BYTES`].
     pub(super) fn compact(&mut self, snapshot: Snapshot, tail: u64) {
-        let base = Index(snapshot.index.0.saturating_sub(tail).max(self.base.0));
+        let oldest = snapshot.index.0.saturating_sub(tail).max(self.base.0);
+        let mut base = snapshot.index;
+        let mut bytes = 0;
+        while base.0 > oldest
+            && let Some(entry) = self.get(base)
+        {
+            bytes += entry_bytes(entry);
+            if bytes > MAX_TAIL_BYTES {
+                break;
+            }
+            base = Index(base.0 - 1);
+        }
         if let Some(term) = self.term_at(base) {
             let dropped = usize::try_from(base.0 - self.base.0).unwrap_or(usize::MAX);
             self.entries.drain(..dropped.min(self.entries.len()));
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -70,6 +70,10 @@
     committed: State,
     applied: Index,
     compacted: Index,
+    /// The size of the commands that were applied since the last snapshot, in bytes.
+    logged_bytes: usize,
+    /// The size of the last snapshot, in bytes.
+    snapshot_bytes: usize,
     addresses: BTreeMap<InstanceId, SocketAddr>,
     leader: Option<Leader>,
     pending: VecDeque<PendingProposal>,
@@ -97,6 +101,7 @@
             Some(snapshot) => (State::decode(&snapshot.state)?, snapshot.index),
             None => (State::default(), Index(0)),
         };
+        let snapshot_bytes = recovered.snapshot.as_ref().map_or(0, |snapshot| snapshot.state.len());
         let mut addresses: BTreeMap<_, _> = config.founders.iter().copied().collect();
         addresses.extend(committed.nodes.values().map(|node| (node.id, node.peer)));
         addresses.extend(recorded_peers(&recovered.entries));
@@ -115,6 +120,8 @@
             pending: VecDeque::new(),
             proposals: 0,
             compacted: applied,
+            logged_bytes: 0,
+            snapshot_bytes,
             effects: Vec::new(),
             committed,
             applied,
@@ -315,13 +322,16 @@
     fn apply(&mut self, now: Time, wall: WallTime, entry: &Entry, out: &mut Vec<Effect>) {
         self.applied = entry.index;
         match &entry.payload {
-            Payload::Command(bytes) => match Batch::decode(bytes) {
-                Ok(batch) => self.apply_batch(now, &batch, out),
-                Err(error) => {
-                    let (index, reason) = (entry.index, error.to_string());
-                    out.push(Effect::LogEvent(LogEvent::Unreadable { index, reason }));
+            Payload::Command(bytes) => {
+                self.logged_bytes += bytes.len();
+                match Batch::decode(bytes) {
+                    Ok(batch) => self.apply_batch(now, &batch, out),
+                    Err(error) => {
+                        let (index, reason) = (entry.index, error.to_string());
+                        out.push(Effect::LogEvent(LogEvent::Unreadable { index, reason }));
+                    }
                 }
-            },
+            }
             Payload::Members(members) => {
                 let (voters, learners) = (members.voters.clone(), members.learners.clone());
                 out.push(Effect::LogEvent(LogEvent::MembersCommitted { voters, learners }));
@@ -387,6 +397,7 @@
                 self.committed = state;
                 self.applied = snapshot.index;
                 self.compacted = snapshot.index;
+                (self.logged_bytes, self.snapshot_bytes) = (0, snapshot.state.len());
             }
             Err(error) => {
                 let (index, reason) = (snapshot.index, error.to_string());
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -17,6 +17,10 @@
 /// frames between controllers, and a large one holds up those behind it.
 const MAX_ENTRY_BYTES: usize = 1 << 20;
 
+/// The size of the entries after a snapshot beyond which the next one is taken, in bytes. The smallest disks
+/// have 128 MB.
+const MAX_LOG_BYTES: usize = 8 << 20;
+
 /// A proposal that isn't committed yet, with the answers that depend on it.
 #[derive(Debug)]
 pub(super) struct PendingProposal {
@@ -90,12 +94,17 @@
         parts.iter().map(|part| Bytes::from(part.encode())).collect()
     }
 
+    /// Takes a snapshot after many entries, or after entries that are large together.
     pub(super) fn compact(&mut self, now: Time) {
-        if self.applied.0 < self.compacted.0 + self.config.snapshot_every {
+        let many = self.applied.0 >= self.compacted.0 + self.config.snapshot_every;
+        // A large state isn't written more often than as much has been logged.
+        let large = self.logged_bytes >= MAX_LOG_BYTES.max(self.snapshot_bytes);
+        if !many && !large {
             return;
         }
         self.compacted = self.applied;
         let state = Bytes::from(self.committed.encode());
+        (self.logged_bytes, self.snapshot_bytes) = (0, state.len());
         self.step_consensus(now, consensus::Event::Compacted { index: self.applied, state });
     }
 }
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -3,7 +3,8 @@
 use hickorylink_lib::{
     ids::{Incarnation, InstanceId},
     jobs::{
-        call::{Action, Call, Reply},
+        call::{Action, Call, OperatorReply, OperatorRequest, Reply},
+        config::Config as JobConfig,
         controller::{Answer, Event, Ticket},
         crash::{CrashEntry, CrashRecord},
         lifecycle::JobPhase,
@@ -13,11 +14,44 @@
     resources::Resources,
 };
 
-use crate::world::{FakeWorker, HOST, World, path, step, task};
+use crate::world::{FakeWorker, HOST, World, job_config, path, step, task};
 
 /// The largest frame between instances; see `runtime/src/link.rs`.
 const MAX_FRAME_BYTES: usize = 16 << 20;
 
+/// Guards against logs that fill disks: snapshots were taken after a number of entries, of any size.
+#[test]
+fn the_log_is_bounded_in_bytes() {
+    struct Case {
+        name: &'static str,
+        changes: u64,
+        config_bytes: usize,
+        /// The maximum size of the log with its snapshot, in bytes.
+        max: usize,
+    }
+    let cases = [
+        Case { name: "small configs", changes: 40, config_bytes: 1 << 10, max: 1 << 20 },
+        Case { name: "large configs", changes: 40, config_bytes: 2 << 20, max: 16 << 20 },
+        Case { name: "the largest configs", changes: 12, config_bytes: 4 << 20, max: 24 << 20 },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let mut most = 0;
+        for version in 2..2 + case.changes {
+            let text = "x".repeat(case.config_bytes).into();
+            let config = Box::new(JobConfig { text, ..job_config(version) });
+            let ticket = world.operator_request(OperatorRequest::Configure(config));
+            let stored = matches!(world.answers[&ticket], Answer::Operator(OperatorReply::Stored));
+            assert!(stored, "{}: version {version}", case.name);
+            most = most.max(world.stored_bytes());
+        }
+        assert!(most <= case.max, "{}: {most} bytes", case.name);
+        world.restart();
+        let config = world.controller.committed().config.as_ref().map(|config| config.version);
+        assert_eq!(config, Some(1 + case.changes), "{}", case.name);
+    }
+}
+
 /// Guards against an entry that is larger than a frame between controllers: no follower receives it, and
 /// nothing is committed any more.
 #[test]
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -171,6 +171,16 @@
         commands.max().unwrap_or(0)
     }
 
+    /// The size of what storage would recover, in bytes.
+    pub(crate) fn stored_bytes(&self) -> usize {
+        let commands = self.stored.entries.iter().map(|entry| match &entry.payload {
+            Payload::Command(command) => command.len(),
+            Payload::Empty | Payload::Members(_) => 0,
+        });
+        let snapshot = self.stored.snapshot.as_ref().map_or(0, |snapshot| snapshot.state.len());
+        snapshot + commands.sum::<usize>()
+    }
+
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
