jobs: a new leader gives silent workers time to find it

At 50.699 s, 7.2 s later, it gives up the runs of 17 workers that it hasn't heard, and their tasks start elsewhere. The first of these workers is heard 8 ms after that, others within 55 ms, with ends that were done. A worker asks one controller after another, a second each, and the followers had been replaced before the leader was lost.

Change: a worker that a new leader hasn't heard keeps its runs for 4 s beyond the time that its lease may last. Its long-running runs are given up with the lease, as before, as they start again however they ended.

Tests: a_new_leader_waits_out_the_leases_of_silent_workers and the_first_heartbeat_to_a_new_leader_renews_no_lease held a run that may be done to the bound for lost ones. Both now have all their cases with long-running tasks and the old bound, and finite tasks with a bound of their own; the first fails on the parent ("after the lease and its margin").

--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -48,6 +48,10 @@
 /// How long a silent worker without runs is kept.
 const IDLE_WORKER_RETENTION: Duration = Duration::from_secs(30);
 
+/// How much longer than its lease a worker may need to find a new leader. It asks one controller after
+/// another, a second each, and many of them may be gone.
+const SEARCH_TIME: Duration = Duration::from_secs(4);
+
 /// How long a worker takes at most to exit after its leave message.
 const EXIT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -358,7 +362,8 @@
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.last_heartbeat) > IDLE_WORKER_RETENTION;
-            let expired = worker.held.is_none() && now > worker.lease_until;
+            let wait = if worker.is_searching() { SEARCH_TIME } else { Duration::ZERO };
+            let expired = worker.held.is_none() && now > worker.lease_until + wait;
             let occupied = worker.blocked || !worker.runs.is_empty();
             expired && worker.departure.is_none() && (silent || occupied)
         });
@@ -366,6 +371,7 @@
         for number in lost {
             self.remove_worker(now, number, Removal::Lapsed);
         }
+        self.expire_searching(now);
         self.expire_departed(now);
         self.expire_reservations(now);
         if now >= self.next_forget {
@@ -375,6 +381,18 @@
         }
     }
 
+    /// Gives up the long-running runs of workers that haven't found this leader within their lease. Their
+    /// other runs may be done; they are given up [`SEARCH_TIME`] later.
+    fn expire_searching(&mut self, now: Time) {
+        let workers = self.fleet.workers.iter();
+        let searching =
+            workers.filter(|(_, worker)| worker.is_searching() && now > worker.lease_until);
+        let searching: Vec<_> = searching.map(|(number, _)| *number).collect();
+        for number in searching {
+            self.lose_long_running(now, number);
+        }
+    }
+
     /// Gives up the runs of workers that have left: the long-running ones once their worker has exited,
     /// the others, which may be done, once its lease has run out.
     fn expire_departed(&mut self, now: Time) {
@@ -390,8 +408,8 @@
         }
     }
 
-    /// Gives up the long-running runs of a worker that has exited. They start again however they have
-    /// ended.
+    /// Gives up the long-running runs of a worker that has exited or whose lease has run out. They start
+    /// again however they have ended.
     fn lose_long_running(&mut self, now: Time, number: WorkerNumber) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let lost = worker.runs.iter().filter(|(_, view)| view.long_running);
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -391,6 +391,11 @@
             && !self.is_overcommitted()
     }
 
+    /// Whether an earlier leader has started its runs, and it hasn't found this leader yet.
+    pub fn is_searching(&self) -> bool {
+        self.profile.is_none()
+    }
+
     /// Whether responses to its heartbeats grant a lease.
     pub fn renews_lease(&self) -> bool {
         self.confirmed && !self.blocked
