--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -31,7 +31,6 @@
 };
 
 mod admission;
-mod admissions;
 mod calls;
 mod capacity;
 pub mod config;
@@ -52,6 +51,7 @@
 mod stranded;
 mod turn;
 mod unlisted;
+mod unqueued;
 mod vacancy;
 pub mod wait_reports;
 mod watch;
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -332,6 +332,7 @@
         let mut missing = Vec::new();
         for (task, view) in worker.runs.iter_mut().filter(|(task, _)| !listed.contains(task)) {
             if more_ends && view.sent {
+                // It isn't at work any more, but doesn't stand still either.
                 (view.missing, view.progressed_at) = (true, now);
             } else {
                 missing.push(MissingRun::new(*task, view, more_before));
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -9,7 +9,7 @@
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{
-            Answer, Config, Effect, LogEvent, Ticket, Timing, admissions::Admissions,
+            Answer, Config, Effect, LogEvent, Ticket, Timing, unqueued::Unqueued,
             wait_reports::WaitReports,
         },
         crash::CrashEntry,
@@ -91,7 +91,7 @@
     /// The outlooks of occurrences with steps to place.
     pub(super) outlooks: Outlooks,
     /// Occurrences whose steps are still to be queued.
-    pub(super) admissions: Admissions,
+    pub(super) unqueued: Unqueued,
     /// The work of the current turn.
     pub(super) work: TurnWork,
     /// The work of the last turn.
@@ -156,7 +156,7 @@
             voters: VoterWatch::default(),
             waiting: WaitingSteps::default(),
             outlooks: Outlooks::default(),
-            admissions: Admissions::default(),
+            unqueued: Unqueued::default(),
             work: TurnWork::default(),
             last_work: TurnWork::default(),
             changed: BTreeSet::new(),
@@ -224,7 +224,7 @@
 
     /// The next time at which the leader has something to do.
     pub(super) fn next_deadline(&self) -> Option<Time> {
-        let deadline = earliest(self.fleet.next_deadline(), self.admissions.next_deadline());
+        let deadline = earliest(self.fleet.next_deadline(), self.unqueued.next_deadline());
         earliest(deadline, Some(self.next_expiry))
     }
 
@@ -280,7 +280,7 @@
 
     pub(super) fn enqueue(&mut self, now: Time, step: StepKey) {
         if let Some((rank, demand)) = self.rank(&step) {
-            let since = self.admissions.waits_since(&step, now);
+            let since = self.unqueued.waits_since(&step, now);
             self.waiting.insert(step, rank, demand, since);
         }
     }
--- a/lib/src/jobs/controller/occurrences.rs
+++ b/lib/src/jobs/controller/occurrences.rs
@@ -8,11 +8,11 @@
         let Some(job) = self.state.jobs.get(&id) else { return };
         let spec = job.spec.clone();
         if spec.schedule.is_none() {
-            return self.admissions.push(id, 0);
+            return self.unqueued.push(id, 0);
         }
         let begun: Vec<u32> = job.occurrences.keys().copied().collect();
         for occurrence in begun {
-            self.admissions.push(id, occurrence);
+            self.unqueued.push(id, occurrence);
         }
         let first = self.state.jobs.get(&id).map_or(0, |job| {
             (0..spec.occurrences())
@@ -43,7 +43,7 @@
                 blocked.push(next);
                 continue;
             }
-            self.admissions.push(id, occurrence);
+            self.unqueued.push(id, occurrence);
             self.schedule_occurrence(id, occurrence + 1);
         }
         self.upcoming.extend(blocked);
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -43,7 +43,7 @@
     ) -> Proposal {
         self.wall = wall;
         self.start_due_occurrences();
-        self.admit_steps(now);
+        self.queue_steps(now);
         self.expire_leases(now);
         self.stop_broken_gangs(now);
         self.place_waiting(now);
@@ -62,7 +62,7 @@
         let open = self.state.jobs.iter().filter(|(_, job)| job.phase.is_open());
         let open: Vec<_> = open.map(|(id, _)| *id).collect();
         let before = std::mem::take(&mut self.waiting);
-        self.admissions.restart(before.iter().map(|step| (step.key, step.since)));
+        self.unqueued.restart(before.iter().map(|step| (step.key, step.since)));
         self.upcoming.clear();
         for id in open {
             self.admit_job(id);
--- a/lib/src/jobs/controller/admissions.rs
+++ b/lib/src/jobs/controller/unqueued.rs
@@ -24,26 +24,26 @@
 
 /// The occurrences whose steps are to be queued, in order.
 #[derive(Debug, Default)]
-pub(super) struct Admissions {
-    occurrences: VecDeque<Admission>,
+pub(super) struct Unqueued {
+    occurrences: VecDeque<UnqueuedSteps>,
     /// When the turn is due that continues with them.
     resume_at: Option<Time>,
     /// Since when steps waited that were queued before the queues changed.
     since: HashMap<StepKey, Time>,
 }
 
-/// An occurrence of a job, and the first of its steps that wasn't examined yet.
+/// The steps of an occurrence from `next` on.
 #[derive(Clone, Copy, Debug)]
-struct Admission {
+struct UnqueuedSteps {
     job: JobId,
     occurrence: u32,
     next: usize,
 }
 
-impl Admissions {
+impl Unqueued {
     /// Adds an occurrence that may begin.
     pub(super) fn push(&mut self, job: JobId, occurrence: u32) {
-        self.occurrences.push_back(Admission { job, occurrence, next: 0 });
+        self.occurrences.push_back(UnqueuedSteps { job, occurrence, next: 0 });
     }
 
     /// Forgets all occurrences, which are added again. Their steps keep the time since when they have
@@ -66,21 +66,21 @@
 
 impl Leader {
     /// Queues the steps of admitted occurrences that are ready, up to the limit of a turn.
-    pub(super) fn admit_steps(&mut self, now: Time) {
+    pub(super) fn queue_steps(&mut self, now: Time) {
         let mut left = MAX_EXAMINED;
         while left > 0
-            && let Some(admission) = self.admissions.occurrences.pop_front()
+            && let Some(steps) = self.unqueued.occurrences.pop_front()
         {
-            let Admission { job: id, occurrence, next } = admission;
+            let UnqueuedSteps { job: id, occurrence, next } = steps;
             let Some(job) = self.state.jobs.get(&id).filter(|job| job.phase.is_open()) else {
                 continue;
             };
             let end = job.spec.steps.len().min(next + left);
-            let steps = (next..end).filter_map(|step| u16::try_from(step).ok());
-            let steps = steps.map(|step| StepKey { job: id, occurrence, step });
-            let ready: Vec<_> = steps.filter(|step| job.is_ready(step)).collect();
+            let examined = (next..end).filter_map(|step| u16::try_from(step).ok());
+            let examined = examined.map(|step| StepKey { job: id, occurrence, step });
+            let ready: Vec<_> = examined.filter(|step| job.is_ready(step)).collect();
             if end < job.spec.steps.len() {
-                self.admissions.occurrences.push_front(Admission { next: end, ..admission });
+                self.unqueued.occurrences.push_front(UnqueuedSteps { next: end, ..steps });
             }
             left -= end - next;
             for step in ready {
@@ -88,10 +88,10 @@
             }
         }
         self.work.examined += MAX_EXAMINED - left;
-        let unfinished = !self.admissions.occurrences.is_empty();
-        self.admissions.resume_at = unfinished.then(|| now + RESUME_AFTER);
+        let unfinished = !self.unqueued.occurrences.is_empty();
+        self.unqueued.resume_at = unfinished.then(|| now + RESUME_AFTER);
         if !unfinished {
-            self.admissions.since.clear();
+            self.unqueued.since.clear();
         }
     }
 }
--- a/lib/src/jobs/turn_work.rs
+++ b/lib/src/jobs/turn_work.rs
@@ -3,7 +3,7 @@
 /// The numbers of items that a leader looked at in one turn.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TurnWork {
-    /// Steps of admitted occurrences.
+    /// Steps of new jobs, and of all jobs after a takeover, that may have to be queued.
     pub examined: usize,
     /// Steps over which outlooks were computed.
     pub estimated: usize,
