jobs: a heartbeat that was held up doesn't end the wait for its worker

Cause, from the log of a play: a heartbeat that a worker had sent before its run ended reaches the new leader at 50.940 s, 7.8 s after the takeover and after the lease of the earlier leader. It is the first, so it isn't known to be timely and renews no lease, but the worker no longer counted as searching. 19 ms later its runs were given up; the next heartbeat, 1 ms after that, listed the end.

Change: a worker searches until this leader has granted it a lease, not until it is heard.

The finite case "held up" of the_first_heartbeat_to_a_new_leader_renews_no_lease follows the case "silent"; the long-running one keeps its bound.

--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -205,7 +205,7 @@
         let lease_until = now + self.timing.lease + self.timing.lease_margin;
         for (number, recorded) in &self.state.workers {
             let worker = Worker::new(recorded.name.clone(), recorded.incarnation, now, lease_until);
-            self.fleet.insert(*number, worker);
+            self.fleet.insert(*number, Worker { searching: true, ..worker });
         }
         let mut runs = 0;
         for (id, job) in self.state.jobs.iter().filter(|(_, job)| job.phase.is_open()) {
@@ -362,7 +362,7 @@
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.last_heartbeat) > IDLE_WORKER_RETENTION;
-            let wait = if worker.is_searching() { SEARCH_TIME } else { Duration::ZERO };
+            let wait = if worker.searching { SEARCH_TIME } else { Duration::ZERO };
             let expired = worker.held.is_none() && now > worker.lease_until + wait;
             let occupied = worker.blocked || !worker.runs.is_empty();
             expired && worker.departure.is_none() && (silent || occupied)
@@ -381,12 +381,11 @@
         }
     }
 
-    /// Gives up the long-running runs of workers that haven't found this leader within their lease. Their
-    /// other runs may be done; they are given up [`SEARCH_TIME`] later.
+    /// Gives up the long-running runs of workers that haven't got a lease of this leader before that of an
+    /// earlier one has run out. Their other runs may be done; they are given up [`SEARCH_TIME`] later.
     fn expire_searching(&mut self, now: Time) {
         let workers = self.fleet.workers.iter();
-        let searching =
-            workers.filter(|(_, worker)| worker.is_searching() && now > worker.lease_until);
+        let searching = workers.filter(|(_, worker)| worker.searching && now > worker.lease_until);
         let searching: Vec<_> = searching.map(|(number, _)| *number).collect();
         for number in searching {
             self.lose_long_running(now, number);
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -63,6 +63,7 @@
         if let Some(lease) = lease {
             let until = held.since + lease + timing.lease_margin;
             worker.lease_until = worker.lease_until.max(until);
+            worker.searching = false;
         }
         let sizes = &self.responses.sizes;
         let mut room = self.responses.max_bytes.saturating_sub(sizes.envelope);
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -51,6 +51,8 @@
     pub confirmed: bool,
     /// The time until which the worker may still execute its runs, by this controller's clock.
     pub lease_until: Time,
+    /// Whether its lease is one of an earlier leader: it may still search for this one.
+    pub searching: bool,
     /// The heartbeat that is held open until there is something to send.
     pub held: Option<HeldHeartbeat>,
     /// How many starts a response may carry.
@@ -140,6 +142,7 @@
             last_heartbeat: now,
             confirmed: true,
             lease_until,
+            searching: false,
             held: None,
             delivery: DeliveryWindow::default(),
             runs: BTreeMap::new(),
@@ -391,11 +394,6 @@
             && !self.is_overcommitted()
     }
 
-    /// Whether an earlier leader has started its runs, and it hasn't found this leader yet.
-    pub fn is_searching(&self) -> bool {
-        self.profile.is_none()
-    }
-
     /// Whether responses to its heartbeats grant a lease.
     pub fn renews_lease(&self) -> bool {
         self.confirmed && !self.blocked
