--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -359,6 +359,20 @@
         }
         self.idle_services = self.fleet.idle_services();
         self.report_waits(now);
+        self.expire_silent(now);
+        self.expire_searching(now);
+        self.expire_departed(now);
+        self.expire_reservations(now);
+        if now >= self.next_forget {
+            self.next_forget = now + FORGET_INTERVAL;
+            self.forget_jobs(now);
+            self.fleet.forget_transits(now);
+        }
+    }
+
+    /// Removes the workers whose lease has run out: those with runs, those that are blocked by withheld ends,
+    /// and those that have been silent for long.
+    fn expire_silent(&mut self, now: Time) {
         let workers = self.fleet.workers.iter();
         let lost = workers.filter(|(_, worker)| {
             let silent = now.since(worker.last_heartbeat) > IDLE_WORKER_RETENTION;
@@ -371,14 +385,6 @@
         for number in lost {
             self.remove_worker(now, number, Removal::Lapsed);
         }
-        self.expire_searching(now);
-        self.expire_departed(now);
-        self.expire_reservations(now);
-        if now >= self.next_forget {
-            self.next_forget = now + FORGET_INTERVAL;
-            self.forget_jobs(now);
-            self.fleet.forget_transits(now);
-        }
     }
 
     /// Gives up the long-running runs of workers that haven't got a lease of this leader before that of an
