pace: the harm of a task counts with all its processors

Cause: an opportunistic image counted as harmless up to a limit on its harm per processor. Tasks of seven processors at 0.05 each raise the tail latency beside them by 40%, and several of them share a worker, so that serving tasks were over their target at each peak of their load.

Ruled out: saturated workers and unexplained latency. A trial that printed, for the serving tasks over their target, the use of the worker and the estimated harm showed most of them on workers with idle processors.

Change: the limit applies to one task at full pace, with its processors. For tasks of 1.8 processors it is what it was.

The test was seen failing before.

--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -24,9 +24,10 @@
 /// The fraction of the target latency to aim for.
 const TARGET_FRACTION: f64 = 0.7;
 
-/// The harm per processor, as a logarithmic increase of the tail latency, below which an
-/// opportunistic image counts as harmless to a serving image.
-const NEGLIGIBLE_HARM: f64 = 0.06;
+/// The harm by one task at full pace, as a logarithmic increase of the tail latency, up to which its
+/// image counts as harmless to a serving image. A limit on the harm per processor would let large
+/// tasks disturb all others.
+const NEGLIGIBLE_HARM: f64 = 0.11;
 
 /// The number of samples from which on a pair of images can be known to be harmless. The
 /// opportunistic image of such a pair isn't throttled while the tail latency of the serving one is
@@ -117,6 +118,8 @@
     averages: HashMap<u32, Average>,
     serving: HashMap<Image, u32>,
     opportunistic: HashMap<Image, u32>,
+    /// The average number of processors that a task requests, by the numbers of opportunistic images.
+    sizes: HashMap<u32, Average>,
 }
 
 impl Interference {
@@ -130,6 +133,11 @@
         }
     }
 
+    /// The logarithmic increase of the tail latency of `serving` by an opportunistic task at full pace.
+    fn task_harm(&self, serving: Option<&Image>, task: &RunView) -> f64 {
+        self.harm(serving, task.image.as_ref()) * f64::from(processors(task.demand))
+    }
+
     /// Whether there are enough samples of a pair to be confident that it is harmless.
     fn is_harmless(
         &self,
@@ -149,9 +157,8 @@
     pub fn achievable_pace(&self, worker: &Worker, image: Option<&Image>, demand: u64) -> f64 {
         let kind = number_of(&self.opportunistic, image);
         let paces = worker.neighbours.serving.iter().filter_map(|serving| {
-            let harm = self.model.mean(serving.number, kind);
-            (harm > NEGLIGIBLE_HARM)
-                .then(|| serving.budget.pace(harm * demand as f64 / MILLICORES_PER_CORE))
+            let harm = self.model.mean(serving.number, kind) * f64::from(processors(demand));
+            (harm > NEGLIGIBLE_HARM).then(|| serving.budget.pace(harm))
         });
         paces.fold(1.0, f64::min)
     }
@@ -177,6 +184,7 @@
         for view in worker.runs.values().filter(|view| view.is_opportunistic()) {
             let kind = assign_number(&mut self.opportunistic, view.image.as_ref());
             neighbours.add_demand(kind, processors(view.demand));
+            self.sizes.entry(kind).or_default().update(f64::from(processors(view.demand)));
             add_exposure(&mut used, kind, processors(view.gauge));
         }
         let mut serving_used = 0.0;
@@ -222,7 +230,8 @@
     fn relevant_harm(&self, serving: u32, exposures: &[Exposure]) -> f64 {
         let harms = exposures.iter().map(|exposure| {
             let harm = self.model.mean(serving, exposure.kind);
-            if harm > NEGLIGIBLE_HARM { harm * f64::from(exposure.amount) } else { 0.0 }
+            let size = self.sizes.get(&exposure.kind).map_or(1.0, |size| size.mean);
+            if harm * size > NEGLIGIBLE_HARM { harm * f64::from(exposure.amount) } else { 0.0 }
         });
         harms.sum()
     }
@@ -275,7 +284,7 @@
             let Some(baseline) = self.baselines.get(&task.step_key()) else { continue };
             let image = view.image.as_ref();
             let is_known = |other: &RunView| {
-                self.harm(image, other.image.as_ref()) > NEGLIGIBLE_HARM
+                self.task_harm(image, other) > NEGLIGIBLE_HARM
                     || self.is_harmless(now, image, other.image.as_ref())
             };
             if view.target_latency.is_none() || !active.clone().all(is_known) {
@@ -406,7 +415,7 @@
         return 0.0;
     }
     let image = serving.image.as_ref();
-    if interference.harm(image, opportunistic.image.as_ref()) <= NEGLIGIBLE_HARM {
+    if interference.task_harm(image, opportunistic) <= NEGLIGIBLE_HARM {
         // The latency is above its target although no task is present that is known to interfere.
         let unexplained = over.is_some()
             && tail.inflation <= 0.0
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -104,6 +104,58 @@
     }
 }
 
+/// Guards against tasks of many processors that disturb others although the harm per processor is small:
+/// serving tasks beside them were over their targets at each peak of their load.
+#[test]
+fn the_harm_of_a_task_counts_with_all_its_processors() {
+    struct Case {
+        name: &'static str,
+        processors: u64,
+        tail: u64,
+        want: std::ops::RangeInclusive<u8>,
+    }
+    let cases = [
+        Case { name: "one processor", processors: 1, tail: 130, want: 100..=100 },
+        Case {
+            name: "eight processors, enough headroom",
+            processors: 8,
+            tail: 75,
+            want: 100..=100,
+        },
+        Case { name: "eight processors, little headroom", processors: 8, tail: 130, want: 1..=70 },
+        Case { name: "eight processors, over the target", processors: 8, tail: 200, want: 0..=0 },
+    ];
+    for case in cases {
+        let used = case.processors * 1000;
+        let large = |image| {
+            let (mut worker, serving_task, other) = worker(image);
+            worker.remove(&other);
+            let needs = Resources { millicores: used, ..step(1).needs };
+            let view =
+                RunView::new(&Step { needs, ..opportunistic(image) }, Run(1), Time::default());
+            worker.add(other, RunView { listed: true, ..view });
+            (worker, serving_task, other)
+        };
+        // Each processor raises the tail latency by a twentieth: eight of them by half.
+        let beside = (50.0 * (0.05 * case.processors as f64).exp()) as u64;
+        let mut interference = Interference::default();
+        for round in 0..200 {
+            let now = Time::from_millis(round * 200);
+            for (used, tail) in [(0, 50), (used, beside)] {
+                let (mut worker, serving_task, other) = large("slight");
+                report(&mut worker, &serving_task, tail, &other, used);
+                interference.learn(&worker, now);
+            }
+        }
+        let (mut worker, serving_task, other) = large("slight");
+        report(&mut worker, &serving_task, case.tail, &other, used);
+        interference.summarize(&mut worker);
+        adjust_paces(&mut worker, &interference, Time::from_millis(50_000));
+        let pace = worker.runs[&other].pace;
+        assert!(case.want.contains(&pace), "{}: {pace}", case.name);
+    }
+}
+
 #[test]
 fn opportunistic_tasks_stop_before_users_give_up() {
     let interference = trained_interference();
