jobs: evacuate data centres

Operators had no way to keep new work off a data centre and to move its runs away. POST and DELETE /hickorylink/evacuations/CENTRE now set and clear it in the replicated state (extensions behind a batch and behind the state), the leader starts nothing on its workers, and a drain in rounds moves what can continue elsewhere. Settings have `centres`; there are a log line and metrics.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -80,19 +80,6 @@
         .expect("encoding into memory can't fail")
 }
 
-/// Decodes a value and what was appended behind it, which older releases neither write nor read.
-///
-/// # Errors
-///
-/// [`DecodeError::Malformed`] if one of them is damaged.
-pub(crate) fn decode_extended<'b, T: Deserialize<'b>, E: Deserialize<'b> + Default>(
-    bytes: &'b [u8],
-) -> Result<(T, E), DecodeError> {
-    let (value, rest) = decode_first(bytes)?;
-    let (extension, _) = decode_extension(rest)?;
-    Ok((value, extension))
-}
-
 /// Decodes the value at the beginning of the bytes. Returns it with the remaining bytes.
 ///
 /// # Errors
--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     data,
-    jobs::{config::Config, lifecycle::JobPhase, model::JobSpec},
+    jobs::{config::Config, evacuation::EvacuationOrder, lifecycle::JobPhase, model::JobSpec},
 };
 
 data! {
@@ -86,17 +86,24 @@
     Configure(Box<Config>),
     /// Read the configuration in force.
     Show,
+    /// Evacuate a data centre, or cancel its evacuation.
+    Evacuation(EvacuationOrder),
 }
 
 /// The reply to an operator.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorReply {
-    /// The configuration is stored, unless the one in force is at least as new.
+    /// The configuration is stored, unless the one in force is at least as new; or the order about a data
+    /// centre is stored.
     Stored,
     /// The configuration in force.
     Config(Arc<Config>),
     /// No configuration has been set.
     NoConfig,
+    /// There is no data centre with this name.
+    NoCentre,
+    /// As many data centres are evacuated as possible.
+    TooManyCentres,
     /// The request may or may not have taken effect.
     Unknown,
 }
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -16,7 +16,7 @@
         log::{Entry, Members, Payload, Recovered, Snapshot},
         port as consensus,
     },
-    ids::{Epoch, Index, InstanceId},
+    ids::{DataCentre, Epoch, Index, InstanceId},
     jobs::{
         contacts::Contacts,
         controller::{
@@ -34,6 +34,7 @@
 mod calls;
 mod capacity;
 pub mod config;
+pub mod evacuate;
 mod handover;
 mod heartbeat;
 mod hellos;
@@ -142,6 +143,11 @@
         self.leader.as_ref()
     }
 
+    /// The data centres that may be evacuated; empty if those with any valid name may be.
+    pub fn centres(&self) -> &[DataCentre] {
+        &self.config.centres
+    }
+
     /// The status of the consensus module.
     pub fn status(&self) -> consensus::Status {
         self.consensus.status()
--- a/lib/src/jobs/controller/calls.rs
+++ b/lib/src/jobs/controller/calls.rs
@@ -4,6 +4,7 @@
     jobs::{
         call::{Action, Call, OperatorReply, OperatorRequest, Reply},
         controller::{Answer, Controller, Effect, LogEvent, Ticket},
+        evacuation::EvacuationOrder,
         model::{JobId, JobSpec},
         record::Record,
         state::State,
@@ -127,8 +128,25 @@
                 }
                 leader.answers.push((ticket, Answer::Operator(OperatorReply::Stored)));
             }
+            OperatorRequest::Evacuation(order) => self.evacuation(now, ticket, &order, out),
         }
     }
+
+    fn evacuation(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        order: &EvacuationOrder,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(leader) = &mut self.leader else { return };
+        if let Some(refusal) = leader.evacuation_refusal(order, &self.config.centres) {
+            return self.answer(now, ticket, Answer::Operator(refusal), out);
+        }
+        leader.order_evacuation(now, order);
+        // If the order was proposed but isn't committed yet, the answer waits for the pending proposal.
+        leader.answers.push((ticket, Answer::Operator(OperatorReply::Stored)));
+    }
 }
 
 fn show(state: &State, id: JobId) -> Reply {
--- a/lib/src/jobs/controller/capacity.rs
+++ b/lib/src/jobs/controller/capacity.rs
@@ -37,7 +37,8 @@
 
 impl Leader {
     /// The starts to send to a worker, of those that it hasn't listed. The others are withdrawn, since
-    /// they no longer fit the capacity that it reports or it leaves, and their tasks wait again.
+    /// they no longer fit the capacity that it reports, it leaves or it is evacuated, and their tasks wait
+    /// again.
     pub(super) fn select_starts(
         &mut self,
         now: Time,
@@ -67,7 +68,7 @@
         for start in unlisted {
             let Some(view) = worker.runs.get(&start.task) else { continue };
             let total = reserved.saturating_add(&view.reserved);
-            if !view.stopping && !worker.is_leaving() && worker.capacity().fits(&total) {
+            if !view.stopping && worker.takes_starts() && worker.capacity().fits(&total) {
                 reserved = total;
                 selection.fitting.push(start.task);
                 continue;
@@ -86,7 +87,7 @@
     }
 
     /// Ends a run that its worker hasn't started.
-    fn withdraw_start(&mut self, now: Time, number: WorkerNumber, task: &TaskKey) {
+    pub(super) fn withdraw_start(&mut self, now: Time, number: WorkerNumber, task: &TaskKey) {
         let Some(worker) = self.fleet.workers.get_mut(&number) else { return };
         let Some(view) = worker.remove(task) else { return };
         let worker = worker.name.to_string();
--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     consensus::port as consensus,
-    ids::InstanceId,
+    ids::{DataCentre, InstanceId},
     jobs::{record::Node, response_size::ResponseLimits},
 };
 
@@ -25,6 +25,8 @@
     pub snapshot_every: u64,
     /// The leader's timing.
     pub timing: Timing,
+    /// The data centres that may be evacuated; if it is empty, those with any valid name.
+    pub centres: Vec<DataCentre>,
     /// The limits on responses to heartbeats.
     pub responses: ResponseLimits,
     /// The settings of the consensus module.
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -69,12 +69,16 @@
         self.interference.learn(worker, now);
         self.interference.summarize(worker);
         pace::adjust_paces(worker, &self.interference, now);
-        pace::stop_paused(worker, now);
+        // Runs stay where they are if no other worker takes them.
+        let stays = worker.evacuated && self.drain.is_blocked();
+        if !stays {
+            pace::stop_paused(worker, now);
+        }
         evacuate(worker, now);
         stop_stalled(worker, now);
         let was_slow = worker.health.slow;
         worker.health.record_speed(now, slow);
-        if worker.health.slow {
+        if worker.health.slow && !stays {
             self.relocate(now, number, was_slow);
         }
         self.relieve(now, number);
@@ -121,6 +125,7 @@
             });
         }
         worker.update_profile(now, report);
+        worker.evacuated = self.state.evacuations.contains(&report.centre);
         if report.leaving.is_some() && !was_leaving {
             let (name, runs) = (worker.name.to_string(), worker.runs.len());
             let state = "is leaving";
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -89,6 +89,9 @@
     /// Whether a long-running task that has run before waits until runs on the worker end. Any run may end
     /// early.
     fn is_awaited(&self, worker: &Worker) -> bool {
+        if worker.evacuated {
+            return false;
+        }
         let room = Room::left(worker);
         let mut steps = self.waiting.of_class(Class::Restarted).take(MAX_AWAITING);
         steps.any(|waiting| {
@@ -125,7 +128,9 @@
         let capacity = worker.capacity().millicores;
         let is_full =
             worker.unused().saturating_mul(100) < capacity.saturating_mul(FULL_BELOW_PERCENT);
-        if unheld || is_full || !worker.is_usable(now) { FULL_INTERVAL } else { FREE_INTERVAL }
+        // One that is evacuated receives starts as soon as the evacuation is cancelled.
+        let takes_none = !worker.is_usable(now) && !worker.evacuated;
+        if unheld || is_full || takes_none { FULL_INTERVAL } else { FREE_INTERVAL }
     }
 }
 
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -9,10 +9,11 @@
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{
-            Answer, Config, Effect, LogEvent, Ticket, Timing, unqueued::Unqueued,
+            Answer, Config, Effect, LogEvent, Ticket, Timing, evacuate::Drain, unqueued::Unqueued,
             wait_reports::WaitReports,
         },
         crash::CrashEntry,
+        evacuation::EvacuationOrder,
         fleet::{Departure, Fleet, RunView, Worker},
         model::{JobId, StepKey, TaskKey, WorkerNumber},
         outlook::{Outlook, Outlooks},
@@ -120,6 +121,9 @@
     pub(super) suspects: Suspects,
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
+    pub(super) orders: Vec<EvacuationOrder>,
+    /// The progress of the evacuations.
+    pub(super) drain: Drain,
     pub(super) answers: Vec<(Ticket, Answer)>,
     pub(super) log_events: Vec<LogEvent>,
     pub(super) changes: Vec<Change>,
@@ -172,6 +176,8 @@
             suspects: Suspects::default(),
             records: Vec::new(),
             crashes: Vec::new(),
+            orders: Vec::new(),
+            drain: Drain::default(),
             answers: Vec::new(),
             log_events: Vec::new(),
             changes: Vec::new(),
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -4,9 +4,10 @@
 
 use crate::{
     consensus::{chart::Role, log::Write, message::Message, port::StepDown},
-    ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
+    ids::{DataCentre, Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
     jobs::{
         call::{Call, OperatorReply, OperatorRequest, Reply},
+        controller::evacuate::{CentreLoad, EvacuationState},
         hello::Hello,
         link::{ControllerStatus, LinkMessage},
         obstacle::ObstacleGroup,
@@ -120,6 +121,8 @@
             Self::Operator(OperatorReply::Stored) => "stored",
             Self::Operator(OperatorReply::Config(_)) => "config",
             Self::Operator(OperatorReply::NoConfig) => "no_config",
+            Self::Operator(OperatorReply::NoCentre) => "no_centre",
+            Self::Operator(OperatorReply::TooManyCentres) => "too_many_centres",
             Self::Operator(OperatorReply::Unknown) => "unknown",
             Self::Heartbeat(_) => "orders",
             Self::Acknowledged => "noted",
@@ -349,6 +352,15 @@
         /// Whether a heartbeat of the worker is held.
         held: bool,
     },
+    /// The evacuation of a data centre begins, goes on, is complete or is cancelled.
+    Evacuation {
+        /// The data centre.
+        centre: DataCentre,
+        /// The state of its evacuation.
+        state: EvacuationState,
+        /// What is left there.
+        left: CentreLoad,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -4,17 +4,25 @@
     jobs::{
         controller::{Answer, Ticket, leader::Leader},
         crash::{CrashEntry, CrashRecord},
+        evacuation::EvacuationOrder,
         record::{Ending, Record},
         state::Change,
     },
     time::Time,
 };
 
-/// The result of a turn: records to propose, and answers.
+/// Changes of the replicated state.
 #[derive(Debug, Default)]
-pub(super) struct Proposal {
+pub(super) struct StateChanges {
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
+    pub(super) evacuations: Vec<EvacuationOrder>,
+}
+
+/// The result of a turn: changes to propose, and answers.
+#[derive(Debug, Default)]
+pub(super) struct Proposal {
+    pub(super) changes: StateChanges,
     /// Answers that may be sent once the records are committed.
     pub(super) answers: Vec<(Ticket, Answer)>,
 }
@@ -22,7 +30,8 @@
 impl Proposal {
     /// The number of changes to commit.
     pub(super) fn len(&self) -> usize {
-        self.records.len() + self.crashes.len()
+        let StateChanges { records, crashes, evacuations } = &self.changes;
+        records.len() + crashes.len() + evacuations.len()
     }
 
     /// Whether there is nothing to commit.
--- a/lib/src/jobs/controller/relieve.rs
+++ b/lib/src/jobs/controller/relieve.rs
@@ -20,7 +20,7 @@
 
 /// How readily a run leaves an overcommitted worker.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Mobility {
+pub(super) enum Mobility {
     /// It is opportunistic and continues from its checkpoint.
     Opportunistic,
     /// It continues from its checkpoint.
@@ -82,14 +82,14 @@
 
     /// The runs that may leave a worker: the most mobile ones first, and of these the latest, which
     /// lose the least.
-    fn movable_runs(&self, number: WorkerNumber) -> Vec<(Mobility, TaskKey)> {
+    pub(super) fn movable_runs(&self, number: WorkerNumber) -> Vec<(Mobility, TaskKey)> {
         let runs = self.fleet.workers.get(&number).into_iter().flat_map(listed_runs);
         let mut runs: Vec<_> = runs
-            .filter(|(task, _)| {
+            .filter_map(|(task, view)| Some((Mobility::of(view)?, Reverse(view.since), *task)))
+            .filter(|(_, _, task)| {
                 let step = self.state.step(&task.step_key());
                 step.is_some_and(|step| !step.options.gang)
             })
-            .filter_map(|(task, view)| Some((Mobility::of(view)?, Reverse(view.since), *task)))
             .collect();
         runs.sort_unstable();
         runs.into_iter().map(|(mobility, _, task)| (mobility, task)).collect()
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -5,7 +5,12 @@
 use crate::{
     ids::ServiceName,
     jobs::{
-        controller::{Effect, LogEvent, leader::Leader, proposal::Proposal, round::Round},
+        controller::{
+            Effect, LogEvent,
+            leader::Leader,
+            proposal::{Proposal, StateChanges},
+            round::Round,
+        },
         fleet::RunView,
         lifecycle::TaskPhase,
         model::{Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -47,13 +52,17 @@
         self.expire_leases(now);
         self.stop_broken_gangs(now);
         self.place_waiting(now);
+        self.drain_centres(now);
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
-        let records = std::mem::take(&mut self.records);
-        let crashes = std::mem::take(&mut self.crashes);
+        let changes = StateChanges {
+            records: std::mem::take(&mut self.records),
+            crashes: std::mem::take(&mut self.crashes),
+            evacuations: std::mem::take(&mut self.orders),
+        };
         let answers = std::mem::take(&mut self.answers);
         self.last_work = std::mem::take(&mut self.work);
-        Proposal { records, crashes, answers }
+        Proposal { changes, answers }
     }
 
     /// Rebuilds the queue after a change of the queues' priorities or services. A step keeps the time
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -6,9 +6,8 @@
     consensus::port as consensus,
     jobs::{
         call::{OperatorReply, Reply},
-        controller::{Answer, Controller, Effect, Ticket, leader::Leader},
-        crash::CrashEntry,
-        record::{Batch, Record},
+        controller::{Answer, Controller, Effect, Ticket, leader::Leader, proposal::StateChanges},
+        record::Batch,
     },
     time::{Time, WallTime},
 };
@@ -63,7 +62,7 @@
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
             let (since, records) = (now, proposal.len());
-            let commands = self.encode_records(proposal.records, proposal.crashes);
+            let commands = self.encode_records(proposal.changes);
             let first = self.proposals + 1;
             self.proposals += commands.len() as u64;
             // The entries are committed in order, so the answers wait for the last one.
@@ -83,9 +82,10 @@
     }
 
     /// Encodes the records of a turn, as several batches if they are too large for one.
-    fn encode_records(&self, records: Vec<Record>, crashes: Vec<CrashEntry>) -> Vec<Bytes> {
-        let number = self.proposals + 1;
-        let batch = Batch { origin: self.config.me.id, number, records, crashes };
+    fn encode_records(&self, changes: StateChanges) -> Vec<Bytes> {
+        let StateChanges { records, crashes, evacuations } = changes;
+        let (origin, number) = (self.config.me.id, self.proposals + 1);
+        let batch = Batch { origin, number, records, crashes, evacuations };
         let encoded = batch.encode();
         if encoded.len() <= MAX_ENTRY_BYTES {
             return vec![encoded.into()];
--- a/lib/src/jobs/fleet.rs
+++ b/lib/src/jobs/fleet.rs
@@ -115,10 +115,10 @@
         self.transits.retain(|_, known| now.since(known.arrived) < TRANSIT_RETENTION);
     }
 
-    /// The services that use less than half of their processors.
+    /// The services that use less than half of their processors. Workers that are evacuated don't count.
     pub fn idle_services(&self) -> Vec<ServiceName> {
         let mut services: BTreeMap<&ServiceName, (u64, u64)> = BTreeMap::new();
-        for (_, worker) in self.present() {
+        for (_, worker) in self.present().filter(|(_, worker)| !worker.evacuated) {
             let Some(profile) = &worker.profile else { continue };
             let (used, capacity) = services.entry(&profile.service).or_default();
             *used = used.saturating_add(worker.used());
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -88,6 +88,8 @@
     pub neighbours: Neighbours,
     /// The recent outcomes of its runs.
     pub health: Health,
+    /// Whether its data centre is evacuated.
+    pub evacuated: bool,
     /// The task that runs here alone until it has settled, or for which the worker is reserved.
     pub probation: Option<TaskKey>,
 }
@@ -160,6 +162,7 @@
             excess_since: None,
             neighbours: Neighbours::default(),
             health: Health::default(),
+            evacuated: false,
             probation: None,
         }
     }
@@ -381,6 +384,11 @@
         leaves || self.departure.is_some()
     }
 
+    /// Whether it neither leaves nor is evacuated.
+    pub fn takes_starts(&self) -> bool {
+        !self.is_leaving() && !self.evacuated
+    }
+
     /// Whether runs may be started on the worker.
     pub fn is_usable(&self, now: Time) -> bool {
         self.can_start() && self.health.is_healthy(now)
@@ -390,7 +398,7 @@
     pub fn can_start(&self) -> bool {
         self.profile.is_some()
             && self.renews_lease()
-            && !self.is_leaving()
+            && self.takes_starts()
             && !self.is_overcommitted()
     }
 
--- a/lib/src/jobs/obstacle.rs
+++ b/lib/src/jobs/obstacle.rs
@@ -19,6 +19,8 @@
         Excluded = "excluded",
         /// It leaves.
         Leaving = "leaving",
+        /// Its data centre is evacuated.
+        Evacuated = "evacuated",
         /// It is avoided, since its runs fail, stall or are slow.
         Avoided = "avoided",
         /// Its runs reserve more than it has.
@@ -44,6 +46,7 @@
         match () {
             () if !may_run(worker, request) => Self::Excluded,
             () if worker.is_leaving() => Self::Leaving,
+            () if worker.evacuated => Self::Evacuated,
             () if !worker.health.is_healthy(now) => Self::Avoided,
             () if worker.is_overcommitted() => Self::Overcommitted,
             () if !Candidates::Live.include(worker, now) => Self::Unheard,
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -133,6 +133,22 @@
         fitting.map(|(number, _)| *number)
     }
 
+    /// The number of members.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Whether no worker is a member.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Whether a worker is a member that has room for the demand.
+    pub fn has_room(&self, number: WorkerNumber, demand: &Demand) -> bool {
+        let at = self.members.binary_search_by_key(&number, |(member, _)| *member);
+        at.is_ok_and(|at| self.members[at].1.fits(demand))
+    }
+
     /// Updates the room of a worker whose runs have changed.
     pub fn update(&mut self, number: WorkerNumber, worker: &Worker) {
         if let Ok(at) = self.members.binary_search_by_key(&number, |(member, _)| *member) {
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -5,12 +5,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    codec::{DecodeError, append, decode_extended},
+    codec::{DecodeError, append, decode_extension, decode_first},
     data,
     ids::{DataCentre, Incarnation, InstanceId, WorkerName},
     jobs::{
         config::Config,
         crash::CrashEntry,
+        evacuation::EvacuationOrder,
         model::{JobId, JobSpec, QueueName, Run, TaskKey, WorkerNumber},
     },
     symbols,
@@ -126,17 +127,29 @@
     /// Changes of the crash counts, in order. They are encoded behind the batch.
     #[serde(skip)]
     pub crashes: Vec<CrashEntry>,
+    /// Orders to evacuate data centres, in order. They are encoded behind the crash counts.
+    #[serde(skip)]
+    pub evacuations: Vec<EvacuationOrder>,
 }
 
 impl Batch {
     /// Encodes the batch for the log.
     pub fn encode(&self) -> Vec<u8> {
-        let bytes = append(Vec::new(), self);
-        if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
+        let mut bytes = append(Vec::new(), self);
+        // An extension is read only behind all earlier ones.
+        let evacuations = !self.evacuations.is_empty();
+        if !self.crashes.is_empty() || evacuations {
+            bytes = append(bytes, &self.crashes);
+        }
+        if evacuations {
+            bytes = append(bytes, &self.evacuations);
+        }
+        bytes
     }
 
     /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
-    /// single record. The parts are numbered from the batch's number on.
+    /// single record. The parts are numbered from the batch's number on. The first one has the evacuations, so
+    /// that no start is committed before the order that it was decided under.
     pub fn split(self, max_bytes: usize) -> Vec<Self> {
         let mut parts = vec![Self { records: Vec::new(), crashes: Vec::new(), ..self }];
         let mut crashes = self.crashes.into_iter().peekable();
@@ -146,7 +159,9 @@
             let Some(part) = parts.last() else { break };
             if !part.records.is_empty() && bytes + size > max_bytes {
                 let number = part.number + 1;
-                parts.push(Self { number, records: Vec::new(), crashes: Vec::new(), ..*part });
+                let (origin, records, crashes) = (part.origin, Vec::new(), Vec::new());
+                let evacuations = Vec::new();
+                parts.push(Self { origin, number, records, crashes, evacuations });
                 (before, bytes) = (at, 0);
             }
             bytes += size;
@@ -169,7 +184,9 @@
     ///
     /// The bytes aren't a valid batch.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let (batch, crashes): (Self, _) = decode_extended(bytes)?;
-        Ok(Self { crashes, ..batch })
+        let (batch, rest): (Self, _) = decode_first(bytes)?;
+        let (crashes, rest) = decode_extension(rest)?;
+        let (evacuations, _) = decode_extension(rest)?;
+        Ok(Self { crashes, evacuations, ..batch })
     }
 }
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -14,6 +14,7 @@
         config::{Config, Queue},
         crash::CrashCounts,
         dependents::Dependents,
+        evacuation::Evacuations,
         gang::Gangs,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -49,6 +50,9 @@
         /// The workers that were removed, and those that have returned. They are encoded behind the gangs.
         #[serde(skip)]
         pub returns: Returns,
+        /// The evacuated data centres. They are encoded behind the returns.
+        #[serde(skip)]
+        pub evacuations: Evacuations,
     }
 
     /// One incarnation of a worker.
@@ -129,8 +133,9 @@
         let (state, rest): (Self, _) = decode_first(bytes)?;
         let (crashes, rest) = decode_extension(rest)?;
         let (gangs, rest) = decode_extension(rest)?;
-        let (returns, _) = decode_extension(rest)?;
-        Ok(Self { crashes, gangs, returns, ..state })
+        let (returns, rest) = decode_extension(rest)?;
+        let (evacuations, _) = decode_extension(rest)?;
+        Ok(Self { crashes, gangs, returns, evacuations, ..state })
     }
 
     /// Encodes the state for a snapshot.
@@ -138,7 +143,8 @@
         let mut bytes = append(Vec::new(), self);
         // An extension is read only behind all earlier ones.
         let (crashes, gangs) = (!self.crashes.is_empty(), !self.gangs.is_empty());
-        let returns = !self.returns.is_empty();
+        let evacuations = !self.evacuations.is_empty();
+        let returns = !self.returns.is_empty() || evacuations;
         if crashes || gangs || returns {
             bytes = append(bytes, &self.crashes);
         }
@@ -148,6 +154,9 @@
         if returns {
             bytes = append(bytes, &self.returns);
         }
+        if evacuations {
+            bytes = append(bytes, &self.evacuations);
+        }
         bytes
     }
 
@@ -184,6 +193,10 @@
 
     /// Applies the records of a batch in order and appends their effects to `changes`.
     pub fn apply_batch(&mut self, batch: &Batch, changes: &mut Vec<Change>) {
+        // No other record depends on them.
+        for order in &batch.evacuations {
+            self.evacuations.apply(order);
+        }
         let mut crashes = batch.crashes.iter().peekable();
         for (before, record) in (0..).zip(&batch.records) {
             while let Some(crash) = crashes.next_if(|crash| crash.after <= before) {
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -4,6 +4,7 @@
     ids::{Incarnation, InstanceId},
     jobs::{
         crash::{CrashEntry, CrashRecord},
+        evacuation::EvacuationOrder,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, StepOptions, TaskKey, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -59,7 +60,7 @@
     let after = u32::try_from(records.len()).expect("a few records");
     let blame = || CrashEntry { after, record: CrashRecord::Blame { tasks: vec![key()] } };
     let crashes = (0..crashes).map(|_| blame()).collect();
-    Batch { origin: InstanceId(1), number: 3, records, crashes }
+    Batch { origin: InstanceId(1), number: 3, records, crashes, evacuations: Vec::new() }
 }
 
 fn state(crashes: u32) -> State {
@@ -205,3 +206,48 @@
         assert!(old.crashes.is_empty(), "{}", case.name);
     }
 }
+
+/// Guards against evacuations that a batch or a snapshot loses or that an older release can't skip, and
+/// against bytes of an older release that this one can't read.
+#[test]
+fn evacuations_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+        orders: Vec<EvacuationOrder>,
+        want: &'static [&'static str],
+    }
+    let begin = |centre: &str| EvacuationOrder::Begin { centre: centre.into() };
+    let cancel = |centre: &str| EvacuationOrder::Cancel { centre: centre.into() };
+    let (a, b) = ("akl-a", "akl-b");
+    let cases = [
+        Case { name: "none", crashes: 0, orders: vec![], want: &[] },
+        Case { name: "one", crashes: 0, orders: vec![begin(a)], want: &[a] },
+        Case { name: "after crashes", crashes: 2, orders: vec![begin(a)], want: &[a] },
+        Case { name: "two", crashes: 0, orders: vec![begin(b), begin(a)], want: &[a, b] },
+        Case { name: "cancelled", crashes: 0, orders: vec![begin(a), cancel(a)], want: &[] },
+        Case { name: "cancelled before", crashes: 2, orders: vec![cancel(a), begin(a)], want: &[a] },
+    ];
+    for case in cases {
+        let batch = Batch { evacuations: case.orders, ..batch(case.crashes) };
+        let encoded = batch.encode();
+        assert!(encoded.starts_with(&bytes(OLD_BATCH)), "{}", case.name);
+        let old: Batch = postcard::from_bytes(&encoded).expect("an older release can decode it");
+        assert_eq!((old.records, old.evacuations), (records(), Vec::new()), "{}", case.name);
+        let decoded = Batch::decode(&encoded).expect("a batch can be decoded");
+        assert_eq!(decoded, batch, "{}", case.name);
+        let mut state = State::default();
+        state.apply_batch(&decoded, &mut Vec::new());
+        let centres: Vec<_> = state.evacuations.iter().map(|centre| centre.as_str()).collect();
+        assert_eq!(centres, case.want, "{}", case.name);
+        let encoded = state.encode();
+        assert!(encoded.starts_with(&bytes(OLD_STATE)), "{}", case.name);
+        assert_eq!(State::decode(&encoded).ok(), Some(state), "{}", case.name);
+        let old: State = postcard::from_bytes(&encoded).expect("an older release can decode it");
+        assert!(old.evacuations.is_empty(), "{}", case.name);
+    }
+    let old = Batch::decode(&bytes(OLD_BATCH)).expect("a batch can be decoded");
+    assert_eq!(old.evacuations, Vec::new(), "written by an older release");
+    let old = State::decode(&bytes(OLD_STATE)).expect("a snapshot can be decoded");
+    assert!(old.evacuations.is_empty(), "written by an older release");
+}
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -7,6 +7,7 @@
         config::Config as JobConfig,
         controller::{Answer, Event, Ticket},
         crash::{CrashEntry, CrashRecord},
+        evacuation::EvacuationOrder,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Step, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -130,7 +131,8 @@
             CrashEntry { after: *after, record: CrashRecord::Absolve { task } }
         };
         let crashes = case.crashes.iter().map(absolve).collect();
-        let batch = Batch { origin: InstanceId(1), number: 7, records, crashes };
+        let evacuations = vec![EvacuationOrder::Begin { centre: "akl-a".into() }];
+        let batch = Batch { origin: InstanceId(1), number: 7, records, crashes, evacuations };
         let parts = batch.clone().split(case.max_bytes);
         let shape: Vec<_> = parts
             .iter()
@@ -150,6 +152,9 @@
         };
         let all: Vec<_> = parts.iter().flat_map(crashes).collect();
         assert_eq!(all, crashes(&batch), "{}", case.name);
+        // The starts of a later part may depend on the evacuations.
+        assert_eq!(parts[0].evacuations, batch.evacuations, "{}", case.name);
+        assert!(parts[1..].iter().all(|part| part.evacuations.is_empty()), "{}", case.name);
     }
 }
 
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -8,6 +8,7 @@
 mod cluster;
 mod contacts;
 mod crashes;
+mod data_centres;
 mod deployment;
 mod encoding;
 mod evacuations;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -11,7 +11,7 @@
         log::{Payload, Recovered, Write},
         port as consensus,
     },
-    ids::{Incarnation, InstanceId},
+    ids::{DataCentre, Incarnation, InstanceId},
     jobs::{
         call::{Action, Call, OperatorReply, OperatorRequest, Reply},
         config::{Config as JobConfig, Queue, Service},
@@ -50,6 +50,8 @@
     stored: Recovered,
     lease: (Duration, Duration),
     responses: ResponseLimits,
+    /// The data centres in the settings, from the next restart on.
+    pub(crate) centres: Vec<DataCentre>,
     next: u64,
 }
 
@@ -90,6 +92,7 @@
             max_hold: Duration::from_millis(700),
             retain: Duration::from_secs(120),
         },
+        centres: Vec::new(),
         responses: RESPONSES,
         seed: 1,
     }
@@ -99,6 +102,7 @@
 fn controller(
     (lease, margin): (Duration, Duration),
     responses: ResponseLimits,
+    centres: &[DataCentre],
     stored: Recovered,
     now: Time,
 ) -> Controller {
@@ -106,7 +110,7 @@
     let founders = vec![(me.id, me.peer)];
     let mut config = config(me, founders);
     (config.timing.lease, config.timing.lease_margin) = (lease, margin);
-    config.responses = responses;
+    (config.responses, config.centres) = (responses, centres.to_vec());
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
@@ -145,9 +149,10 @@
     fn with(lease: (Duration, Duration), responses: ResponseLimits) -> Self {
         let now = Time::from_millis(1);
         let mut world = Self {
-            controller: controller(lease, responses, Recovered::default(), now),
+            controller: controller(lease, responses, &[], Recovered::default(), now),
             lease,
             responses,
+            centres: Vec::new(),
             now,
             wall_start: WallTime(1_000_000),
             answers: BTreeMap::new(),
@@ -184,7 +189,8 @@
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
-        self.controller = controller(self.lease, self.responses, self.stored.clone(), self.now);
+        let (stored, centres) = (self.stored.clone(), &self.centres);
+        self.controller = controller(self.lease, self.responses, centres, stored, self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
@@ -351,6 +357,7 @@
 pub(crate) struct FakeWorker {
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
+    pub(crate) centre: String,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
@@ -379,6 +386,7 @@
         Self {
             name: name.to_owned(),
             address: worker_address(name),
+            centre: "akl-a".to_owned(),
             incarnation: 1,
             sequence: 0,
             leaving: None,
@@ -406,7 +414,8 @@
     /// The same machine after a crash and restart under another name.
     pub(crate) fn replaced(&self, name: &str) -> Self {
         let (incarnation, address) = (self.incarnation + 1, self.address);
-        Self { incarnation, address, ..Self::new(name) }
+        let centre = self.centre.clone();
+        Self { incarnation, address, centre, ..Self::new(name) }
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -418,7 +427,7 @@
             clock: self.clock,
             address: self.address,
             service: "desk".into(),
-            centre: "akl-a".into(),
+            centre: self.centre.as_str().into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
             capacity: self.capacity,
             leaving: self.leaving,
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -66,6 +66,7 @@
             max_hold: MAX_HOLD,
             retain: settings.retain,
         },
+        centres: settings.centres.iter().map(|centre| centre.as_str().into()).collect(),
         responses,
         consensus: consensus::Config {
             me: me.id,
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -97,6 +97,11 @@
         LogEvent::GivenUp { task, crashes } => {
             warn!(log, "a task is given up"; "task" => task, "crashes" => crashes);
         }
+        LogEvent::Evacuation { centre, state, left } => {
+            info!(log, "evacuation of a data centre"; "centre" => centre.as_str(),
+                "state" => state.name(), "workers" => left.workers, "runs" => left.runs,
+                "stopping" => left.stopping);
+        }
         LogEvent::Members { change } => info!(log, "members change"; "change" => change),
         LogEvent::MembersCommitted { voters, learners } => {
             info!(log, "members changed"; "voters" => ids(voters), "learners" => ids(learners));
--- a/runtime/src/metrics.rs
+++ b/runtime/src/metrics.rs
@@ -22,6 +22,7 @@
 use crate::ring::RingReading;
 
 pub mod controller;
+mod evacuation;
 pub mod gateway;
 
 /// The path of the metrics.
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -13,7 +13,10 @@
 };
 
 use crate::{
-    metrics::{IntGauge, PREFIX, RingMetrics, encode_text, latency_histogram, saturating_i64},
+    metrics::{
+        IntGauge, PREFIX, RingMetrics, encode_text, evacuation::EvacuationMetrics,
+        latency_histogram, saturating_i64,
+    },
     ring::RingReading,
 };
 
@@ -62,6 +65,7 @@
     live_voters: IntGauge,
     standbys: IntGauge,
     wanted_voters: IntGauge,
+    evacuations: EvacuationMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -100,6 +104,7 @@
             live_voters: IntGauge::default(),
             standbys: IntGauge::default(),
             wanted_voters: IntGauge::default(),
+            evacuations: EvacuationMetrics::default(),
         };
         metrics.register();
         metrics
@@ -172,6 +177,7 @@
         r.register("live_voters", "Voters that were heard recently", self.live_voters.clone());
         r.register("standbys", "Controllers that could become voters", self.standbys.clone());
         r.register("wanted_voters", "Voters to aim at", self.wanted_voters.clone());
+        self.evacuations.register(r);
     }
 
     /// Counts an answer.
@@ -221,6 +227,7 @@
             | LogEvent::Vacant { .. }
             | LogEvent::Unlisted { .. }
             | LogEvent::SteppedDown(_)
+            | LogEvent::Evacuation { .. }
             | LogEvent::Members { .. }
             | LogEvent::TooFewVoters { .. }
             | LogEvent::EnoughVoters { .. }
@@ -246,6 +253,7 @@
         self.live_voters.set(saturating_i64(counts.live_voters as u64));
         self.standbys.set(saturating_i64(counts.standbys as u64));
         self.wanted_voters.set(saturating_i64(counts.wanted as u64));
+        self.evacuations.observe(controller);
     }
 
     /// Encodes all metrics in the text format.
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -22,6 +22,7 @@
     "founding",
     "data",
     "losses",
+    "centres",
     "lease_most_ms",
     "retain_s",
     "grace_s",
@@ -67,6 +68,8 @@
     pub data: Option<String>,
     /// How many controllers may fail at the same time.
     pub max_losses: usize,
+    /// The data centres of the deployment, which operators may evacuate; empty if they aren't known.
+    pub centres: Vec<String>,
     /// The upper limit on the lease of a run.
     pub max_lease: Duration,
     /// How long ended jobs are retained.
@@ -113,6 +116,8 @@
         root.get(field).and_then(|value| value.integer(0..=max)).unwrap_or(default)
     };
     let losses = integer("losses", DEFAULT_LOSSES, MAX_LOSSES);
+    let centres = root.list("centres").into_iter().filter_map(ValueView::text);
+    let centres = centres.map(str::to_owned).collect();
     let lease = integer("lease_most_ms", DEFAULT_LEASE_MS, MAX_LEASE_MS);
     let retain = integer("retain_s", DEFAULT_RETAIN_S, MAX_RETAIN_S);
     let grace = integer("grace_s", DEFAULT_GRACE_S, MAX_GRACE_S);
@@ -129,6 +134,7 @@
         founding,
         data,
         max_losses: usize::try_from(losses).ok()?,
+        centres,
         max_lease: Duration::from_millis(lease),
         retain: Duration::from_secs(retain),
         grace: Duration::from_secs(grace),
