--- a/lib/src/jobs/controller/evacuate.rs
+++ b/lib/src/jobs/controller/evacuate.rs
@@ -30,6 +30,10 @@
 /// The interval between two rounds of the drain.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How long the first round waits after an order. Several data centres are evacuated by several requests, and
+/// what the first of them moved might have no place after the last one.
+const ORDER_DELAY: Duration = Duration::from_secs(1);
+
 /// The maximum number of runs that were stopped by the drain and haven't started again. The leader sends
 /// starts at a limited rate, and a run that is stopped earlier than it can start again is away for longer.
 const MAX_MOVES: usize = 128;
@@ -99,7 +103,7 @@
 }
 
 /// The progress of all evacuations. None of this is replicated.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Drain {
     next_round: Time,
     next_count: Time,
@@ -112,7 +116,20 @@
 }
 
 impl Drain {
-    /// Whether no worker outside the evacuated data centres took runs in the last round.
+    /// The drain of a leader that has just begun to lead.
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            next_round: now + ORDER_DELAY,
+            next_count: now,
+            next_worker: WorkerNumber::default(),
+            moves: BTreeMap::new(),
+            blocked: true,
+            centres: BTreeMap::new(),
+        }
+    }
+
+    /// Whether no worker outside the evacuated data centres took runs in the last round or at the last
+    /// order.
     pub(super) fn is_blocked(&self) -> bool {
         self.blocked
     }
@@ -195,8 +212,9 @@
             self.search_ended = false;
             EvacuationState::Cancelled
         };
-        self.drain.blocked = false;
-        (self.drain.next_round, self.drain.next_count) = (now, now + COUNT_INTERVAL);
+        let mut workers = self.fleet.workers.values();
+        self.drain.blocked = !workers.any(|worker| Candidates::Live.include(worker, now));
+        self.drain.next_round = now + ORDER_DELAY;
         self.log_events.push(LogEvent::Evacuation { centre: centre.clone(), state, left: load });
     }
 
@@ -233,6 +251,10 @@
             self.drain.moves.clear();
             return;
         }
+        if self.drain.next_count <= now {
+            self.drain.next_count = now + COUNT_INTERVAL;
+            self.count_left(now);
+        }
         if now < self.drain.next_round {
             return;
         }
@@ -245,10 +267,6 @@
             self.release(&mut plan, 0);
         }
         self.work.evaluated += plan.work;
-        if self.drain.next_count <= now {
-            self.drain.next_count = now + COUNT_INTERVAL;
-            self.count_left(now);
-        }
     }
 
     /// Takes the rooms for the runs that were stopped in earlier rounds. One whose task waits and has no
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -177,7 +177,7 @@
             records: Vec::new(),
             crashes: Vec::new(),
             orders: Vec::new(),
-            drain: Drain::default(),
+            drain: Drain::new(now),
             answers: Vec::new(),
             log_events: Vec::new(),
             changes: Vec::new(),
--- a/lib/tests/jobs/deployment.rs
+++ b/lib/tests/jobs/deployment.rs
@@ -92,6 +92,8 @@
     /// The jobs that callers submitted, by the ticket of their call.
     submitted: BTreeMap<u64, JobId>,
     accepted: BTreeSet<JobId>,
+    /// The answers to operators' requests, by their tickets.
+    pub(crate) operator_answers: BTreeMap<u64, Answer>,
     next: u64,
 }
 
@@ -140,6 +142,7 @@
             cut: BTreeSet::new(),
             submitted: BTreeMap::new(),
             accepted: BTreeSet::new(),
+            operator_answers: BTreeMap::new(),
             next: 0,
         };
         let founders: Vec<_> =
@@ -388,6 +391,9 @@
                 self.schedule(host, synced);
             }
             Effect::Answer { ticket: Ticket::Front(ticket), answer, .. } => {
+                if matches!(answer, Answer::Operator(_)) {
+                    self.operator_answers.insert(ticket, answer.clone());
+                }
                 let job = self.submitted.remove(&ticket);
                 if let (Some(job), Answer::Reply(Reply::Accepted)) = (job, answer) {
                     self.accepted.insert(job);
@@ -409,7 +415,7 @@
         self.next
     }
 
-    fn send(&mut self, host: u8, event: impl FnOnce(Ticket) -> Event) -> u64 {
+    pub(crate) fn send(&mut self, host: u8, event: impl FnOnce(Ticket) -> Event) -> u64 {
         let ticket = self.next_number();
         if let Some(process) = self.process_mut(host) {
             process.inbox.push(event(Ticket::Front(ticket)));
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -219,14 +219,20 @@
     }
     let begin = |centre: &str| EvacuationOrder::Begin { centre: centre.into() };
     let cancel = |centre: &str| EvacuationOrder::Cancel { centre: centre.into() };
-    let (a, b) = ("akl-a", "akl-b");
+    const A: &str = "akl-a";
+    const B: &str = "akl-b";
     let cases = [
         Case { name: "none", crashes: 0, orders: vec![], want: &[] },
-        Case { name: "one", crashes: 0, orders: vec![begin(a)], want: &[a] },
-        Case { name: "after crashes", crashes: 2, orders: vec![begin(a)], want: &[a] },
-        Case { name: "two", crashes: 0, orders: vec![begin(b), begin(a)], want: &[a, b] },
-        Case { name: "cancelled", crashes: 0, orders: vec![begin(a), cancel(a)], want: &[] },
-        Case { name: "cancelled before", crashes: 2, orders: vec![cancel(a), begin(a)], want: &[a] },
+        Case { name: "one", crashes: 0, orders: vec![begin(A)], want: &[A] },
+        Case { name: "after crashes", crashes: 2, orders: vec![begin(A)], want: &[A] },
+        Case { name: "two", crashes: 0, orders: vec![begin(B), begin(A)], want: &[A, B] },
+        Case { name: "cancelled", crashes: 0, orders: vec![begin(A), cancel(A)], want: &[] },
+        Case {
+            name: "cancelled before",
+            crashes: 2,
+            orders: vec![cancel(A), begin(A)],
+            want: &[A],
+        },
     ];
     for case in cases {
         let batch = Batch { evacuations: case.orders, ..batch(case.crashes) };
