--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -134,6 +134,7 @@
         });
         if self.members[at].role == MemberRole::Controller {
             settings["founding"] = founding.into();
+            settings["centres"] = json!(["centre-0", "centre-1", "centre-2"]);
             settings["data"] = self.data(at).display().to_string().into();
         }
         fs::write(self.settings(at), settings.to_string())
@@ -288,13 +289,22 @@
         self.operator_call(Method::PUT, config.to_string().into()).await
     }
 
-    /// Sends an operator's call about the config to one controller after the other, following
-    /// redirects, until one responds conclusively: with success or a client error.
+    /// Sends an operator's call about the config; see [`Deployment::operator_request`].
     pub async fn operator_call(&self, method: Method, body: Bytes) -> Option<Response> {
+        self.operator_request(method, "/hickorylink/config", body).await
+    }
+
+    /// Sends an operator's request to one controller after the other, following redirects, until one
+    /// responds conclusively: with success or a client error.
+    pub async fn operator_request(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Option<Response> {
         for at in self.controllers() {
             let mut to = at;
             for _ in 0..3 {
-                let path = "/hickorylink/config";
                 let sent = net::send(to, method.clone(), path, &[], body.clone());
                 let Ok(Ok(response)) = timeout(OPERATOR_TIMEOUT, sent).await else { break };
                 match response.status {
--- a/standin/src/platform/worker.rs
+++ b/standin/src/platform/worker.rs
@@ -88,10 +88,21 @@
 }
 
 impl Worker {
-    /// Starts a worker that sends its heartbeats to these controllers.
+    /// Starts a worker in the first data centre that sends its heartbeats to these controllers.
     pub fn start(name: &str, controllers: &[SocketAddr], history: &RunHistory) -> Self {
+        Self::start_in("centre-0", name, controllers, history)
+    }
+
+    /// Starts a worker in a data centre.
+    pub fn start_in(
+        centre: &str,
+        name: &str,
+        controllers: &[SocketAddr],
+        history: &RunHistory,
+    ) -> Self {
         let incarnation = Incarnation {
             name: name.to_owned(),
+            centre: centre.to_owned(),
             born: net::unix_millis(),
             controllers: controllers.to_vec(),
             history: history.clone(),
@@ -117,6 +128,8 @@
 /// One incarnation of a worker.
 struct Incarnation {
     name: String,
+    /// Its data centre.
+    centre: String,
     /// When it started, in milliseconds since the Unix epoch.
     born: u64,
     controllers: Vec<SocketAddr>,
@@ -215,7 +228,7 @@
             self.running.iter().map(|(task, (run, _, _))| json!([task, run, "", 1, 0])).collect();
         let finished: Vec<_> = self.finished.iter().map(|(_, row)| row).collect();
         json!({
-            "service": SERVICE, "address": address(&self.name), "zone": "centre-0",
+            "service": SERVICE, "address": address(&self.name), "zone": self.centre,
             "version": "v1", "slots": 8, "state": "ready", "coldLeftMs": 0, "born": self.born,
             "seqNum": self.sequence, "clockMs": self.clock_ms(), "labels": ["a", "r1"],
             "capacity": { "cpu": 4000, "memMb": 4000, "gpu": 0 },
