--- a/lib/benches/jobs.rs
+++ b/lib/benches/jobs.rs
@@ -10,9 +10,10 @@
 use divan::{Bencher, black_box};
 use hickorylink_lib::{
     jobs::{
-        call::{Action, Call},
+        call::{Action, Call, OperatorRequest},
         controller::{Answer, Event, Ticket},
-        model::{JobSpec, Step},
+        evacuation::EvacuationOrder,
+        model::{JobSpec, Step, StepOptions},
     },
     resources::Resources,
 };
@@ -111,6 +112,39 @@
     bencher.bench_local(|| service.world.advance(Duration::from_millis(100)));
 }
 
+/// The numbers of workers that are evacuated, and whether the others have room.
+const DRAINS: [(usize, bool); 4] = [(370, false), (370, true), (5500, false), (5500, true)];
+
+/// 200 ms with one round of the drain and the periodic work, without heartbeats. A quarter of the workers is
+/// evacuated, and all runs may move.
+#[divan::bench(args = DRAINS, sample_count = 5, sample_size = 1)]
+fn drain(bencher: Bencher<'_, '_>, (size, room): (usize, bool)) {
+    let options = StepOptions { checkpoints: true, ..StepOptions::default() };
+    let workers = (0..size).map(|at| {
+        let centre = format!("centre-{}", at % 4);
+        FakeWorker { centre, ..FakeWorker::new(&format!("w{at}")) }
+    });
+    let (workers, world) = (workers.collect(), World::new());
+    let mut service = Service { world, workers, tickets: 1_000_000, jobs: 0 };
+    service.heartbeat_all();
+    let jobs = (size * TASKS_PER_WORKER).div_ceil(WIDTH as usize) as u64;
+    for job in 0..jobs + BACKLOG {
+        service.world.submit(job, vec![Step { options, estimate: 60_000, ..step(WIDTH) }]);
+    }
+    service.heartbeat_all();
+    service.heartbeat_all();
+    let spare = Resources { millicores: 4000, memory_mib: 4000, accelerators: 0 };
+    if room {
+        let elsewhere = service.workers.iter_mut().filter(|worker| worker.centre != "centre-0");
+        elsewhere.for_each(|worker| worker.capacity = worker.capacity.saturating_add(&spare));
+    }
+    let order = EvacuationOrder::Begin { centre: "centre-0".into() };
+    service.world.operator_request(OperatorRequest::Evacuation(order));
+    service.world.advance(Duration::from_millis(900));
+    service.heartbeat_all();
+    bencher.bench_local(|| service.world.advance(Duration::from_millis(200)));
+}
+
 /// The numbers of steps of the jobs that can't be done.
 const STEPS: [usize; 4] = [100, 800, 3200, 6500];
 
