tests: starts of a held heartbeat, a silent worker, the interval of evacuated workers

Removing withdraw_unsent, is_heard or the interval in hold.rs made no test fail; each makes one fail now.

--- a/lib/tests/jobs/data_centres.rs
+++ b/lib/tests/jobs/data_centres.rs
@@ -198,6 +198,8 @@
         let response = world.heartbeat(&mut only).expect("a response");
         assert!(response.lease.is_some(), "its lease is renewed");
         assert_eq!((response.starts.len(), response.stops.len()), (0, 0));
+        // A worker that is heard seldom would receive the starts after the cancellation late.
+        assert!(response.next_heartbeat < Duration::from_millis(100));
     }
     only.end(crate::world::task(job, 0, 0), Ending::Done);
     world.heartbeat(&mut only).expect("a response");
@@ -225,16 +227,21 @@
         lost: bool,
         gang: bool,
         restart: bool,
+        /// Whether a further heartbeat is held at the order.
+        held: bool,
     }
-    let base = Case { name: "", limited: false, lost: false, gang: false, restart: false };
+    let base =
+        Case { name: "", limited: false, lost: false, gang: false, restart: false, held: false };
     let cases = [
         Case { name: "not sent", limited: true, ..base },
+        Case { name: "not sent, the heartbeat is held", limited: true, held: true, ..base },
         Case { name: "sent but lost", lost: true, ..base },
         Case { name: "a gang, sent but lost", lost: true, gang: true, ..base },
         Case { name: "lost under another leader", lost: true, restart: true, ..base },
     ];
     for case in cases {
-        let responses = ResponseLimits { bytes_per_second: 60, ..RESPONSES };
+        // Less than two starts in the time for which a heartbeat is held.
+        let responses = ResponseLimits { bytes_per_second: 100, ..RESPONSES };
         let mut world = if case.limited { World::with_responses(responses) } else { World::new() };
         let (mut first, mut second) = (worker("w1", FIRST, 4000), worker("w2", SECOND, 0));
         world.heartbeat(&mut first);
@@ -256,7 +263,12 @@
         if case.restart {
             world.restart();
         }
+        let report = case.held.then(|| Box::new(first.report()));
+        let held = report.map(|report| world.send(|ticket| Event::Heartbeat { ticket, report }));
         assert_eq!(order(&mut world, begin(FIRST)), OperatorReply::Stored, "{}", case.name);
+        if let Some(response) = held.and_then(|ticket| world.response(ticket)) {
+            assert_eq!(response.starts.len(), 0, "{}", case.name);
+        }
         second.capacity.millicores = 4000;
         for _ in 0..40 {
             let response = world.heartbeat(&mut first).expect("a response");
@@ -403,6 +415,23 @@
     }
 }
 
+/// Guards against a stop that a silent worker doesn't receive and that takes the allowance of its step, so
+/// that no run of another worker moves.
+#[test]
+fn a_silent_worker_does_not_hold_up_the_drain() {
+    let mut world = World::with_lease(Duration::from_secs(20), MARGIN);
+    let (mut silent, mut heard) = (worker("w1", FIRST, 1000), worker("w2", FIRST, 1000));
+    let mut other = worker("w3", SECOND, 0);
+    world.submit(7, vec![Step { options: lasting(1), ..long_step(2) }]);
+    exchange(&mut world, &mut [&mut silent, &mut heard, &mut other], Duration::from_secs(1));
+    assert_eq!((silent.running.len(), heard.running.len()), (1, 1));
+    exchange(&mut world, &mut [&mut heard, &mut other], Duration::from_secs(2));
+    other.capacity.millicores = 4000;
+    assert_eq!(order(&mut world, begin(FIRST)), OperatorReply::Stored);
+    exchange(&mut world, &mut [&mut heard, &mut other], Duration::from_secs(5));
+    assert_eq!((heard.stopped.len(), other.running.len()), (1, 1));
+}
+
 /// Guards against an evacuated data centre that is cut off and whose runs aren't given up, or are given up
 /// earlier than without the evacuation.
 #[test]
