--- a/lib/tests/jobs/data_centres.rs
+++ b/lib/tests/jobs/data_centres.rs
@@ -373,6 +373,63 @@
     }
 }
 
+/// Guards against opportunistic runs that are stopped on a slow worker and can't start again, since all data
+/// centres are evacuated.
+#[test]
+fn nothing_is_stopped_on_a_slow_worker_while_all_are_evacuated() {
+    struct Case {
+        name: &'static str,
+        evacuated: &'static [&'static str],
+        want: bool,
+    }
+    let cases = [
+        Case { name: "none", evacuated: &[], want: true },
+        Case { name: "that of the slow worker", evacuated: &[FIRST], want: true },
+        Case { name: "all", evacuated: &[FIRST, SECOND], want: false },
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let centre = |at| if at < 2 { FIRST } else { SECOND };
+        let mut workers: Vec<_> =
+            (0..4).map(|at| worker(&format!("w{at}"), centre(at), 4000)).collect();
+        let web = |step| Step {
+            image: Some("web".into()),
+            target_latency: Some(150),
+            spread: Some(2),
+            options: lasting(0),
+            ..step
+        };
+        let saved = StepOptions { checkpoints: true, ..StepOptions::default() };
+        let options = StepOptions { opportunistic: true, ..saved };
+        let filling = Step {
+            image: Some("fill".into()),
+            options,
+            spread: Some(1),
+            estimate: 600_000,
+            ..step(4)
+        };
+        world.submit(1, vec![web(long_step(8))]);
+        world.submit(2, vec![filling]);
+        let mut stopped = 0;
+        for beat in 0..60 {
+            for (at, worker) in workers.iter_mut().enumerate() {
+                let tail = if beat > 30 && at == 0 { 400 } else { 60 };
+                let gauge = |task: &TaskKey| if task.job.0 == 1 { tail } else { 500 };
+                worker.gauges = worker.running.keys().map(|task| (*task, gauge(task))).collect();
+                world.heartbeat(worker);
+                stopped += std::mem::take(&mut worker.stopped).len();
+            }
+            if beat == 25 {
+                assert_eq!(stopped, 0, "{}: before the worker is slow", case.name);
+                for centre in case.evacuated.iter().rev() {
+                    assert_eq!(order(&mut world, begin(centre)), OperatorReply::Stored);
+                }
+            }
+        }
+        assert_eq!(stopped > 0, case.want, "{}: {stopped} are stopped", case.name);
+    }
+}
+
 /// Guards against two rounds of the drain that count on the same room, while the first run takes its time to
 /// stop or the worker with room isn't ready for it.
 #[test]
