--- a/lib/src/jobs/controller/evacuate.rs
+++ b/lib/src/jobs/controller/evacuate.rs
@@ -23,10 +23,15 @@
         state::State,
         waiting::Demand,
     },
-    symbols,
     time::Time,
 };
 
+mod progress;
+
+pub use self::progress::{CentreLoad, EvacuationState};
+
+use self::progress::{COUNT_INTERVAL, LOG_INTERVAL, Progress};
+
 /// The interval between two rounds of the drain.
 const DRAIN_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -47,53 +52,6 @@
 /// The number of workers without room that are as much work to skip as one is to evaluate.
 const SKIPPED_PER_EVALUATION: usize = 8;
 
-/// The interval between two counts of what is left in the data centres.
-const COUNT_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The interval between two log lines about a data centre with runs.
-const LOG_INTERVAL: Duration = Duration::from_secs(10);
-
-symbols! {
-    /// The state of the evacuation of a data centre.
-    pub enum EvacuationState {
-        /// It was ordered.
-        Begun = "begins",
-        /// There are runs left.
-        Draining = "goes on",
-        /// No run is left.
-        Complete = "is complete",
-        /// It was cancelled.
-        Cancelled = "is cancelled",
-    }
-}
-
-/// What is on the workers of a data centre.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct CentreLoad {
-    /// The number of workers.
-    pub workers: usize,
-    /// The number of their runs.
-    pub runs: usize,
-    /// The number of runs that are being stopped.
-    pub stopping: usize,
-}
-
-impl CentreLoad {
-    fn add(&mut self, worker: &Worker) {
-        self.workers += 1;
-        self.runs += worker.runs.len();
-        self.stopping += worker.runs.values().filter(|view| view.stopping).count();
-    }
-}
-
-/// The evacuation of a data centre as the leader sees it.
-#[derive(Debug, Default)]
-struct Progress {
-    load: CentreLoad,
-    next_log: Time,
-    complete: bool,
-}
-
 /// A run that was stopped so that its task continues elsewhere.
 #[derive(Clone, Copy, Debug)]
 struct Move {
@@ -120,7 +78,7 @@
     pub(super) fn new(now: Time) -> Self {
         Self {
             next_round: now + ORDER_DELAY,
-            next_count: now,
+            next_count: now + COUNT_INTERVAL,
             next_worker: WorkerNumber::default(),
             moves: BTreeMap::new(),
             blocked: true,
@@ -175,8 +133,10 @@
         } else {
             centres.contains(centre)
         };
+        if !known {
+            return Some(OperatorReply::NoCentre);
+        }
         match order {
-            _ if !known => Some(OperatorReply::NoCentre),
             EvacuationOrder::Begin { .. } if evacuations.is_full() => {
                 Some(OperatorReply::TooManyCentres)
             }
@@ -239,11 +199,6 @@
         }
     }
 
-    /// What is left in each evacuated data centre.
-    pub fn evacuations(&self) -> impl Iterator<Item = (&DataCentre, CentreLoad)> {
-        self.drain.centres.iter().map(|(centre, progress)| (centre, progress.load))
-    }
-
     /// Stops runs in evacuated data centres that can continue on other workers, at most once per
     /// `DRAIN_INTERVAL`.
     pub(super) fn drain_centres(&mut self, now: Time) {
@@ -451,37 +406,6 @@
             plan.pool.update(number, worker);
         }
     }
-
-    /// Counts what is left in the evacuated data centres and reports it to the log.
-    fn count_left(&mut self, now: Time) {
-        let mut loads: BTreeMap<_, _> =
-            self.state.evacuations.iter().map(|centre| (centre, CentreLoad::default())).collect();
-        let mut unheard = false;
-        for worker in self.fleet.workers.values() {
-            match &worker.profile {
-                Some(profile) => {
-                    if let Some(load) = loads.get_mut(&profile.centre) {
-                        load.add(worker);
-                    }
-                }
-                // Its data centre isn't known yet.
-                None => unheard |= !worker.runs.is_empty(),
-            }
-        }
-        for (centre, load) in loads {
-            let progress = self.drain.centres.entry(centre.clone()).or_default();
-            progress.load = load;
-            let complete = load.runs == 0 && !unheard;
-            let state = match std::mem::replace(&mut progress.complete, complete) {
-                false if complete => EvacuationState::Complete,
-                false | true if !complete && progress.next_log <= now => EvacuationState::Draining,
-                false | true => continue,
-            };
-            progress.next_log = now + LOG_INTERVAL;
-            let (centre, left) = (centre.clone(), load);
-            self.log_events.push(LogEvent::Evacuation { centre, state, left });
-        }
-    }
 }
 
 /// The phase of a task whose run was stopped and that hasn't started again; `None` if it has, or if it needn't.
--- a/runtime/src/metrics/evacuation.rs
+++ b/runtime/src/metrics/evacuation.rs
@@ -31,7 +31,15 @@
     evacuated: Family<CentreLabels, IntGauge>,
     runs: Family<CentreLabels, IntGauge>,
     stopping: Family<CentreLabels, IntGauge>,
-    shown: Mutex<BTreeMap<DataCentre, Reading>>,
+    shown: Mutex<Shown>,
+}
+
+/// What all metrics show.
+#[derive(Debug, Default)]
+struct Shown {
+    readings: BTreeMap<DataCentre, Reading>,
+    /// Whether no data centre is evacuated, and this has been shown.
+    settled: bool,
 }
 
 impl EvacuationMetrics {
@@ -54,26 +62,26 @@
     pub(super) fn observe(&self, controller: &Controller) {
         let mut shown = self.shown.lock().unwrap_or_else(PoisonError::into_inner);
         let evacuations = &controller.committed().evacuations;
-        let (centres, known) = (controller.centres(), !shown.is_empty());
-        if evacuations.is_empty() && !known && centres.is_empty() {
+        // This runs in each turn of control.
+        if evacuations.is_empty() && shown.settled {
             return;
         }
-        let mut readings: BTreeMap<_, _> = shown
-            .keys()
-            .chain(centres)
-            .map(|centre| (centre.clone(), Reading::default()))
-            .collect();
+        let centres = shown.readings.keys().chain(controller.centres());
+        let mut readings: BTreeMap<_, _> =
+            centres.map(|centre| (centre.clone(), Reading::default())).collect();
         for centre in evacuations.iter() {
             readings.entry(centre.clone()).or_default().evacuated = true;
         }
         for (centre, load) in controller.leader().into_iter().flat_map(Leader::evacuations) {
             readings.entry(centre.clone()).or_default().load = load;
         }
-        let changed = readings.iter().filter(|(centre, now)| shown.get(*centre) != Some(*now));
-        for (centre, reading) in changed {
-            self.show(centre, reading);
+        for (centre, reading) in &readings {
+            if shown.readings.get(centre) != Some(reading) {
+                self.show(centre, reading);
+            }
         }
-        *shown = readings;
+        let settled = readings.values().all(|reading| *reading == Reading::default());
+        *shown = Shown { readings, settled };
     }
 
     fn show(&self, centre: &DataCentre, reading: &Reading) {
