jobs: waiting for room near the data of a task

A task took the nearest free worker at once, so a hot rack sent its tasks away, where they take several times as long, although room on the rack was about to come. The new module locality decides whether a task takes a free place or waits, by the expected ends of runs on the rack, how often such expectations were right, the factor, the work, the slack of its job and what waits behind it. The members of a gang gather on one rack likewise. The end of a wait is set once; a later leader derives it from the begin of the occurrence. The setting locality of a controller turns waits on; without it, placement is as before.

--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -19,6 +19,7 @@
 pub mod hello;
 pub mod lifecycle;
 pub mod link;
+pub mod locality;
 pub mod members;
 pub mod model;
 pub mod neighbours;
--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -39,6 +39,8 @@
 mod hellos;
 mod hold;
 pub mod leader;
+mod near;
+mod near_gang;
 mod occurrences;
 pub mod port;
 mod probation;
--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -7,7 +7,7 @@
 use crate::{
     consensus::port as consensus,
     ids::InstanceId,
-    jobs::{record::Node, response_size::ResponseLimits},
+    jobs::{locality::Locality, record::Node, response_size::ResponseLimits},
 };
 
 /// The settings of a controller.
@@ -27,6 +27,8 @@
     pub timing: Timing,
     /// The limits on responses to heartbeats.
     pub responses: ResponseLimits,
+    /// The settings for waits for better placements.
+    pub locality: Locality,
     /// The settings of the consensus module.
     pub consensus: consensus::Config,
     /// The seed of the random number generator.
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -9,7 +9,7 @@
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{
-            Answer, Config, Effect, LogEvent, Ticket, Timing, unqueued::Unqueued,
+            Answer, Config, Effect, LogEvent, Ticket, Timing, near::Places, unqueued::Unqueued,
             wait_reports::WaitReports,
         },
         crash::CrashEntry,
@@ -130,6 +130,8 @@
     /// When all workers are considered for all waiting steps again, unless the search is still in
     /// progress.
     next_retry: Time,
+    /// The waits for better placements.
+    pub(super) places: Places,
     /// The periodic reports on tasks that wait.
     pub(super) reports: WaitReports,
     /// Whether all waiting steps were considered for placement since all workers were last considered.
@@ -179,6 +181,7 @@
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
             next_retry: now,
+            places: Places::new(config.locality, now, wall),
             reports: WaitReports::default(),
             search_ended: true,
             state,
@@ -225,6 +228,7 @@
     /// The next time at which the leader has something to do.
     pub(super) fn next_deadline(&self) -> Option<Time> {
         let deadline = earliest(self.fleet.next_deadline(), self.unqueued.next_deadline());
+        let deadline = earliest(deadline, self.places.waits.next_end());
         earliest(deadline, Some(self.next_expiry))
     }
 
@@ -253,7 +257,7 @@
     }
 
     /// The outlook of the step's occurrence. An earlier one is used if this turn has computed enough.
-    fn outlook(&mut self, key: &StepKey) -> Option<Outlook> {
+    pub(super) fn outlook(&mut self, key: &StepKey) -> Option<Outlook> {
         let StepKey { job: id, occurrence, .. } = *key;
         let known = self.outlooks.get(id, occurrence);
         if let Some((outlook, current)) = known
@@ -314,6 +318,7 @@
             self.waiting.remove(&step);
         }
         self.outlooks.remove_job(id);
+        self.places.remove_job(id);
         let job = self.state.jobs.get(&id);
         if job.is_none_or(|job| job.spec.schedule.is_some()) {
             self.upcoming.retain(|(_, job, _)| *job != id);
@@ -367,6 +372,7 @@
             self.next_forget = now + FORGET_INTERVAL;
             self.forget_jobs(now);
             self.fleet.forget_transits(now);
+            self.places.waits.forget(now);
         }
     }
 
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -214,6 +214,38 @@
         /// The time since the job was accepted or its occurrence was due, in milliseconds.
         age_ms: u64,
     },
+    /// Tasks of a step wait for a better placement, although they could start elsewhere.
+    NearWait {
+        /// The step.
+        step: String,
+        /// The number of its tasks that wait.
+        tasks: usize,
+        /// The rack that they wait for.
+        rack: String,
+        /// In how many milliseconds room for the first of them is expected there.
+        expected_ms: u64,
+        /// In how many milliseconds the wait ends.
+        until_ms: u64,
+        /// The probability that the expectation is right, in percent.
+        right_percent: u32,
+        /// The worker that the first of them could start on now.
+        alternative: String,
+    },
+    /// All tasks of a step that has waited for a better placement have started.
+    NearWaitEnded {
+        /// The step.
+        step: String,
+        /// The rack that it waited for.
+        rack: String,
+        /// The number of tasks that started there; 1 for a gang.
+        near: u32,
+        /// The number of tasks that started elsewhere; 1 for a gang.
+        far: u32,
+        /// Why the last of these did; `None` if none did.
+        reason: Option<&'static str>,
+        /// The time since the wait began, in milliseconds.
+        waited_ms: u64,
+    },
     /// A proposal was committed. Reported in metrics only.
     Committed {
         /// The number of records in it.
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -73,7 +73,10 @@
         for change in changes.drain(..) {
             match change {
                 Change::Accepted(id) => self.admit_job(id),
-                Change::Ready(step) => self.enqueue(now, step),
+                Change::Ready(step) => {
+                    self.note_ready(step);
+                    self.enqueue(now, step);
+                }
                 Change::Ended(id) => self.close_job(id),
             }
         }
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -46,6 +46,7 @@
         self.queue_steps(now);
         self.expire_leases(now);
         self.stop_broken_gangs(now);
+        self.expire_near_waits(now);
         self.place_waiting(now);
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
@@ -85,7 +86,10 @@
             let placed =
                 if may_fit { self.place_step(now, step, &mut round) } else { Placed::Waiting };
             match placed {
-                Placed::All => self.dequeue(&step.key),
+                Placed::All => {
+                    self.end_near_wait(now, &step.key);
+                    self.dequeue(&step.key);
+                }
                 Placed::Waiting if step.tried => {}
                 Placed::Waiting => self.waiting.mark_tried(&step.key),
                 Placed::Interrupted => {}
@@ -118,7 +122,8 @@
         let mut started = 0;
         let mut last = None;
         let mut interrupted = false;
-        for task in self.placement_order(&key, step, &indexes) {
+        let mut deferral = None;
+        for (before, task) in self.placement_order(&key, step, &indexes).into_iter().enumerate() {
             if round.is_exhausted() {
                 interrupted = true;
                 break;
@@ -135,6 +140,11 @@
                 }
                 break;
             };
+            let left = indexes.len() - before;
+            let choice = (task, speed, number, left);
+            if self.waits_near(now, waiting, step, choice, (&mut deferral, round)) {
+                continue;
+            }
             let run = self.next_run(&task);
             self.start(now, task, run, number, step);
             round.update(&self.fleet, number);
@@ -225,11 +235,16 @@
         let Some(run) = runs.max() else { return Placed::All };
         let starving = step.options.long_running && is_starving(now, waiting);
         let speed = if starving { SpeedRequirement::Any } else { SpeedRequirement::FullSpeed };
+        let gathered = self.gathered(now, key, step, round);
+        let (preferred, searched) = match &gathered {
+            Some(gathered) => (gathered, &WaitingStep { tried: false, ..*waiting }),
+            None => (step, waiting),
+        };
         let mut chosen: Vec<(TaskKey, WorkerNumber)> = Vec::new();
         for index in indexes {
             let task = key.task(*index);
             let member = (task, speed);
-            let found = self.find_worker(now, waiting, member, (step, service), round);
+            let found = self.find_worker(now, searched, member, (preferred, service), round);
             let Some(number) = found else { break };
             let view = self.new_view(now, &task, run, step);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
@@ -238,7 +253,8 @@
             round.update(&self.fleet, number);
             chosen.push((task, number));
         }
-        let complete = chosen.len() == indexes.len();
+        let complete =
+            chosen.len() == indexes.len() && !self.gang_waits(now, key, step, &chosen, round);
         for (task, number) in &chosen {
             if let Some(worker) = self.fleet.workers.get_mut(number) {
                 worker.remove(task);
--- a/lib/src/jobs/controller/unqueued.rs
+++ b/lib/src/jobs/controller/unqueued.rs
@@ -58,6 +58,11 @@
         self.since.remove(step).unwrap_or(now)
     }
 
+    /// Whether no occurrence is left.
+    pub(super) fn is_empty(&self) -> bool {
+        self.occurrences.is_empty()
+    }
+
     /// When the turn is due that continues with the remaining steps.
     pub(super) fn next_deadline(&self) -> Option<Time> {
         self.resume_at
--- a/lib/src/jobs/waiting.rs
+++ b/lib/src/jobs/waiting.rs
@@ -213,6 +213,15 @@
         }
     }
 
+    /// Considers all workers for a step again.
+    pub fn retry(&mut self, key: &StepKey) {
+        if let Some(rank) = self.ranks.get(key)
+            && let Some(step) = self.order.get_mut(&(*rank, *key))
+        {
+            step.searched = None;
+        }
+    }
+
     /// Considers all workers for all steps again.
     pub fn retry_all(&mut self) {
         self.search += 1;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -17,6 +17,7 @@
         config::{Config as JobConfig, Queue, Service},
         controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
         lifecycle::JobPhase,
+        locality::Locality,
         model::{JobId, JobSpec, Run, Step, StepOptions, TaskKey},
         record::{Ending, Node},
         report::{Ended, Report, Running},
@@ -50,6 +51,7 @@
     stored: Recovered,
     lease: (Duration, Duration),
     responses: ResponseLimits,
+    locality: Locality,
     next: u64,
 }
 
@@ -91,6 +93,7 @@
             retain: Duration::from_secs(120),
         },
         responses: RESPONSES,
+        locality: Locality::OFF,
         seed: 1,
     }
 }
@@ -99,6 +102,7 @@
 fn controller(
     (lease, margin): (Duration, Duration),
     responses: ResponseLimits,
+    locality: Locality,
     stored: Recovered,
     now: Time,
 ) -> Controller {
@@ -107,6 +111,7 @@
     let mut config = config(me, founders);
     (config.timing.lease, config.timing.lease_margin) = (lease, margin);
     config.responses = responses;
+    config.locality = locality;
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
@@ -134,20 +139,26 @@
 
     /// The same with other leases and their margin.
     pub(crate) fn with_lease(lease: Duration, margin: Duration) -> Self {
-        Self::with((lease, margin), RESPONSES)
+        Self::with((lease, margin), RESPONSES, Locality::OFF)
     }
 
     /// The same with other limits on responses.
     pub(crate) fn with_responses(responses: ResponseLimits) -> Self {
-        Self::with((LEASE, MARGIN), responses)
+        Self::with((LEASE, MARGIN), responses, Locality::OFF)
     }
 
-    fn with(lease: (Duration, Duration), responses: ResponseLimits) -> Self {
+    /// The same with waits for better placements.
+    pub(crate) fn with_locality(locality: Locality) -> Self {
+        Self::with((LEASE, MARGIN), RESPONSES, locality)
+    }
+
+    fn with(lease: (Duration, Duration), responses: ResponseLimits, locality: Locality) -> Self {
         let now = Time::from_millis(1);
         let mut world = Self {
-            controller: controller(lease, responses, Recovered::default(), now),
+            controller: controller(lease, responses, locality, Recovered::default(), now),
             lease,
             responses,
+            locality,
             now,
             wall_start: WallTime(1_000_000),
             answers: BTreeMap::new(),
@@ -184,7 +195,8 @@
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
-        self.controller = controller(self.lease, self.responses, self.stored.clone(), self.now);
+        let stored = self.stored.clone();
+        self.controller = controller(self.lease, self.responses, self.locality, stored, self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -67,6 +67,7 @@
             retain: settings.retain,
         },
         responses,
+        locality: settings.locality,
         consensus: consensus::Config {
             me: me.id,
             heartbeat_interval: HEARTBEAT_INTERVAL,
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -32,6 +32,23 @@
             debug!(log, "tasks start"; "step" => step, "tasks" => tasks, "waiting" => waiting,
                 "worker" => worker, "age_ms" => age_ms);
         }
+        LogEvent::NearWait {
+            step,
+            tasks,
+            rack,
+            expected_ms,
+            until_ms,
+            right_percent,
+            alternative,
+        } => {
+            info!(log, "tasks wait for a better placement"; "step" => step, "tasks" => tasks,
+                "rack" => rack, "expected_ms" => expected_ms, "until_ms" => until_ms,
+                "right_percent" => right_percent, "alternative" => alternative);
+        }
+        LogEvent::NearWaitEnded { step, rack, near, far, reason, waited_ms } => {
+            info!(log, "a wait for a better placement has ended"; "step" => step, "rack" => rack,
+                "near" => near, "far" => far, "reason" => reason, "waited_ms" => waited_ms);
+        }
         LogEvent::Stranded {
             step,
             tasks,
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -27,6 +27,11 @@
     state: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PlaceLabels {
+    place: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EndingLabels {
     ending: &'static str,
@@ -43,6 +48,9 @@
     start_wait: Histogram,
     ends: Family<EndingLabels, Counter>,
     workers: Family<StateLabels, Counter>,
+    near_waits: Family<PlaceLabels, Counter>,
+    near_wait: Histogram,
+    near_waiting: IntGauge,
     crashes: Counter<u64, AtomicU64>,
     given_up: Counter<u64, AtomicU64>,
     records: Counter<u64, AtomicU64>,
@@ -82,6 +90,9 @@
             start_wait: latency_histogram(),
             ends: Family::default(),
             workers: Family::default(),
+            near_waits: Family::default(),
+            near_wait: latency_histogram(),
+            near_waiting: IntGauge::default(),
             crashes: Counter::default(),
             given_up: Counter::default(),
             records: Counter::default(),
@@ -163,9 +174,29 @@
             "Longest wait of a long-running task that has run before",
             self.restart_wait.clone(),
         );
+        self.register_near_waits();
         self.register_members();
     }
 
+    fn register_near_waits(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "near_waits",
+            "Tasks that waited for a better placement, by the place that they got",
+            self.near_waits.clone(),
+        );
+        r.register(
+            "near_wait_seconds",
+            "Time for which steps waited for better placements",
+            self.near_wait.clone(),
+        );
+        r.register(
+            "near_waiting",
+            "Tasks that wait for a better placement",
+            self.near_waiting.clone(),
+        );
+    }
+
     fn register_members(&mut self) {
         let r = &mut self.registry;
         r.register("voters", "Controllers that vote", self.voters.clone());
@@ -198,6 +229,12 @@
                 self.starts.inc_by(u64::from(*tasks));
                 self.start_wait.observe(seconds(*age_ms));
             }
+            LogEvent::NearWaitEnded { near, far, waited_ms, .. } => {
+                for (place, tasks) in [("near", near), ("far", far)] {
+                    self.near_waits.get_or_create(&PlaceLabels { place }).inc_by((*tasks).into());
+                }
+                self.near_wait.observe(seconds(*waited_ms));
+            }
             LogEvent::Ended { ending, .. } => {
                 self.ends.get_or_create(&EndingLabels { ending }).inc();
             }
@@ -217,6 +254,7 @@
             LogEvent::Leading { .. }
             | LogEvent::Withheld { .. }
             | LogEvent::Ignored { .. }
+            | LogEvent::NearWait { .. }
             | LogEvent::Stranded { .. }
             | LogEvent::Vacant { .. }
             | LogEvent::Unlisted { .. }
@@ -236,6 +274,7 @@
         self.job_count.set(saturating_i64(controller.committed().jobs.len() as u64));
         self.waiting_steps
             .set(saturating_i64(leader.map_or(0, |leader| leader.waiting_steps() as u64)));
+        self.near_waiting.set(saturating_i64(leader.map_or(0, Leader::near_waits) as u64));
         let backlog = leader.map(Leader::restart_backlog).unwrap_or_default();
         self.waiting_restarts.set(saturating_i64(backlog.tasks as u64));
         self.restart_wait.set(backlog.longest.as_secs_f64());
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -5,6 +5,7 @@
 use hickorylink_lib::{
     document::{Document, ObjectView, ValueView},
     finding::Findings,
+    jobs::locality::Locality,
     settings::{LogFormat, LogLevel, LogSettings},
 };
 
@@ -26,8 +27,17 @@
     "retain_s",
     "grace_s",
     "log_level",
+    "locality",
 ];
 
+const LOCALITY_FIELDS: &[&str] = &["remote_factor", "max_wait_ms"];
+
+/// The largest value of the factor for tasks away from their rack.
+const MAX_REMOTE_FACTOR: f64 = 100.0;
+
+/// The largest value of the longest wait for a better placement.
+const MAX_NEAR_WAIT_MS: u64 = 10_000;
+
 /// The upper limit on leases: its default and its largest value.
 const DEFAULT_LEASE_MS: u64 = 10_000;
 const MAX_LEASE_MS: u64 = 60_000;
@@ -45,7 +55,7 @@
 const MAX_LOSSES: u64 = 3;
 
 /// The settings of an instance of a deployment.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The instance's name.
     pub name: String,
@@ -73,6 +83,8 @@
     pub retain: Duration,
     /// The grace period of a shutdown.
     pub grace: Duration,
+    /// The settings for waits for better placements.
+    pub locality: Locality,
     /// The settings of the log.
     pub log: LogSettings,
 }
@@ -118,6 +130,10 @@
     let grace = integer("grace_s", DEFAULT_GRACE_S, MAX_GRACE_S);
     let level = root.get("log_level").and_then(|value| value.one_of(LogLevel::NAMES));
     let level = level.and_then(LogLevel::from_name).unwrap_or(LogLevel::Info);
+    let locality = match root.get("locality") {
+        Some(value) => value.object().and_then(locality),
+        None => Some(Locality::OFF),
+    };
     Some(Settings {
         name: name?.to_owned(),
         centre: centre?.to_owned(),
@@ -132,10 +148,26 @@
         max_lease: Duration::from_millis(lease),
         retain: Duration::from_secs(retain),
         grace: Duration::from_secs(grace),
+        locality: locality?,
         log: LogSettings { format: LogFormat::Json, level },
     })
 }
 
+fn locality(object: ObjectView<'_, '_>) -> Option<Locality> {
+    let object = object.allow_only(LOCALITY_FIELDS);
+    let factor = object.required("remote_factor").and_then(|value| {
+        let factor = value.number(1.0..=MAX_REMOTE_FACTOR)?;
+        if factor <= 1.0 {
+            value.report("\"remote_factor\" must be above 1");
+        }
+        Some(factor)
+    });
+    let max_wait =
+        object.get("max_wait_ms").map_or(Some(0), |value| value.integer(0..=MAX_NEAR_WAIT_MS));
+    let max_wait = Duration::from_millis(max_wait?);
+    Some(Locality { remote_factor: factor?, max_wait })
+}
+
 fn address(value: ValueView<'_, '_>) -> Option<SocketAddr> {
     let text = value.text()?;
     let address = text.parse().ok();
