--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -237,6 +237,14 @@
         jobs::LogEvent::Job { id: id.clone(), state: "accepted", queue, age_ms: 1 },
         jobs::LogEvent::Ended { task: id, run: 1, ending: "failed", worker },
         jobs::LogEvent::Worker { name, state: "left", silent_ms, runs },
+        jobs::LogEvent::NearWaitEnded {
+            step: "1.0.0".to_owned(),
+            rack: "r1".to_owned(),
+            near: 1,
+            far: 0,
+            reason: None,
+            waited_ms: 1,
+        },
     ] {
         metrics.record(&event);
     }
