--- a/lib/tests/jobs/locality.rs
+++ b/lib/tests/jobs/locality.rs
@@ -351,6 +351,22 @@
     }
 }
 
+/// Guards against waits that end when a service that is mostly idle may start a task at any pace, which only
+/// matters for opportunistic tasks.
+#[test]
+fn an_idle_service_does_not_end_a_wait() {
+    let mut workers = racks(4);
+    workers.extend((5..9).map(|at| on_rack(&format!("w{at}"), "r2", 4)));
+    let mut model = Model::new(World::with_locality(ON), 3.0, workers);
+    let only = Step { label: Some("r1".into()), ..near(8, "r1", 4000) };
+    model.submit(1, only, 4000);
+    model.run(ms(200));
+    let job = model.submit(2, near(1, "r1", 5000), 5000);
+    model.run(ms(6000));
+    let starts = model.starts(job);
+    assert!(matches!(starts[..], [(_, true)]), "{starts:?}");
+}
+
 /// Pattern: a burst for one rack that is larger than what becomes free there in time. The tasks for which room
 /// comes too late don't wait.
 #[test]
