jobs: an idle service doesn't end a wait for a better placement

Tasks that may start at any pace because they have waited for 2 s in an idle service didn't wait for their rack. The pace only matters for opportunistic tasks. Forecasts are forgotten after the start of a gang, which takes much of a rack at once.

--- a/lib/src/jobs/controller/near.rs
+++ b/lib/src/jobs/controller/near.rs
@@ -132,6 +132,11 @@
         }
     }
 
+    /// Forgets forecasts after a start of many tasks.
+    pub(super) fn clear_forecasts(&mut self) {
+        self.forecasts.clear();
+    }
+
     /// When the workers that this leader hasn't heard yet are expected to be heard.
     fn heard_by(&self) -> Time {
         self.since + HEARTBEAT_INTERVAL
@@ -200,7 +205,8 @@
         }
         // These find few workers, which may be others than those of the forecast.
         let special = self.failed_on.contains_key(&task) || self.is_suspect(&task);
-        if special || speed == SpeedRequirement::Any {
+        let any_pace = step.options.opportunistic && speed == SpeedRequirement::Any;
+        if special || any_pace {
             return false;
         }
         let decided = match deferral {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -267,6 +267,7 @@
         let last = chosen.last().map(|(_, number)| *number);
         self.log_started(key, if complete { chosen.len() } else { 0 }, 0, last);
         if complete {
+            self.places.clear_forecasts();
             chosen.iter().for_each(|(_, number)| round.record_start(&self.fleet, key, *number));
             return Placed::All;
         }
