--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -17,6 +17,7 @@
         config::{Config as JobConfig, Queue, Service},
         controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
         lifecycle::JobPhase,
+        locality::Locality,
         model::{JobId, JobSpec, Run, Step, StepOptions, TaskKey},
         record::{Ending, Node},
         report::{Ended, Report, Running},
@@ -52,6 +53,7 @@
     responses: ResponseLimits,
     /// The data centres in the settings, from the next restart on.
     pub(crate) centres: Vec<DataCentre>,
+    locality: Locality,
     next: u64,
 }
 
@@ -94,6 +96,7 @@
         },
         centres: Vec::new(),
         responses: RESPONSES,
+        locality: Locality::OFF,
         seed: 1,
     }
 }
@@ -101,7 +104,7 @@
 /// The only controller of a deployment.
 fn controller(
     (lease, margin): (Duration, Duration),
-    responses: ResponseLimits,
+    (responses, locality): (ResponseLimits, Locality),
     centres: &[DataCentre],
     stored: Recovered,
     now: Time,
@@ -110,7 +113,8 @@
     let founders = vec![(me.id, me.peer)];
     let mut config = config(me, founders);
     (config.timing.lease, config.timing.lease_margin) = (lease, margin);
-    (config.responses, config.centres) = (responses, centres.to_vec());
+    (config.responses, config.locality) = (responses, locality);
+    config.centres = centres.to_vec();
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
@@ -138,21 +142,27 @@
 
     /// The same with other leases and their margin.
     pub(crate) fn with_lease(lease: Duration, margin: Duration) -> Self {
-        Self::with((lease, margin), RESPONSES)
+        Self::with((lease, margin), RESPONSES, Locality::OFF)
     }
 
     /// The same with other limits on responses.
     pub(crate) fn with_responses(responses: ResponseLimits) -> Self {
-        Self::with((LEASE, MARGIN), responses)
+        Self::with((LEASE, MARGIN), responses, Locality::OFF)
+    }
+
+    /// The same with waits for better placements.
+    pub(crate) fn with_locality(locality: Locality) -> Self {
+        Self::with((LEASE, MARGIN), RESPONSES, locality)
     }
 
-    fn with(lease: (Duration, Duration), responses: ResponseLimits) -> Self {
+    fn with(lease: (Duration, Duration), responses: ResponseLimits, locality: Locality) -> Self {
         let now = Time::from_millis(1);
         let mut world = Self {
-            controller: controller(lease, responses, &[], Recovered::default(), now),
+            controller: controller(lease, (responses, locality), &[], Recovered::default(), now),
             lease,
             responses,
             centres: Vec::new(),
+            locality,
             now,
             wall_start: WallTime(1_000_000),
             answers: BTreeMap::new(),
@@ -190,7 +200,8 @@
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
         let (stored, centres) = (self.stored.clone(), &self.centres);
-        self.controller = controller(self.lease, self.responses, centres, stored, self.now);
+        let limits = (self.responses, self.locality);
+        self.controller = controller(self.lease, limits, centres, stored, self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -68,6 +68,7 @@
         },
         centres: settings.centres.iter().map(|centre| centre.as_str().into()).collect(),
         responses,
+        locality: settings.locality,
         consensus: consensus::Config {
             me: me.id,
             heartbeat_interval: HEARTBEAT_INTERVAL,
