jobs: a new leader sends the paces of all running tasks

Cause: a new leader took the runs of an earlier one for unthrottled. A run that the earlier leader had paused kept its pace of 0 on the worker, and as the new leader computed full pace for it, nothing was sent. A run without checkpoints stayed paused for good, and its job with it.

Change: the pace that the worker has isn't known for a restored run, so the first response with its worker's heartbeat sends one.

The test was seen failing before (0 in place of 100 after ten heartbeats).

--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -417,7 +417,7 @@
     for view in worker.runs.values_mut() {
         let active = view.listed && !view.long_running && !view.stopping;
         if active
-            && view.sent_pace == FULL_PACE_PERCENT
+            && view.sent_pace == Some(FULL_PACE_PERCENT)
             && now.since(view.progressed_at) > STALL_TIMEOUT + view.estimate / 2
         {
             view.stopping = true;
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -223,7 +223,8 @@
                 if let Some(worker) = self.fleet.workers.get_mut(&task.worker) {
                     let probation = self.state.crashes.of(&key) > 0 && !spec.options.gang;
                     let view = RunView::new(spec, task.run, now);
-                    worker.add(key, RunView { sent: true, restored: true, probation, ..view });
+                    let (sent, restored, sent_pace) = (true, true, None);
+                    worker.add(key, RunView { sent, restored, sent_pace, probation, ..view });
                     runs += 1;
                 }
             }
--- a/lib/src/jobs/controller/respond.rs
+++ b/lib/src/jobs/controller/respond.rs
@@ -72,7 +72,7 @@
         let mut paces = Vec::new();
         let paced = worker.runs.iter_mut().filter(|(_, view)| needs_pace(view));
         for (task, view) in paced.take(room / sizes.pace) {
-            view.sent_pace = view.pace;
+            view.sent_pace = Some(view.pace);
             paces.push((*task, view.run, view.pace));
         }
         room -= paces.len() * sizes.pace;
@@ -152,7 +152,7 @@
 
 /// Whether the worker has to be told the pace of a run.
 fn needs_pace(view: &RunView) -> bool {
-    view.listed && !view.stopping && view.is_opportunistic() && view.sent_pace != view.pace
+    view.listed && !view.stopping && view.is_opportunistic() && view.sent_pace != Some(view.pace)
 }
 
 /// Whether a run on the worker has to be stopped or needs a new pace.
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -76,8 +76,9 @@
     pub over_since: Option<Time>,
     /// The pace that it should have, in percent.
     pub pace: u8,
-    /// The pace that was last sent to the worker, in percent.
-    pub sent_pace: u8,
+    /// The pace that the worker has, in percent; `None` for a run that an earlier leader started, which may
+    /// have throttled it.
+    pub sent_pace: Option<u8>,
     /// Since when its pace has been 0.
     pub paused_since: Option<Time>,
 }
@@ -110,7 +111,7 @@
             gauge: 0,
             over_since: None,
             pace: FULL_PACE_PERCENT,
-            sent_pace: FULL_PACE_PERCENT,
+            sent_pace: Some(FULL_PACE_PERCENT),
             paused_since: None,
         }
     }
--- a/lib/tests/jobs/pace.rs
+++ b/lib/tests/jobs/pace.rs
@@ -266,6 +266,39 @@
     }
 }
 
+/// Guards against tasks that stay paused for good since a new leader takes them for unthrottled.
+#[test]
+fn a_new_leader_resets_the_paces_of_running_tasks() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.heartbeat(&mut worker);
+    let serving_task = task(world.submit(1, vec![serving("desk")]), 0, 0);
+    let mut step = opportunistic("harmful");
+    step.options.checkpoints = false;
+    let paused = task(world.submit(2, vec![step]), 0, 0);
+    let mut pace = FULL_PACE_PERCENT;
+    let mut beat = |world: &mut World, tail, used| {
+        worker.gauges = [(serving_task, tail), (paused, used)].into();
+        let response = world.heartbeat(&mut worker).expect("a response");
+        let sent = response.paces.iter().find(|(task, ..)| *task == paused);
+        pace = sent.map_or(pace, |(.., pace)| *pace);
+        world.advance(Duration::from_millis(100));
+        pace
+    };
+    for _ in 0..20 {
+        beat(&mut world, 50, 500);
+    }
+    for _ in 0..20 {
+        beat(&mut world, 900, 1000);
+    }
+    assert_eq!(beat(&mut world, 900, 0), 0, "it is paused");
+    world.restart();
+    for _ in 0..10 {
+        beat(&mut world, 50, 0);
+    }
+    assert_eq!(beat(&mut world, 50, 0), FULL_PACE_PERCENT, "it goes on under the new leader");
+}
+
 /// Guards against jobs that wait forever because each change of the configuration restarts the time
 /// for which they have waited.
 #[test]
