jobs: a test of estimates across a change of the leader

The leader learns by pairs of images how much an opportunistic task slows down a serving one, and keeps it in memory only. The test shows that the next leader begins without any: it fails with "harmful, after: 0".

--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod deployment;
 mod encoding;
+mod estimates;
 mod evacuations;
 mod full_lists;
 mod gangs;
