jobs: estimates of interference are part of the replicated state

Cause: the leader kept what it had learned about pairs of images in memory only, so a new leader learned it again at the expense of the serving tasks. Change: a batch may contain estimates that have changed noticeably, as an extension behind the crash counts, at most every 5 s and only beside other records; the state keeps them behind the returns, bounded in pairs and in the length of names. A new leader begins with them, with increased variances. A log line and a metric show them. The tests that construct a batch name its new field; nothing else in them has changed.

--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -80,17 +80,36 @@
         .expect("encoding into memory can't fail")
 }
 
-/// Decodes a value and what was appended behind it, which older releases neither write nor read.
+/// Appends values behind an encoding that releases without them read too.
 ///
-/// # Errors
-///
-/// [`DecodeError::Malformed`] if one of them is damaged.
-pub(crate) fn decode_extended<'b, T: Deserialize<'b>, E: Deserialize<'b> + Default>(
-    bytes: &'b [u8],
-) -> Result<(T, E), DecodeError> {
-    let (value, rest) = decode_first(bytes)?;
-    let (extension, _) = decode_extension(rest)?;
-    Ok((value, extension))
+/// An extension is read only behind all earlier ones, so an empty one is written only if one that isn't empty
+/// follows.
+#[derive(Debug)]
+pub(crate) struct Extensions {
+    bytes: Vec<u8>,
+    /// The length up to the last extension that isn't empty.
+    len: usize,
+}
+
+impl Extensions {
+    /// Begins behind the encoding of a value.
+    pub(crate) fn behind(bytes: Vec<u8>) -> Self {
+        Self { len: bytes.len(), bytes }
+    }
+
+    /// Appends the next extension.
+    pub(crate) fn append(&mut self, value: &impl Serialize, empty: bool) {
+        self.bytes = append(std::mem::take(&mut self.bytes), value);
+        if !empty {
+            self.len = self.bytes.len();
+        }
+    }
+
+    /// The encoding with the extensions.
+    pub(crate) fn finish(mut self) -> Vec<u8> {
+        self.bytes.truncate(self.len);
+        self.bytes
+    }
 }
 
 /// Decodes the value at the beginning of the bytes. Returns it with the remaining bytes.
--- a/lib/src/interference/model.rs
+++ b/lib/src/interference/model.rs
@@ -54,6 +54,9 @@
     pub(crate) beside: &'o [Exposure],
 }
 
+/// The variance of a level that is restored, that of a single sample.
+const RESTORED_LEVEL_VARIANCE: f32 = 0.05;
+
 /// The estimated harm of a kind to a service: the logarithm of the slowdown caused by one
 /// unthrottled task.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -170,6 +173,10 @@
 
     fn grow(&mut self, beside: &[Exposure]) {
         let needed = beside.iter().map(|beside| beside.kind as usize + 1).max().unwrap_or(0);
+        self.grow_to(needed);
+    }
+
+    fn grow_to(&mut self, needed: usize) {
         if needed > self.pairs.len() {
             self.pairs.resize(needed, Estimate::unknown(PAIR_PRIOR));
         }
@@ -195,11 +202,51 @@
 impl Model {
     /// Updates the estimates from a sample.
     pub(crate) fn learn(&mut self, sample: &Observation<'_>) {
-        let needed = sample.service as usize + 1;
+        self.service_mut(sample.service).learn(sample);
+    }
+
+    fn service_mut(&mut self, service: u32) -> &mut ServiceModel {
+        let needed = service as usize + 1;
         if needed > self.services.len() {
             self.services.resize_with(needed, ServiceModel::new);
         }
-        self.services[sample.service as usize].learn(sample);
+        &mut self.services[service as usize]
+    }
+
+    /// Sets the estimate of a pair at `now`.
+    pub(crate) fn restore(&mut self, now: Time, service: u32, kind: u32, harm: &Harm) {
+        let service = self.service_mut(service);
+        service.grow_to(kind as usize + 1);
+        let variance = (harm.deviation * harm.deviation).min(f64::from(PAIR_PRIOR));
+        service.pairs[kind as usize] = Estimate {
+            mean: harm.mean as f32,
+            variance: variance as f32,
+            seconds: whole_seconds(now),
+            samples: harm.samples,
+        };
+    }
+
+    /// Sets the level of a service at a load to 0. Otherwise the first sample would set it, including the
+    /// harm of what runs beside the service.
+    pub(crate) fn restore_level(&mut self, now: Time, service: u32, load: f64) {
+        self.service_mut(service).levels[load_band(load)] = Estimate {
+            mean: 0.0,
+            variance: RESTORED_LEVEL_VARIANCE,
+            seconds: whole_seconds(now),
+            samples: 1,
+        };
+    }
+
+    /// The first pair with memory for an estimate that isn't before `from`, in the order of services and
+    /// kinds; the very first one if there is none.
+    pub(crate) fn pair_from(&self, from: (u32, u32)) -> Option<(u32, u32)> {
+        let services = self.services.get(from.0 as usize..).unwrap_or_default();
+        let mut pairs = (from.0..).zip(services).map(|(at, model)| {
+            let kind = if at == from.0 { from.1 } else { 0 };
+            ((kind as usize) < model.pairs.len()).then_some((at, kind))
+        });
+        let found = pairs.find_map(|pair| pair);
+        if found.is_none() && from != (0, 0) { self.pair_from((0, 0)) } else { found }
     }
 
     /// The estimated harm of a pair at `now`.
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -12,6 +12,7 @@
 pub mod crash;
 pub mod delivery;
 pub mod dependents;
+pub mod estimates;
 pub mod fleet;
 pub mod gang;
 pub mod gateway;
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -9,8 +9,8 @@
     ids::{Epoch, Incarnation, ServiceName, WorkerName},
     jobs::{
         controller::{
-            Answer, Config, Effect, LogEvent, Ticket, Timing, unqueued::Unqueued,
-            wait_reports::WaitReports,
+            Answer, Config, Effect, LogEvent, Ticket, Timing, proposal::RECORD_INTERVAL,
+            unqueued::Unqueued, wait_reports::WaitReports,
         },
         crash::CrashEntry,
         fleet::{Departure, Fleet, RunView, Worker},
@@ -125,6 +125,8 @@
     pub(super) changes: Vec<Change>,
     /// Ended jobs, by the time at which they are forgotten.
     ended: BTreeSet<(Time, JobId)>,
+    /// When estimates of interference are compared with the recorded ones next.
+    pub(super) next_estimates: Time,
     next_expiry: Time,
     next_forget: Time,
     /// When all workers are considered for all waiting steps again, unless the search is still in
@@ -152,7 +154,7 @@
         let (timing, responses) = (config.timing, config.responses);
         let mut leader = Self {
             fleet: Fleet::default(),
-            interference: Interference::default(),
+            interference: Interference::restore(&state.estimates, now),
             voters: VoterWatch::default(),
             waiting: WaitingSteps::default(),
             outlooks: Outlooks::default(),
@@ -176,6 +178,7 @@
             log_events: Vec::new(),
             changes: Vec::new(),
             ended: BTreeSet::new(),
+            next_estimates: now + RECORD_INTERVAL,
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
             next_retry: now,
@@ -197,6 +200,11 @@
         let closed = leader.state.jobs.iter().filter(|(_, job)| !job.phase.is_open());
         leader.ended = closed.map(|(id, _)| (now + timing.retain, *id)).collect();
         out.push(Effect::LogEvent(LogEvent::Leading { epoch, jobs: open.len(), runs }));
+        let estimates = &leader.state.estimates;
+        if !estimates.is_empty() {
+            let (pairs, images) = (estimates.len(), estimates.baselines().count());
+            out.push(Effect::LogEvent(LogEvent::EstimatesRestored { pairs, images }));
+        }
         leader
     }
 
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -183,6 +183,13 @@
         /// The number of runs that may still be in progress.
         runs: usize,
     },
+    /// This controller starts to lead with recorded estimates of interference.
+    EstimatesRestored {
+        /// The number of pairs of images.
+        pairs: usize,
+        /// The number of serving images with a baseline.
+        images: usize,
+    },
     /// A configuration is in force.
     Configured {
         /// Its version.
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -1,20 +1,30 @@
 //! The records and answers that a turn of the leader produces.
 
+use std::time::Duration;
+
 use crate::{
     jobs::{
         controller::{Answer, Ticket, leader::Leader},
         crash::{CrashEntry, CrashRecord},
+        estimates::EstimateRecord,
         record::{Ending, Record},
         state::Change,
     },
     time::Time,
 };
 
+/// The minimum interval between two records of estimates. A new leader learns as much in a few seconds.
+pub(super) const RECORD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The interval between two comparisons with the recorded estimates while none has changed.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The result of a turn: records to propose, and answers.
 #[derive(Debug, Default)]
 pub(super) struct Proposal {
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
+    pub(super) estimates: EstimateRecord,
     /// Answers that may be sent once the records are committed.
     pub(super) answers: Vec<(Ticket, Answer)>,
 }
@@ -22,7 +32,7 @@
 impl Proposal {
     /// The number of changes to commit.
     pub(super) fn len(&self) -> usize {
-        self.records.len() + self.crashes.len()
+        self.records.len() + self.crashes.len() + usize::from(!self.estimates.is_empty())
     }
 
     /// Whether there is nothing to commit.
@@ -50,6 +60,20 @@
         self.follow(now, changes);
     }
 
+    /// The estimates of interference to add to the next proposal: those that have changed noticeably since
+    /// they were recorded. There are none if nothing else is proposed, so an idle leader writes nothing.
+    pub(super) fn take_estimates(&mut self, now: Time) -> EstimateRecord {
+        let idle = self.records.is_empty() && self.crashes.is_empty();
+        if idle || now < self.next_estimates {
+            return EstimateRecord::default();
+        }
+        let estimates = self.interference.changed_estimates(&self.state.estimates, now);
+        let interval = if estimates.is_empty() { COMPARE_INTERVAL } else { RECORD_INTERVAL };
+        self.next_estimates = now + interval;
+        self.state.estimates.apply(&estimates);
+        estimates
+    }
+
     /// Marks the outlooks that a record has changed.
     fn invalidate_outlooks(&mut self, record: &Record) {
         match record {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -49,11 +49,12 @@
         self.place_waiting(now);
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
+        let estimates = self.take_estimates(now);
         let records = std::mem::take(&mut self.records);
         let crashes = std::mem::take(&mut self.crashes);
         let answers = std::mem::take(&mut self.answers);
         self.last_work = std::mem::take(&mut self.work);
-        Proposal { records, crashes, answers }
+        Proposal { records, crashes, estimates, answers }
     }
 
     /// Rebuilds the queue after a change of the queues' priorities or services. A step keeps the time
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -7,8 +7,7 @@
     jobs::{
         call::{OperatorReply, Reply},
         controller::{Answer, Controller, Effect, Ticket, leader::Leader},
-        crash::CrashEntry,
-        record::{Batch, Record},
+        record::Batch,
     },
     time::{Time, WallTime},
 };
@@ -63,7 +62,14 @@
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
             let (since, records) = (now, proposal.len());
-            let commands = self.encode_records(proposal.records, proposal.crashes);
+            let batch = Batch {
+                origin: self.config.me.id,
+                number: self.proposals + 1,
+                records: proposal.records,
+                crashes: proposal.crashes,
+                estimates: proposal.estimates,
+            };
+            let commands = encode_records(batch);
             let first = self.proposals + 1;
             self.proposals += commands.len() as u64;
             // The entries are committed in order, so the answers wait for the last one.
@@ -82,18 +88,6 @@
         }
     }
 
-    /// Encodes the records of a turn, as several batches if they are too large for one.
-    fn encode_records(&self, records: Vec<Record>, crashes: Vec<CrashEntry>) -> Vec<Bytes> {
-        let number = self.proposals + 1;
-        let batch = Batch { origin: self.config.me.id, number, records, crashes };
-        let encoded = batch.encode();
-        if encoded.len() <= MAX_ENTRY_BYTES {
-            return vec![encoded.into()];
-        }
-        let parts = batch.split(MAX_ENTRY_BYTES);
-        parts.iter().map(|part| Bytes::from(part.encode())).collect()
-    }
-
     /// Takes a snapshot after many entries, or after entries that are large together.
     pub(super) fn compact(&mut self, now: Time) {
         let many = self.applied.0 >= self.compacted.0 + self.config.snapshot_every;
@@ -108,3 +102,13 @@
         self.step_consensus(now, consensus::Event::Compacted { index: self.applied, state });
     }
 }
+
+/// Encodes the records of a turn, as several batches if they are too large for one.
+fn encode_records(batch: Batch) -> Vec<Bytes> {
+    let encoded = batch.encode();
+    if encoded.len() <= MAX_ENTRY_BYTES {
+        return vec![encoded.into()];
+    }
+    let parts = batch.split(MAX_ENTRY_BYTES);
+    parts.iter().map(|part| Bytes::from(part.encode())).collect()
+}
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -12,7 +12,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use crate::{
-    interference::model::{Exposure, Model, Observation},
+    interference::model::{Exposure, Harm, Model, Observation},
     jobs::{
         fleet::{FULL_PACE_PERCENT, RunView, Worker},
         model::{Image, JobId, StepKey, TaskKey},
@@ -21,6 +21,8 @@
     time::Time,
 };
 
+mod recording;
+
 /// The fraction of the target latency to aim for.
 const TARGET_FRACTION: f64 = 0.7;
 
@@ -117,6 +119,9 @@
     averages: HashMap<u32, Average>,
     serving: HashMap<Image, u32>,
     opportunistic: HashMap<Image, u32>,
+    /// The number of the serving image and of the opportunistic one from which on pairs are compared
+    /// with their recorded estimates next.
+    compared: (u32, u32),
 }
 
 impl Interference {
@@ -140,8 +145,7 @@
         let serving = serving.and_then(|image| self.serving.get(image));
         let opportunistic = opportunistic.and_then(|image| self.opportunistic.get(image));
         let (Some(serving), Some(opportunistic)) = (serving, opportunistic) else { return false };
-        let harm = self.model.harm(now, *serving, *opportunistic);
-        harm.samples >= MIN_SAMPLES && harm.mean + harm.deviation < MAX_HARMLESS
+        is_known_harmless(&self.model.harm(now, *serving, *opportunistic))
     }
 
     /// The pace, from 0 to 1, that a further opportunistic task of `image` with this demand could
@@ -294,6 +298,11 @@
     }
 }
 
+/// Whether an estimate is precise enough to be confident that the pair is harmless.
+fn is_known_harmless(harm: &Harm) -> bool {
+    harm.samples >= MIN_SAMPLES && harm.mean + harm.deviation < MAX_HARMLESS
+}
+
 /// The number of a task without an image, or of an image without one.
 const NO_NUMBER: u32 = u32::MAX;
 
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -5,12 +5,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    codec::{DecodeError, append, decode_extended},
+    codec::{DecodeError, Extensions, append, decode_extension, decode_first},
     data,
     ids::{DataCentre, Incarnation, InstanceId, WorkerName},
     jobs::{
         config::Config,
         crash::CrashEntry,
+        estimates::EstimateRecord,
         model::{JobId, JobSpec, QueueName, Run, TaskKey, WorkerNumber},
     },
     symbols,
@@ -126,27 +127,38 @@
     /// Changes of the crash counts, in order. They are encoded behind the batch.
     #[serde(skip)]
     pub crashes: Vec<CrashEntry>,
+    /// Estimates of interference. They are encoded behind the crash counts.
+    #[serde(skip)]
+    pub estimates: EstimateRecord,
 }
 
 impl Batch {
     /// Encodes the batch for the log.
     pub fn encode(&self) -> Vec<u8> {
-        let bytes = append(Vec::new(), self);
-        if self.crashes.is_empty() { bytes } else { append(bytes, &self.crashes) }
+        let mut extensions = Extensions::behind(append(Vec::new(), self));
+        extensions.append(&self.crashes, self.crashes.is_empty());
+        extensions.append(&self.estimates, self.estimates.is_empty());
+        extensions.finish()
     }
 
     /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
     /// single record. The parts are numbered from the batch's number on.
     pub fn split(self, max_bytes: usize) -> Vec<Self> {
-        let mut parts = vec![Self { records: Vec::new(), crashes: Vec::new(), ..self }];
+        let part = |number| Self {
+            origin: self.origin,
+            number,
+            records: Vec::new(),
+            crashes: Vec::new(),
+            estimates: EstimateRecord::default(),
+        };
+        let mut parts = vec![part(self.number)];
         let mut crashes = self.crashes.into_iter().peekable();
         let (mut before, mut bytes) = (0, 0);
         for (at, record) in (0..).zip(self.records) {
             let size = append(Vec::new(), &record).len();
-            let Some(part) = parts.last() else { break };
-            if !part.records.is_empty() && bytes + size > max_bytes {
-                let number = part.number + 1;
-                parts.push(Self { number, records: Vec::new(), crashes: Vec::new(), ..*part });
+            let Some(last) = parts.last() else { break };
+            if !last.records.is_empty() && bytes + size > max_bytes {
+                parts.push(part(last.number + 1));
                 (before, bytes) = (at, 0);
             }
             bytes += size;
@@ -159,6 +171,7 @@
         if let Some(last) = parts.last_mut() {
             last.crashes
                 .extend(crashes.map(|crash| CrashEntry { after: crash.after - before, ..crash }));
+            last.estimates = self.estimates;
         }
         parts
     }
@@ -169,7 +182,9 @@
     ///
     /// The bytes aren't a valid batch.
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
-        let (batch, crashes): (Self, _) = decode_extended(bytes)?;
-        Ok(Self { crashes, ..batch })
+        let (batch, rest): (Self, _) = decode_first(bytes)?;
+        let (crashes, rest) = decode_extension(rest)?;
+        let (estimates, _) = decode_extension(rest)?;
+        Ok(Self { crashes, estimates, ..batch })
     }
 }
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -7,13 +7,14 @@
 };
 
 use crate::{
-    codec::{DecodeError, append, decode_extension, decode_first},
+    codec::{DecodeError, Extensions, append, decode_extension, decode_first},
     data,
     ids::{Incarnation, InstanceId, WorkerName},
     jobs::{
         config::{Config, Queue},
         crash::CrashCounts,
         dependents::Dependents,
+        estimates::Estimates,
         gang::Gangs,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -49,6 +50,9 @@
         /// The workers that were removed, and those that have returned. They are encoded behind the gangs.
         #[serde(skip)]
         pub returns: Returns,
+        /// The estimates of interference between images. They are encoded behind the returns.
+        #[serde(skip)]
+        pub estimates: Estimates,
     }
 
     /// One incarnation of a worker.
@@ -129,26 +133,19 @@
         let (state, rest): (Self, _) = decode_first(bytes)?;
         let (crashes, rest) = decode_extension(rest)?;
         let (gangs, rest) = decode_extension(rest)?;
-        let (returns, _) = decode_extension(rest)?;
-        Ok(Self { crashes, gangs, returns, ..state })
+        let (returns, rest) = decode_extension(rest)?;
+        let (estimates, _) = decode_extension(rest)?;
+        Ok(Self { crashes, gangs, returns, estimates, ..state })
     }
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = append(Vec::new(), self);
-        // An extension is read only behind all earlier ones.
-        let (crashes, gangs) = (!self.crashes.is_empty(), !self.gangs.is_empty());
-        let returns = !self.returns.is_empty();
-        if crashes || gangs || returns {
-            bytes = append(bytes, &self.crashes);
-        }
-        if gangs || returns {
-            bytes = append(bytes, &self.gangs);
-        }
-        if returns {
-            bytes = append(bytes, &self.returns);
-        }
-        bytes
+        let mut extensions = Extensions::behind(append(Vec::new(), self));
+        extensions.append(&self.crashes, self.crashes.is_empty());
+        extensions.append(&self.gangs, self.gangs.is_empty());
+        extensions.append(&self.returns, self.returns.is_empty());
+        extensions.append(&self.estimates, self.estimates.is_empty());
+        extensions.finish()
     }
 
     /// The queue of a job; `None` if the current configuration no longer has it.
@@ -194,6 +191,7 @@
         for crash in crashes {
             self.apply_crash(&crash.record, changes);
         }
+        self.estimates.apply(&batch.estimates);
     }
 
     /// Applies a record and appends its effects to `changes`.
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -4,6 +4,7 @@
     ids::{Incarnation, InstanceId},
     jobs::{
         crash::{CrashEntry, CrashRecord},
+        estimates::EstimateRecord,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, StepOptions, TaskKey, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -59,7 +60,13 @@
     let after = u32::try_from(records.len()).expect("a few records");
     let blame = || CrashEntry { after, record: CrashRecord::Blame { tasks: vec![key()] } };
     let crashes = (0..crashes).map(|_| blame()).collect();
-    Batch { origin: InstanceId(1), number: 3, records, crashes }
+    Batch {
+        origin: InstanceId(1),
+        number: 3,
+        records,
+        crashes,
+        estimates: EstimateRecord::default(),
+    }
 }
 
 fn state(crashes: u32) -> State {
--- a/lib/tests/jobs/estimates.rs
+++ b/lib/tests/jobs/estimates.rs
@@ -7,7 +7,7 @@
 use crate::world::{FakeWorker, World, step, task};
 
 /// The target latency of the serving tasks, in milliseconds.
-const TARGET_MS: u64 = 150;
+pub(crate) const TARGET_MS: u64 = 150;
 
 /// The time between two heartbeats of a worker in these tests.
 const HEARTBEAT: Duration = Duration::from_millis(100);
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -7,6 +7,7 @@
         config::Config as JobConfig,
         controller::{Answer, Event, Ticket},
         crash::{CrashEntry, CrashRecord},
+        estimates::EstimateRecord,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Step, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -130,7 +131,13 @@
             CrashEntry { after: *after, record: CrashRecord::Absolve { task } }
         };
         let crashes = case.crashes.iter().map(absolve).collect();
-        let batch = Batch { origin: InstanceId(1), number: 7, records, crashes };
+        let batch = Batch {
+            origin: InstanceId(1),
+            number: 7,
+            records,
+            crashes,
+            estimates: EstimateRecord::default(),
+        };
         let parts = batch.clone().split(case.max_bytes);
         let shape: Vec<_> = parts
             .iter()
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod deployment;
 mod encoding;
 mod estimates;
+mod estimates_load;
 mod evacuations;
 mod full_lists;
 mod gangs;
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -11,6 +11,7 @@
     ids::{Index, InstanceId, Term},
     jobs::{
         controller::{Controller, Effect, Event},
+        estimates::EstimateRecord,
         link::LinkMessage,
         members::Membership,
         record::{Batch, Record},
@@ -26,7 +27,13 @@
     let nodes = [node(1, 1), node(2, 2), node(3, 3)];
     let voters = nodes.iter().map(|node| node.id).collect();
     let records = nodes.into_iter().map(Record::Node).collect();
-    let batch = Batch { origin: InstanceId(1), number: 1, records, crashes: Vec::new() };
+    let batch = Batch {
+        origin: InstanceId(1),
+        number: 1,
+        records,
+        crashes: Vec::new(),
+        estimates: EstimateRecord::default(),
+    };
     let bytes = postcard::to_allocvec(&batch).expect("a batch can be encoded");
     let members = Members { voters, learners: Vec::new() };
     let entry = |index, payload| Entry { index: Index(index), term: Term(1), payload };
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -16,12 +16,14 @@
         call::{Action, Call, OperatorReply, OperatorRequest, Reply},
         config::{Config as JobConfig, Queue, Service},
         controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
+        estimates::{EstimateRecord, Estimates},
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, Step, StepOptions, TaskKey},
-        record::{Ending, Node},
+        record::{Batch, Ending, Node},
         report::{Ended, Report, Running},
         response::HeartbeatResponse,
         response_size::{ResponseLimits, ResponseSizes},
+        state::State,
     },
     resources::Resources,
     time::{Time, WallTime},
@@ -195,6 +197,22 @@
         panic!("the restarted controller does not lead");
     }
 
+    /// Removes the recorded estimates of interference from storage, as if an earlier release had written it.
+    pub(crate) fn forget_estimates(&mut self) {
+        for entry in &mut self.stored.entries {
+            if let Payload::Command(command) = &mut entry.payload {
+                let mut batch = Batch::decode(command).expect("a batch can be decoded");
+                batch.estimates = EstimateRecord::default();
+                *command = batch.encode().into();
+            }
+        }
+        if let Some(snapshot) = &mut self.stored.snapshot {
+            let mut state = State::decode(&snapshot.state).expect("a snapshot can be decoded");
+            state.estimates = Estimates::default();
+            snapshot.state = state.encode().into();
+        }
+    }
+
     fn leads(&mut self) -> bool {
         let ticket = self.send(|ticket| Event::Probe { ticket });
         matches!(&self.answers[&ticket], Answer::Status(status) if status.leads)
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -22,6 +22,10 @@
         LogEvent::Leading { epoch, jobs, runs } => {
             info!(log, "this controller leads"; "epoch" => epoch.0, "jobs" => jobs, "runs" => runs);
         }
+        LogEvent::EstimatesRestored { pairs, images } => {
+            info!(log, "interference estimates are restored"; "pairs" => pairs,
+                "images" => images);
+        }
         LogEvent::Configured { version, queues } => {
             info!(log, "a configuration is in force"; "version" => version, "queues" => queues);
         }
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -58,6 +58,7 @@
     waiting_restarts: IntGauge,
     restart_wait: Gauge<f64, AtomicU64>,
     worker_count: IntGauge,
+    recorded_pairs: IntGauge,
     voters: IntGauge,
     live_voters: IntGauge,
     standbys: IntGauge,
@@ -96,6 +97,7 @@
             waiting_restarts: IntGauge::default(),
             restart_wait: Gauge::default(),
             worker_count: IntGauge::default(),
+            recorded_pairs: IntGauge::default(),
             voters: IntGauge::default(),
             live_voters: IntGauge::default(),
             standbys: IntGauge::default(),
@@ -163,6 +165,11 @@
             "Longest wait of a long-running task that has run before",
             self.restart_wait.clone(),
         );
+        r.register(
+            "interference_pairs",
+            "Pairs of images with a recorded estimate of interference",
+            self.recorded_pairs.clone(),
+        );
         self.register_members();
     }
 
@@ -215,6 +222,7 @@
             }
             LogEvent::Unreadable { .. } | LogEvent::Unhandled { .. } => drop(self.faults.inc()),
             LogEvent::Leading { .. }
+            | LogEvent::EstimatesRestored { .. }
             | LogEvent::Withheld { .. }
             | LogEvent::Ignored { .. }
             | LogEvent::Stranded { .. }
@@ -241,6 +249,8 @@
         self.restart_wait.set(backlog.longest.as_secs_f64());
         self.worker_count
             .set(saturating_i64(leader.map_or(0, |leader| leader.fleet.workers.len() as u64)));
+        let pairs = controller.committed().estimates.len();
+        self.recorded_pairs.set(saturating_i64(pairs as u64));
         let counts = leader.map(|leader| leader.voters.counts()).unwrap_or_default();
         self.voters.set(saturating_i64(counts.voters as u64));
         self.live_voters.set(saturating_i64(counts.live_voters as u64));
