jobs: tests of recorded estimates

A pair that isn't known to be harmless now begins with at most 20 samples instead of 39, so that a single fresh one doesn't make it eligible; fresh_samples_correct_recorded_estimates covers it.

--- a/lib/src/jobs/pace/recording.rs
+++ b/lib/src/jobs/pace/recording.rs
@@ -49,6 +49,10 @@
 /// What is added to that variance. With it, about ten samples beside two processors halve an error.
 const ADDED_VARIANCE: f64 = 0.002;
 
+/// The maximum number of samples with which a pair begins that isn't known to be harmless. As many fresh ones
+/// are needed before it can be.
+const MAX_RESTORED_SAMPLES: u32 = MIN_SAMPLES / 2;
+
 /// The maximum number of samples of a recorded baseline that count, a tenth of those of an average in the
 /// long run.
 const MAX_BASELINE_SAMPLES: u32 = 200;
@@ -192,7 +196,7 @@
         let bound = (MAX_HARMLESS - before.mean) * (MAX_HARMLESS - before.mean);
         (increased.min((variance + bound) / 2.0), MIN_SAMPLES)
     } else {
-        (increased, before.samples.min(MIN_SAMPLES - 1))
+        (increased, before.samples.min(MAX_RESTORED_SAMPLES))
     };
     Some(Harm { mean: before.mean, deviation: variance.sqrt(), samples })
 }
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -3,8 +3,8 @@
 use hickorylink_lib::{
     ids::{Incarnation, InstanceId},
     jobs::{
-        crash::{CrashEntry, CrashRecord},
-        estimates::EstimateRecord,
+        crash::{CrashCounts, CrashEntry, CrashRecord},
+        estimates::{BaselineEstimate, EstimateRecord, ImagePair, PairEstimate},
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, StepOptions, TaskKey, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -212,3 +212,84 @@
         assert!(old.crashes.is_empty(), "{}", case.name);
     }
 }
+
+fn estimates(pairs: usize) -> EstimateRecord {
+    let pair = |at: usize| {
+        let opportunistic = format!("batch-{at}").as_str().into();
+        let (mean, variance) = ((0.1 + at as f32).into(), f32::MIN_POSITIVE.into());
+        let estimate = PairEstimate { mean, variance, samples: u32::MAX };
+        (ImagePair { serving: "desk".into(), opportunistic }, estimate)
+    };
+    let baseline = BaselineEstimate { mean: 4.2.into(), samples: 7 };
+    EstimateRecord {
+        pairs: (0..pairs).map(pair).collect(),
+        baselines: (0..pairs.min(1)).map(|_| ("desk".into(), baseline)).collect(),
+    }
+}
+
+/// Guards against estimates that a snapshot loses, or that an earlier release can't skip: one without crash
+/// counts, or one with them and without estimates.
+#[test]
+fn estimates_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+        pairs: usize,
+    }
+    let cases = [
+        Case { name: "neither", crashes: 0, pairs: 0 },
+        Case { name: "a crash", crashes: 2, pairs: 0 },
+        Case { name: "estimates", crashes: 0, pairs: 3 },
+        Case { name: "both", crashes: 2, pairs: 3 },
+    ];
+    for case in cases {
+        let batch = Batch { estimates: estimates(case.pairs), ..batch(case.crashes) };
+        let encoded = batch.encode();
+        let decoded = Batch::decode(&encoded).expect("a batch can be decoded");
+        assert_eq!(decoded, batch, "{}", case.name);
+        let mut state = State::default();
+        state.apply_batch(&decoded, &mut Vec::new());
+        assert_eq!(state.estimates.len(), case.pairs, "{}", case.name);
+        let snapshot = state.encode();
+        assert_eq!(State::decode(&snapshot).ok().as_ref(), Some(&state), "{}", case.name);
+
+        let (old, rest): (Batch, _) = postcard::take_from_bytes(&encoded).expect("a batch");
+        assert_eq!((old.records, old.estimates.is_empty()), (records(), true), "{}", case.name);
+        let (old, more): (State, _) = postcard::take_from_bytes(&snapshot).expect("a snapshot");
+        assert!(old.estimates.is_empty(), "{}", case.name);
+        assert_eq!(rest.is_empty(), case.crashes == 0 && case.pairs == 0, "{}", case.name);
+        assert_eq!(more.is_empty(), rest.is_empty(), "{}", case.name);
+        if !rest.is_empty() {
+            let crashes: Vec<CrashEntry> = postcard::from_bytes(rest).expect("crash counts");
+            assert_eq!(crashes, batch.crashes, "{}", case.name);
+            let crashes: CrashCounts = postcard::from_bytes(more).expect("crash counts");
+            assert_eq!(crashes, state.crashes, "{}", case.name);
+        }
+        // A damaged extension is an error of the whole.
+        if case.pairs > 0 {
+            assert!(Batch::decode(&encoded[..encoded.len() - 1]).is_err(), "{}", case.name);
+            assert!(State::decode(&snapshot[..snapshot.len() - 1]).is_err(), "{}", case.name);
+        }
+    }
+    for (name, release) in [("batch", OLD_BATCH), ("state", OLD_STATE)] {
+        let is_empty = match name {
+            "batch" => Batch::decode(&bytes(release)).map(|batch| batch.estimates.is_empty()),
+            _ => State::decode(&bytes(release)).map(|state| state.estimates.is_empty()),
+        };
+        assert!(is_empty.is_ok_and(|empty| empty), "{name} of an earlier release");
+    }
+}
+
+/// Guards against a large batch that loses its estimates, or applies them more than once, when it is split.
+#[test]
+fn a_split_batch_keeps_its_estimates() {
+    let batch = Batch { estimates: estimates(3), ..batch(2) };
+    let parts = batch.clone().split(40);
+    assert!(parts.len() > 2, "{}", parts.len());
+    let (mut whole, mut split) = (State::default(), State::default());
+    whole.apply_batch(&batch, &mut Vec::new());
+    for part in &parts {
+        split.apply_batch(part, &mut Vec::new());
+    }
+    assert_eq!(split, whole);
+}
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -28,6 +28,7 @@
 mod overcommit;
 mod pace;
 mod properties;
+mod recorded_estimates;
 mod recovery;
 mod responses;
 mod standbys;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -197,6 +197,19 @@
         panic!("the restarted controller does not lead");
     }
 
+    /// The commands in the log that storage would recover.
+    pub(crate) fn commands(&self) -> impl Iterator<Item = &[u8]> {
+        self.stored.entries.iter().filter_map(|entry| match &entry.payload {
+            Payload::Command(command) => Some(&command[..]),
+            Payload::Empty | Payload::Members(_) => None,
+        })
+    }
+
+    /// The snapshot that storage would recover.
+    pub(crate) fn snapshot(&self) -> Option<&[u8]> {
+        self.stored.snapshot.as_ref().map(|snapshot| &snapshot.state[..])
+    }
+
     /// Removes the recorded estimates of interference from storage, as if an earlier release had written it.
     pub(crate) fn forget_estimates(&mut self) {
         for entry in &mut self.stored.entries {
