--- a/lib/benches/jobs.rs
+++ b/lib/benches/jobs.rs
@@ -12,9 +12,12 @@
     jobs::{
         call::{Action, Call},
         controller::{Answer, Event, Ticket},
+        estimates::{EstimateRecord, Estimates, ImagePair, PairEstimate},
         model::{JobSpec, Step},
+        pace::Interference,
     },
     resources::Resources,
+    time::Time,
 };
 
 use crate::world::{FakeWorker, HOST, World, path, step};
@@ -151,6 +154,26 @@
     bencher.bench_local(|| black_box(state.encode()));
 }
 
+/// The comparison of learned estimates with the recorded ones, which a leader makes at most once a second,
+/// by the number of serving images, which is that of opportunistic images.
+#[divan::bench(args = [8, 32, 64], sample_count = 200)]
+fn compare_estimates(bencher: Bencher<'_, '_>, images: usize) {
+    let image = |kind, at| format!("registry.example/{kind}-{at:0>4}").as_str().into();
+    let estimate = PairEstimate { mean: 0.5.into(), variance: 0.01.into(), samples: 20 };
+    let mut estimates = Estimates::default();
+    for serving in 0..images {
+        for opportunistic in 0..images {
+            let (serving, opportunistic) =
+                (image("serving", serving), image("batch", opportunistic));
+            let pairs = vec![(ImagePair { serving, opportunistic }, estimate)];
+            estimates.apply(&EstimateRecord { pairs, baselines: Vec::new() });
+        }
+    }
+    let now = Time::from_millis(1000);
+    let mut interference = Interference::restore(&estimates, now);
+    bencher.bench_local(|| interference.changed_estimates(black_box(&estimates), now));
+}
+
 fn main() {
     divan::main();
 }
