--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     consensus::port as consensus,
-    ids::InstanceId,
-    jobs::{record::Node, response_size::ResponseLimits},
+    ids::{DataCentre, InstanceId},
+    jobs::{locality::Locality, record::Node, response_size::ResponseLimits},
 };
 
 /// The settings of a controller.
@@ -25,8 +25,12 @@
     pub snapshot_every: u64,
     /// The leader's timing.
     pub timing: Timing,
+    /// The data centres that may be evacuated; if it is empty, those with any valid name.
+    pub centres: Vec<DataCentre>,
     /// The limits on responses to heartbeats.
     pub responses: ResponseLimits,
+    /// The settings for waits for better placements.
+    pub locality: Locality,
     /// The settings of the consensus module.
     pub consensus: consensus::Config,
     /// The seed of the random number generator.
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -4,9 +4,10 @@
 
 use crate::{
     consensus::{chart::Role, log::Write, message::Message, port::StepDown},
-    ids::{Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
+    ids::{DataCentre, Epoch, Incarnation, Index, InstanceId, Term, WorkerName},
     jobs::{
         call::{Call, OperatorReply, OperatorRequest, Reply},
+        controller::evacuate::{CentreLoad, EvacuationState},
         hello::Hello,
         link::{ControllerStatus, LinkMessage},
         obstacle::ObstacleGroup,
@@ -120,6 +121,8 @@
             Self::Operator(OperatorReply::Stored) => "stored",
             Self::Operator(OperatorReply::Config(_)) => "config",
             Self::Operator(OperatorReply::NoConfig) => "no_config",
+            Self::Operator(OperatorReply::NoCentre) => "no_centre",
+            Self::Operator(OperatorReply::TooManyCentres) => "too_many_centres",
             Self::Operator(OperatorReply::Unknown) => "unknown",
             Self::Heartbeat(_) => "orders",
             Self::Acknowledged => "noted",
@@ -221,6 +224,38 @@
         /// The time since the job was accepted or its occurrence was due, in milliseconds.
         age_ms: u64,
     },
+    /// Tasks of a step wait for a better placement, although they could start elsewhere.
+    NearWait {
+        /// The step.
+        step: String,
+        /// The number of its tasks that wait.
+        tasks: usize,
+        /// The rack that they wait for.
+        rack: String,
+        /// In how many milliseconds room for the first of them is expected there.
+        expected_ms: u64,
+        /// In how many milliseconds the wait ends.
+        until_ms: u64,
+        /// The probability that the expectation is right, in percent.
+        right_percent: u32,
+        /// The worker that the first of them could start on now.
+        alternative: String,
+    },
+    /// All tasks of a step that has waited for a better placement have started.
+    NearWaitEnded {
+        /// The step.
+        step: String,
+        /// The rack that it waited for.
+        rack: String,
+        /// The number of tasks that started there; 1 for a gang.
+        near: u32,
+        /// The number of tasks that started elsewhere; 1 for a gang.
+        far: u32,
+        /// Why the last of these did; `None` if none did.
+        reason: Option<&'static str>,
+        /// The time since the wait began, in milliseconds.
+        waited_ms: u64,
+    },
     /// A proposal was committed. Reported in metrics only.
     Committed {
         /// The number of records in it.
@@ -356,6 +391,15 @@
         /// Whether a heartbeat of the worker is held.
         held: bool,
     },
+    /// The evacuation of a data centre begins, goes on, is complete or is cancelled.
+    Evacuation {
+        /// The data centre.
+        centre: DataCentre,
+        /// The state of its evacuation.
+        state: EvacuationState,
+        /// What is left there.
+        left: CentreLoad,
+    },
     /// The membership of the consensus group changes.
     Members {
         /// The requested change.
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -7,6 +7,7 @@
         controller::{Answer, Ticket, leader::Leader},
         crash::{CrashEntry, CrashRecord},
         estimates::EstimateRecord,
+        evacuation::EvacuationOrder,
         record::{Ending, Record},
         state::Change,
     },
@@ -19,12 +20,19 @@
 /// The interval between two comparisons with the recorded estimates while none has changed.
 const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The result of a turn: records to propose, and answers.
+/// Changes of the replicated state.
 #[derive(Debug, Default)]
-pub(super) struct Proposal {
+pub(super) struct StateChanges {
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
+    pub(super) evacuations: Vec<EvacuationOrder>,
     pub(super) estimates: EstimateRecord,
+}
+
+/// The result of a turn: changes to propose, and answers.
+#[derive(Debug, Default)]
+pub(super) struct Proposal {
+    pub(super) changes: StateChanges,
     /// Answers that may be sent once the records are committed.
     pub(super) answers: Vec<(Ticket, Answer)>,
 }
@@ -32,7 +40,9 @@
 impl Proposal {
     /// The number of changes to commit.
     pub(super) fn len(&self) -> usize {
-        self.records.len() + self.crashes.len() + usize::from(!self.estimates.is_empty())
+        let StateChanges { records, crashes, evacuations, estimates } = &self.changes;
+        let estimates = usize::from(!estimates.is_empty());
+        records.len() + crashes.len() + evacuations.len() + estimates
     }
 
     /// Whether there is nothing to commit.
@@ -63,7 +73,7 @@
     /// The estimates of interference to add to the next proposal: those that have changed noticeably since
     /// they were recorded. There are none if nothing else is proposed, so an idle leader writes nothing.
     pub(super) fn take_estimates(&mut self, now: Time) -> EstimateRecord {
-        let idle = self.records.is_empty() && self.crashes.is_empty();
+        let idle = self.records.is_empty() && self.crashes.is_empty() && self.orders.is_empty();
         if idle || now < self.next_estimates {
             return EstimateRecord::default();
         }
@@ -97,7 +107,10 @@
         for change in changes.drain(..) {
             match change {
                 Change::Accepted(id) => self.admit_job(id),
-                Change::Ready(step) => self.enqueue(now, step),
+                Change::Ready(step) => {
+                    self.note_ready(step);
+                    self.enqueue(now, step);
+                }
                 Change::Ended(id) => self.close_job(id),
             }
         }
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -6,7 +6,7 @@
     consensus::port as consensus,
     jobs::{
         call::{OperatorReply, Reply},
-        controller::{Answer, Controller, Effect, Ticket, leader::Leader},
+        controller::{Answer, Controller, Effect, Ticket, leader::Leader, proposal::StateChanges},
         record::Batch,
     },
     time::{Time, WallTime},
@@ -61,20 +61,16 @@
         let Some(leader) = &mut self.leader else { return };
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
-            let (since, records) = (now, proposal.len());
-            let batch = Batch {
-                origin: self.config.me.id,
-                number: self.proposals + 1,
-                records: proposal.records,
-                crashes: proposal.crashes,
-                estimates: proposal.estimates,
-            };
+            let (since, changes) = (now, proposal.len());
+            let StateChanges { records, crashes, evacuations, estimates } = proposal.changes;
+            let (origin, number) = (self.config.me.id, self.proposals + 1);
+            let batch = Batch { origin, number, records, crashes, evacuations, estimates };
             let commands = encode_records(batch);
             let first = self.proposals + 1;
             self.proposals += commands.len() as u64;
             // The entries are committed in order, so the answers wait for the last one.
             let (number, answers) = (self.proposals, proposal.answers);
-            self.pending.push_back(PendingProposal { number, since, records, answers });
+            self.pending.push_back(PendingProposal { number, since, records: changes, answers });
             for (number, command) in (first..).zip(commands) {
                 let ticket = crate::ids::Ticket(number);
                 self.step_consensus(now, consensus::Event::Propose { ticket, command });
--- a/lib/src/jobs/pace/recording.rs
+++ b/lib/src/jobs/pace/recording.rs
@@ -22,7 +22,8 @@
 /// sample.
 const MIN_RECORDED_SAMPLES: u32 = 20;
 
-/// The smallest change of a mean that is recorded: half of what counts as harm.
+/// The smallest change of a mean that is recorded, as harm per processor. Smaller changes of the harm of a
+/// task with up to 3 processors are below `NEGLIGIBLE_HARM`.
 const MIN_CHANGE: f64 = 0.03;
 
 /// The same as a fraction of the recorded mean, for large means, whose noise is larger.
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -12,6 +12,7 @@
         config::Config,
         crash::CrashEntry,
         estimates::EstimateRecord,
+        evacuation::EvacuationOrder,
         model::{JobId, JobSpec, QueueName, Run, TaskKey, WorkerNumber},
     },
     symbols,
@@ -127,7 +128,10 @@
     /// Changes of the crash counts, in order. They are encoded behind the batch.
     #[serde(skip)]
     pub crashes: Vec<CrashEntry>,
-    /// Estimates of interference. They are encoded behind the crash counts.
+    /// Orders to evacuate data centres, in order. They are encoded behind the crash counts.
+    #[serde(skip)]
+    pub evacuations: Vec<EvacuationOrder>,
+    /// Estimates of interference. They are encoded behind the evacuations.
     #[serde(skip)]
     pub estimates: EstimateRecord,
 }
@@ -137,21 +141,24 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut extensions = Extensions::behind(append(Vec::new(), self));
         extensions.append(&self.crashes, self.crashes.is_empty());
+        extensions.append(&self.evacuations, self.evacuations.is_empty());
         extensions.append(&self.estimates, self.estimates.is_empty());
         extensions.finish()
     }
 
     /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
-    /// single record. The parts are numbered from the batch's number on.
+    /// single record. The parts are numbered from the batch's number on. The first one has the evacuations, so
+    /// that no start is committed before the order that it was decided under.
     pub fn split(self, max_bytes: usize) -> Vec<Self> {
         let part = |number| Self {
             origin: self.origin,
             number,
             records: Vec::new(),
             crashes: Vec::new(),
+            evacuations: Vec::new(),
             estimates: EstimateRecord::default(),
         };
-        let mut parts = vec![part(self.number)];
+        let mut parts = vec![Self { evacuations: self.evacuations, ..part(self.number) }];
         let mut crashes = self.crashes.into_iter().peekable();
         let (mut before, mut bytes) = (0, 0);
         for (at, record) in (0..).zip(self.records) {
@@ -184,7 +191,8 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         let (batch, rest): (Self, _) = decode_first(bytes)?;
         let (crashes, rest) = decode_extension(rest)?;
+        let (evacuations, rest) = decode_extension(rest)?;
         let (estimates, _) = decode_extension(rest)?;
-        Ok(Self { crashes, estimates, ..batch })
+        Ok(Self { crashes, evacuations, estimates, ..batch })
     }
 }
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -15,6 +15,7 @@
         crash::CrashCounts,
         dependents::Dependents,
         estimates::Estimates,
+        evacuation::Evacuations,
         gang::Gangs,
         lifecycle::{JobEvent, JobPhase, TaskEvent, TaskPhase},
         model::{JobId, JobSpec, QueueName, Run, Step, StepKey, TaskKey, WorkerNumber},
@@ -50,7 +51,10 @@
         /// The workers that were removed, and those that have returned. They are encoded behind the gangs.
         #[serde(skip)]
         pub returns: Returns,
-        /// The estimates of interference between images. They are encoded behind the returns.
+        /// The evacuated data centres. They are encoded behind the returns.
+        #[serde(skip)]
+        pub evacuations: Evacuations,
+        /// The estimates of interference between images. They are encoded behind the evacuations.
         #[serde(skip)]
         pub estimates: Estimates,
     }
@@ -134,8 +138,9 @@
         let (crashes, rest) = decode_extension(rest)?;
         let (gangs, rest) = decode_extension(rest)?;
         let (returns, rest) = decode_extension(rest)?;
+        let (evacuations, rest) = decode_extension(rest)?;
         let (estimates, _) = decode_extension(rest)?;
-        Ok(Self { crashes, gangs, returns, estimates, ..state })
+        Ok(Self { crashes, gangs, returns, evacuations, estimates, ..state })
     }
 
     /// Encodes the state for a snapshot.
@@ -144,6 +149,7 @@
         extensions.append(&self.crashes, self.crashes.is_empty());
         extensions.append(&self.gangs, self.gangs.is_empty());
         extensions.append(&self.returns, self.returns.is_empty());
+        extensions.append(&self.evacuations, self.evacuations.is_empty());
         extensions.append(&self.estimates, self.estimates.is_empty());
         extensions.finish()
     }
@@ -181,6 +187,10 @@
 
     /// Applies the records of a batch in order and appends their effects to `changes`.
     pub fn apply_batch(&mut self, batch: &Batch, changes: &mut Vec<Change>) {
+        // No other record depends on them.
+        for order in &batch.evacuations {
+            self.evacuations.apply(order);
+        }
         let mut crashes = batch.crashes.iter().peekable();
         for (before, record) in (0..).zip(&batch.records) {
             while let Some(crash) = crashes.next_if(|crash| crash.after <= before) {
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -5,6 +5,7 @@
     jobs::{
         crash::{CrashCounts, CrashEntry, CrashRecord},
         estimates::{BaselineEstimate, EstimateRecord, ImagePair, PairEstimate},
+        evacuation::EvacuationOrder,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, StepOptions, TaskKey, WorkerNumber},
         record::{Batch, Ending, Record},
@@ -65,6 +66,7 @@
         number: 3,
         records,
         crashes,
+        evacuations: Vec::new(),
         estimates: EstimateRecord::default(),
     }
 }
@@ -293,3 +295,87 @@
     }
     assert_eq!(split, whole);
 }
+
+/// Guards against evacuations that a batch or a snapshot loses or that an older release can't skip, and
+/// against bytes of an older release that this one can't read.
+#[test]
+fn evacuations_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+        orders: Vec<EvacuationOrder>,
+        want: &'static [&'static str],
+    }
+    let begin = |centre: &str| EvacuationOrder::Begin { centre: centre.into() };
+    let cancel = |centre: &str| EvacuationOrder::Cancel { centre: centre.into() };
+    const A: &str = "akl-a";
+    const B: &str = "akl-b";
+    let cases = [
+        Case { name: "none", crashes: 0, orders: vec![], want: &[] },
+        Case { name: "one", crashes: 0, orders: vec![begin(A)], want: &[A] },
+        Case { name: "after crashes", crashes: 2, orders: vec![begin(A)], want: &[A] },
+        Case { name: "two", crashes: 0, orders: vec![begin(B), begin(A)], want: &[A, B] },
+        Case { name: "cancelled", crashes: 0, orders: vec![begin(A), cancel(A)], want: &[] },
+        Case {
+            name: "cancelled before",
+            crashes: 2,
+            orders: vec![cancel(A), begin(A)],
+            want: &[A],
+        },
+    ];
+    for case in cases {
+        let batch = Batch { evacuations: case.orders, ..batch(case.crashes) };
+        let encoded = batch.encode();
+        assert!(encoded.starts_with(&bytes(OLD_BATCH)), "{}", case.name);
+        let old: Batch = postcard::from_bytes(&encoded).expect("an older release can decode it");
+        assert_eq!((old.records, old.evacuations), (records(), Vec::new()), "{}", case.name);
+        let decoded = Batch::decode(&encoded).expect("a batch can be decoded");
+        assert_eq!(decoded, batch, "{}", case.name);
+        let mut state = State::default();
+        state.apply_batch(&decoded, &mut Vec::new());
+        let centres: Vec<_> = state.evacuations.iter().map(|centre| centre.as_str()).collect();
+        assert_eq!(centres, case.want, "{}", case.name);
+        let encoded = state.encode();
+        assert!(encoded.starts_with(&bytes(OLD_STATE)), "{}", case.name);
+        assert_eq!(State::decode(&encoded).ok(), Some(state), "{}", case.name);
+        let old: State = postcard::from_bytes(&encoded).expect("an older release can decode it");
+        assert!(old.evacuations.is_empty(), "{}", case.name);
+    }
+    let old = Batch::decode(&bytes(OLD_BATCH)).expect("a batch can be decoded");
+    assert_eq!(old.evacuations, Vec::new(), "written by an older release");
+    let old = State::decode(&bytes(OLD_STATE)).expect("a snapshot can be decoded");
+    assert!(old.evacuations.is_empty(), "written by an older release");
+}
+
+/// Guards against evacuations and estimates that are encoded in different orders by a batch and its decoder, or
+/// by a snapshot and its decoder, and against parts of a split batch that lose one of them.
+#[test]
+fn evacuations_and_estimates_survive_together() {
+    let evacuations = vec![EvacuationOrder::Begin { centre: "akl-a".into() }];
+    for crashes in [0, 2] {
+        let batch = batch(crashes);
+        let batch = Batch { evacuations: evacuations.clone(), estimates: estimates(3), ..batch };
+        let encoded = batch.encode();
+        let (_, rest): (Batch, _) = postcard::take_from_bytes(&encoded).expect("a batch");
+        let (_, rest): (Vec<CrashEntry>, _) =
+            postcard::take_from_bytes(rest).expect("crash counts");
+        let orders: Vec<EvacuationOrder> = postcard::from_bytes(rest)
+            .expect("a release without estimates can decode the evacuations");
+        assert_eq!(orders, evacuations, "{crashes} crashes");
+        assert_eq!(Batch::decode(&encoded).ok().as_ref(), Some(&batch), "{crashes} crashes");
+
+        let mut whole = State::default();
+        whole.apply_batch(&batch, &mut Vec::new());
+        assert_eq!((whole.evacuations.iter().count(), whole.estimates.len()), (1, 3));
+        assert_eq!(State::decode(&whole.encode()).ok().as_ref(), Some(&whole));
+
+        let parts = batch.split(40);
+        assert!(parts.len() > 2, "{}", parts.len());
+        let mut split = State::default();
+        for part in &parts {
+            let part = Batch::decode(&part.encode()).expect("a batch can be decoded");
+            split.apply_batch(&part, &mut Vec::new());
+        }
+        assert_eq!(split, whole, "{crashes} crashes");
+    }
+}
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -32,6 +32,7 @@
         number: 1,
         records,
         crashes: Vec::new(),
+        evacuations: Vec::new(),
         estimates: EstimateRecord::default(),
     };
     let bytes = postcard::to_allocvec(&batch).expect("a batch can be encoded");
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -11,13 +11,14 @@
         log::{Payload, Recovered, Write},
         port as consensus,
     },
-    ids::{Incarnation, InstanceId},
+    ids::{DataCentre, Incarnation, InstanceId},
     jobs::{
         call::{Action, Call, OperatorReply, OperatorRequest, Reply},
         config::{Config as JobConfig, Queue, Service},
         controller::{Answer, Config, Controller, Effect, Event, Ticket, Timing},
         estimates::{EstimateRecord, Estimates},
         lifecycle::JobPhase,
+        locality::Locality,
         model::{JobId, JobSpec, Run, Step, StepOptions, TaskKey},
         record::{Batch, Ending, Node},
         report::{Ended, Report, Running},
@@ -52,6 +53,9 @@
     stored: Recovered,
     lease: (Duration, Duration),
     responses: ResponseLimits,
+    /// The data centres in the settings, from the next restart on.
+    pub(crate) centres: Vec<DataCentre>,
+    locality: Locality,
     next: u64,
 }
 
@@ -92,7 +96,9 @@
             max_hold: Duration::from_millis(700),
             retain: Duration::from_secs(120),
         },
+        centres: Vec::new(),
         responses: RESPONSES,
+        locality: Locality::OFF,
         seed: 1,
     }
 }
@@ -100,7 +106,8 @@
 /// The only controller of a deployment.
 fn controller(
     (lease, margin): (Duration, Duration),
-    responses: ResponseLimits,
+    (responses, locality): (ResponseLimits, Locality),
+    centres: &[DataCentre],
     stored: Recovered,
     now: Time,
 ) -> Controller {
@@ -108,7 +115,8 @@
     let founders = vec![(me.id, me.peer)];
     let mut config = config(me, founders);
     (config.timing.lease, config.timing.lease_margin) = (lease, margin);
-    config.responses = responses;
+    (config.responses, config.locality) = (responses, locality);
+    config.centres = centres.to_vec();
     Controller::new(config, stored, now).expect("the snapshot can be decoded")
 }
 
@@ -136,20 +144,27 @@
 
     /// The same with other leases and their margin.
     pub(crate) fn with_lease(lease: Duration, margin: Duration) -> Self {
-        Self::with((lease, margin), RESPONSES)
+        Self::with((lease, margin), RESPONSES, Locality::OFF)
     }
 
     /// The same with other limits on responses.
     pub(crate) fn with_responses(responses: ResponseLimits) -> Self {
-        Self::with((LEASE, MARGIN), responses)
+        Self::with((LEASE, MARGIN), responses, Locality::OFF)
+    }
+
+    /// The same with waits for better placements.
+    pub(crate) fn with_locality(locality: Locality) -> Self {
+        Self::with((LEASE, MARGIN), RESPONSES, locality)
     }
 
-    fn with(lease: (Duration, Duration), responses: ResponseLimits) -> Self {
+    fn with(lease: (Duration, Duration), responses: ResponseLimits, locality: Locality) -> Self {
         let now = Time::from_millis(1);
         let mut world = Self {
-            controller: controller(lease, responses, Recovered::default(), now),
+            controller: controller(lease, (responses, locality), &[], Recovered::default(), now),
             lease,
             responses,
+            centres: Vec::new(),
+            locality,
             now,
             wall_start: WallTime(1_000_000),
             answers: BTreeMap::new(),
@@ -186,7 +201,9 @@
     /// Restarts the controller from its storage and waits until it leads again. The answers to open
     /// requests are lost.
     pub(crate) fn restart(&mut self) {
-        self.controller = controller(self.lease, self.responses, self.stored.clone(), self.now);
+        let (stored, centres) = (self.stored.clone(), &self.centres);
+        let limits = (self.responses, self.locality);
+        self.controller = controller(self.lease, limits, centres, stored, self.now);
         for _ in 0..100 {
             self.advance(Duration::from_millis(50));
             // A leader answers only after the first round of heartbeats that gives it its lease.
@@ -382,6 +399,7 @@
 pub(crate) struct FakeWorker {
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
+    pub(crate) centre: String,
     pub(crate) incarnation: u64,
     pub(crate) sequence: u64,
     pub(crate) leaving: Option<u64>,
@@ -410,6 +428,7 @@
         Self {
             name: name.to_owned(),
             address: worker_address(name),
+            centre: "akl-a".to_owned(),
             incarnation: 1,
             sequence: 0,
             leaving: None,
@@ -437,7 +456,8 @@
     /// The same machine after a crash and restart under another name.
     pub(crate) fn replaced(&self, name: &str) -> Self {
         let (incarnation, address) = (self.incarnation + 1, self.address);
-        Self { incarnation, address, ..Self::new(name) }
+        let centre = self.centre.clone();
+        Self { incarnation, address, centre, ..Self::new(name) }
     }
 
     pub(crate) fn report(&mut self) -> Report {
@@ -449,7 +469,7 @@
             clock: self.clock,
             address: self.address,
             service: "desk".into(),
-            centre: "akl-a".into(),
+            centre: self.centre.as_str().into(),
             labels: self.labels.iter().map(|label| label.as_str().into()).collect(),
             capacity: self.capacity,
             leaving: self.leaving,
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -66,7 +66,9 @@
             max_hold: MAX_HOLD,
             retain: settings.retain,
         },
+        centres: settings.centres.iter().map(|centre| centre.as_str().into()).collect(),
         responses,
+        locality: settings.locality,
         consensus: consensus::Config {
             me: me.id,
             heartbeat_interval: HEARTBEAT_INTERVAL,
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -36,6 +36,23 @@
             debug!(log, "tasks start"; "step" => step, "tasks" => tasks, "waiting" => waiting,
                 "worker" => worker, "age_ms" => age_ms);
         }
+        LogEvent::NearWait {
+            step,
+            tasks,
+            rack,
+            expected_ms,
+            until_ms,
+            right_percent,
+            alternative,
+        } => {
+            info!(log, "tasks wait for a better placement"; "step" => step, "tasks" => tasks,
+                "rack" => rack, "expected_ms" => expected_ms, "until_ms" => until_ms,
+                "right_percent" => right_percent, "alternative" => alternative);
+        }
+        LogEvent::NearWaitEnded { step, rack, near, far, reason, waited_ms } => {
+            info!(log, "a wait for a better placement has ended"; "step" => step, "rack" => rack,
+                "near" => near, "far" => far, "reason" => reason, "waited_ms" => waited_ms);
+        }
         LogEvent::Stranded {
             step,
             tasks,
@@ -101,6 +118,11 @@
         LogEvent::GivenUp { task, crashes } => {
             warn!(log, "a task is given up"; "task" => task, "crashes" => crashes);
         }
+        LogEvent::Evacuation { centre, state, left } => {
+            info!(log, "evacuation of a data centre"; "centre" => centre.as_str(),
+                "state" => state.name(), "workers" => left.workers, "runs" => left.runs,
+                "stopping" => left.stopping);
+        }
         LogEvent::Members { change } => info!(log, "members change"; "change" => change),
         LogEvent::MembersCommitted { voters, learners } => {
             info!(log, "members changed"; "voters" => ids(voters), "learners" => ids(learners));
