--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -1,9 +1,12 @@
 //! The records and answers that a turn of the leader produces.
 
+use std::time::Duration;
+
 use crate::{
     jobs::{
         controller::{Answer, Ticket, leader::Leader},
         crash::{CrashEntry, CrashRecord},
+        estimates::EstimateRecord,
         evacuation::EvacuationOrder,
         record::{Ending, Record},
         state::Change,
@@ -11,12 +14,19 @@
     time::Time,
 };
 
+/// The minimum interval between two records of estimates. A new leader learns as much in a few seconds.
+pub(super) const RECORD_INTERVAL: Duration = Duration::from_secs(5);
+
+/// The interval between two comparisons with the recorded estimates while none has changed.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Changes of the replicated state.
 #[derive(Debug, Default)]
 pub(super) struct StateChanges {
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
     pub(super) evacuations: Vec<EvacuationOrder>,
+    pub(super) estimates: EstimateRecord,
 }
 
 /// The result of a turn: changes to propose, and answers.
@@ -30,8 +40,9 @@
 impl Proposal {
     /// The number of changes to commit.
     pub(super) fn len(&self) -> usize {
-        let StateChanges { records, crashes, evacuations } = &self.changes;
-        records.len() + crashes.len() + evacuations.len()
+        let StateChanges { records, crashes, evacuations, estimates } = &self.changes;
+        let estimates = usize::from(!estimates.is_empty());
+        records.len() + crashes.len() + evacuations.len() + estimates
     }
 
     /// Whether there is nothing to commit.
@@ -59,6 +70,20 @@
         self.follow(now, changes);
     }
 
+    /// The estimates of interference to add to the next proposal: those that have changed noticeably since
+    /// they were recorded. There are none if nothing else is proposed, so an idle leader writes nothing.
+    pub(super) fn take_estimates(&mut self, now: Time) -> EstimateRecord {
+        let idle = self.records.is_empty() && self.crashes.is_empty() && self.orders.is_empty();
+        if idle || now < self.next_estimates {
+            return EstimateRecord::default();
+        }
+        let estimates = self.interference.changed_estimates(&self.state.estimates, now);
+        let interval = if estimates.is_empty() { COMPARE_INTERVAL } else { RECORD_INTERVAL };
+        self.next_estimates = now + interval;
+        self.state.estimates.apply(&estimates);
+        estimates
+    }
+
     /// Marks the outlooks that a record has changed.
     fn invalidate_outlooks(&mut self, record: &Record) {
         match record {
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -56,10 +56,12 @@
         self.drain_centres(now);
         self.answer_held(now);
         out.extend(self.log_events.drain(..).map(Effect::LogEvent));
+        let estimates = self.take_estimates(now);
         let changes = StateChanges {
             records: std::mem::take(&mut self.records),
             crashes: std::mem::take(&mut self.crashes),
             evacuations: std::mem::take(&mut self.orders),
+            estimates,
         };
         let answers = std::mem::take(&mut self.answers);
         self.last_work = std::mem::take(&mut self.work);
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -61,13 +61,16 @@
         let Some(leader) = &mut self.leader else { return };
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
-            let (since, records) = (now, proposal.len());
-            let commands = self.encode_records(proposal.changes);
+            let (since, changes) = (now, proposal.len());
+            let StateChanges { records, crashes, evacuations, estimates } = proposal.changes;
+            let (origin, number) = (self.config.me.id, self.proposals + 1);
+            let batch = Batch { origin, number, records, crashes, evacuations, estimates };
+            let commands = encode_records(batch);
             let first = self.proposals + 1;
             self.proposals += commands.len() as u64;
             // The entries are committed in order, so the answers wait for the last one.
             let (number, answers) = (self.proposals, proposal.answers);
-            self.pending.push_back(PendingProposal { number, since, records, answers });
+            self.pending.push_back(PendingProposal { number, since, records: changes, answers });
             for (number, command) in (first..).zip(commands) {
                 let ticket = crate::ids::Ticket(number);
                 self.step_consensus(now, consensus::Event::Propose { ticket, command });
@@ -81,19 +84,6 @@
         }
     }
 
-    /// Encodes the records of a turn, as several batches if they are too large for one.
-    fn encode_records(&self, changes: StateChanges) -> Vec<Bytes> {
-        let StateChanges { records, crashes, evacuations } = changes;
-        let (origin, number) = (self.config.me.id, self.proposals + 1);
-        let batch = Batch { origin, number, records, crashes, evacuations };
-        let encoded = batch.encode();
-        if encoded.len() <= MAX_ENTRY_BYTES {
-            return vec![encoded.into()];
-        }
-        let parts = batch.split(MAX_ENTRY_BYTES);
-        parts.iter().map(|part| Bytes::from(part.encode())).collect()
-    }
-
     /// Takes a snapshot after many entries, or after entries that are large together.
     pub(super) fn compact(&mut self, now: Time) {
         let many = self.applied.0 >= self.compacted.0 + self.config.snapshot_every;
@@ -108,3 +98,13 @@
         self.step_consensus(now, consensus::Event::Compacted { index: self.applied, state });
     }
 }
+
+/// Encodes the records of a turn, as several batches if they are too large for one.
+fn encode_records(batch: Batch) -> Vec<Bytes> {
+    let encoded = batch.encode();
+    if encoded.len() <= MAX_ENTRY_BYTES {
+        return vec![encoded.into()];
+    }
+    let parts = batch.split(MAX_ENTRY_BYTES);
+    parts.iter().map(|part| Bytes::from(part.encode())).collect()
+}
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -5,12 +5,13 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    codec::{DecodeError, append, decode_extension, decode_first},
+    codec::{DecodeError, Extensions, append, decode_extension, decode_first},
     data,
     ids::{DataCentre, Incarnation, InstanceId, WorkerName},
     jobs::{
         config::Config,
         crash::CrashEntry,
+        estimates::EstimateRecord,
         evacuation::EvacuationOrder,
         model::{JobId, JobSpec, QueueName, Run, TaskKey, WorkerNumber},
     },
@@ -130,38 +131,41 @@
     /// Orders to evacuate data centres, in order. They are encoded behind the crash counts.
     #[serde(skip)]
     pub evacuations: Vec<EvacuationOrder>,
+    /// Estimates of interference. They are encoded behind the evacuations.
+    #[serde(skip)]
+    pub estimates: EstimateRecord,
 }
 
 impl Batch {
     /// Encodes the batch for the log.
     pub fn encode(&self) -> Vec<u8> {
-        let mut bytes = append(Vec::new(), self);
-        // An extension is read only behind all earlier ones.
-        let evacuations = !self.evacuations.is_empty();
-        if !self.crashes.is_empty() || evacuations {
-            bytes = append(bytes, &self.crashes);
-        }
-        if evacuations {
-            bytes = append(bytes, &self.evacuations);
-        }
-        bytes
+        let mut extensions = Extensions::behind(append(Vec::new(), self));
+        extensions.append(&self.crashes, self.crashes.is_empty());
+        extensions.append(&self.evacuations, self.evacuations.is_empty());
+        extensions.append(&self.estimates, self.estimates.is_empty());
+        extensions.finish()
     }
 
     /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
     /// single record. The parts are numbered from the batch's number on. The first one has the evacuations, so
     /// that no start is committed before the order that it was decided under.
     pub fn split(self, max_bytes: usize) -> Vec<Self> {
-        let mut parts = vec![Self { records: Vec::new(), crashes: Vec::new(), ..self }];
+        let part = |number| Self {
+            origin: self.origin,
+            number,
+            records: Vec::new(),
+            crashes: Vec::new(),
+            evacuations: Vec::new(),
+            estimates: EstimateRecord::default(),
+        };
+        let mut parts = vec![Self { evacuations: self.evacuations, ..part(self.number) }];
         let mut crashes = self.crashes.into_iter().peekable();
         let (mut before, mut bytes) = (0, 0);
         for (at, record) in (0..).zip(self.records) {
             let size = append(Vec::new(), &record).len();
-            let Some(part) = parts.last() else { break };
-            if !part.records.is_empty() && bytes + size > max_bytes {
-                let number = part.number + 1;
-                let (origin, records, crashes) = (part.origin, Vec::new(), Vec::new());
-                let evacuations = Vec::new();
-                parts.push(Self { origin, number, records, crashes, evacuations });
+            let Some(last) = parts.last() else { break };
+            if !last.records.is_empty() && bytes + size > max_bytes {
+                parts.push(part(last.number + 1));
                 (before, bytes) = (at, 0);
             }
             bytes += size;
@@ -174,6 +178,7 @@
         if let Some(last) = parts.last_mut() {
             last.crashes
                 .extend(crashes.map(|crash| CrashEntry { after: crash.after - before, ..crash }));
+            last.estimates = self.estimates;
         }
         parts
     }
@@ -186,7 +191,8 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, DecodeError> {
         let (batch, rest): (Self, _) = decode_first(bytes)?;
         let (crashes, rest) = decode_extension(rest)?;
-        let (evacuations, _) = decode_extension(rest)?;
-        Ok(Self { crashes, evacuations, ..batch })
+        let (evacuations, rest) = decode_extension(rest)?;
+        let (estimates, _) = decode_extension(rest)?;
+        Ok(Self { crashes, evacuations, estimates, ..batch })
     }
 }
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -3,7 +3,8 @@
 use hickorylink_lib::{
     ids::{Incarnation, InstanceId},
     jobs::{
-        crash::{CrashEntry, CrashRecord},
+        crash::{CrashCounts, CrashEntry, CrashRecord},
+        estimates::{BaselineEstimate, EstimateRecord, ImagePair, PairEstimate},
         evacuation::EvacuationOrder,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Run, StepOptions, TaskKey, WorkerNumber},
@@ -60,7 +61,14 @@
     let after = u32::try_from(records.len()).expect("a few records");
     let blame = || CrashEntry { after, record: CrashRecord::Blame { tasks: vec![key()] } };
     let crashes = (0..crashes).map(|_| blame()).collect();
-    Batch { origin: InstanceId(1), number: 3, records, crashes, evacuations: Vec::new() }
+    Batch {
+        origin: InstanceId(1),
+        number: 3,
+        records,
+        crashes,
+        evacuations: Vec::new(),
+        estimates: EstimateRecord::default(),
+    }
 }
 
 fn state(crashes: u32) -> State {
@@ -207,6 +215,87 @@
     }
 }
 
+fn estimates(pairs: usize) -> EstimateRecord {
+    let pair = |at: usize| {
+        let opportunistic = format!("batch-{at}").as_str().into();
+        let (mean, variance) = ((0.1 + at as f32).into(), f32::MIN_POSITIVE.into());
+        let estimate = PairEstimate { mean, variance, samples: u32::MAX };
+        (ImagePair { serving: "desk".into(), opportunistic }, estimate)
+    };
+    let baseline = BaselineEstimate { mean: 4.2.into(), samples: 7 };
+    EstimateRecord {
+        pairs: (0..pairs).map(pair).collect(),
+        baselines: (0..pairs.min(1)).map(|_| ("desk".into(), baseline)).collect(),
+    }
+}
+
+/// Guards against estimates that a snapshot loses, or that an earlier release can't skip: one without crash
+/// counts, or one with them and without estimates.
+#[test]
+fn estimates_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+        pairs: usize,
+    }
+    let cases = [
+        Case { name: "neither", crashes: 0, pairs: 0 },
+        Case { name: "a crash", crashes: 2, pairs: 0 },
+        Case { name: "estimates", crashes: 0, pairs: 3 },
+        Case { name: "both", crashes: 2, pairs: 3 },
+    ];
+    for case in cases {
+        let batch = Batch { estimates: estimates(case.pairs), ..batch(case.crashes) };
+        let encoded = batch.encode();
+        let decoded = Batch::decode(&encoded).expect("a batch can be decoded");
+        assert_eq!(decoded, batch, "{}", case.name);
+        let mut state = State::default();
+        state.apply_batch(&decoded, &mut Vec::new());
+        assert_eq!(state.estimates.len(), case.pairs, "{}", case.name);
+        let snapshot = state.encode();
+        assert_eq!(State::decode(&snapshot).ok().as_ref(), Some(&state), "{}", case.name);
+
+        let (old, rest): (Batch, _) = postcard::take_from_bytes(&encoded).expect("a batch");
+        assert_eq!((old.records, old.estimates.is_empty()), (records(), true), "{}", case.name);
+        let (old, more): (State, _) = postcard::take_from_bytes(&snapshot).expect("a snapshot");
+        assert!(old.estimates.is_empty(), "{}", case.name);
+        assert_eq!(rest.is_empty(), case.crashes == 0 && case.pairs == 0, "{}", case.name);
+        assert_eq!(more.is_empty(), rest.is_empty(), "{}", case.name);
+        if !rest.is_empty() {
+            let crashes: Vec<CrashEntry> = postcard::from_bytes(rest).expect("crash counts");
+            assert_eq!(crashes, batch.crashes, "{}", case.name);
+            let crashes: CrashCounts = postcard::from_bytes(more).expect("crash counts");
+            assert_eq!(crashes, state.crashes, "{}", case.name);
+        }
+        // A damaged extension is an error of the whole.
+        if case.pairs > 0 {
+            assert!(Batch::decode(&encoded[..encoded.len() - 1]).is_err(), "{}", case.name);
+            assert!(State::decode(&snapshot[..snapshot.len() - 1]).is_err(), "{}", case.name);
+        }
+    }
+    for (name, release) in [("batch", OLD_BATCH), ("state", OLD_STATE)] {
+        let is_empty = match name {
+            "batch" => Batch::decode(&bytes(release)).map(|batch| batch.estimates.is_empty()),
+            _ => State::decode(&bytes(release)).map(|state| state.estimates.is_empty()),
+        };
+        assert!(is_empty.is_ok_and(|empty| empty), "{name} of an earlier release");
+    }
+}
+
+/// Guards against a large batch that loses its estimates, or applies them more than once, when it is split.
+#[test]
+fn a_split_batch_keeps_its_estimates() {
+    let batch = Batch { estimates: estimates(3), ..batch(2) };
+    let parts = batch.clone().split(40);
+    assert!(parts.len() > 2, "{}", parts.len());
+    let (mut whole, mut split) = (State::default(), State::default());
+    whole.apply_batch(&batch, &mut Vec::new());
+    for part in &parts {
+        split.apply_batch(part, &mut Vec::new());
+    }
+    assert_eq!(split, whole);
+}
+
 /// Guards against evacuations that a batch or a snapshot loses or that an older release can't skip, and
 /// against bytes of an older release that this one can't read.
 #[test]
@@ -257,3 +346,36 @@
     let old = State::decode(&bytes(OLD_STATE)).expect("a snapshot can be decoded");
     assert!(old.evacuations.is_empty(), "written by an older release");
 }
+
+/// Guards against evacuations and estimates that are encoded in different orders by a batch and its decoder, or
+/// by a snapshot and its decoder, and against parts of a split batch that lose one of them.
+#[test]
+fn evacuations_and_estimates_survive_together() {
+    let evacuations = vec![EvacuationOrder::Begin { centre: "akl-a".into() }];
+    for crashes in [0, 2] {
+        let batch = batch(crashes);
+        let batch = Batch { evacuations: evacuations.clone(), estimates: estimates(3), ..batch };
+        let encoded = batch.encode();
+        let (_, rest): (Batch, _) = postcard::take_from_bytes(&encoded).expect("a batch");
+        let (_, rest): (Vec<CrashEntry>, _) =
+            postcard::take_from_bytes(rest).expect("crash counts");
+        let orders: Vec<EvacuationOrder> = postcard::from_bytes(rest)
+            .expect("a release without estimates can decode the evacuations");
+        assert_eq!(orders, evacuations, "{crashes} crashes");
+        assert_eq!(Batch::decode(&encoded).ok().as_ref(), Some(&batch), "{crashes} crashes");
+
+        let mut whole = State::default();
+        whole.apply_batch(&batch, &mut Vec::new());
+        assert_eq!((whole.evacuations.iter().count(), whole.estimates.len()), (1, 3));
+        assert_eq!(State::decode(&whole.encode()).ok().as_ref(), Some(&whole));
+
+        let parts = batch.split(40);
+        assert!(parts.len() > 2, "{}", parts.len());
+        let mut split = State::default();
+        for part in &parts {
+            let part = Batch::decode(&part.encode()).expect("a batch can be decoded");
+            split.apply_batch(&part, &mut Vec::new());
+        }
+        assert_eq!(split, whole, "{crashes} crashes");
+    }
+}
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -7,6 +7,7 @@
         config::Config as JobConfig,
         controller::{Answer, Event, Ticket},
         crash::{CrashEntry, CrashRecord},
+        estimates::EstimateRecord,
         evacuation::EvacuationOrder,
         lifecycle::JobPhase,
         model::{JobId, JobSpec, Step, WorkerNumber},
@@ -132,7 +133,14 @@
         };
         let crashes = case.crashes.iter().map(absolve).collect();
         let evacuations = vec![EvacuationOrder::Begin { centre: "akl-a".into() }];
-        let batch = Batch { origin: InstanceId(1), number: 7, records, crashes, evacuations };
+        let batch = Batch {
+            origin: InstanceId(1),
+            number: 7,
+            records,
+            crashes,
+            evacuations,
+            estimates: EstimateRecord::default(),
+        };
         let parts = batch.clone().split(case.max_bytes);
         let shape: Vec<_> = parts
             .iter()
