--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -37,7 +37,7 @@
 const MIN_SAMPLES: u32 = 40;
 
 /// The mean harm plus one standard deviation below which such a pair is harmless, in the unit of
-/// `NEGLIGIBLE_HARM`.
+/// logarithmic increase per processor.
 const MAX_HARMLESS: f64 = 0.1;
 
 /// A tail latency above its target for longer than this stops the opportunistic tasks on the worker
