jobs: throttled runs move to workers where they run at full speed

Cause: a job is done with its last task. One that was throttled beside serving tasks crawled there, and one without checkpoints that was paused stayed where it was, while other workers had places.

Change: every 300 ms, up to 32 runs that have been throttled to less than half for 1 s, or paused for 2 s if they save no checkpoints, are stopped if another worker has a place for them at full speed.

The test was seen failing without the call.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -51,6 +51,7 @@
 mod respond;
 mod round;
 mod schedule;
+mod stragglers;
 mod stranded;
 mod turn;
 mod unlisted;
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -133,6 +133,8 @@
     pub(super) next_estimates: Time,
     next_expiry: Time,
     next_forget: Time,
+    /// When places for throttled runs are searched again.
+    pub(super) next_straggler_search: Time,
     /// When all workers are considered for all waiting steps again, unless the search is still in
     /// progress.
     next_retry: Time,
@@ -189,6 +191,7 @@
             next_estimates: now + RECORD_INTERVAL,
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
+            next_straggler_search: now,
             next_retry: now,
             places: Places::new(config.locality, now, wall),
             reports: WaitReports::default(),
@@ -379,6 +382,7 @@
         }
         self.idle_services = self.fleet.idle_services();
         self.report_waits(now);
+        self.move_stragglers(now);
         self.expire_silent(now);
         self.expire_searching(now);
         self.expire_departed(now);
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -81,6 +81,8 @@
     pub sent_pace: Option<u8>,
     /// Since when its pace has been 0.
     pub paused_since: Option<Time>,
+    /// Since when it has been throttled to less than half of its speed.
+    pub throttled_since: Option<Time>,
 }
 
 impl RunView {
@@ -113,6 +115,7 @@
             pace: FULL_PACE_PERCENT,
             sent_pace: Some(FULL_PACE_PERCENT),
             paused_since: None,
+            throttled_since: None,
         }
     }
 
--- a/lib/src/jobs/pace.rs
+++ b/lib/src/jobs/pace.rs
@@ -54,6 +54,9 @@
 /// The lowest pace above 0, in percent. A lower one is rounded down to 0.
 const MIN_PACE_PERCENT: f64 = 10.0;
 
+/// The pace below which a run counts as throttled, in percent: it takes more than twice as long.
+const THROTTLED_PERCENT: u8 = 50;
+
 /// The load assumed for a serving task whose baseline is average or not known. Workers don't report
 /// it.
 const ASSUMED_LOAD: f64 = 0.5;
@@ -370,6 +373,9 @@
             && (view.pace.abs_diff(pace) >= MIN_CHANGE_PERCENT || (pace == 0) != (view.pace == 0))
         {
             view.paused_since = if pace == 0 { view.paused_since.or(Some(now)) } else { None };
+            let throttled = pace < THROTTLED_PERCENT;
+            view.throttled_since =
+                if throttled { view.throttled_since.or(Some(now)) } else { None };
             view.pace = pace;
         }
     }
--- a/lib/src/jobs/pool.rs
+++ b/lib/src/jobs/pool.rs
@@ -149,6 +149,13 @@
         at.is_ok_and(|at| self.members[at].1.fits(demand))
     }
 
+    /// Takes a worker out of the candidates.
+    pub fn exclude(&mut self, number: WorkerNumber) {
+        if let Ok(at) = self.members.binary_search_by_key(&number, |(member, _)| *member) {
+            self.members[at].1 = Room::NONE;
+        }
+    }
+
     /// Updates the room of a worker whose runs have changed.
     pub fn update(&mut self, number: WorkerNumber, worker: &Worker) {
         if let Ok(at) = self.members.binary_search_by_key(&number, |(member, _)| *member) {
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -40,6 +40,7 @@
 mod standbys;
 mod standing;
 mod steps;
+mod stragglers;
 mod voters;
 mod wait_reports;
 mod waiting;
