clients: decide which clients are admitted and which are closed

A process bounded neither the connections of its clients nor the bytes that it held for them, so a few hundred clients could exhaust its memory. The module keeps both budgets, names the connections to be closed when one is full, and their deadlines. It isn't used yet.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod api;
 pub mod burn;
 pub mod chart;
+pub mod clients;
 pub mod codec;
 pub mod command;
 pub mod consensus;
