runtime, platform: one bounded HTTP server for all listeners

A body was read whole before its path was looked at, and nothing limited the connections, the time of a head or a body, or the bytes of all requests. Calls, readiness, metrics and control now use one server on hyper, whose connections and bytes are admitted by the budgets of lib/src/clients.rs. A body is held in the budget as it arrives, steps and rows are bounded while they are decoded, and the next request of a connection waits until the previous response is written.

Tested: the tests of lib (clients), platform and runtime.

--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -65,37 +65,30 @@
 const OWN_DESCRIPTORS: usize = 128;
 
 /// The bytes of the responses at the readiness and the metrics address.
-const SMALL_SHARE_BYTES: u64 = 4 << 20;
+const SMALL_BYTES: u64 = 4 << 20;
 
-/// What a connection costs besides the bytes that are counted: its task, and the buffers in which a
-/// head is received and a response is sent.
-const CONNECTION_BYTES: u64 = 40 << 10;
+/// The share of the memory for incomplete frames of peers, as a divisor.
+const PEERS_DIVISOR: u64 = 8;
+
+/// What a connection costs besides the bytes that are counted: its task, and the smallest buffers in
+/// which a head is received and a response is sent.
+const CONNECTION_BYTES: u64 = 20 << 10;
 
 impl Limits {
-    /// The limits that follow from those of a machine. Connections may use the half of the
-    /// descriptors that the other listeners leave, and a third of the memory; the bytes that are
-    /// counted may use a fifth of it, since freed memory isn't always returned to the system. The rest
-    /// is for the process itself.
-    pub fn of_machine(memory: u64, descriptors: usize, timeouts: Timeouts) -> Self {
-        let [connections, bytes] = Self::of_calls(memory, descriptors);
-        let small = |connections| Share { connections, bytes: SMALL_SHARE_BYTES };
+    /// The limits on a machine with `memory` bytes and `descriptors`, where calls may use `calls`. The
+    /// connections of calls are fewer if the machine can't hold them: they may use a third of the
+    /// memory, and no descriptor that the other listeners need.
+    pub fn of_machine(memory: u64, descriptors: usize, calls: Share, timeouts: Timeouts) -> Self {
         // A small machine gives the other listeners less, but never nothing.
         let bounded = |connections: usize| connections.min(descriptors / 16).max(1);
-        Self {
-            calls: Share { connections: usize::try_from(connections).unwrap_or(1), bytes },
-            readiness: small(bounded(READINESS_CONNECTIONS)),
-            metrics: small(bounded(METRICS_CONNECTIONS)),
-            peers: Share { connections: bounded(PEER_CONNECTIONS), bytes: memory / 8 },
-            timeouts,
-        }
-    }
-
-    /// The connections and the bytes of calls on a machine.
-    fn of_calls(memory: u64, descriptors: usize) -> [u64; 2] {
-        let others = READINESS_CONNECTIONS + METRICS_CONNECTIONS + PEER_CONNECTIONS;
-        let left = descriptors.saturating_sub(others + OWN_DESCRIPTORS).max(descriptors / 2);
-        let by_memory = memory / 3 / CONNECTION_BYTES;
-        [(left as u64 / 2).min(by_memory).max(1), memory / 5]
+        let small = |connections| Share { connections: bounded(connections), bytes: SMALL_BYTES };
+        let (readiness, metrics) = (small(READINESS_CONNECTIONS), small(METRICS_CONNECTIONS));
+        let peers = Share { connections: bounded(PEER_CONNECTIONS), bytes: memory / PEERS_DIVISOR };
+        let others = readiness.connections + metrics.connections + peers.connections;
+        let left = descriptors.saturating_sub(others + OWN_DESCRIPTORS.min(descriptors / 4));
+        let held = usize::try_from(memory / 3 / CONNECTION_BYTES).unwrap_or(usize::MAX);
+        let connections = calls.connections.min(left).min(held).max(1);
+        Self { calls: Share { connections, ..calls }, readiness, metrics, peers, timeouts }
     }
 
     /// The share of a listener.
--- a/lib/src/jobs/model.rs
+++ b/lib/src/jobs/model.rs
@@ -224,6 +224,14 @@
         steps.filter_map(|(at, step)| step.validation_error(at)).next()
     }
 
+    /// About how many bytes the specification takes in memory.
+    pub fn memory_bytes(&self) -> u64 {
+        let lists: usize = self.steps.iter().map(|step| 2 * step.after.capacity()).sum();
+        let steps = self.steps.capacity() * size_of::<Step>();
+        // Labels and images are short.
+        (self.text.len() + steps + lists) as u64
+    }
+
     /// The number of tasks of one occurrence.
     pub fn tasks(&self) -> u64 {
         self.steps.iter().map(|step| u64::from(step.count)).sum()
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -31,6 +31,7 @@
 };
 
 use crate::{
+    clients::Clients,
     clock::{Clock, wall_now},
     duty::{runtime, spawn},
     frontend::{Frontend, Waiters},
@@ -103,6 +104,8 @@
     events: RingSender<Event>,
     waiters: Arc<Waiters<TimedAnswer>>,
     clock: Clock,
+    /// The connections of all listeners.
+    pub clients: Clients,
     /// The logger.
     pub log: Logger,
 }
@@ -218,7 +221,8 @@
     let (storage, storage_ring) = thread_ring("storage", RING_CAPACITY);
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, answers_ring) = runtime_ring("front", RING_CAPACITY);
-    let metrics = Arc::new(Metrics::default());
+    let clients = Clients::from_settings(settings, clock, log);
+    let metrics = Arc::new(Metrics::new(&clients));
     let (may_stop, mut stoppable) = watch::channel(None);
     let outputs = Outputs {
         storage: Outbox::new(&storage),
@@ -246,7 +250,9 @@
 
     let waiters = Arc::new(Waiters::default());
     let events = control.clone();
-    let handle = Handle { events, waiters: waiters.clone(), clock, log: log.clone() };
+    let (waiting, front_clients) = (waiters.clone(), clients.clone());
+    let handle =
+        Handle { events, waiters: waiting, clock, clients: front_clients, log: log.clone() };
     let (stop, stopping) = watch::channel(false);
     let front_log = log.clone();
     let front_runtime = runtime().context(StartSnafu)?;
@@ -264,8 +270,9 @@
     runtime().context(StartSnafu)?.block_on(async {
         if let Some(at) = settings.metrics {
             let text = move || metrics.encode(&ring_readings());
-            metrics::spawn_server(at, text, log.clone());
+            metrics::spawn_server(at, clients.clone(), text, log.clone());
         }
+        tokio::spawn(clients.watch());
         let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
         let send_seeds = |seeds| control.push(Event::Seeds(seeds)).is_ok();
         tokio::select! {
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -25,6 +25,7 @@
 };
 
 use crate::{
+    clients::Clients,
     clock::Clock,
     duty::{runtime, spawn},
     frontend::{Frontend, Waiters},
@@ -71,6 +72,8 @@
     leaving: Arc<AtomicBool>,
     metrics: Arc<Metrics>,
     clock: Clock,
+    /// The connections of all listeners.
+    pub clients: Clients,
     /// The logger.
     pub log: Logger,
 }
@@ -149,7 +152,8 @@
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, mut answers_ring) = runtime_ring::<(u64, Reply)>("front", RING_CAPACITY);
     let ready = Arc::new(AtomicBool::new(false));
-    let metrics = Arc::new(Metrics::default());
+    let clients = Clients::from_settings(settings, clock, log);
+    let metrics = Arc::new(Metrics::new(&clients));
     let outputs = Outputs {
         links: Outbox::new(&links),
         front: Outbox::new(&answers),
@@ -173,6 +177,7 @@
         leaving: leaving.clone(),
         metrics: metrics.clone(),
         clock,
+        clients: clients.clone(),
         log: log.clone(),
     };
     let (stop, stopping) = watch::channel(false);
@@ -197,8 +202,9 @@
     runtime().context(GatewaySnafu)?.block_on(async {
         if let Some(at) = settings.metrics {
             let text = move || metrics.encode(&ring_readings());
-            metrics::spawn_server(at, text, log.clone());
+            metrics::spawn_server(at, clients.clone(), text, log.clone());
         }
+        tokio::spawn(clients.watch());
         let mut term = signal(SignalKind::terminate()).context(GatewaySnafu)?;
         let send_seeds = |seeds| gateway.push(Event::Seeds(seeds)).is_ok();
         tokio::select! {
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -4,11 +4,13 @@
 //! [`controller`] and [`gateway`] run the two roles of a deployment. Each serves its callers,
 //! workers and operators through a [`frontend::Frontend`].
 
+pub mod clients;
 pub mod clock;
 pub mod controller;
 pub mod duty;
 pub mod frontend;
 pub mod gateway;
+pub mod http;
 pub mod link;
 pub mod log;
 pub mod log_events;
--- a/runtime/src/metrics.rs
+++ b/runtime/src/metrics.rs
@@ -3,10 +3,15 @@
 use std::{
     fmt,
     net::SocketAddr,
-    sync::atomic::{AtomicI64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicI64, Ordering},
+    },
+    time::Duration,
 };
 
-use poem::{Response, Route, Server, endpoint::make_sync, http::StatusCode, listener::TcpListener};
+use hickorylink_lib::clients::Listener;
+use hyper::StatusCode;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -18,8 +23,13 @@
 };
 
 use slog::{Logger, error};
+use tokio::sync::watch;
 
-use crate::ring::RingReading;
+use crate::{
+    clients::Clients,
+    http::{self, response},
+    ring::RingReading,
+};
 
 pub mod controller;
 pub mod gateway;
@@ -105,18 +115,28 @@
 /// Serves the output of `text` at `/metrics`, in a task of its own.
 pub fn spawn_server(
     at: SocketAddr,
+    clients: Clients,
     text: impl Fn() -> Result<String, fmt::Error> + Send + Sync + 'static,
     log: Logger,
 ) {
-    let page = make_sync(move |_| match text() {
-        Ok(text) => Response::builder().content_type(CONTENT_TYPE).body(text),
-        Err(error) => {
-            Response::builder().status(StatusCode::INTERNAL_SERVER_ERROR).body(error.to_string())
-        }
-    });
+    let text = Arc::new(text);
+    let page = move |request: http::Request| {
+        let page = match request.head.uri.path() {
+            PATH => match text() {
+                Ok(text) => response(StatusCode::OK, CONTENT_TYPE, text),
+                Err(error) => {
+                    response(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", error.to_string())
+                }
+            },
+            _ => response(StatusCode::NOT_FOUND, "text/plain", "not found"),
+        };
+        async { page }
+    };
     tokio::spawn(async move {
-        let server = Server::new(TcpListener::bind(at));
-        if let Err(error) = server.run(Route::new().at(PATH, page)).await {
+        // Metrics are served until the process ends.
+        let (_running, stop) = watch::channel(false);
+        let served = http::serve(at, Listener::Metrics, clients, stop, Duration::ZERO, page);
+        if let Err(error) = served.await {
             error!(log, "can't serve metrics"; "at" => %at, "error" => %error);
         }
     });
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    clients::Clients,
     metrics::{IntGauge, PREFIX, RingMetrics, encode_text, latency_histogram, saturating_i64},
     ring::RingReading,
 };
@@ -36,6 +37,7 @@
 pub struct Metrics {
     registry: Registry,
     rings: RingMetrics,
+    clients: Option<Clients>,
     answers: Family<AnswerLabels, Counter>,
     jobs: Family<StateLabels, Counter>,
     ages: Family<StateLabels, Histogram>,
@@ -75,6 +77,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
             rings: RingMetrics::default(),
+            clients: None,
             answers: Family::default(),
             jobs: Family::default(),
             ages: Family::new_with_constructor(latency_histogram),
@@ -107,6 +110,14 @@
 }
 
 impl Metrics {
+    /// The metrics of an instance with these connections.
+    pub fn new(clients: &Clients) -> Self {
+        let mut metrics = Self::default();
+        clients.register(&mut metrics.registry);
+        metrics.clients = Some(clients.clone());
+        metrics
+    }
+
     fn register(&mut self) {
         let r = &mut self.registry;
         self.rings.register(r);
@@ -255,6 +266,9 @@
     /// A value can't be formatted.
     pub fn encode(&self, rings: &[RingReading]) -> Result<String, fmt::Error> {
         self.rings.set(rings);
+        if let Some(clients) = &self.clients {
+            clients.set_gauges();
+        }
         encode_text(&self.registry)
     }
 }
--- a/runtime/src/metrics/gateway.rs
+++ b/runtime/src/metrics/gateway.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    clients::Clients,
     metrics::{IntGauge, PREFIX, RingMetrics, encode_text, latency_histogram},
     ring::RingReading,
 };
@@ -29,6 +30,7 @@
 pub struct Metrics {
     registry: Registry,
     rings: RingMetrics,
+    clients: Option<Clients>,
     calls: Family<CallLabels, Counter>,
     latency: Family<ActionLabels, Histogram>,
     timed_out: Counter<u64, AtomicU64>,
@@ -48,6 +50,7 @@
         let mut metrics = Self {
             registry: Registry::with_prefix(PREFIX),
             rings: RingMetrics::default(),
+            clients: None,
             calls: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             timed_out: Counter::default(),
@@ -61,6 +64,14 @@
 }
 
 impl Metrics {
+    /// The metrics of an instance with these connections.
+    pub fn new(clients: &Clients) -> Self {
+        let mut metrics = Self::default();
+        clients.register(&mut metrics.registry);
+        metrics.clients = Some(clients.clone());
+        metrics
+    }
+
     fn register(&mut self) {
         let r = &mut self.registry;
         self.rings.register(r);
@@ -104,6 +115,9 @@
     /// A value can't be formatted.
     pub fn encode(&self, rings: &[RingReading]) -> Result<String, fmt::Error> {
         self.rings.set(rings);
+        if let Some(clients) = &self.clients {
+            clients.set_gauges();
+        }
         encode_text(&self.registry)
     }
 }
