runtime, jobs: bound peers' connections, incomplete frames and the bytes of calls

Peers' connections had no limit, a frame of up to 16 MiB reserved its room before a byte of it arrived, and the bytes of pending calls were bounded only by their number: a gateway's calls and those in a controller's ring. They are now held in the budgets; a call that doesn't fit is answered as not run.

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -90,7 +90,7 @@
     progress: Time,
     /// The bytes that its request, the decoded form and the response hold together.
     bytes: u64,
-    /// Whether a request on it has been answered.
+    /// Whether a request on it has been answered, or a whole frame received.
     served: bool,
     /// Whether it is to be closed.
     closing: bool,
@@ -208,11 +208,10 @@
         }
     }
 
-    /// A connection enters a phase. One that has sent its response and becomes idle holds no bytes.
+    /// A connection enters a phase. One that becomes idle again has been served, and holds no bytes.
     pub fn enter(&mut self, now: Time, id: ConnectionId, phase: Phase) {
         let Some(connection) = self.find(id) else { return };
-        let answered = connection.phase == Phase::Writing && phase == Phase::Idle;
-        connection.served |= answered;
+        connection.served |= phase == Phase::Idle;
         (connection.phase, connection.since, connection.progress) = (phase, now, now);
         if phase == Phase::Idle {
             let bytes = std::mem::take(&mut connection.bytes);
--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -51,6 +51,17 @@
     }
 }
 
+impl Call {
+    /// About how many bytes the call takes in memory.
+    pub fn memory_bytes(&self) -> u64 {
+        let job = match &self.action {
+            Action::Submit(spec) => spec.memory_bytes(),
+            Action::Show | Action::Cancel => 0,
+        };
+        (size_of::<Self>() + self.host.len() + self.path.len()) as u64 + job
+    }
+}
+
 impl Action {
     /// The name of the action in metrics.
     pub fn name(&self) -> &'static str {
--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -41,6 +41,9 @@
 /// The maximum number of pending calls.
 const MAX_CALLS: usize = 4096;
 
+/// The default for the most bytes of pending calls.
+const MAX_BYTES: u64 = 32 << 20;
+
 /// An input of the gateway.
 #[derive(Debug)]
 pub enum Event {
@@ -123,6 +126,8 @@
 struct Pending {
     ticket: u64,
     call: Call,
+    /// The bytes of the call.
+    bytes: u64,
     since: Time,
     until: Time,
     /// Until when it waits for an answer once it is sent.
@@ -148,6 +153,9 @@
     ready: bool,
     next: u64,
     pending: BTreeMap<u64, Pending>,
+    /// The bytes of the pending calls, and the most that they may have.
+    bytes: u64,
+    max_bytes: u64,
 }
 
 impl Gateway {
@@ -163,15 +171,27 @@
             ready: false,
             next: 0,
             pending: BTreeMap::new(),
+            bytes: 0,
+            max_bytes: MAX_BYTES,
         }
     }
 
+    /// Sets the most bytes of pending calls. A single call may have more.
+    pub fn with_max_bytes(self, max_bytes: u64) -> Self {
+        Self { max_bytes, ..self }
+    }
+
     /// When [`Event::Timer`] is due.
     pub fn next_deadline(&self) -> Option<Time> {
         let calls = self.pending.values().map(|pending| pending.until).min();
         earliest(calls, Some(self.next_probe))
     }
 
+    /// The bytes of the pending calls.
+    pub fn pending_bytes(&self) -> u64 {
+        self.bytes
+    }
+
     /// The number of pending calls.
     pub fn waiting(&self) -> usize {
         self.pending.len()
@@ -205,14 +225,18 @@
         timeout: Duration,
         out: &mut Vec<Effect>,
     ) {
-        if self.pending.len() >= MAX_CALLS {
+        let bytes = call.memory_bytes();
+        let full = self.bytes > 0 && self.bytes + bytes > self.max_bytes;
+        if self.pending.len() >= MAX_CALLS || full {
             out.push(Effect::Reply { ticket, reply: Reply::NotRun });
             return;
         }
         self.next += 1;
+        self.bytes += bytes;
         let pending = Pending {
             ticket,
             call,
+            bytes,
             since: now,
             until: now + timeout.min(UNSENT_WAIT),
             answer_until: now + timeout.min(SENT_WAIT),
@@ -223,6 +247,13 @@
         self.send(self.next, out);
     }
 
+    /// Removes a pending call.
+    fn take(&mut self, number: u64) -> Option<Pending> {
+        let pending = self.pending.remove(&number)?;
+        self.bytes -= pending.bytes;
+        Some(pending)
+    }
+
     /// Sends a call to the leader, if one is known.
     fn send(&mut self, number: u64, out: &mut Vec<Effect>) {
         let (Some(to), Some(pending)) = (self.leader, self.pending.get_mut(&number)) else {
@@ -253,7 +284,7 @@
                 self.follow_redirect(now, from, None, out);
             }
             LinkMessage::Answer { number, reply } => {
-                if let Some(pending) = self.pending.remove(&number) {
+                if let Some(pending) = self.take(number) {
                     out.push(Effect::Reply { ticket: pending.ticket, reply });
                 }
             }
@@ -373,7 +404,7 @@
     }
 
     fn time_out_call(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
-        let Some(pending) = self.pending.remove(&number) else { return };
+        let Some(pending) = self.take(number) else { return };
         let maybe_received = pending.maybe_received || pending.sent.is_some();
         let changes = match pending.call.action {
             Action::Submit(_) | Action::Cancel => true,
--- a/lib/tests/jobs/gateway.rs
+++ b/lib/tests/jobs/gateway.rs
@@ -101,6 +101,26 @@
             ],
             want: Reply::Unknown,
         },
+        // Guards against a refusal by the next leader that hides what the first one may have run.
+        Case {
+            name: "the next leader refuses what the first one may have run",
+            call: submit,
+            before: &[LeaderFound],
+            after: &[
+                Disconnected,
+                Advance(100),
+                SecondLeaderFound,
+                Answer(|number| LinkMessage::Answer { number, reply: Reply::NotRun }),
+            ],
+            want: Reply::Unknown,
+        },
+        Case {
+            name: "the leader refuses the call",
+            call: submit,
+            before: &[LeaderFound],
+            after: &[Answer(|number| LinkMessage::Answer { number, reply: Reply::NotRun })],
+            want: Reply::NotRun,
+        },
         Case {
             name: "the next leader answers",
             call: submit,
@@ -318,3 +338,29 @@
         assert_eq!(asked.collect::<Vec<_>>(), peers(case.asked), "{}", case.name);
     }
 }
+
+/// Guards against callers that leave while their calls are pending, so that the bytes of more and more
+/// calls are kept.
+#[test]
+fn the_bytes_of_pending_calls_are_bounded() {
+    let now = Time::from_millis(1);
+    let seeds = vec![address("10.0.0.1:7000")];
+    let size = submit().memory_bytes();
+    let mut gateway = Gateway::new(seeds, now).with_max_bytes(3 * size);
+    let mut out = Vec::new();
+    let timeout = Duration::from_secs(3);
+    for ticket in 1..=5 {
+        gateway.handle(now, Event::Call { ticket, call: submit(), timeout }, &mut out);
+    }
+    assert_eq!((gateway.waiting(), gateway.pending_bytes()), (3, 3 * size));
+    let refused = [4, 5].map(|ticket| Effect::Reply { ticket, reply: Reply::NotRun });
+    let replies = out.iter().filter(|effect| matches!(effect, Effect::Reply { .. }));
+    assert!(replies.eq(&refused), "{out:?}");
+    gateway.handle(now + Duration::from_secs(3), Event::Timer, &mut out);
+    assert_eq!((gateway.waiting(), gateway.pending_bytes()), (0, 0), "all have timed out");
+    let wide = JobSpec { text: "x".repeat(4000).into(), steps: vec![step(1)], schedule: None };
+    let call = Call { action: Action::Submit(wide), ..submit() };
+    assert!(call.memory_bytes() > 3 * size);
+    gateway.handle(now + timeout, Event::Call { ticket: 6, call, timeout }, &mut out);
+    assert_eq!(gateway.waiting(), 1, "a single call is always taken");
+}
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -33,6 +33,7 @@
 use crate::{
     clients::Clients,
     clock::{Clock, wall_now},
+    controller::inbound::{CallBytes, Inbound},
     duty::{runtime, spawn},
     frontend::{Frontend, Waiters},
     link::{LinkCommand, LinkEvent, Links},
@@ -46,6 +47,7 @@
 };
 
 mod config;
+mod inbound;
 
 /// The capacity of each ring.
 const RING_CAPACITY: usize = 8192;
@@ -232,13 +234,17 @@
         metrics: metrics.clone(),
         log: log.clone(),
     };
-    let rings = (control.clone(), storage, links, answers);
+    let rings = (control.clone(), storage, links.clone(), answers);
     let ring_readings = move || {
         let (control, storage, links, answers) = &rings;
         [control.reading(), storage.reading(), links.reading(), answers.reading()]
     };
-    spawn("control", move || run_control(&control_ring, clock, controller, outputs))
-        .context(StartSnafu)?;
+    let calls = CallBytes::new(settings.clients.buffer_bytes as u64 / 2);
+    let ring_calls = calls.clone();
+    spawn("control", move || {
+        run_control(&control_ring, clock, controller, outputs, &ring_calls);
+    })
+    .context(StartSnafu)?;
     let (confirmations, disk_log) = (control.clone(), log.clone());
     let (path, fresh) = (folder.clone(), Identity { instance: me.id, created: clock.wall() });
     let reopen = move || Store::open(Folder::new(&path), fresh, MAX_SEGMENT_BYTES);
@@ -246,7 +252,8 @@
         persist::run(&storage_ring, &confirmations, store, reopen, clock, &disk_log)
     })
     .context(StartSnafu)?;
-    spawn_links(me.peer, links_ring, control.clone(), log)?;
+    let inbound = Inbound { control: control.clone(), links, calls };
+    spawn_links(me.peer, links_ring, inbound, clients.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
     let events = control.clone();
@@ -332,20 +339,15 @@
 fn spawn_links(
     peer: SocketAddr,
     ring: mpsc::Receiver<LinkCommand>,
-    control: RingSender<Event>,
+    inbound: Inbound,
+    clients: Clients,
     log: &Logger,
 ) -> Result<(), ControllerError> {
-    let on_event = move |event| {
-        let event = match event {
-            LinkEvent::Inbound { connection, message } => to_event(connection, message),
-            LinkEvent::Outbound { .. } | LinkEvent::Closed(_) => None,
-        };
-        if let Some(event) = event {
-            // Dropped if control's ring is full; the sender retries.
-            drop(control.push(event));
-        }
+    let on_event = move |event| match event {
+        LinkEvent::Inbound { connection, message } => inbound.receive(connection, message),
+        LinkEvent::Outbound { .. } | LinkEvent::Closed(_) => {}
     };
-    let links = Links::new(on_event, log.clone());
+    let links = Links::new(on_event, log.clone()).admitted_by(clients);
     let (runtime, log) = (runtime().context(StartSnafu)?, log.clone());
     spawn("links", move || {
         runtime.block_on(async move {
@@ -362,24 +364,12 @@
     .context(StartSnafu)
 }
 
-/// Converts a message from another instance to an event of control.
-fn to_event(connection: u64, message: LinkMessage) -> Option<Event> {
-    match message {
-        LinkMessage::Hello(hello) => Some(Event::Hello(hello)),
-        LinkMessage::Consensus { from, message } => Some(Event::Consensus { from, message }),
-        LinkMessage::Forward { number, call } => {
-            Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
-        }
-        LinkMessage::Probe => Some(Event::Probe { ticket: Ticket::Link { connection, number: 0 } }),
-        LinkMessage::Answer { .. } | LinkMessage::Redirect { .. } | LinkMessage::Status(_) => None,
-    }
-}
-
 fn run_control(
     ring: &Receiver<Event>,
     clock: Clock,
     mut controller: Controller,
     mut outputs: Outputs,
+    calls: &CallBytes,
 ) {
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
@@ -410,6 +400,7 @@
             items += count_items(&event);
             events.push(event);
         }
+        events.iter().for_each(|event| calls.remove(event));
     }
 }
 
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -163,7 +163,8 @@
     };
     let rings = (gateway.clone(), links, answers);
     let ring_readings = move || [rings.0.reading(), rings.1.reading(), rings.2.reading()];
-    let state_machine = Gateway::new(settings.seed_peers(), clock.now());
+    let state_machine = Gateway::new(settings.seed_peers(), clock.now())
+        .with_max_bytes(settings.clients.buffer_bytes as u64 / 2);
     spawn("gateway", move || run_gateway(&gateway_ring, clock, state_machine, outputs))
         .context(GatewaySnafu)?;
     spawn_links(links_ring, gateway.clone(), log).context(GatewaySnafu)?;
--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use hickorylink_lib::jobs::link::LinkMessage;
+use hickorylink_lib::{clients::Listener, jobs::link::LinkMessage};
 use slog::{Logger, info, warn};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -15,14 +15,18 @@
     sync::mpsc,
     time::{sleep, timeout},
 };
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
+
+use crate::{
+    clients::{Clients, Slot},
+    link::codec::FrameCodec,
+};
+
+mod codec;
 
 /// The maximum number of messages that wait for one connection; further ones are dropped.
 const QUEUE_CAPACITY: usize = 2048;
 
-/// The largest frame; it fits a snapshot chunk or a batch of log entries.
-const MAX_FRAME_BYTES: usize = 16 << 20;
-
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The pause after a connection can't be opened or accepted.
@@ -79,7 +83,7 @@
     Closed(SocketAddr),
 }
 
-type Stream = Framed<TcpStream, LengthDelimitedCodec>;
+type Stream = Framed<TcpStream, FrameCodec>;
 
 /// The connections of an instance; all of their tasks share one runtime.
 pub struct Links<F> {
@@ -88,6 +92,7 @@
     outbound: HashMap<SocketAddr, mpsc::Sender<LinkMessage>>,
     inbound: HashMap<u64, mpsc::Sender<LinkMessage>>,
     last_inbound: u64,
+    clients: Option<Clients>,
 }
 
 impl<F> std::fmt::Debug for Links<F> {
@@ -99,7 +104,13 @@
 impl<F: Fn(LinkEvent) + Clone + Send + Sync + 'static> Links<F> {
     /// Creates the connections; `on_event` handles their events and must not block.
     pub fn new(on_event: F, log: Logger) -> Self {
-        Self { on_event, log, outbound: HashMap::new(), inbound: HashMap::new(), last_inbound: 0 }
+        let (outbound, inbound) = (HashMap::new(), HashMap::new());
+        Self { on_event, log, outbound, inbound, last_inbound: 0, clients: None }
+    }
+
+    /// Bounds the connections that peers open by the budgets of a process.
+    pub fn admitted_by(self, clients: Clients) -> Self {
+        Self { clients: Some(clients), ..self }
     }
 
     /// Runs until the ring is closed. Accepts connections if there is a listener.
@@ -153,15 +164,23 @@
         self.last_inbound += 1;
         let connection = self.last_inbound;
         let (sender, queue) = mpsc::channel(QUEUE_CAPACITY);
-        self.inbound.insert(connection, sender);
-        let on_event = self.on_event.clone();
-        let log = self.log.clone();
-        tokio::spawn(async move {
+        let (on_event, log) = (self.on_event.clone(), self.log.clone());
+        let serve = |slot: Option<Slot>| async move {
             let on_event = |message| on_event(LinkEvent::Inbound { connection, message });
-            if let Err(error) = exchange(framed(stream), queue, on_event, &log).await {
+            if let Err(error) = exchange(framed(stream, slot), queue, on_event, &log).await {
                 info!(log, "a connection from an instance ended"; "error" => %error);
             }
-        });
+        };
+        let admitted = match &self.clients {
+            Some(clients) => clients.spawn(Listener::Peers, |slot| serve(Some(slot))),
+            None => {
+                tokio::spawn(serve(None));
+                true
+            }
+        };
+        if admitted {
+            self.inbound.insert(connection, sender);
+        }
     }
 }
 
@@ -185,7 +204,7 @@
     let ended = match opened {
         Ok(stream) => {
             let received = |message| on_event(LinkEvent::Outbound { from: to, message });
-            exchange(framed(stream), queue, received, &log).await
+            exchange(framed(stream, None), queue, received, &log).await
         }
         Err(error) => {
             sleep(RECONNECT_DELAY).await;
@@ -198,7 +217,7 @@
     on_event(LinkEvent::Closed(to));
 }
 
-fn framed(stream: TcpStream) -> Stream {
+fn framed(stream: TcpStream, slot: Option<Slot>) -> Stream {
     let socket = SockRef::from(&stream);
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
@@ -206,7 +225,7 @@
     drop(socket.set_tcp_nodelay(true));
     drop(socket.set_tcp_keepalive(&keepalive));
     drop(socket.set_tcp_user_timeout(Some(ACK_TIMEOUT)));
-    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+    Framed::new(stream, FrameCodec::new(slot))
 }
 
 /// Writes queued messages and hands received ones to `on_event`, until the queue is closed or the
@@ -242,7 +261,7 @@
     }
 }
 
-async fn next(stream: &mut Stream) -> Option<io::Result<bytes::BytesMut>> {
+async fn next(stream: &mut Stream) -> Option<io::Result<Bytes>> {
     std::future::poll_fn(|context| {
         futures_util::Stream::poll_next(std::pin::Pin::new(stream), context)
     })
