jobs: a refusal doesn't hide what an earlier leader may have run

A leader's answer that a call wasn't run was passed on to the caller although the call had been sent to an earlier leader, whose answer was lost. The caller is now told that the outcome is unknown. Calls that a controller has no room for make such answers more frequent.

--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -63,6 +63,14 @@
 }
 
 impl Action {
+    /// Whether the action changes a job.
+    pub fn changes(&self) -> bool {
+        match self {
+            Self::Submit(_) | Self::Cancel => true,
+            Self::Show => false,
+        }
+    }
+
     /// The name of the action in metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -138,6 +138,13 @@
     sent: Option<SocketAddr>,
 }
 
+impl Pending {
+    /// Whether a controller that didn't say otherwise may have run it.
+    fn maybe_run(&self) -> bool {
+        self.maybe_received && self.call.action.changes()
+    }
+}
+
 /// A gateway.
 #[derive(Debug)]
 pub struct Gateway {
@@ -285,7 +292,12 @@
             }
             LinkMessage::Answer { number, reply } => {
                 if let Some(pending) = self.take(number) {
-                    out.push(Effect::Reply { ticket: pending.ticket, reply });
+                    // What this controller refuses, an earlier one may have run.
+                    let told = match reply {
+                        Reply::NotRun if pending.maybe_run() => Reply::Unknown,
+                        reply => reply,
+                    };
+                    out.push(Effect::Reply { ticket: pending.ticket, reply: told });
                 }
             }
             LinkMessage::Redirect { number, leader } => {
@@ -405,12 +417,8 @@
 
     fn time_out_call(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
         let Some(pending) = self.take(number) else { return };
-        let maybe_received = pending.maybe_received || pending.sent.is_some();
-        let changes = match pending.call.action {
-            Action::Submit(_) | Action::Cancel => true,
-            Action::Show => false,
-        };
-        let (reply, told) = match maybe_received && changes {
+        let maybe_sent = pending.sent.is_some() && pending.call.action.changes();
+        let (reply, told) = match pending.maybe_run() || maybe_sent {
             true => (Reply::Unknown, "unknown"),
             false => (Reply::NotRun, "not run"),
         };
