--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     jobs::{
-        call::{Action, Call, Reply},
+        call::{Call, Reply},
         link::{ControllerStatus, LinkMessage},
     },
     time::{Time, earliest},
--- a/runtime/src/link/codec.rs
+++ b/runtime/src/link/codec.rs
@@ -18,6 +18,9 @@
 /// The least room that is added for the rest of a frame.
 const MIN_ROOM: usize = 8192;
 
+/// The largest frame after which its buffer is used again.
+const MAX_KEPT_BYTES: usize = 64 << 10;
+
 /// Reads and writes frames. Room for a frame is added as its bytes arrive, and those of an incomplete
 /// frame of a peer are held in the budget.
 #[derive(Debug)]
@@ -86,7 +89,14 @@
         }
         self.complete();
         source.advance(LENGTH_BYTES);
-        Ok(Some(source.split_to(length).freeze()))
+        let frame = source.split_to(length).freeze();
+        if length > MAX_KEPT_BYTES {
+            // Otherwise every connection keeps a buffer of the size of its largest frame.
+            let mut rest = BytesMut::with_capacity(source.len().max(MIN_ROOM));
+            rest.extend_from_slice(source);
+            *source = rest;
+        }
+        Ok(Some(frame))
     }
 }
 
