runtime, platform: tests of the bounded server and of decoding

A response has a deadline for the whole of it, as the setting says, and a failed accept is counted.

Tested: runtime/tests/http.rs, platform/tests/bounds.rs, lib/tests/clients.rs.

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -370,7 +370,7 @@
                 Some((whole.min(self.progress + timeouts.progress), Cause::Body))
             }
             Phase::Calling => None,
-            Phase::Writing => Some((self.progress + timeouts.write, Cause::Write)),
+            Phase::Writing => Some((self.since + timeouts.write, Cause::Write)),
         }
     }
 }
--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -22,7 +22,7 @@
     pub body: Duration,
     /// Without a byte in the middle of a body or a frame.
     pub progress: Duration,
-    /// Without a byte that the client reads of a response.
+    /// For a client to read a response.
     pub write: Duration,
     /// Without a request.
     pub idle: Duration,
--- a/runtime/src/clients.rs
+++ b/runtime/src/clients.rs
@@ -10,7 +10,9 @@
 };
 
 use hickorylink_lib::{
-    clients::{Admission, Cause, Closing, ConnectionId, Limits, Listener, Phase, Share, Timeouts},
+    clients::{
+        Admission, Cause, Closing, ConnectionId, Limits, Listener, Phase, Share, Timeouts, Usage,
+    },
     time::Time,
 };
 use prometheus_client::{
@@ -196,6 +198,11 @@
         );
     }
 
+    /// What the connections of a listener hold.
+    pub fn usage(&self, listener: Listener) -> Usage {
+        self.lock().admission.usage(listener)
+    }
+
     /// Sets the gauges from the present usage.
     pub fn set_gauges(&self) {
         let state = self.lock();
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -158,7 +158,7 @@
     at: SocketAddr,
     listener: Listener,
     clients: Clients,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
     drain: Duration,
     service: S,
 ) -> io::Result<()>
@@ -167,6 +167,22 @@
     A: Future<Output = Response> + Send + 'static,
 {
     let socket = TcpListener::bind(at).await?;
+    serve_socket(socket, listener, clients, stop, drain, service).await;
+    Ok(())
+}
+
+/// Serves requests at a socket, as [`serve`] does at an address.
+pub async fn serve_socket<S, A>(
+    socket: TcpListener,
+    listener: Listener,
+    clients: Clients,
+    mut stop: watch::Receiver<bool>,
+    drain: Duration,
+    service: S,
+) where
+    S: Fn(Request) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = Response> + Send + 'static,
+{
     let (open, mut all_closed) = mpsc::channel::<Infallible>(1);
     loop {
         let accepted = tokio::select! {
@@ -181,12 +197,14 @@
                     drop(open);
                 });
             }
-            Err(_) => sleep(ACCEPT_RETRY).await,
+            Err(_) => {
+                clients.refuse(listener, Cause::Connections);
+                sleep(ACCEPT_RETRY).await;
+            }
         }
     }
     drop((socket, open));
     drop(timeout(drain, all_closed.recv()).await);
-    Ok(())
 }
 
 /// Serves the requests on a connection.
