--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -68,7 +68,7 @@
 const SMALL_BYTES: u64 = 4 << 20;
 
 /// The share of the memory for incomplete frames of peers, as a divisor.
-const PEERS_DIVISOR: u64 = 8;
+const PEERS_DIVISOR: u64 = 12;
 
 /// What a connection costs besides the bytes that are counted: its task, and the smallest buffers in
 /// which a head is received and a response is sent.
--- a/runtime/src/clients.rs
+++ b/runtime/src/clients.rs
@@ -20,7 +20,7 @@
     metrics::{counter::Counter, family::Family},
     registry::Registry,
 };
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::{sync::Notify, task::AbortHandle, time::sleep};
 
 use crate::{
@@ -238,9 +238,18 @@
     fn count(&self, listener: Listener, cause: Cause, line: Option<u64>) {
         let labels = RefusalLabels { listener: listener.name(), cause: cause.name() };
         self.shared.refused.get_or_create(&labels).inc();
-        if let Some(count) = line {
-            warn!(self.shared.log, "clients are refused or their connections closed";
-                "listener" => listener.name(), "cause" => cause.name(), "count" => count);
+        let Some(count) = line else { return };
+        let (log, listener) = (&self.shared.log, listener.name());
+        match cause {
+            Cause::Idle => info!(log, "idle connections of clients are closed";
+                "listener" => listener, "count" => count),
+            Cause::Connections
+            | Cause::Bytes
+            | Cause::Head
+            | Cause::Body
+            | Cause::Write
+            | Cause::TooLarge => warn!(log, "clients are refused or their connections closed";
+                "listener" => listener, "cause" => cause.name(), "count" => count),
         }
     }
 
