--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -49,6 +49,34 @@
 /// The value of `Retry-After`, in seconds; the header has no smaller unit.
 const RETRY_AFTER_S: HeaderValue = HeaderValue::from_static("1");
 
+/// Why a request is refused that hasn't run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// The request is larger than its path or the process allows.
+    TooLarge,
+    /// There is no room for it at the moment.
+    NoRoom,
+    /// The body ended early, or isn't encoded correctly.
+    Incomplete,
+}
+
+impl From<Refusal> for Response {
+    /// The connection is closed after the response, since the body may not have been read to its end.
+    fn from(refusal: Refusal) -> Self {
+        let status = match refusal {
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::Incomplete => StatusCode::BAD_REQUEST,
+        };
+        let mut response = response(status, "application/json", "{}");
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        if refusal == Refusal::NoRoom {
+            response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S);
+        }
+        response
+    }
+}
+
 /// A request whose body hasn't been read.
 #[derive(Debug)]
 pub struct Request {
@@ -63,9 +91,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the response to a client whose body is too large, doesn't fit into the budget, or ends
-    /// early. The request hasn't run.
-    pub async fn body(&mut self, limit: usize) -> Result<Bytes, Response> {
+    /// The body is too large, doesn't fit into the budget, or ends early.
+    pub async fn body(&mut self, limit: usize) -> Result<Bytes, Refusal> {
         let declared = self.body.size_hint().upper();
         let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
         if declared.is_some_and(|bytes| bytes > limit) {
@@ -77,7 +104,7 @@
         self.progress.enter(Phase::Body);
         let mut whole = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
-            let Ok(frame) = frame else { return Err(closing(StatusCode::BAD_REQUEST)) };
+            let Ok(frame) = frame else { return Err(Refusal::Incomplete) };
             let Ok(part) = frame.into_data() else { continue };
             let length = whole.len() + part.len();
             if length > limit {
@@ -108,8 +135,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the response to the client if they don't fit into the budget. The request hasn't run.
-    pub fn hold(&self, bytes: u64) -> Result<(), Response> {
+    /// They don't fit into the budget.
+    pub fn hold(&self, bytes: u64) -> Result<(), Refusal> {
         if self.progress.slot().hold(bytes) {
             return Ok(());
         }
@@ -117,14 +144,12 @@
             return Err(self.too_large());
         }
         self.progress.slot().refuse(Cause::Bytes);
-        let mut response = closing(StatusCode::SERVICE_UNAVAILABLE);
-        response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S);
-        Err(response)
+        Err(Refusal::NoRoom)
     }
 
-    fn too_large(&self) -> Response {
+    fn too_large(&self) -> Refusal {
         self.progress.slot().refuse(Cause::TooLarge);
-        closing(StatusCode::PAYLOAD_TOO_LARGE)
+        Refusal::TooLarge
     }
 }
 
@@ -141,13 +166,6 @@
     response
 }
 
-/// Builds a response after which the connection is closed, since the body wasn't read to its end.
-fn closing(status: StatusCode) -> Response {
-    let mut response = response(status, "application/json", "{}");
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
-
 /// Serves requests at an address until `stop` becomes true. Requests in progress may then still take
 /// `drain`.
 ///
--- a/runtime/tests/http.rs
+++ b/runtime/tests/http.rs
@@ -102,7 +102,7 @@
     }
     match request.body(MAX_BODY).await {
         Ok(body) => response(StatusCode::OK, "text/plain", body.len().to_string()),
-        Err(refusal) => refusal,
+        Err(refusal) => refusal.into(),
     }
 }
 
@@ -302,7 +302,8 @@
         let mut part = vec![0; 1 << 20];
         let read = timeout(LIMIT, async {
             while begun(&fixture) < 3 {
-                stream.read(&mut part).await.expect("the responses are sent");
+                let bytes = stream.read(&mut part).await.expect("the responses are sent");
+                assert!(bytes > 0, "the connection stays open");
             }
         });
         assert!(read.await.is_ok(), "the next ones follow");
