--- a/lib/tests/clients.rs
+++ b/lib/tests/clients.rs
@@ -343,9 +343,9 @@
                     }
                 }
                 (3 | 4, Some((id, ..))) => {
-                    if admission.hold(now, id, u64::from(amount % 3000), &mut out) {
-                        open[pick].2 = u64::from(amount % 3000);
-                    }
+                    let bytes = u64::from(amount % 3000);
+                    let fits = admission.hold(now, id, bytes, &mut out);
+                    open[pick].2 = if fits { bytes } else { open[pick].2 };
                 }
                 (5, Some((id, ..))) => {
                     admission.close(id);
