runtime: settings of the limits for clients

The limits for clients outside the deployment's control need the memory and the descriptors of the machine, and settings of their own. Adds `memory_mb`, `max_fds` and the optional object `clients` with its type `ClientLimits`; they are read and validated, and have no effect yet.

--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -8,6 +8,10 @@
     settings::{LogFormat, LogLevel, LogSettings},
 };
 
+use self::clients::ClientLimits;
+
+pub mod clients;
+
 /// The environment variable that names the settings file.
 pub const SETTINGS_ENV: &str = "HICKORYLINK_NODE_FILE";
 
@@ -26,6 +30,9 @@
     "retain_s",
     "grace_s",
     "log_level",
+    "memory_mb",
+    "max_fds",
+    "clients",
 ];
 
 /// The upper limit on leases: its default and its largest value.
@@ -44,6 +51,18 @@
 const DEFAULT_LOSSES: u64 = 1;
 const MAX_LOSSES: u64 = 3;
 
+/// The memory of the machine in megabytes (10^6 bytes): the default, which is that of the smallest
+/// machine (a gateway's), and the bounds.
+const DEFAULT_MEMORY_MB: u64 = 160;
+const MIN_MEMORY_MB: u64 = 32;
+const MAX_MEMORY_MB: u64 = 1 << 20;
+
+/// The descriptors of the machine: the default, which is that of the smallest machine (a
+/// controller's), and the bounds.
+const DEFAULT_MAX_FDS: u64 = 4096;
+const MIN_MAX_FDS: u64 = 64;
+const MAX_MAX_FDS: u64 = 1 << 20;
+
 /// The settings of an instance of a deployment.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Settings {
@@ -75,6 +94,12 @@
     pub grace: Duration,
     /// The settings of the log.
     pub log: LogSettings,
+    /// The memory of the machine, in megabytes (10^6 bytes).
+    pub memory_mb: u64,
+    /// How many descriptors the process may have open.
+    pub max_fds: u64,
+    /// The limits for clients.
+    pub clients: ClientLimits,
 }
 
 impl Settings {
@@ -118,6 +143,16 @@
     let grace = integer("grace_s", DEFAULT_GRACE_S, MAX_GRACE_S);
     let level = root.get("log_level").and_then(|value| value.one_of(LogLevel::NAMES));
     let level = level.and_then(LogLevel::from_name).unwrap_or(LogLevel::Info);
+    let limit = |field, default, bounds| {
+        root.get(field).and_then(|value| value.integer(bounds)).unwrap_or(default)
+    };
+    let memory_mb = limit("memory_mb", DEFAULT_MEMORY_MB, MIN_MEMORY_MB..=MAX_MEMORY_MB);
+    let max_fds = limit("max_fds", DEFAULT_MAX_FDS, MIN_MAX_FDS..=MAX_MAX_FDS);
+    let clients = root.get("clients").and_then(ValueView::object);
+    let clients = clients.map_or_else(
+        || ClientLimits::new(memory_mb, max_fds),
+        |object| ClientLimits::read(object, memory_mb, max_fds),
+    );
     Some(Settings {
         name: name?.to_owned(),
         centre: centre?.to_owned(),
@@ -133,6 +168,9 @@
         retain: Duration::from_secs(retain),
         grace: Duration::from_secs(grace),
         log: LogSettings { format: LogFormat::Json, level },
+        memory_mb,
+        max_fds,
+        clients,
     })
 }
 
