--- a/standin/src/platform.rs
+++ b/standin/src/platform.rs
@@ -44,9 +44,20 @@
     port: u16,
     peer_port: u16,
     metrics_port: u16,
+    readiness_port: u16,
+    fields: RoleFields,
     members: Vec<Member>,
 }
 
+/// Further fields of the members' settings, by role. Each is an object or null.
+#[derive(Clone, Debug, Default)]
+pub struct RoleFields {
+    /// The fields of controllers.
+    pub controller: Value,
+    /// The fields of gateways.
+    pub gateway: Value,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MemberRole {
     Controller,
@@ -82,11 +93,34 @@
         controllers: usize,
         gateways: usize,
     ) -> io::Result<Self> {
-        let ports = [(); 3].map(|()| free_address().map(|address| address.port()));
-        let [port, peer_port, metrics_port] = ports;
-        let (port, peer_port, metrics_port) = (port?, peer_port?, metrics_port?);
-        let (program, folder, members) = (program.to_owned(), folder.to_owned(), Vec::new());
-        let mut deployment = Self { program, folder, port, peer_port, metrics_port, members };
+        Self::start_with(program, folder, controllers, gateways, RoleFields::default())
+    }
+
+    /// Starts controllers and gateways as [`Deployment::start`] does, with further fields in their
+    /// settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a file can't be written or a process can't be started.
+    pub fn start_with(
+        program: &Path,
+        folder: &Path,
+        controllers: usize,
+        gateways: usize,
+        fields: RoleFields,
+    ) -> io::Result<Self> {
+        let ports = [(); 4].map(|()| free_address().map(|address| address.port()));
+        let [port, peer_port, metrics_port, readiness_port] = ports;
+        let mut deployment = Self {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            port: port?,
+            peer_port: peer_port?,
+            metrics_port: metrics_port?,
+            readiness_port: readiness_port?,
+            fields,
+            members: Vec::new(),
+        };
         for _ in 0..controllers {
             deployment.add_member(MemberRole::Controller);
         }
@@ -135,6 +169,15 @@
         if self.members[at].role == MemberRole::Controller {
             settings["founding"] = founding.into();
             settings["data"] = self.data(at).display().to_string().into();
+        } else {
+            settings["readiness"] = self.readiness_address(at).to_string().into();
+        }
+        let fields = match self.members[at].role {
+            MemberRole::Controller => &self.fields.controller,
+            MemberRole::Gateway => &self.fields.gateway,
+        };
+        for (name, value) in fields.as_object().into_iter().flatten() {
+            settings[name] = value.clone();
         }
         fs::write(self.settings(at), settings.to_string())
     }
@@ -243,10 +286,26 @@
         epochs.max().map(|(_, at)| at)
     }
 
-    fn metrics_address(&self, at: usize) -> SocketAddr {
+    /// The address of a member's metrics.
+    pub fn metrics_address(&self, at: usize) -> SocketAddr {
         SocketAddr::new(self.members[at].listen.ip(), self.metrics_port)
     }
 
+    /// The address of a gateway's readiness check.
+    pub fn readiness_address(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.members[at].listen.ip(), self.readiness_port)
+    }
+
+    /// The address of a controller for other members.
+    pub fn peer_address(&self, at: usize) -> SocketAddr {
+        SocketAddr::new(self.members[at].listen.ip(), self.peer_port)
+    }
+
+    /// The process id of a member that has been started.
+    pub fn process_id(&self, at: usize) -> Option<u32> {
+        self.members[at].child.as_ref().map(Child::id)
+    }
+
     /// The metrics of a member, in the text format.
     ///
     /// # Errors
@@ -274,9 +333,9 @@
         members.filter(move |(_, member)| member.role == role).map(|(at, _)| at)
     }
 
-    /// Applies a config with one route, `/fold/`, and returns the first conclusive response.
-    pub async fn apply_config(&self, version: u64) -> Option<Response> {
-        let config = json!({
+    /// A config with one route, `/fold/`.
+    pub fn config(version: u64) -> Value {
+        json!({
             "version": version,
             "routes": [{
                 "name": "fold", "host": HOST, "pathPrefix": "/fold/", "kind": "unsafe",
@@ -284,8 +343,12 @@
                 "service": SERVICE, "maxAttempts": 4, "slackFactor": 2.0,
             }],
             "services": [{ "name": SERVICE, "rejectsOverload": true }],
-        });
-        self.operator_call(Method::PUT, config.to_string().into()).await
+        })
+    }
+
+    /// Applies [`Deployment::config`], and returns the first conclusive response.
+    pub async fn apply_config(&self, version: u64) -> Option<Response> {
+        self.operator_call(Method::PUT, Self::config(version).to_string().into()).await
     }
 
     /// Sends an operator's call about the config to one controller after the other, following
