--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -70,6 +70,10 @@
 /// The share of the memory for incomplete frames of peers, as a divisor.
 const PEERS_DIVISOR: u64 = 12;
 
+/// The least bytes for incomplete frames of peers: one of the largest, of 16 MiB, doesn't use the spare
+/// bytes.
+const MIN_PEER_BYTES: u64 = 19 << 20;
+
 /// What a connection costs besides the bytes that are counted: its task, and the smallest buffers in
 /// which a head is received and a response is sent.
 const CONNECTION_BYTES: u64 = 20 << 10;
@@ -83,7 +87,8 @@
         let bounded = |connections: usize| connections.min(descriptors / 16).max(1);
         let small = |connections| Share { connections: bounded(connections), bytes: SMALL_BYTES };
         let (readiness, metrics) = (small(READINESS_CONNECTIONS), small(METRICS_CONNECTIONS));
-        let peers = Share { connections: bounded(PEER_CONNECTIONS), bytes: memory / PEERS_DIVISOR };
+        let frames = (memory / PEERS_DIVISOR).max(MIN_PEER_BYTES);
+        let peers = Share { connections: bounded(PEER_CONNECTIONS), bytes: frames };
         let others = readiness.connections + metrics.connections + peers.connections;
         let left = descriptors.saturating_sub(others + OWN_DESCRIPTORS.min(descriptors / 4));
         let held = usize::try_from(memory / 3 / CONNECTION_BYTES).unwrap_or(usize::MAX);
--- a/lib/tests/clients.rs
+++ b/lib/tests/clients.rs
@@ -296,6 +296,8 @@
         let bytes: u64 = shares.iter().map(|share| share.bytes).sum();
         assert!(limits.calls.connections >= case.needed, "{}: {limits:?}", case.name);
         assert!(limits.peers.connections >= 58, "{}: {limits:?}", case.name);
+        let frames = limits.peers.bytes - limits.peers.bytes / 8;
+        assert!(frames >= 16 << 20, "{}: the largest frame fits: {limits:?}", case.name);
         assert!(total + 128 <= case.descriptors, "{}: {limits:?}", case.name);
         assert!(bytes <= case.memory / 2, "{}: {limits:?}", case.name);
     }
