--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -102,6 +102,7 @@
             return Ok(Bytes::new());
         }
         self.progress.enter(Phase::Body);
+        self.hold(READ_BUFFER_BYTES as u64)?;
         let mut whole = BytesMut::new();
         while let Some(frame) = self.body.frame().await {
             let Ok(frame) = frame else { return Err(Refusal::Incomplete) };
@@ -119,11 +120,11 @@
                 let doubled = (2 * whole.capacity()).max(MIN_BODY_BUFFER);
                 let capacity = doubled.min(declared.unwrap_or(limit)).max(length);
                 // While the buffer is moved, the previous one is in use, too.
-                self.hold((capacity + whole.capacity()) as u64)?;
+                self.hold((READ_BUFFER_BYTES + capacity + whole.capacity()) as u64)?;
                 let mut larger = BytesMut::with_capacity(capacity);
                 larger.extend_from_slice(&whole);
                 whole = larger;
-                self.hold(capacity as u64)?;
+                self.hold((READ_BUFFER_BYTES + capacity) as u64)?;
             }
             whole.extend_from_slice(&part);
         }
