--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -31,7 +31,9 @@
 };
 
 use crate::{
+    clients::Clients,
     clock::{Clock, wall_now},
+    controller::inbound::{CallBytes, Inbound},
     duty::{runtime, spawn},
     frontend::{Frontend, Waiters},
     link::{LinkCommand, LinkEvent, Links},
@@ -45,6 +47,7 @@
 };
 
 mod config;
+mod inbound;
 
 /// The capacity of each ring.
 const RING_CAPACITY: usize = 8192;
@@ -103,6 +106,8 @@
     events: RingSender<Event>,
     waiters: Arc<Waiters<TimedAnswer>>,
     clock: Clock,
+    /// The connections of all listeners.
+    pub clients: Clients,
     /// The logger.
     pub log: Logger,
 }
@@ -218,7 +223,8 @@
     let (storage, storage_ring) = thread_ring("storage", RING_CAPACITY);
     let (links, links_ring) = runtime_ring("links", RING_CAPACITY);
     let (answers, answers_ring) = runtime_ring("front", RING_CAPACITY);
-    let metrics = Arc::new(Metrics::default());
+    let clients = Clients::from_settings(settings, clock, log);
+    let metrics = Arc::new(Metrics::new(&clients));
     let (may_stop, mut stoppable) = watch::channel(None);
     let outputs = Outputs {
         storage: Outbox::new(&storage),
@@ -228,13 +234,17 @@
         metrics: metrics.clone(),
         log: log.clone(),
     };
-    let rings = (control.clone(), storage, links, answers);
+    let rings = (control.clone(), storage, links.clone(), answers);
     let ring_readings = move || {
         let (control, storage, links, answers) = &rings;
         [control.reading(), storage.reading(), links.reading(), answers.reading()]
     };
-    spawn("control", move || run_control(&control_ring, clock, controller, outputs))
-        .context(StartSnafu)?;
+    let calls = CallBytes::new(settings.clients.buffer_bytes as u64 / 2);
+    let ring_calls = calls.clone();
+    spawn("control", move || {
+        run_control(&control_ring, clock, controller, outputs, &ring_calls);
+    })
+    .context(StartSnafu)?;
     let (confirmations, disk_log) = (control.clone(), log.clone());
     let (path, fresh) = (folder.clone(), Identity { instance: me.id, created: clock.wall() });
     let reopen = move || Store::open(Folder::new(&path), fresh, MAX_SEGMENT_BYTES);
@@ -242,11 +252,14 @@
         persist::run(&storage_ring, &confirmations, store, reopen, clock, &disk_log)
     })
     .context(StartSnafu)?;
-    spawn_links(me.peer, links_ring, control.clone(), log)?;
+    let inbound = Inbound { control: control.clone(), links, calls };
+    spawn_links(me.peer, links_ring, inbound, clients.clone(), log)?;
 
     let waiters = Arc::new(Waiters::default());
     let events = control.clone();
-    let handle = Handle { events, waiters: waiters.clone(), clock, log: log.clone() };
+    let (waiting, front_clients) = (waiters.clone(), clients.clone());
+    let handle =
+        Handle { events, waiters: waiting, clock, clients: front_clients, log: log.clone() };
     let (stop, stopping) = watch::channel(false);
     let front_log = log.clone();
     let front_runtime = runtime().context(StartSnafu)?;
@@ -264,8 +277,9 @@
     runtime().context(StartSnafu)?.block_on(async {
         if let Some(at) = settings.metrics {
             let text = move || metrics.encode(&ring_readings());
-            metrics::spawn_server(at, text, log.clone());
+            metrics::spawn_server(at, clients.clone(), text, log.clone());
         }
+        tokio::spawn(clients.watch());
         let mut term = signal(SignalKind::terminate()).context(StartSnafu)?;
         let send_seeds = |seeds| control.push(Event::Seeds(seeds)).is_ok();
         tokio::select! {
@@ -325,20 +339,15 @@
 fn spawn_links(
     peer: SocketAddr,
     ring: mpsc::Receiver<LinkCommand>,
-    control: RingSender<Event>,
+    inbound: Inbound,
+    clients: Clients,
     log: &Logger,
 ) -> Result<(), ControllerError> {
-    let on_event = move |event| {
-        let event = match event {
-            LinkEvent::Inbound { connection, message } => to_event(connection, message),
-            LinkEvent::Outbound { .. } | LinkEvent::Closed(_) => None,
-        };
-        if let Some(event) = event {
-            // Dropped if control's ring is full; the sender retries.
-            drop(control.push(event));
-        }
+    let on_event = move |event| match event {
+        LinkEvent::Inbound { connection, message } => inbound.receive(connection, message),
+        LinkEvent::Outbound { .. } | LinkEvent::Closed(_) => {}
     };
-    let links = Links::new(on_event, log.clone());
+    let links = Links::new(on_event, log.clone()).admitted_by(clients);
     let (runtime, log) = (runtime().context(StartSnafu)?, log.clone());
     spawn("links", move || {
         runtime.block_on(async move {
@@ -355,24 +364,12 @@
     .context(StartSnafu)
 }
 
-/// Converts a message from another instance to an event of control.
-fn to_event(connection: u64, message: LinkMessage) -> Option<Event> {
-    match message {
-        LinkMessage::Hello(hello) => Some(Event::Hello(hello)),
-        LinkMessage::Consensus { from, message } => Some(Event::Consensus { from, message }),
-        LinkMessage::Forward { number, call } => {
-            Some(Event::Call { ticket: Ticket::Link { connection, number }, call })
-        }
-        LinkMessage::Probe => Some(Event::Probe { ticket: Ticket::Link { connection, number: 0 } }),
-        LinkMessage::Answer { .. } | LinkMessage::Redirect { .. } | LinkMessage::Status(_) => None,
-    }
-}
-
 fn run_control(
     ring: &Receiver<Event>,
     clock: Clock,
     mut controller: Controller,
     mut outputs: Outputs,
+    calls: &CallBytes,
 ) {
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
@@ -403,6 +400,7 @@
             items += count_items(&event);
             events.push(event);
         }
+        events.iter().for_each(|event| calls.remove(event));
     }
 }
 
