--- a/cli/tests/clients/crowd.rs
+++ b/cli/tests/clients/crowd.rs
@@ -125,6 +125,9 @@
 #[derive(Debug, Default)]
 struct Progress {
     bytes: AtomicU64,
+    /// The clients whose connection has been opened or refused. A full queue of the listener delays a
+    /// connection by a second or more, in which nothing else need change.
+    opened: AtomicUsize,
     /// The clients that have reached the end of their script or whose connection has ended.
     ended: AtomicUsize,
 }
@@ -148,16 +151,17 @@
     drop(leaving);
     let mut usage = Usage::default();
     let start = Instant::now();
-    let mut last = (0, 0, 0);
+    let mut last = (0, 0, 0, 0);
     let mut changed = start;
     loop {
         usage.sample(pid);
         let ended = progress.ended.load(Ordering::Relaxed);
-        let now = (progress.bytes.load(Ordering::Relaxed), ended, usage.peak);
+        let opened = progress.opened.load(Ordering::Relaxed);
+        let now = (progress.bytes.load(Ordering::Relaxed), opened, ended, usage.peak);
         if now != last {
             (last, changed) = (now, Instant::now());
         }
-        let quiet = changed.elapsed() >= QUIET_TIME;
+        let quiet = opened >= clients && changed.elapsed() >= QUIET_TIME;
         let settled = match script.then {
             Then::Await => quiet && ended >= clients,
             Then::Hold | Then::ReadSlowly | Then::Close => quiet,
@@ -190,7 +194,9 @@
 ) -> io::Result<Option<TcpStream>> {
     let socket = TcpSocket::new_v4()?;
     socket.set_recv_buffer_size(RECEIVE_BUFFER)?;
-    let mut stream = timeout(CONNECT_TIMEOUT, socket.connect(to)).await??;
+    let connected = timeout(CONNECT_TIMEOUT, socket.connect(to)).await;
+    progress.opened.fetch_add(1, Ordering::Relaxed);
+    let mut stream = connected??;
     stream.set_nodelay(true)?;
     write(&mut stream, &script.start, script, progress).await?;
     for _ in 0..script.times {
