--- a/lib/src/jobs/controller/evacuate.rs
+++ b/lib/src/jobs/controller/evacuate.rs
@@ -69,7 +69,6 @@
     next_worker: WorkerNumber,
     /// The runs that haven't ended or whose tasks haven't started again.
     moves: BTreeMap<TaskKey, Move>,
-    blocked: bool,
     centres: BTreeMap<DataCentre, Progress>,
 }
 
@@ -81,16 +80,9 @@
             next_count: now + COUNT_INTERVAL,
             next_worker: WorkerNumber::default(),
             moves: BTreeMap::new(),
-            blocked: true,
             centres: BTreeMap::new(),
         }
     }
-
-    /// Whether no worker outside the evacuated data centres took runs in the last round or at the last
-    /// order.
-    pub(super) fn is_blocked(&self) -> bool {
-        self.blocked
-    }
 }
 
 /// The rooms that a round of the drain counts on.
@@ -162,6 +154,10 @@
         }
         let state = if evacuated {
             self.withdraw_unsent(now, &numbers);
+            // Starts that were lost on the way to their worker aren't sent again.
+            for number in &numbers {
+                self.pending_starts.remove(number);
+            }
             let progress = Progress { load, next_log: now + LOG_INTERVAL, complete: false };
             self.drain.centres.insert(centre.clone(), progress);
             EvacuationState::Begun
@@ -172,8 +168,6 @@
             self.search_ended = false;
             EvacuationState::Cancelled
         };
-        let mut workers = self.fleet.workers.values();
-        self.drain.blocked = !workers.any(|worker| Candidates::Live.include(worker, now));
         self.drain.next_round = now + ORDER_DELAY;
         self.log_events.push(LogEvent::Evacuation { centre: centre.clone(), state, left: load });
     }
@@ -215,8 +209,7 @@
         }
         self.drain.next_round = now + DRAIN_INTERVAL;
         let mut plan = Plan::new(Pool::all(&self.fleet, now, Candidates::Live));
-        self.drain.blocked = plan.pool.is_empty();
-        if !self.drain.blocked {
+        if !plan.pool.is_empty() {
             self.renew_moves(now, &mut plan);
             self.drain_workers(now, &mut plan);
             self.release(&mut plan, 0);
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -69,8 +69,8 @@
         self.interference.learn(worker, now);
         self.interference.summarize(worker);
         pace::adjust_paces(worker, &self.interference, now);
-        // Runs stay where they are if no other worker takes them.
-        let stays = worker.evacuated && self.drain.is_blocked();
+        // Runs on evacuated workers are stopped only by the drain, which knows a place for them.
+        let stays = worker.evacuated;
         if !stays {
             pace::stop_paused(worker, now);
         }
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -134,7 +134,7 @@
     next_expiry: Time,
     next_forget: Time,
     /// When places for throttled runs are searched again.
-    pub(super) next_straggler_search: Time,
+    pub(super) next_move: Time,
     /// When all workers are considered for all waiting steps again, unless the search is still in
     /// progress.
     next_retry: Time,
@@ -191,7 +191,7 @@
             next_estimates: now + RECORD_INTERVAL,
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
-            next_straggler_search: now,
+            next_move: now,
             next_retry: now,
             places: Places::new(config.locality, now, wall),
             reports: WaitReports::default(),
@@ -234,7 +234,8 @@
                 if let Some(worker) = self.fleet.workers.get_mut(&task.worker) {
                     let probation = self.state.crashes.of(&key) > 0 && !spec.options.gang;
                     let view = RunView::new(spec, task.run, now);
-                    let (sent, restored, sent_pace) = (true, true, None);
+                    let sent_pace = view.sent_pace.filter(|_| !view.is_opportunistic());
+                    let (sent, restored) = (true, true);
                     worker.add(key, RunView { sent, restored, sent_pace, probation, ..view });
                     runs += 1;
                 }
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -76,8 +76,8 @@
     pub over_since: Option<Time>,
     /// The pace that it should have, in percent.
     pub pace: u8,
-    /// The pace that the worker has, in percent; `None` for a run that an earlier leader started, which may
-    /// have throttled it.
+    /// The pace that the worker has, in percent; `None` for an opportunistic run that an earlier leader
+    /// started, which may have throttled it.
     pub sent_pace: Option<u8>,
     /// Since when its pace has been 0.
     pub paused_since: Option<Time>,
--- a/lib/tests/jobs/data_centres.rs
+++ b/lib/tests/jobs/data_centres.rs
@@ -240,6 +240,7 @@
     let cases = [
         Case { name: "not sent", limited: true, ..base },
         Case { name: "not sent, the heartbeat is held", limited: true, held: true, ..base },
+        Case { name: "to be sent again", limited: true, lost: true, held: true, ..base },
         Case { name: "sent but lost", lost: true, ..base },
         Case { name: "a gang, sent but lost", lost: true, gang: true, ..base },
         Case { name: "lost under another leader", lost: true, restart: true, ..base },
--- a/lib/tests/jobs/data_centres/drain.rs
+++ b/lib/tests/jobs/data_centres/drain.rs
@@ -102,19 +102,22 @@
     }
 }
 
-/// Guards against opportunistic runs that are stopped on a slow worker and can't start again, since all data
-/// centres are evacuated.
+/// Guards against opportunistic runs that are stopped on a slow worker of an evacuated data centre and can't start
+/// again, since no other worker has a place for them.
 #[test]
-fn nothing_is_stopped_on_a_slow_worker_while_all_are_evacuated() {
+fn only_the_drain_stops_runs_on_a_slow_evacuated_worker() {
     struct Case {
         name: &'static str,
         evacuated: &'static [&'static str],
+        /// The maximum number of opportunistic runs on a worker.
+        spread: u32,
         want: bool,
     }
     let cases = [
-        Case { name: "none", evacuated: &[], want: true },
-        Case { name: "that of the slow worker", evacuated: &[FIRST], want: true },
-        Case { name: "all", evacuated: &[FIRST, SECOND], want: false },
+        Case { name: "none", evacuated: &[], spread: 1, want: true },
+        Case { name: "no place elsewhere", evacuated: &[FIRST], spread: 1, want: false },
+        Case { name: "places elsewhere", evacuated: &[FIRST], spread: 4, want: true },
+        Case { name: "all", evacuated: &[FIRST, SECOND], spread: 1, want: false },
     ];
     for case in cases {
         let mut world = World::new();
@@ -133,7 +136,7 @@
         let filling = Step {
             image: Some("fill".into()),
             options,
-            spread: Some(1),
+            spread: Some(case.spread),
             estimate: 600_000,
             ..step(4)
         };
--- a/lib/tests/jobs/stragglers.rs
+++ b/lib/tests/jobs/stragglers.rs
@@ -92,3 +92,20 @@
         );
     }
 }
+
+/// Guards against ordinary runs without progress that a new leader leaves where they are.
+#[test]
+fn a_new_leader_stops_stalled_runs() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.heartbeat(&mut worker);
+    let stalled = task(world.submit(1, vec![step(1)]), 0, 0);
+    world.heartbeat(&mut worker);
+    assert!(worker.running.contains_key(&stalled), "it runs");
+    world.restart();
+    for _ in 0..40 {
+        world.heartbeat(&mut worker);
+        world.advance(Duration::from_millis(100));
+    }
+    assert!(worker.stopped.contains(&stalled), "it is stopped, to start again");
+}
