config: hickorylink config check

An operator learned of errors in a configuration only from the refusal of a controller, without their places, and nowhere what a change does to accepted work.

The errors of a configuration keep their queue and field; controllers report the same messages as before. HTTP responses keep their Location, so that the redirect to the leader can be followed.

--- a/cli/src/commands.rs
+++ b/cli/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod burn;
 pub mod call;
 pub mod completions;
+pub mod config;
 pub mod controller;
 pub mod credential;
 pub mod gateway;
@@ -33,7 +34,7 @@
 
 const EXIT_CODES: &str = "\
 Exit codes: 0 success, 1 failure, 2 usage error, 3 findings in a file, 4 not run, 5 unknown whether \
-it ran, 6 conflict, 7 denied, 8 not found";
+it ran, 6 conflict, 7 denied, 8 not found, 9 errors in a configuration, 10 warnings, 11 differences";
 
 #[derive(Debug, Subcommand)]
 enum Command {
@@ -57,6 +58,8 @@
     Worker(worker::Args),
     /// Call a service
     Call(call::Args),
+    /// Check the configuration of a deployment
+    Config(config::Args),
     /// Show the burn rates of the error budgets
     Burn(burn::Args),
     /// Change the log level of an instance without a restart
@@ -82,6 +85,7 @@
             Command::Task(args) => task::run(connection, &args),
             Command::Worker(args) => worker::run(connection, &args),
             Command::Call(args) => call::run(connection, args),
+            Command::Config(args) => config::run(connection, &args),
             Command::Burn(args) => burn::run(connection, &args),
             Command::LogLevel(args) => log_level::run(connection, args),
             Command::Credential(args) => credential::run(&args),
--- a/cli/src/exit.rs
+++ b/cli/src/exit.rs
@@ -21,6 +21,12 @@
     Denied,
     /// The item doesn't exist.
     NotFound,
+    /// A configuration has errors.
+    ConfigErrors,
+    /// A configuration has warnings, and no errors.
+    ConfigWarnings,
+    /// A configuration only differs from the one in force.
+    ConfigDifferences,
 }
 
 impl Exit {
@@ -36,6 +42,9 @@
             Self::Conflict => 6,
             Self::Denied => 7,
             Self::NotFound => 8,
+            Self::ConfigErrors => 9,
+            Self::ConfigWarnings => 10,
+            Self::ConfigDifferences => 11,
         }
     }
 }
--- a/cli/src/http.rs
+++ b/cli/src/http.rs
@@ -13,7 +13,7 @@
     router::port::{AttemptEnd, AttemptId, Response},
 };
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, body::Incoming, client::conn::http1};
+use hyper::{Method, Request, body::Incoming, client::conn::http1, header};
 use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use snafu::{ResultExt, Snafu};
@@ -119,6 +119,8 @@
     pub status: u16,
     /// The value of [`OUTCOME_HEADER`], if the response has it.
     pub outcome: Option<String>,
+    /// The value of the `Location` header, if the response has it.
+    pub location: Option<String>,
     /// The body.
     pub body: Bytes,
 }
@@ -227,7 +229,7 @@
     Request::builder()
         .method(Method::POST)
         .uri(&call.path)
-        .header(hyper::header::HOST, &call.target)
+        .header(header::HOST, &call.target)
         .header(CUSTOMER_HEADER, call.customer.as_str())
         .header(REQUEST_HEADER, call.attempt.request.to_string())
         .body(Full::new(call.body.clone()))
@@ -282,8 +284,8 @@
     alive: &impl Fn(),
 ) -> Result<HttpResponse, CallError> {
     let status = response.status().as_u16();
-    let outcome = response.headers().get(OUTCOME_HEADER);
-    let outcome = outcome.and_then(|value| value.to_str().ok()).map(str::to_owned);
+    let text = |name| response.headers().get(name)?.to_str().ok().map(str::to_owned);
+    let (outcome, location) = (text(OUTCOME_HEADER), text(header::LOCATION.as_str()));
     let mut body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES);
     let mut bytes = Vec::new();
     while let Some(frame) = wait_for_data(body.frame(), alive).await {
@@ -296,7 +298,7 @@
             bytes.extend_from_slice(&data);
         }
     }
-    Ok(HttpResponse { status, outcome, body: bytes.into() })
+    Ok(HttpResponse { status, outcome, location, body: bytes.into() })
 }
 
 /// Posts a body in JSON over a new connection.
@@ -313,8 +315,8 @@
     let request = Request::builder()
         .method(Method::POST)
         .uri(path)
-        .header(hyper::header::HOST, address)
-        .header(hyper::header::CONTENT_TYPE, "application/json");
+        .header(header::HOST, address)
+        .header(header::CONTENT_TYPE, "application/json");
     let request = request.body(Full::new(body.into())).context(RequestSnafu)?;
     send(address, request).await
 }
--- a/cli/tests/pages.rs
+++ b/cli/tests/pages.rs
@@ -295,7 +295,7 @@
 #[test]
 fn every_exit_code_is_documented() {
     let page = page("exit-codes.md");
-    for code in 0..=8 {
+    for code in 0..=11 {
         assert!(page.contains(&format!("\n| {code} |")), "{code} is in exit-codes.md");
     }
 }
--- a/lib/src/jobs.rs
+++ b/lib/src/jobs.rs
@@ -7,6 +7,7 @@
 
 pub mod call;
 pub mod config;
+pub mod config_check;
 pub mod contacts;
 pub mod controller;
 pub mod crash;
--- a/lib/src/jobs/config.rs
+++ b/lib/src/jobs/config.rs
@@ -64,6 +64,49 @@
     }
 }
 
+data! {
+    /// An error in a configuration, which a controller refuses for it.
+    pub struct ConfigError {
+        /// The index of the queue.
+        pub queue: usize,
+        /// The field of the queue.
+        pub field: Field,
+        /// What is wrong. The queue is named.
+        pub message: String,
+    }
+
+    /// A field of a configuration, a queue or a service.
+    #[derive(Copy)]
+    pub enum Field {
+        /// The version of the configuration.
+        Version,
+        /// The name of a queue or a service.
+        Name,
+        /// The host of a queue.
+        Host,
+        /// The path prefix of a queue.
+        Prefix,
+        /// The service of a queue.
+        Service,
+        /// The priority of a queue.
+        Priority,
+        /// The failures of a task after which its job fails.
+        MaxAttempts,
+        /// The multiple of the critical path.
+        Slack,
+        /// The constant that is added to the objective.
+        TargetLatency,
+        /// The timeout of a call.
+        Timeout,
+        /// The adviser of a queue.
+        Advice,
+        /// Whether the workers of a service reject runs that exceed their capacity.
+        RejectsOverload,
+        /// Whether the machines of a service are switched off.
+        Standby,
+    }
+}
+
 /// One, in thousandths.
 const PERMILLE: u64 = 1000;
 
@@ -76,26 +119,34 @@
 }
 
 impl Config {
-    /// Returns all errors in the configuration.
-    pub fn validation_errors(&self) -> Vec<String> {
+    /// Returns all errors in the configuration, in the order of the queues.
+    pub fn errors(&self) -> Vec<ConfigError> {
         let services: BTreeSet<_> = self.services.iter().map(|service| &service.name).collect();
         let mut addresses = BTreeSet::new();
         let mut errors = Vec::new();
-        for queue in &self.queues {
+        for (at, queue) in self.queues.iter().enumerate() {
+            let mut add = |field, reason: &str| {
+                let message = format!("queue \"{}\": {reason}", queue.name);
+                errors.push(ConfigError { queue: at, field, message });
+            };
             if !services.contains(&queue.service) {
-                let service = &queue.service;
-                errors.push(format!("queue \"{}\": unknown service \"{service}\"", queue.name));
+                add(Field::Service, &format!("unknown service \"{}\"", queue.service));
             }
             if !addresses.insert((&queue.host, &queue.prefix)) {
-                errors.push(format!("queue \"{}\": host and prefix are taken", queue.name));
+                add(Field::Prefix, "host and prefix are taken");
             }
             if queue.timeout == 0 {
-                errors.push(format!("queue \"{}\": the timeout is 0", queue.name));
+                add(Field::Timeout, "the timeout is 0");
             }
         }
         errors
     }
 
+    /// Returns the messages of all errors in the configuration.
+    pub fn validation_errors(&self) -> Vec<String> {
+        self.errors().into_iter().map(|error| error.message).collect()
+    }
+
     /// The queue with this name.
     pub fn queue(&self, name: &QueueName) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == *name)
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -6,6 +6,7 @@
 mod capacity_properties;
 mod clock_steps;
 mod cluster;
+mod config_check;
 mod contacts;
 mod crashes;
 mod data_centres;
