jobs: test what a controller does on changes that the configuration check describes

The page promises what a removed queue, another service and fewer attempts do to waiting and running tasks; these tests run the changes against a controller. A run that ends as done also fails its job if its task had failed as often as the lowered number of attempts: the page says so.

--- a/lib/tests/jobs/config_check.rs
+++ b/lib/tests/jobs/config_check.rs
@@ -1,11 +1,14 @@
 //! The check of a configuration, and its comparison with the one in force.
 
 use hickorylink_lib::jobs::{
+    call::{Action, OperatorRequest, Reply},
     config::{Advice, Config, Field, Queue, Service},
     config_check::{CheckFinding, Entry, Severity, check, compare},
+    lifecycle::JobPhase,
+    record::Ending,
 };
 
-use crate::world::job_config;
+use crate::world::{FakeWorker, World, job_config, path, step};
 
 type Found = (Severity, Entry, Option<Field>);
 
@@ -247,3 +250,110 @@
         }
     }
 }
+
+/// Guards against messages and a page that promise something else than a controller does: a queue that is
+/// removed, moved to another service or given fewer attempts while one task runs and others wait.
+#[test]
+fn a_controller_does_what_the_differences_say() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Config),
+        /// The end of the task that runs.
+        ending: Ending,
+        shown: bool,
+        /// The tasks that run on the worker after that end.
+        started: usize,
+        phase: JobPhase,
+    }
+    let base = Case {
+        name: "nothing",
+        change: |_| {},
+        ending: Ending::Done,
+        shown: true,
+        started: 1,
+        phase: JobPhase::Active,
+    };
+    let cases = [
+        Case {
+            name: "the queue is removed",
+            change: |config| config.queues.clear(),
+            shown: false,
+            started: 0,
+            ..base
+        },
+        Case {
+            name: "another service",
+            change: |config| {
+                config.queues[0].service = "other".into();
+                let other = Service { name: "other".into(), ..config.services[0].clone() };
+                config.services.push(other);
+            },
+            started: 0,
+            ..base
+        },
+        Case {
+            name: "fewer attempts",
+            change: |config| config.queues[0].max_attempts = 1,
+            ending: Ending::Failed,
+            started: 0,
+            phase: JobPhase::Failed,
+            ..base
+        },
+        base,
+    ];
+    for case in cases {
+        let mut world = World::new();
+        let mut worker = FakeWorker::new("w1");
+        worker.capacity.millicores = 1000;
+        world.submit(7, vec![step(2)]);
+        for _ in 0..3 {
+            world.heartbeat(&mut worker);
+        }
+        assert_eq!(worker.running.len(), 1, "{}: one task runs, one waits", case.name);
+        let mut config = job_config(2);
+        (case.change)(&mut config);
+        world.operator_request(OperatorRequest::Configure(Box::new(config)));
+        for _ in 0..3 {
+            world.heartbeat(&mut worker);
+        }
+        assert_eq!(worker.running.len(), 1, "{}: the running task goes on", case.name);
+        assert!(worker.stopped.is_empty(), "{}", case.name);
+        worker.end_all(case.ending);
+        for _ in 0..3 {
+            world.heartbeat(&mut worker);
+        }
+        assert_eq!(worker.running.len(), case.started, "{}", case.name);
+        let shown = world.call(&path(7), Action::Show) != Reply::NoQueue;
+        assert_eq!(shown, case.shown, "{}", case.name);
+        if shown {
+            assert_eq!(world.phase(7), case.phase, "{}", case.name);
+        }
+        let cancelled = world.call(&path(7), Action::Cancel) != Reply::NoQueue;
+        assert_eq!(cancelled, case.shown, "{}", case.name);
+    }
+}
+
+/// Guards against a description of fewer attempts that leaves out earlier failures: they count as soon as a
+/// run of the task ends, however it ends.
+#[test]
+fn earlier_failures_count_for_fewer_attempts() {
+    let mut world = World::new();
+    let mut worker = FakeWorker::new("w1");
+    world.submit(7, vec![step(1)]);
+    world.heartbeat(&mut worker);
+    world.heartbeat(&mut worker);
+    worker.end_all(Ending::Failed);
+    for _ in 0..3 {
+        world.heartbeat(&mut worker);
+    }
+    assert_eq!(worker.running.len(), 1, "it runs again");
+    let mut config = job_config(2);
+    config.queues[0].max_attempts = 1;
+    world.operator_request(OperatorRequest::Configure(Box::new(config)));
+    world.heartbeat(&mut worker);
+    assert_eq!(world.phase(7), JobPhase::Active, "it fails with the end of a run only");
+    worker.end_all(Ending::Done);
+    world.heartbeat(&mut worker);
+    world.heartbeat(&mut worker);
+    assert_eq!(world.phase(7), JobPhase::Failed);
+}
