config: test that a closed output changes no exit code

The test fails on this commit: the program panics with "failed printing to stdout: Broken pipe" and exits with 101 when the reader of a long output closes it.

--- a/cli/tests/config_check.rs
+++ b/cli/tests/config_check.rs
@@ -179,3 +179,26 @@
         assert!(script.contains("against"), "{shell}");
     }
 }
+
+/// Guards against a panic when the reader of a long output closes it, as `head` does.
+#[test]
+fn a_closed_output_changes_no_exit_code() {
+    let folder = tempfile::tempdir().expect("a temporary folder can be made");
+    let file = folder.path().join("config.json");
+    let route =
+        |at| format!(r#"{{"name":"q{at}","host":"h","pathPrefix":"/{at}/","service":"s"}}"#);
+    let routes: Vec<_> = (0..10_000).map(route).collect();
+    let config = format!(r#"{{"version":1,"routes":[{}],"services":[]}}"#, routes.join(","));
+    std::fs::write(&file, config).expect("the file can be written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_hickorylink"))
+        .args(["config", "check"])
+        .arg(&file)
+        .stdin(Stdio::null())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    drop(child.stdout.take());
+    let output = child.wait_with_output().expect("the program ends");
+    assert_eq!(output.status.code(), Some(9), "{}", text(&output.stderr));
+}
