--- a/cli/tests/config_check.rs
+++ b/cli/tests/config_check.rs
@@ -202,3 +202,18 @@
     let output = child.wait_with_output().expect("the program ends");
     assert_eq!(output.status.code(), Some(9), "{}", text(&output.stderr));
 }
+
+/// Guards against a full disk that looks like success.
+#[cfg(target_os = "linux")]
+#[test]
+fn an_output_that_is_lost_is_a_failure() {
+    let full = std::fs::File::options().write(true).open("/dev/full").expect("the device exists");
+    let status = Command::new(env!("CARGO_BIN_EXE_hickorylink"))
+        .args(["config", "check", "config.json"])
+        .current_dir(SAMPLES)
+        .stdin(Stdio::null())
+        .stdout(full)
+        .stderr(Stdio::null())
+        .status();
+    assert_eq!(status.expect("the program runs").code(), Some(1));
+}
