clients: tests of connections that drip, and the bytes that they move

Cause: a connection counts as slow only after 250 ms without a byte, and a frame at the peers' port has no deadline while bytes arrive. A client that sends a byte every 200 ms keeps its slot, and connections on which requests were served are closed in its place.

Change: the admission is told how many bytes moved, without using it yet. Tests of dripping heads, bodies and frames, which fail until it does.

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -88,6 +88,8 @@
     since: Time,
     /// When bytes were last received or sent in this phase.
     progress: Time,
+    /// The bytes that were received or sent in this phase.
+    moved: u32,
     /// The bytes that its request, the decoded form and the response hold together.
     bytes: u64,
     /// Whether a request on it has been answered, or a whole frame received.
@@ -178,6 +180,7 @@
             phase: Phase::Idle,
             since: now,
             progress: now,
+            moved: 0,
             bytes: 0,
             served: false,
             closing: false,
@@ -213,6 +216,7 @@
         let Some(connection) = self.find(id) else { return };
         connection.served |= phase == Phase::Idle;
         (connection.phase, connection.since, connection.progress) = (phase, now, now);
+        connection.moved = 0;
         if phase == Phase::Idle {
             let bytes = std::mem::take(&mut connection.bytes);
             let (listener, closing) = (connection.listener, connection.closing);
@@ -222,10 +226,12 @@
         }
     }
 
-    /// Bytes of a connection were received or sent.
-    pub fn progress(&mut self, now: Time, id: ConnectionId) {
+    /// `bytes` of a connection were received or sent.
+    pub fn progress(&mut self, now: Time, id: ConnectionId, bytes: usize) {
         if let Some(connection) = self.find(id) {
             connection.progress = now;
+            let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            connection.moved = connection.moved.saturating_add(bytes);
         }
     }
 
--- a/lib/tests/clients.rs
+++ b/lib/tests/clients.rs
@@ -35,9 +35,14 @@
     phase: Phase,
     served: bool,
     bytes: u64,
+    /// Pieces that arrive or leave every 200 ms after the phase began: how many, and of which size.
+    pieces: (u64, usize),
 }
 
-const NEW: Opened = Opened { at: 0, phase: Phase::Idle, served: false, bytes: 0 };
+const NEW: Opened = Opened { at: 0, phase: Phase::Idle, served: false, bytes: 0, pieces: (0, 0) };
+
+/// A connection that moves a byte every 200 ms until second 1.
+const DRIPPING: (u64, usize) = (5, 1);
 
 fn open(admission: &mut Admission, opened: &Opened) -> ConnectionId {
     let (now, mut out) = (millis(opened.at), Vec::new());
@@ -50,6 +55,10 @@
     }
     assert!(admission.hold(now, id, opened.bytes, &mut out), "there are bytes");
     assert!(out.is_empty(), "nothing is closed yet");
+    let (count, bytes) = opened.pieces;
+    for piece in 1..=count {
+        admission.progress(millis(opened.at + 200 * piece), id, bytes);
+    }
     id
 }
 
@@ -115,6 +124,67 @@
             now: 60_000,
             want: None,
         },
+        Case {
+            name: "a head byte by byte before idle ones that were served",
+            open: &[
+                Opened { served: true, ..NEW },
+                Opened { phase: Phase::Head, pieces: DRIPPING, ..NEW },
+                Opened { served: true, ..NEW },
+            ],
+            now: 1100,
+            want: Some(1),
+        },
+        Case {
+            name: "a body byte by byte before idle ones that were served",
+            open: &[
+                Opened { served: true, ..NEW },
+                Opened { phase: Phase::Body, pieces: DRIPPING, ..NEW },
+                Opened { served: true, ..NEW },
+            ],
+            now: 1100,
+            want: Some(1),
+        },
+        Case {
+            name: "the slowest of those that drip",
+            open: &[
+                Opened { phase: Phase::Body, pieces: (5, 100), ..NEW },
+                Opened { phase: Phase::Body, pieces: (5, 1), ..NEW },
+                Opened { phase: Phase::Body, pieces: (5, 200), ..NEW },
+            ],
+            now: 1100,
+            want: Some(1),
+        },
+        Case {
+            name: "a slow one that was served after an idle one that wasn't",
+            open: &[
+                Opened { phase: Phase::Body, served: true, ..NEW },
+                NEW,
+                Opened { served: true, ..NEW },
+            ],
+            now: 1000,
+            want: Some(1),
+        },
+        Case {
+            name: "a slow one that was served before an idle one that was, too",
+            open: &[
+                Opened { served: true, ..NEW },
+                Opened { phase: Phase::Body, served: true, pieces: DRIPPING, ..NEW },
+                Opened { served: true, ..NEW },
+            ],
+            now: 1100,
+            want: Some(1),
+        },
+        Case {
+            // 250,000 bytes a second, shared by 20 transfers.
+            name: "none that has its share of a link of 2 Mbit/s",
+            open: &[
+                Opened { phase: Phase::Body, pieces: (5, 2500), ..NEW },
+                Opened { phase: Phase::Head, pieces: (5, 2500), ..NEW },
+                Opened { phase: Phase::Writing, pieces: (5, 2500), ..NEW },
+            ],
+            now: 1100,
+            want: None,
+        },
         Case {
             name: "a response that isn't read",
             open: &[NEW, Opened { phase: Phase::Writing, ..NEW }, NEW],
@@ -187,6 +257,17 @@
     }
 }
 
+/// Pieces of a frame every 3 s, up to two minutes.
+const ENDLESS: &[u64] = &{
+    let mut times = [0; 39];
+    let mut at = 0;
+    while at < times.len() {
+        times[at] = 3000 * (at as u64 + 1);
+        at += 1;
+    }
+    times
+};
+
 /// Guards against clients that are slow on purpose.
 #[test]
 fn each_phase_has_its_deadline() {
@@ -196,13 +277,21 @@
         phase: Phase,
         /// When bytes arrive or leave after the phase began, in milliseconds.
         progress: &'static [u64],
+        /// The size of each piece.
+        piece: usize,
         want: Option<(u64, Cause)>,
     }
     let head: &[u64] = &[500, 1000, 1500, 2000, 2500, 2900];
     let body: &[u64] = &[3000, 6000, 9000, 9900];
     let (calls, peers) = (Listener::Calls, Listener::Peers);
-    let case =
-        |name, listener, phase, progress, want| Case { name, listener, phase, progress, want };
+    let case = |name, listener, phase, progress, want| Case {
+        name,
+        listener,
+        phase,
+        progress,
+        piece: 1,
+        want,
+    };
     let cases = [
         case("a head", calls, Phase::Head, &[], Some((3000, Cause::Head))),
         case("a head byte by byte", calls, Phase::Head, head, Some((3000, Cause::Head))),
@@ -218,7 +307,29 @@
         ),
         case("an idle connection", calls, Phase::Idle, &[], Some((15_000, Cause::Idle))),
         case("a peer between frames", peers, Phase::Idle, &[], None),
-        case("a frame that stalls", peers, Phase::Head, &[1000], Some((5000, Cause::Head))),
+        Case {
+            piece: 16_000,
+            ..case("a frame that stalls", peers, Phase::Head, &[1000], Some((5000, Cause::Head)))
+        },
+        // The deadline is 4 s after the rate fell below 4,000 bytes a second.
+        Case {
+            piece: 2000,
+            ..case("a slow frame", peers, Phase::Head, &[2000, 4000], Some((5000, Cause::Head)))
+        },
+        Case {
+            piece: 4,
+            ..case(
+                "a frame byte by byte",
+                peers,
+                Phase::Head,
+                &[500, 3900],
+                Some((4002, Cause::Head)),
+            )
+        },
+        Case {
+            piece: 1 << 20,
+            ..case("an endless frame", peers, Phase::Head, ENDLESS, Some((120_000, Cause::Head)))
+        },
     ];
     for case in cases {
         let mut admission = Admission::new(limits(4, 1000));
@@ -227,7 +338,7 @@
         admission.enter(millis(0), id, case.phase);
         for at in case.progress {
             assert!(admission.expire(millis(*at), &mut out).is_some_and(|next| next > millis(*at)));
-            admission.progress(millis(*at), id);
+            admission.progress(millis(*at), id, case.piece);
         }
         let Some((at, cause)) = case.want else {
             assert!(admission.expire(millis(1_000_000), &mut out).is_some());
--- a/runtime/src/clients.rs
+++ b/runtime/src/clients.rs
@@ -283,10 +283,10 @@
         self.clients.lock().admission.enter(now, self.id, phase);
     }
 
-    /// Bytes were received or sent.
-    pub fn progress(&self) {
+    /// `bytes` were received or sent.
+    pub fn progress(&self, bytes: usize) {
         let now = self.clients.shared.clock.now();
-        self.clients.lock().admission.progress(now, self.id);
+        self.clients.lock().admission.progress(now, self.id, bytes);
     }
 
     /// Sets the bytes that the connection holds, and returns whether they fit into the budget.
--- a/runtime/src/http/stream.rs
+++ b/runtime/src/http/stream.rs
@@ -68,21 +68,22 @@
         if self.is(Phase::Idle) {
             self.head.store(bytes, Ordering::Relaxed);
             self.enter(Phase::Head);
+            self.slot.progress(bytes);
         } else if self.is(Phase::Head) {
             // The head wasn't complete before, so the buffer is kept until the rest arrives.
-            self.slot.progress();
+            self.slot.progress(bytes);
             let head = self.head.fetch_add(bytes, Ordering::Relaxed) + bytes;
             let whole = self.slot.hold(head.max(MIN_HEAD_BUFFER) as u64);
             return whole.then_some(()).ok_or_else(|| io::ErrorKind::OutOfMemory.into());
         } else if self.is(Phase::Body) {
-            self.slot.progress();
+            self.slot.progress(bytes);
         }
         Ok(())
     }
 
-    fn sent(&self) {
+    fn sent(&self, bytes: usize) {
         if self.is(Phase::Writing) {
-            self.slot.progress();
+            self.slot.progress(bytes);
         }
     }
 
@@ -108,8 +109,10 @@
     }
 
     fn note_sent(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(bytes)) if *bytes > 0) {
-            self.progress.sent();
+        if let Poll::Ready(Ok(bytes)) = written
+            && *bytes > 0
+        {
+            self.progress.sent(*bytes);
         }
     }
 }
--- a/runtime/src/link/codec.rs
+++ b/runtime/src/link/codec.rs
@@ -30,6 +30,8 @@
     slot: Option<Slot>,
     /// Whether a part of a frame has been received.
     partial: bool,
+    /// The bytes of that part.
+    received: usize,
     /// Whether a whole frame has been received.
     proven: bool,
 }
@@ -37,18 +39,20 @@
 impl FrameCodec {
     pub(super) fn new(slot: Option<Slot>) -> Self {
         let encoder = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
-        Self { encoder, slot, partial: false, proven: false }
+        Self { encoder, slot, partial: false, received: 0, proven: false }
     }
 
-    /// More bytes of an incomplete frame have arrived, for which `room` is in use.
-    fn wait(&mut self, room: usize) -> io::Result<()> {
+    /// `received` bytes of an incomplete frame have arrived, for which `room` is in use.
+    fn wait(&mut self, received: usize, room: usize) -> io::Result<()> {
         let Some(slot) = &self.slot else { return Ok(()) };
-        if self.partial {
-            slot.progress();
-        } else {
-            self.partial = true;
+        if !self.partial {
+            (self.partial, self.received) = (true, 0);
             slot.enter(Phase::Head);
         }
+        if received > self.received {
+            slot.progress(received - self.received);
+            self.received = received;
+        }
         match slot.hold(room as u64) {
             true => Ok(()),
             false => Err(io::Error::other("there is no room for a frame")),
@@ -72,7 +76,7 @@
     fn decode(&mut self, source: &mut BytesMut) -> io::Result<Option<Bytes>> {
         let Some(length) = source.first_chunk::<LENGTH_BYTES>() else {
             if !source.is_empty() {
-                self.wait(LENGTH_BYTES)?;
+                self.wait(source.len(), LENGTH_BYTES)?;
             }
             return Ok(None);
         };
@@ -83,7 +87,7 @@
         let missing = (LENGTH_BYTES + length).saturating_sub(source.len());
         if missing > 0 {
             let room = missing.min(source.len().max(MIN_ROOM));
-            self.wait(source.len() + room)?;
+            self.wait(source.len(), source.len() + room)?;
             source.reserve(room);
             return Ok(None);
         }
--- a/runtime/tests/http.rs
+++ b/runtime/tests/http.rs
@@ -288,6 +288,43 @@
     });
 }
 
+/// Guards against a crowd whose heads or bodies never stall and never end, for which connections on which
+/// requests were served would be closed.
+#[test]
+fn a_dripping_crowd_is_closed_before_served_connections() {
+    const SERVED: usize = 3;
+    for sent in [&b"POST /a HTTP/1.1\r\nHost"[..], &post(90_000, 1)] {
+        run(async {
+            let fixture = Fixture::start(limits(16, 1 << 20, 60)).await;
+            let mut served = Vec::new();
+            for _ in 0..SERVED {
+                let mut stream = fixture.connect_and_send(&post(5, 5)).await;
+                assert!(read_until(&mut stream, "\r\n\r\n5").await.starts_with("HTTP/1.1 200"));
+                served.push(stream);
+            }
+            let mut crowd = Vec::new();
+            for _ in 0..16 - 2 - SERVED {
+                crowd.push(fixture.connect_and_send(sent).await);
+            }
+            for round in 0..12 {
+                sleep(Duration::from_millis(50)).await;
+                if round > 6 {
+                    crowd.push(fixture.connect_and_send(sent).await);
+                }
+                for stream in &mut crowd {
+                    // The connection may have been closed.
+                    drop(stream.write_all(b"x").await);
+                }
+            }
+            for stream in &mut served {
+                stream.write_all(&post(5, 5)).await.expect("the connection is open");
+                let read = read_until(stream, "\r\n\r\n5").await;
+                assert!(read.starts_with("HTTP/1.1 200"), "{read:?}");
+            }
+        });
+    }
+}
+
 /// Guards against requests that run ahead of a client that doesn't read the responses.
 #[test]
 fn a_request_waits_until_the_previous_response_is_written() {
--- a/runtime/tests/link_bounds.rs
+++ b/runtime/tests/link_bounds.rs
@@ -134,3 +134,46 @@
         fixture.until("nothing is left", |usage| usage == Usage::default()).await;
     });
 }
+
+/// Guards against frames that never stall and never end, which would keep their slots and push out the
+/// connections of peers.
+#[test]
+fn dripping_frames_are_closed_before_peers_and_after_a_time() {
+    run(async {
+        let mut fixture = Fixture::start(16, 2).await;
+        let message = postcard::to_allocvec(&LinkMessage::Probe).expect("a probe can be encoded");
+        let length = u32::try_from(message.len()).expect("it is short").to_be_bytes();
+        let probe = [&length[..], &message].concat();
+        let mut peers = Vec::new();
+        for _ in 0..3 {
+            let mut peer = fixture.connect().await;
+            peer.write_all(&probe).await.expect("the probe is sent");
+            let event = timeout(LIMIT, fixture.events.recv()).await;
+            assert!(matches!(event, Ok(Some(LinkEvent::Inbound { .. }))), "{event:?}");
+            peers.push(peer);
+        }
+        let announced = (16_u32 << 20).to_be_bytes();
+        let mut crowd = Vec::new();
+        for round in 0..400 {
+            if round > 20 && fixture.usage().connections == peers.len() {
+                break;
+            }
+            if round < 20 {
+                let mut stream = fixture.connect().await;
+                drop(stream.write_all(&announced).await);
+                crowd.push(stream);
+            }
+            for stream in &mut crowd {
+                // The connection may have been closed.
+                drop(stream.write_all(b"x").await);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(fixture.usage().connections, peers.len(), "only the peers are left");
+        for peer in &mut peers {
+            peer.write_all(&probe).await.expect("the connection is open");
+            let event = timeout(LIMIT, fixture.events.recv()).await;
+            assert!(matches!(event, Ok(Some(LinkEvent::Inbound { .. }))), "{event:?}");
+        }
+    });
+}
