clients: connections below a minimum rate count as slow

Cause: only 250 ms without a byte made a connection slow, so a head or a body at a byte per 200 ms was never closed to make room.

Change: a connection is also slow if it has been below 4,000 bytes a second on average since 250 ms; the slowest is closed first, and those on which a request was answered after the others.

Tested: lib clients (the rate cases, seen failing before; the frame's deadline still fails) and runtime http (the dripping crowd, seen failing before).

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -24,9 +24,14 @@
 /// The most bytes that a connection may hold if it uses spare bytes.
 const SMALL_BYTES: u64 = 64 << 10;
 
-/// How long a connection that is in the middle of a head, a body or a response must have made no
-/// progress before it is closed to make room. A client on a fast network sends the rest sooner.
-const STALLED_AFTER: Duration = Duration::from_millis(250);
+/// How long a connection that is in the middle of a head, a body or a response must have been behind
+/// before it is closed to make room. A client on a fast network sends the rest sooner.
+const SLOW_AFTER: Duration = Duration::from_millis(250);
+
+/// How much time each byte of a head, a body or a response gives a connection: one that moves fewer than
+/// 4,000 bytes a second on average is slow. 60 transfers at a time on a link of 2 Mbit/s are faster,
+/// and a body of 256 KiB at this rate misses its deadline.
+const BYTE_TIME: Duration = Duration::from_micros(250);
 
 /// A listener of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -322,12 +327,13 @@
     }
 
     /// The connection with bytes that is closed first if a listener has no bytes left: the one that
-    /// has made no progress for the longest time.
+    /// has been slow for the longest time, those that were served after the others.
     fn slowest_holder(&self, now: Time, but: ConnectionId, listener: Listener) -> Option<usize> {
         let holders = self.candidates(listener).filter(|(_, connection)| {
-            connection.bytes > 0 && connection.serial != but.serial && connection.stalled(now)
+            connection.bytes > 0 && connection.serial != but.serial && connection.is_slow(now)
         });
-        let slowest = holders.min_by_key(|(_, connection)| connection.progress);
+        let slowest =
+            holders.min_by_key(|(_, connection)| (connection.served, connection.on_time()));
         slowest.map(|(slot, _)| slot)
     }
 
@@ -339,23 +345,29 @@
 }
 
 impl Connection {
-    /// Whether it is in the middle of a request or a response and doesn't get on. One that waits for
-    /// the instance isn't stalled: it is nearly served.
-    fn stalled(&self, now: Time) -> bool {
+    /// Until when it moved bytes at no less than the minimum rate, on average over its phase.
+    fn on_time(&self) -> Time {
+        self.progress.min(self.since + BYTE_TIME.saturating_mul(self.moved))
+    }
+
+    /// Whether it is in the middle of a request or a response and has stopped or is below the minimum
+    /// rate. One that waits for the instance isn't slow: it is nearly served.
+    fn is_slow(&self, now: Time) -> bool {
         let transfers = matches!(self.phase, Phase::Head | Phase::Body | Phase::Writing);
-        transfers && now.since(self.progress) >= STALLED_AFTER
+        transfers && now.since(self.on_time()) >= SLOW_AFTER
     }
 
     /// The order in which connections are closed, least useful first; `None` for one that is served at
-    /// the moment. Of stalled ones the slowest is first, and of idle ones the newest. One whose first
-    /// request may be on its way is kept longer, and one on which a request has been answered longest.
+    /// the moment. Of slow ones the slowest is first, and of idle ones the newest. One on which a
+    /// request has been answered is kept longer, but a slow one of these isn't kept in place of one
+    /// whose first request may be on its way.
     fn usefulness(&self, now: Time) -> Option<(u8, u64)> {
         let newest = u64::MAX - self.serial;
-        if self.stalled(now) {
-            return Some((u8::from(self.served), self.progress.as_nanos()));
+        if self.is_slow(now) {
+            return Some((if self.served { 2 } else { 0 }, self.on_time().as_nanos()));
         }
         match (self.phase, self.served) {
-            (Phase::Idle, false) if now.since(self.since) >= STALLED_AFTER => Some((2, newest)),
+            (Phase::Idle, false) if now.since(self.since) >= SLOW_AFTER => Some((1, newest)),
             (Phase::Idle, false) => Some((3, newest)),
             (Phase::Idle, true) => Some((4, newest)),
             (Phase::Head | Phase::Body | Phase::Calling | Phase::Writing, _) => None,
--- a/lib/tests/clients.rs
+++ b/lib/tests/clients.rs
@@ -217,6 +217,7 @@
         name: &'static str,
         phase: Phase,
         stalled_ms: u64,
+        pieces: (u64, usize),
         bytes: u64,
         want: bool,
         closes: bool,
@@ -226,6 +227,7 @@
         name: "",
         phase: Phase::Body,
         stalled_ms: 1000,
+        pieces: (0, 0),
         bytes: 1000,
         want: true,
         closes: true,
@@ -233,6 +235,13 @@
     let cases = [
         Case { name: "a small one beside a stalled one", ..base },
         Case { name: "a small one beside one that gets on", stalled_ms: 10, closes: false, ..base },
+        Case { name: "a small one beside one that drips", pieces: (4, 1), ..base },
+        Case {
+            name: "a small one beside one at 12,500 bytes a second",
+            pieces: (4, 2500),
+            closes: false,
+            ..base
+        },
         Case { name: "a small one beside a call", phase: Phase::Calling, closes: false, ..base },
         Case { name: "a large one beside a stalled one", bytes: 128 << 10, want: false, ..base },
         Case { name: "one above the budget", bytes: BUDGET + 1, want: false, ..base },
@@ -240,7 +249,7 @@
     for case in cases {
         let mut admission = Admission::new(limits(8, BUDGET));
         let held = BUDGET - BUDGET / 8;
-        let holder = Opened { phase: case.phase, bytes: held, ..NEW };
+        let holder = Opened { phase: case.phase, bytes: held, pieces: case.pieces, ..NEW };
         let holder = open(&mut admission, &holder);
         let now = millis(case.stalled_ms);
         let mut out = Vec::new();
