clients: a deadline and a minimum rate for the frames of peers

Cause: a frame had only a deadline for progress, so one announced as 16 MiB and sent at a byte per 200 ms kept its slot without end, and 256 of them pushed out the instances.

Change: a frame is closed if it is below 4,000 bytes a second on average for the time for progress (5 s by default), or takes more than 120 s.

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -33,6 +33,9 @@
 /// and a body of 256 KiB at this rate misses its deadline.
 const BYTE_TIME: Duration = Duration::from_micros(250);
 
+/// The longest time for a frame of a peer. The largest, of 16 MiB, takes 67 s on a link of 2 Mbit/s.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// A listener of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Listener {
@@ -380,7 +383,8 @@
             Phase::Idle if self.listener == Listener::Peers => None,
             Phase::Idle => Some((self.since + timeouts.idle, Cause::Idle)),
             Phase::Head if self.listener == Listener::Peers => {
-                Some((self.progress + timeouts.progress, Cause::Head))
+                let whole = self.since + FRAME_TIMEOUT.max(timeouts.progress);
+                Some((whole.min(self.on_time() + timeouts.progress), Cause::Head))
             }
             Phase::Head => Some((self.since + timeouts.head, Cause::Head)),
             Phase::Body => {
--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -20,7 +20,7 @@
     pub head: Duration,
     /// From the end of a head to the last byte of its body.
     pub body: Duration,
-    /// Without a byte in the middle of a body or a frame.
+    /// Without a byte in the middle of a body or a frame, or below the minimum rate in a frame.
     pub progress: Duration,
     /// For a client to read a response.
     pub write: Duration,
