--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -162,6 +162,13 @@
         self.usage[listener as usize]
     }
 
+    /// The most bytes that a single connection of a listener may hold, where `bytes` are asked for: large
+    /// requests don't get the spare ones.
+    pub fn usable(&self, listener: Listener, bytes: u64) -> u64 {
+        let limit = self.limits.share(listener).bytes;
+        if bytes <= SMALL_BYTES { limit } else { limit - limit / SPARE_DIVISOR as u64 }
+    }
+
     /// Admits a new connection, or returns `None` if its listener has no slot left. Appends the
     /// connections that are to be closed to make room to `out`.
     pub fn open(
@@ -267,8 +274,7 @@
                 out.push(self.mark(slot, Cause::Bytes));
                 excess = excess.saturating_sub(held);
             }
-            let allowed = if bytes <= SMALL_BYTES { limit } else { unspared };
-            if used > allowed {
+            if used > self.usable(connection.listener, bytes) {
                 return false;
             }
         }
--- a/runtime/tests/http.rs
+++ b/runtime/tests/http.rs
@@ -100,6 +100,10 @@
     if request.head.uri.path() == "/none" {
         return response(StatusCode::NOT_FOUND, "text/plain", "");
     }
+    if let Some(bytes) = request.head.uri.path().strip_prefix("/hold/") {
+        let held = request.hold(bytes.parse().expect("a number of bytes"));
+        return held.map_or_else(Response::from, |()| response(StatusCode::OK, "text/plain", ""));
+    }
     match request.body(MAX_BODY).await {
         Ok(body) => response(StatusCode::OK, "text/plain", body.len().to_string()),
         Err(refusal) => refusal.into(),
@@ -264,6 +268,26 @@
     });
 }
 
+/// Guards against a request that never fits and is told to come again.
+#[test]
+fn a_request_beyond_the_usable_budget_is_too_large() {
+    // Of the budget, an eighth is spare, which only requests of up to 64 KiB may use.
+    let cases =
+        [(60_000, "200"), (875_000, "200"), (875_001, "413"), (950_000, "413"), (1_000_001, "413")];
+    run(async {
+        let fixture = Fixture::start(limits(100, 1_000_000, 60)).await;
+        for (bytes, want) in cases {
+            let request =
+                format!("POST /hold/{bytes} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+            let mut stream = fixture.connect_and_send(request.as_bytes()).await;
+            let read = read_until(&mut stream, "\r\n\r\n").await;
+            assert!(read.starts_with(&format!("HTTP/1.1 {want}")), "{bytes}: {read:?}");
+            drop(stream);
+            fixture.until("it is closed", |fixture| fixture.usage() == Usage::default()).await;
+        }
+    });
+}
+
 /// Guards against connections beyond the descriptors of the process.
 #[test]
 fn a_crowd_of_connections_leaves_room_for_a_request() {
