--- a/lib/src/jobs/config.rs
+++ b/lib/src/jobs/config.rs
@@ -78,10 +78,18 @@
 impl Config {
     /// Returns all errors in the configuration.
     pub fn validation_errors(&self) -> Vec<String> {
+        self.first_errors(usize::MAX)
+    }
+
+    /// Returns the errors of the first queues that have any, and stops once there are `count`.
+    pub fn first_errors(&self, count: usize) -> Vec<String> {
         let services: BTreeSet<_> = self.services.iter().map(|service| &service.name).collect();
         let mut addresses = BTreeSet::new();
         let mut errors = Vec::new();
         for queue in &self.queues {
+            if errors.len() >= count {
+                break;
+            }
             if !services.contains(&queue.service) {
                 let service = &queue.service;
                 errors.push(format!("queue \"{}\": unknown service \"{service}\"", queue.name));
--- a/runtime/src/clients.rs
+++ b/runtime/src/clients.rs
@@ -299,9 +299,9 @@
         fits
     }
 
-    /// The most bytes that the connections of its listener may hold together.
-    pub fn max_bytes(&self) -> u64 {
-        self.clients.lock().admission.limits().share(self.listener).bytes
+    /// Whether the connection could hold this many bytes if it were the only one.
+    pub fn can_hold(&self, bytes: u64) -> bool {
+        bytes <= self.clients.lock().admission.usable(self.listener, bytes)
     }
 
     /// Counts and logs that a request on the connection is refused.
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -136,12 +136,12 @@
     ///
     /// # Errors
     ///
-    /// They don't fit into the budget.
+    /// They don't fit into the budget, at the moment or ever.
     pub fn hold(&self, bytes: u64) -> Result<(), Refusal> {
         if self.progress.slot().hold(bytes) {
             return Ok(());
         }
-        if bytes > self.progress.slot().max_bytes() {
+        if !self.progress.slot().can_hold(bytes) {
             return Err(self.too_large());
         }
         self.progress.slot().refuse(Cause::Bytes);
