clients: exhausted bytes are counted, and small responses always fit

Cause: a head, a response or a frame without room closed its connection without being counted or logged, except for an info line for each connection of a peer. A response of a few bytes that didn't fit closed a request that had run.

Change: all three count as refusals for lack of bytes, whose log lines are bounded; the line for each connection is gone. Responses of up to 4 KiB aren't held: they are within the 20 KiB that a connection has beside its bytes.

--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -43,6 +43,10 @@
 /// The size of the buffer for a body of which only a part has arrived; it doubles as needed.
 const MIN_BODY_BUFFER: usize = 2048;
 
+/// The largest response that isn't held in the budget: it is within the 20 KiB that each connection has
+/// beside its bytes.
+const SMALL_RESPONSE: u64 = 4096;
+
 /// The pause after a connection can't be accepted, for example because the process has no descriptor left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
@@ -249,9 +253,12 @@
             let response = service(Request { head, body, progress: progress.clone() }).await;
             let bytes = response.body().size_hint().lower();
             progress.enter(Phase::Writing);
+            if progress.slot().hold(if bytes > SMALL_RESPONSE { bytes } else { 0 }) {
+                return Ok(response);
+            }
             // The request has run, so no other response would be true.
-            let fits = progress.slot().hold(bytes);
-            fits.then_some(response).ok_or_else(|| io::Error::from(io::ErrorKind::OutOfMemory))
+            progress.slot().refuse(Cause::Bytes);
+            Err(io::Error::from(io::ErrorKind::OutOfMemory))
         }
     });
     let serving = http1::Builder::new()
--- a/runtime/src/http/stream.rs
+++ b/runtime/src/http/stream.rs
@@ -10,7 +10,7 @@
     task::{Context, Poll},
 };
 
-use hickorylink_lib::clients::Phase;
+use hickorylink_lib::clients::{Cause, Phase};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -73,8 +73,10 @@
             // The head wasn't complete before, so the buffer is kept until the rest arrives.
             self.slot.progress(bytes);
             let head = self.head.fetch_add(bytes, Ordering::Relaxed) + bytes;
-            let whole = self.slot.hold(head.max(MIN_HEAD_BUFFER) as u64);
-            return whole.then_some(()).ok_or_else(|| io::ErrorKind::OutOfMemory.into());
+            if !self.slot.hold(head.max(MIN_HEAD_BUFFER) as u64) {
+                self.slot.refuse(Cause::Bytes);
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
         } else if self.is(Phase::Body) {
             self.slot.progress(bytes);
         }
--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -167,7 +167,10 @@
         let (on_event, log) = (self.on_event.clone(), self.log.clone());
         let serve = |slot: Option<Slot>| async move {
             let on_event = |message| on_event(LinkEvent::Inbound { connection, message });
-            if let Err(error) = exchange(framed(stream, slot), queue, on_event, &log).await {
+            // Frames without room are counted and logged with the refusals.
+            if let Err(error) = exchange(framed(stream, slot), queue, on_event, &log).await
+                && error.kind() != io::ErrorKind::OutOfMemory
+            {
                 info!(log, "a connection from an instance ended"; "error" => %error);
             }
         };
--- a/runtime/src/link/codec.rs
+++ b/runtime/src/link/codec.rs
@@ -4,7 +4,7 @@
 use std::io;
 
 use bytes::{Buf as _, Bytes, BytesMut};
-use hickorylink_lib::clients::Phase;
+use hickorylink_lib::clients::{Cause, Phase};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
 
 use crate::clients::Slot;
@@ -42,7 +42,8 @@
         Self { encoder, slot, partial: false, received: 0, proven: false }
     }
 
-    /// `received` bytes of an incomplete frame have arrived, for which `room` is in use.
+    /// `received` bytes of an incomplete frame have arrived, for which `room` is in use. Fails with
+    /// `OutOfMemory` if the budget has no room for them.
     fn wait(&mut self, received: usize, room: usize) -> io::Result<()> {
         let Some(slot) = &self.slot else { return Ok(()) };
         if !self.partial {
@@ -53,10 +54,11 @@
             slot.progress(received - self.received);
             self.received = received;
         }
-        match slot.hold(room as u64) {
-            true => Ok(()),
-            false => Err(io::Error::other("there is no room for a frame")),
+        if slot.hold(room as u64) {
+            return Ok(());
         }
+        slot.refuse(Cause::Bytes);
+        Err(io::ErrorKind::OutOfMemory.into())
     }
 
     fn complete(&mut self) {
--- a/runtime/tests/http.rs
+++ b/runtime/tests/http.rs
@@ -17,6 +17,7 @@
     http::{Request, Response, response, serve_socket},
 };
 use hyper::StatusCode;
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use slog::{Discard, Logger, o};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -288,6 +289,40 @@
     });
 }
 
+/// Guards against requests that have run and whose response doesn't fit into the budget.
+#[test]
+fn a_small_response_fits_into_a_full_budget() {
+    run(async {
+        let fixture = Fixture::start(limits(100, 0, 60)).await;
+        let mut stream = fixture.connect_and_send(&post(0, 0)).await;
+        let read = read_until(&mut stream, "\r\n\r\n0").await;
+        assert!(read.starts_with("HTTP/1.1 200"), "{read:?}");
+    });
+}
+
+/// Guards against connections that are closed for lack of bytes without a trace.
+#[test]
+fn exhausted_bytes_are_counted() {
+    let head = b"POST /a HTTP/1.1\r\nHost";
+    let cases = [("a response", &b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"[..]), ("a head", head)];
+    run(async {
+        for (name, request) in cases {
+            let fixture = Fixture::start(limits(100, 0, 60)).await;
+            let mut registry = Registry::default();
+            fixture.clients.register(&mut registry);
+            let mut stream = fixture.connect_and_send(request).await;
+            sleep(Duration::from_millis(50)).await;
+            // The second piece of a head is held.
+            drop(stream.write_all(b"x").await);
+            assert_eq!(read_until(&mut stream, "\r\n\r\n").await, "", "{name}");
+            let mut text = String::new();
+            encode(&mut text, &registry).expect("the metrics can be encoded");
+            let line = "clients_refused_total{listener=\"calls\",cause=\"bytes\"} 1";
+            assert!(text.contains(line), "{name}: {text}");
+        }
+    });
+}
+
 /// Guards against connections beyond the descriptors of the process.
 #[test]
 fn a_crowd_of_connections_leaves_room_for_a_request() {
--- a/runtime/tests/link_bounds.rs
+++ b/runtime/tests/link_bounds.rs
@@ -11,6 +11,7 @@
     clock::Clock,
     link::{LinkCommand, LinkEvent, Links},
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use slog::{Discard, Logger, o};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -177,3 +178,23 @@
         }
     });
 }
+
+/// Guards against frames that are refused for lack of bytes without being counted.
+#[test]
+fn frames_without_room_are_counted() {
+    run(async {
+        let fixture = Fixture::start(16, 60).await;
+        let mut registry = Registry::default();
+        fixture.clients.register(&mut registry);
+        let mut stream = fixture.connect().await;
+        drop(stream.write_all(&(16_u32 << 20).to_be_bytes()).await);
+        // The connection may be closed before all has been sent.
+        drop(stream.write_all(&vec![0; 2 << 20]).await);
+        let read = timeout(LIMIT, stream.read(&mut [0])).await;
+        assert!(matches!(read, Ok(Ok(0) | Err(_))), "the connection is closed: {read:?}");
+        let mut text = String::new();
+        encode(&mut text, &registry).expect("the metrics can be encoded");
+        let line = "clients_refused_total{listener=\"peers\",cause=\"bytes\"} 1";
+        assert!(text.contains(line), "{text}");
+    });
+}
