--- a/lib/src/jobs/report.rs
+++ b/lib/src/jobs/report.rs
@@ -21,6 +21,19 @@
     if checkpoint.len() > MAX_CHECKPOINT_BYTES { "" } else { checkpoint }
 }
 
+impl Report {
+    /// About how many bytes the report takes in memory.
+    pub fn memory_bytes(&self) -> u64 {
+        let labels: usize = self.labels.iter().map(|label| label.as_str().len()).sum();
+        let running: usize = self.running.iter().map(|run| run.checkpoint.len()).sum();
+        let ended: usize = self.ended.iter().map(|run| run.checkpoint.len()).sum();
+        let lists = self.labels.capacity() * size_of::<Label>()
+            + self.running.capacity() * size_of::<Running>()
+            + self.ended.capacity() * size_of::<Ended>();
+        (size_of::<Self>() + lists + labels + running + ended) as u64
+    }
+}
+
 data! {
     /// The content of a worker's heartbeat.
     pub struct Report {
