--- a/lib/src/jobs/config.rs
+++ b/lib/src/jobs/config.rs
@@ -121,10 +121,18 @@
 impl Config {
     /// Returns all errors in the configuration, in the order of the queues.
     pub fn errors(&self) -> Vec<ConfigError> {
+        self.first_errors(usize::MAX)
+    }
+
+    /// Returns the errors of the first queues that have any, and stops once there are `count`.
+    pub fn first_errors(&self, count: usize) -> Vec<ConfigError> {
         let services: BTreeSet<_> = self.services.iter().map(|service| &service.name).collect();
         let mut addresses = BTreeSet::new();
         let mut errors = Vec::new();
         for (at, queue) in self.queues.iter().enumerate() {
+            if errors.len() >= count {
+                break;
+            }
             let mut add = |field, reason: &str| {
                 let message = format!("queue \"{}\": {reason}", queue.name);
                 errors.push(ConfigError { queue: at, field, message });
--- a/runtime/tests/http.rs
+++ b/runtime/tests/http.rs
@@ -17,6 +17,7 @@
     http::{Request, Response, response, serve_socket},
 };
 use hyper::StatusCode;
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use slog::{Discard, Logger, o};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -100,6 +101,10 @@
     if request.head.uri.path() == "/none" {
         return response(StatusCode::NOT_FOUND, "text/plain", "");
     }
+    if let Some(bytes) = request.head.uri.path().strip_prefix("/hold/") {
+        let held = request.hold(bytes.parse().expect("a number of bytes"));
+        return held.map_or_else(Response::from, |()| response(StatusCode::OK, "text/plain", ""));
+    }
     match request.body(MAX_BODY).await {
         Ok(body) => response(StatusCode::OK, "text/plain", body.len().to_string()),
         Err(refusal) => refusal.into(),
@@ -264,6 +269,60 @@
     });
 }
 
+/// Guards against a request that never fits and is told to come again.
+#[test]
+fn a_request_beyond_the_usable_budget_is_too_large() {
+    // Of the budget, an eighth is spare, which only requests of up to 64 KiB may use.
+    let cases =
+        [(60_000, "200"), (875_000, "200"), (875_001, "413"), (950_000, "413"), (1_000_001, "413")];
+    run(async {
+        let fixture = Fixture::start(limits(100, 1_000_000, 60)).await;
+        for (bytes, want) in cases {
+            let request =
+                format!("POST /hold/{bytes} HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+            let mut stream = fixture.connect_and_send(request.as_bytes()).await;
+            let read = read_until(&mut stream, "\r\n\r\n").await;
+            assert!(read.starts_with(&format!("HTTP/1.1 {want}")), "{bytes}: {read:?}");
+            drop(stream);
+            fixture.until("it is closed", |fixture| fixture.usage() == Usage::default()).await;
+        }
+    });
+}
+
+/// Guards against requests that have run and whose response doesn't fit into the budget.
+#[test]
+fn a_small_response_fits_into_a_full_budget() {
+    run(async {
+        let fixture = Fixture::start(limits(100, 0, 60)).await;
+        let mut stream = fixture.connect_and_send(&post(0, 0)).await;
+        let read = read_until(&mut stream, "\r\n\r\n0").await;
+        assert!(read.starts_with("HTTP/1.1 200"), "{read:?}");
+    });
+}
+
+/// Guards against connections that are closed for lack of bytes without a trace.
+#[test]
+fn exhausted_bytes_are_counted() {
+    let head = b"POST /a HTTP/1.1\r\nHost";
+    let cases = [("a response", &b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"[..]), ("a head", head)];
+    run(async {
+        for (name, request) in cases {
+            let fixture = Fixture::start(limits(100, 0, 60)).await;
+            let mut registry = Registry::default();
+            fixture.clients.register(&mut registry);
+            let mut stream = fixture.connect_and_send(request).await;
+            sleep(Duration::from_millis(50)).await;
+            // The second piece of a head is held.
+            drop(stream.write_all(b"x").await);
+            assert_eq!(read_until(&mut stream, "\r\n\r\n").await, "", "{name}");
+            let mut text = String::new();
+            encode(&mut text, &registry).expect("the metrics can be encoded");
+            let line = "clients_refused_total{listener=\"calls\",cause=\"bytes\"} 1";
+            assert!(text.contains(line), "{name}: {text}");
+        }
+    });
+}
+
 /// Guards against connections beyond the descriptors of the process.
 #[test]
 fn a_crowd_of_connections_leaves_room_for_a_request() {
@@ -288,6 +347,43 @@
     });
 }
 
+/// Guards against a crowd whose heads or bodies never stall and never end, for which connections on which
+/// requests were served would be closed.
+#[test]
+fn a_dripping_crowd_is_closed_before_served_connections() {
+    const SERVED: usize = 3;
+    for sent in [&b"POST /a HTTP/1.1\r\nHost"[..], &post(90_000, 1)] {
+        run(async {
+            let fixture = Fixture::start(limits(16, 1 << 20, 60)).await;
+            let mut served = Vec::new();
+            for _ in 0..SERVED {
+                let mut stream = fixture.connect_and_send(&post(5, 5)).await;
+                assert!(read_until(&mut stream, "\r\n\r\n5").await.starts_with("HTTP/1.1 200"));
+                served.push(stream);
+            }
+            let mut crowd = Vec::new();
+            for _ in 0..16 - 2 - SERVED {
+                crowd.push(fixture.connect_and_send(sent).await);
+            }
+            for round in 0..12 {
+                sleep(Duration::from_millis(50)).await;
+                if round > 6 {
+                    crowd.push(fixture.connect_and_send(sent).await);
+                }
+                for stream in &mut crowd {
+                    // The connection may have been closed.
+                    drop(stream.write_all(b"x").await);
+                }
+            }
+            for stream in &mut served {
+                stream.write_all(&post(5, 5)).await.expect("the connection is open");
+                let read = read_until(stream, "\r\n\r\n5").await;
+                assert!(read.starts_with("HTTP/1.1 200"), "{read:?}");
+            }
+        });
+    }
+}
+
 /// Guards against requests that run ahead of a client that doesn't read the responses.
 #[test]
 fn a_request_waits_until_the_previous_response_is_written() {
--- a/runtime/tests/link_bounds.rs
+++ b/runtime/tests/link_bounds.rs
@@ -11,6 +11,7 @@
     clock::Clock,
     link::{LinkCommand, LinkEvent, Links},
 };
+use prometheus_client::{encoding::text::encode, registry::Registry};
 use slog::{Discard, Logger, o};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -134,3 +135,66 @@
         fixture.until("nothing is left", |usage| usage == Usage::default()).await;
     });
 }
+
+/// Guards against frames that never stall and never end, which would keep their slots and push out the
+/// connections of peers.
+#[test]
+fn dripping_frames_are_closed_before_peers_and_after_a_time() {
+    run(async {
+        let mut fixture = Fixture::start(16, 2).await;
+        let message = postcard::to_allocvec(&LinkMessage::Probe).expect("a probe can be encoded");
+        let length = u32::try_from(message.len()).expect("it is short").to_be_bytes();
+        let probe = [&length[..], &message].concat();
+        let mut peers = Vec::new();
+        for _ in 0..3 {
+            let mut peer = fixture.connect().await;
+            peer.write_all(&probe).await.expect("the probe is sent");
+            let event = timeout(LIMIT, fixture.events.recv()).await;
+            assert!(matches!(event, Ok(Some(LinkEvent::Inbound { .. }))), "{event:?}");
+            peers.push(peer);
+        }
+        let announced = (16_u32 << 20).to_be_bytes();
+        let mut crowd = Vec::new();
+        for round in 0..400 {
+            if round > 20 && fixture.usage().connections == peers.len() {
+                break;
+            }
+            if round < 20 {
+                let mut stream = fixture.connect().await;
+                drop(stream.write_all(&announced).await);
+                crowd.push(stream);
+            }
+            for stream in &mut crowd {
+                // The connection may have been closed.
+                drop(stream.write_all(b"x").await);
+            }
+            sleep(Duration::from_millis(50)).await;
+        }
+        assert_eq!(fixture.usage().connections, peers.len(), "only the peers are left");
+        for peer in &mut peers {
+            peer.write_all(&probe).await.expect("the connection is open");
+            let event = timeout(LIMIT, fixture.events.recv()).await;
+            assert!(matches!(event, Ok(Some(LinkEvent::Inbound { .. }))), "{event:?}");
+        }
+    });
+}
+
+/// Guards against frames that are refused for lack of bytes without being counted.
+#[test]
+fn frames_without_room_are_counted() {
+    run(async {
+        let fixture = Fixture::start(16, 60).await;
+        let mut registry = Registry::default();
+        fixture.clients.register(&mut registry);
+        let mut stream = fixture.connect().await;
+        drop(stream.write_all(&(16_u32 << 20).to_be_bytes()).await);
+        // The connection may be closed before all has been sent.
+        drop(stream.write_all(&vec![0; 2 << 20]).await);
+        let read = timeout(LIMIT, stream.read(&mut [0])).await;
+        assert!(matches!(read, Ok(Ok(0) | Err(_))), "the connection is closed: {read:?}");
+        let mut text = String::new();
+        encode(&mut text, &registry).expect("the metrics can be encoded");
+        let line = "clients_refused_total{listener=\"peers\",cause=\"bytes\"} 1";
+        assert!(text.contains(line), "{text}");
+    });
+}
