clients: a controller keeps the connections of 3,000 workers

Cause: the default of three quarters of the descriptors gave a controller 3,072 connections, of which an eighth was spare, so that the connections of workers beyond 2,688 were closed.

Change: connections take what the other listeners leave, 320 descriptors are kept back (the platform reserves 200 of them), and a sixteenth is spare: 3,424 connections, closing from 3,210 on.

--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -18,9 +18,13 @@
     limits::{Limits, Share, Timeouts},
 };
 
-/// The share of connections and bytes that is spare, as a divisor.
+/// The share of the bytes that is spare, as a divisor.
 const SPARE_DIVISOR: usize = 8;
 
+/// The share of the connections that is spare, as a divisor. A controller with 4,096 descriptors has to
+/// keep the connections of 3,000 workers.
+const SPARE_CONNECTIONS_DIVISOR: usize = 16;
+
 /// The most bytes that a connection may hold if it uses spare bytes.
 const SMALL_BYTES: u64 = 64 << 10;
 
@@ -179,7 +183,7 @@
     ) -> Option<ConnectionId> {
         let limit = self.limits.share(listener).connections;
         let usage = self.usage(listener);
-        let unspared = limit - limit.div_ceil(SPARE_DIVISOR);
+        let unspared = limit - limit.div_ceil(SPARE_CONNECTIONS_DIVISOR);
         if usage.connections - usage.closing >= unspared
             && let Some(slot) = self.least_useful(now, listener)
         {
--- a/lib/src/clients/limits.rs
+++ b/lib/src/clients/limits.rs
@@ -61,8 +61,9 @@
 /// that has lost its network may leave its earlier connection behind.
 const PEER_CONNECTIONS: usize = 256;
 
-/// The descriptors for files, event queues and connections that the process itself opens.
-const OWN_DESCRIPTORS: usize = 128;
+/// The descriptors for files, event queues and connections that the process itself opens. The users'
+/// platform reserves 200 of them for files.
+const OWN_DESCRIPTORS: usize = 320;
 
 /// The bytes of the responses at the readiness and the metrics address.
 const SMALL_BYTES: u64 = 4 << 20;
--- a/runtime/src/settings/clients.rs
+++ b/runtime/src/settings/clients.rs
@@ -22,10 +22,6 @@
 /// The smallest byte budget: the largest legal body of a controller (4 MiB) and its decoded form.
 const MIN_BUFFER_BYTES: u64 = 8 << 20;
 
-/// The default share of the descriptors for clients' connections, in percent. The rest is for files,
-/// for connections between instances, and for the readiness and metrics addresses.
-const CONNECTIONS_PERCENT: u64 = 75;
-
 /// The default share of the memory for clients' bytes, in percent. The rest is for the state of the
 /// process and for what the allocator retains.
 const BUFFER_PERCENT: u64 = 25;
@@ -50,7 +46,8 @@
 /// The limits for clients, from the object `clients` of the settings.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ClientLimits {
-    /// The most open connections of clients: 16 to `max_fds`; by default three quarters of it.
+    /// The most open connections of clients: 16 to `max_fds`; by default as many as
+    /// the other listeners, files and the memory leave.
     pub connections: usize,
     /// The most bytes of heads, bodies, decoded forms and unread responses together: 8 MiB to
     /// `memory_mb`; by default a quarter of it, and at least 8 MiB.
@@ -70,7 +67,7 @@
     pub fn new(memory_mb: u64, max_fds: u64) -> Self {
         let bytes = memory_mb.saturating_mul(MEGABYTE) / 100 * BUFFER_PERCENT;
         Self {
-            connections: saturating_usize(max_fds * CONNECTIONS_PERCENT / 100),
+            connections: saturating_usize(max_fds),
             buffer_bytes: saturating_usize(bytes.max(MIN_BUFFER_BYTES)),
             head_timeout: Duration::from_millis(DEFAULT_HEAD_MS),
             body_timeout: Duration::from_millis(DEFAULT_BODY_MS),
