--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -183,8 +183,8 @@
     ) -> Option<ConnectionId> {
         let limit = self.limits.share(listener).connections;
         let usage = self.usage(listener);
-        let unspared = limit - limit.div_ceil(SPARE_CONNECTIONS_DIVISOR);
-        if usage.connections - usage.closing >= unspared
+        let usable = limit - limit.div_ceil(SPARE_CONNECTIONS_DIVISOR);
+        if usage.connections - usage.closing >= usable
             && let Some(slot) = self.least_useful(now, listener)
         {
             out.push(self.mark(slot, Cause::Connections));
@@ -266,11 +266,11 @@
     ) -> bool {
         let Some(connection) = self.find(id).copied() else { return false };
         let limit = self.limits.share(connection.listener).bytes;
-        let unspared = limit - limit / SPARE_DIVISOR as u64;
+        let usable = limit - limit / SPARE_DIVISOR as u64;
         let usage = self.usage(connection.listener);
         let used = usage.bytes - connection.bytes + bytes;
         if bytes > connection.bytes {
-            let mut excess = (used - usage.closing_bytes).saturating_sub(unspared);
+            let mut excess = (used - usage.closing_bytes).saturating_sub(usable);
             while excess > 0
                 && let Some(slot) = self.slowest_holder(now, id, connection.listener)
             {
@@ -387,7 +387,7 @@
         }
     }
 
-    /// When it is closed unless it gets on, and why.
+    /// When it is closed unless it makes progress, and why.
     fn deadline(&self, timeouts: &Timeouts) -> Option<(Time, Cause)> {
         match self.phase {
             Phase::Idle if self.listener == Listener::Peers => None,
