--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -51,7 +51,26 @@
     }
 }
 
+impl Call {
+    /// About how many bytes the call takes in memory.
+    pub fn memory_bytes(&self) -> u64 {
+        let job = match &self.action {
+            Action::Submit(spec) => spec.memory_bytes(),
+            Action::Show | Action::Cancel => 0,
+        };
+        (size_of::<Self>() + self.host.len() + self.path.len()) as u64 + job
+    }
+}
+
 impl Action {
+    /// Whether the action changes a job.
+    pub fn changes(&self) -> bool {
+        match self {
+            Self::Submit(_) | Self::Cancel => true,
+            Self::Show => false,
+        }
+    }
+
     /// The name of the action in metrics.
     pub fn name(&self) -> &'static str {
         match self {
--- a/lib/src/jobs/fleet/run_view.rs
+++ b/lib/src/jobs/fleet/run_view.rs
@@ -76,11 +76,13 @@
     pub over_since: Option<Time>,
     /// The pace that it should have, in percent.
     pub pace: u8,
-    /// The pace that the worker has, in percent; `None` for a run that an earlier leader started, which may
-    /// have throttled it.
+    /// The pace that the worker has, in percent; `None` for an opportunistic run that an earlier leader
+    /// started, which may have throttled it.
     pub sent_pace: Option<u8>,
     /// Since when its pace has been 0.
     pub paused_since: Option<Time>,
+    /// Since when it has been throttled to less than half of its speed.
+    pub throttled_since: Option<Time>,
 }
 
 impl RunView {
@@ -113,6 +115,7 @@
             pace: FULL_PACE_PERCENT,
             sent_pace: Some(FULL_PACE_PERCENT),
             paused_since: None,
+            throttled_since: None,
         }
     }
 
