--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -18,15 +18,27 @@
     limits::{Limits, Share, Timeouts},
 };
 
-/// The share of connections and bytes that is spare, as a divisor.
+/// The share of the bytes that is spare, as a divisor.
 const SPARE_DIVISOR: usize = 8;
 
+/// The share of the connections that is spare, as a divisor. A controller with 4,096 descriptors has to
+/// keep the connections of 3,000 workers.
+const SPARE_CONNECTIONS_DIVISOR: usize = 16;
+
 /// The most bytes that a connection may hold if it uses spare bytes.
 const SMALL_BYTES: u64 = 64 << 10;
 
-/// How long a connection that is in the middle of a head, a body or a response must have made no
-/// progress before it is closed to make room. A client on a fast network sends the rest sooner.
-const STALLED_AFTER: Duration = Duration::from_millis(250);
+/// How long a connection that is in the middle of a head, a body or a response must have been behind
+/// before it is closed to make room. A client on a fast network sends the rest sooner.
+const SLOW_AFTER: Duration = Duration::from_millis(250);
+
+/// How much time each byte of a head, a body or a response gives a connection: one that moves fewer than
+/// 4,000 bytes a second on average is slow. 60 transfers at a time on a link of 2 Mbit/s are faster,
+/// and a body of 256 KiB at this rate misses its deadline.
+const BYTE_TIME: Duration = Duration::from_micros(250);
+
+/// The longest time for a frame of a peer. The largest, of 16 MiB, takes 67 s on a link of 2 Mbit/s.
+const FRAME_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// A listener of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -88,6 +100,8 @@
     since: Time,
     /// When bytes were last received or sent in this phase.
     progress: Time,
+    /// The bytes that were received or sent in this phase.
+    moved: u32,
     /// The bytes that its request, the decoded form and the response hold together.
     bytes: u64,
     /// Whether a request on it has been answered, or a whole frame received.
@@ -152,6 +166,13 @@
         self.usage[listener as usize]
     }
 
+    /// The most bytes that a single connection of a listener may hold, where `bytes` are asked for: large
+    /// requests don't get the spare ones.
+    pub fn usable(&self, listener: Listener, bytes: u64) -> u64 {
+        let limit = self.limits.share(listener).bytes;
+        if bytes <= SMALL_BYTES { limit } else { limit - limit / SPARE_DIVISOR as u64 }
+    }
+
     /// Admits a new connection, or returns `None` if its listener has no slot left. Appends the
     /// connections that are to be closed to make room to `out`.
     pub fn open(
@@ -162,7 +183,7 @@
     ) -> Option<ConnectionId> {
         let limit = self.limits.share(listener).connections;
         let usage = self.usage(listener);
-        let unspared = limit - limit.div_ceil(SPARE_DIVISOR);
+        let unspared = limit - limit.div_ceil(SPARE_CONNECTIONS_DIVISOR);
         if usage.connections - usage.closing >= unspared
             && let Some(slot) = self.least_useful(now, listener)
         {
@@ -178,6 +199,7 @@
             phase: Phase::Idle,
             since: now,
             progress: now,
+            moved: 0,
             bytes: 0,
             served: false,
             closing: false,
@@ -213,6 +235,7 @@
         let Some(connection) = self.find(id) else { return };
         connection.served |= phase == Phase::Idle;
         (connection.phase, connection.since, connection.progress) = (phase, now, now);
+        connection.moved = 0;
         if phase == Phase::Idle {
             let bytes = std::mem::take(&mut connection.bytes);
             let (listener, closing) = (connection.listener, connection.closing);
@@ -222,10 +245,12 @@
         }
     }
 
-    /// Bytes of a connection were received or sent.
-    pub fn progress(&mut self, now: Time, id: ConnectionId) {
+    /// `bytes` of a connection were received or sent.
+    pub fn progress(&mut self, now: Time, id: ConnectionId, bytes: usize) {
         if let Some(connection) = self.find(id) {
             connection.progress = now;
+            let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            connection.moved = connection.moved.saturating_add(bytes);
         }
     }
 
@@ -253,8 +278,7 @@
                 out.push(self.mark(slot, Cause::Bytes));
                 excess = excess.saturating_sub(held);
             }
-            let allowed = if bytes <= SMALL_BYTES { limit } else { unspared };
-            if used > allowed {
+            if used > self.usable(connection.listener, bytes) {
                 return false;
             }
         }
@@ -316,12 +340,13 @@
     }
 
     /// The connection with bytes that is closed first if a listener has no bytes left: the one that
-    /// has made no progress for the longest time.
+    /// has been slow for the longest time, those that were served after the others.
     fn slowest_holder(&self, now: Time, but: ConnectionId, listener: Listener) -> Option<usize> {
         let holders = self.candidates(listener).filter(|(_, connection)| {
-            connection.bytes > 0 && connection.serial != but.serial && connection.stalled(now)
+            connection.bytes > 0 && connection.serial != but.serial && connection.is_slow(now)
         });
-        let slowest = holders.min_by_key(|(_, connection)| connection.progress);
+        let slowest =
+            holders.min_by_key(|(_, connection)| (connection.served, connection.on_time()));
         slowest.map(|(slot, _)| slot)
     }
 
@@ -333,23 +358,29 @@
 }
 
 impl Connection {
-    /// Whether it is in the middle of a request or a response and doesn't get on. One that waits for
-    /// the instance isn't stalled: it is nearly served.
-    fn stalled(&self, now: Time) -> bool {
+    /// Until when it moved bytes at no less than the minimum rate, on average over its phase.
+    fn on_time(&self) -> Time {
+        self.progress.min(self.since + BYTE_TIME.saturating_mul(self.moved))
+    }
+
+    /// Whether it is in the middle of a request or a response and has stopped or is below the minimum
+    /// rate. One that waits for the instance isn't slow: it is nearly served.
+    fn is_slow(&self, now: Time) -> bool {
         let transfers = matches!(self.phase, Phase::Head | Phase::Body | Phase::Writing);
-        transfers && now.since(self.progress) >= STALLED_AFTER
+        transfers && now.since(self.on_time()) >= SLOW_AFTER
     }
 
     /// The order in which connections are closed, least useful first; `None` for one that is served at
-    /// the moment. Of stalled ones the slowest is first, and of idle ones the newest. One whose first
-    /// request may be on its way is kept longer, and one on which a request has been answered longest.
+    /// the moment. Of slow ones the slowest is first, and of idle ones the newest. One on which a
+    /// request has been answered is kept longer, but a slow one of these isn't kept in place of one
+    /// whose first request may be on its way.
     fn usefulness(&self, now: Time) -> Option<(u8, u64)> {
         let newest = u64::MAX - self.serial;
-        if self.stalled(now) {
-            return Some((u8::from(self.served), self.progress.as_nanos()));
+        if self.is_slow(now) {
+            return Some((if self.served { 2 } else { 0 }, self.on_time().as_nanos()));
         }
         match (self.phase, self.served) {
-            (Phase::Idle, false) if now.since(self.since) >= STALLED_AFTER => Some((2, newest)),
+            (Phase::Idle, false) if now.since(self.since) >= SLOW_AFTER => Some((1, newest)),
             (Phase::Idle, false) => Some((3, newest)),
             (Phase::Idle, true) => Some((4, newest)),
             (Phase::Head | Phase::Body | Phase::Calling | Phase::Writing, _) => None,
@@ -362,7 +393,8 @@
             Phase::Idle if self.listener == Listener::Peers => None,
             Phase::Idle => Some((self.since + timeouts.idle, Cause::Idle)),
             Phase::Head if self.listener == Listener::Peers => {
-                Some((self.progress + timeouts.progress, Cause::Head))
+                let whole = self.since + FRAME_TIMEOUT.max(timeouts.progress);
+                Some((whole.min(self.on_time() + timeouts.progress), Cause::Head))
             }
             Phase::Head => Some((self.since + timeouts.head, Cause::Head)),
             Phase::Body => {
--- a/runtime/src/http/stream.rs
+++ b/runtime/src/http/stream.rs
@@ -10,7 +10,7 @@
     task::{Context, Poll},
 };
 
-use hickorylink_lib::clients::Phase;
+use hickorylink_lib::clients::{Cause, Phase};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -68,21 +68,24 @@
         if self.is(Phase::Idle) {
             self.head.store(bytes, Ordering::Relaxed);
             self.enter(Phase::Head);
+            self.slot.progress(bytes);
         } else if self.is(Phase::Head) {
             // The head wasn't complete before, so the buffer is kept until the rest arrives.
-            self.slot.progress();
+            self.slot.progress(bytes);
             let head = self.head.fetch_add(bytes, Ordering::Relaxed) + bytes;
-            let whole = self.slot.hold(head.max(MIN_HEAD_BUFFER) as u64);
-            return whole.then_some(()).ok_or_else(|| io::ErrorKind::OutOfMemory.into());
+            if !self.slot.hold(head.max(MIN_HEAD_BUFFER) as u64) {
+                self.slot.refuse(Cause::Bytes);
+                return Err(io::ErrorKind::OutOfMemory.into());
+            }
         } else if self.is(Phase::Body) {
-            self.slot.progress();
+            self.slot.progress(bytes);
         }
         Ok(())
     }
 
-    fn sent(&self) {
+    fn sent(&self, bytes: usize) {
         if self.is(Phase::Writing) {
-            self.slot.progress();
+            self.slot.progress(bytes);
         }
     }
 
@@ -108,8 +111,10 @@
     }
 
     fn note_sent(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(bytes)) if *bytes > 0) {
-            self.progress.sent();
+        if let Poll::Ready(Ok(bytes)) = written
+            && *bytes > 0
+        {
+            self.progress.sent(*bytes);
         }
     }
 }
