review: end what a script started when it is stopped

Tried: a script got SIGTERM after 6 s. Before, eight processes and the temporary folder stayed (review/14). Now review/13 and review/14, twice each, leave none, and end with status 2. A script that takes longer than 110 s ends the same way.

--- a/review/common-3/harness.py
+++ b/review/common-3/harness.py
@@ -32,6 +32,13 @@
 CONFIG_APPLY_S = 2.0
 
 
+# The signals at which a script ends what it has started, and leaves with status 2.
+STOPPING = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGALRM)
+
+# How long a script may run, in seconds; it may take 120 with its end.
+MOST_S = 110
+
+
 class CannotRun(Exception):
     """The case can't run on this machine."""
 
@@ -154,6 +161,8 @@
 
     def end(self):
         """Ends all processes that were started here."""
+        for number in STOPPING:
+            signal.signal(number, signal.SIG_IGN)
         for process in self.processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -321,8 +330,17 @@
     return f"{random.getrandbits(64):016x}"
 
 
+def stop(number, _frame):
+    """Leaves at a signal; what was started is ended by `atexit`."""
+    print(f"the case was stopped by {signal.Signals(number).name}", flush=True)
+    sys.exit(2)
+
+
 def main(folder, run, **options):
     """Runs a case and ends with its exit code: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    for number in STOPPING:
+        signal.signal(number, stop)
+    signal.alarm(MOST_S)
     case = None
     try:
         case = Case(folder, **options)
