jobs: remember cancellations of jobs that aren't known yet

Cause: the cancellation of an unknown job left nothing behind, so the submission that came later couldn't be refused.

Change: the replicated state remembers such cancellations, committed before they are acknowledged, for as long as ended jobs, behind what earlier releases read. At most 65,536 are remembered; further ones are refused, as forgetting one would break what was acknowledged. The log line `job` tells both.

Why it works: whichever way and however late the submission reaches a leader, that leader has the cancellation in its log, or it wasn't acknowledged.

--- a/lib/src/jobs/call.rs
+++ b/lib/src/jobs/call.rs
@@ -48,6 +48,9 @@
         NotRun,
         /// The request may or may not have taken effect.
         Unknown,
+        /// The job was cancelled before it was submitted. The request had no effect, and a retry won't have
+        /// one either.
+        Withdrawn,
     }
 }
 
@@ -94,6 +97,7 @@
             Self::Invalid(_) => "invalid",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
+            Self::Withdrawn => "withdrawn",
         }
     }
 }
--- a/lib/src/jobs/controller/calls.rs
+++ b/lib/src/jobs/controller/calls.rs
@@ -3,9 +3,9 @@
 use crate::{
     jobs::{
         call::{Action, Call, OperatorReply, OperatorRequest, Reply},
-        controller::{Answer, Controller, Effect, LogEvent, Ticket},
+        controller::{Answer, Controller, Effect, LogEvent, Ticket, leader::Leader},
         evacuation::EvacuationOrder,
-        model::{JobId, JobSpec},
+        model::{JobId, JobSpec, QueueName},
         record::Record,
         state::State,
     },
@@ -53,7 +53,7 @@
                 self.answer(now, ticket, Answer::Reply(reply), out);
             }
             Action::Submit(spec) => self.submit(now, wall, ticket, (id, queue, spec), out),
-            Action::Cancel => self.cancel(now, ticket, id, out),
+            Action::Cancel => self.cancel(now, ticket, (id, &queue), out),
         }
     }
 
@@ -62,7 +62,7 @@
         now: Time,
         wall: WallTime,
         ticket: Ticket,
-        (id, queue, spec): (JobId, crate::jobs::model::QueueName, JobSpec),
+        (id, queue, spec): (JobId, QueueName, JobSpec),
         out: &mut Vec<Effect>,
     ) {
         if self.committed.jobs.contains_key(&id) {
@@ -73,26 +73,39 @@
             return self.answer(now, ticket, Answer::Reply(reply), out);
         }
         let Some(leader) = &mut self.leader else { return };
+        if leader.state.cancels.contains(id) {
+            out.push(job_event(id, "refused", &queue));
+            return self.answer(now, ticket, Answer::Reply(Reply::Withdrawn), out);
+        }
         // If the job was proposed but isn't committed yet, the answer waits for the pending
         // proposal.
         if !leader.state.jobs.contains_key(&id) {
-            let (state, name) = ("accepted", queue.to_string());
-            out.push(Effect::LogEvent(LogEvent::Job {
-                id: id.hex(),
-                state,
-                queue: name,
-                age_ms: 0,
-            }));
+            out.push(job_event(id, "accepted", &queue));
             leader.wall = wall;
             leader.record(now, Record::Submit { id, queue, at: wall, spec });
         }
         leader.answers.push((ticket, Answer::Reply(Reply::Accepted)));
     }
 
-    fn cancel(&mut self, now: Time, ticket: Ticket, id: JobId, out: &mut Vec<Effect>) {
+    fn cancel(
+        &mut self,
+        now: Time,
+        ticket: Ticket,
+        (id, queue): (JobId, &QueueName),
+        out: &mut Vec<Effect>,
+    ) {
         let Some(leader) = &mut self.leader else { return };
         let Some(job) = leader.state.jobs.get(&id) else {
-            return self.answer(now, ticket, Answer::Reply(Reply::NoJob), out);
+            let known = leader.state.cancels.contains(id);
+            if !known && leader.state.cancels.is_full() {
+                return self.answer(now, ticket, Answer::Reply(Reply::NotRun), out);
+            }
+            if !known {
+                out.push(job_event(id, "cancelled_early", queue));
+            }
+            leader.cancel_early(now, id);
+            leader.answers.push((ticket, Answer::Reply(Reply::NoJob)));
+            return;
         };
         if job.phase.is_open() {
             leader.record(now, Record::Cancel { id });
@@ -149,6 +162,23 @@
     }
 }
 
+impl Leader {
+    /// Cancels a job that may be submitted later.
+    fn cancel_early(&mut self, now: Time, id: JobId) {
+        if !self.state.cancels.contains(id) {
+            self.state.cancels.insert(id);
+            self.cancels.push(id);
+        }
+        self.schedule_forget(now, id);
+    }
+}
+
+/// The log event of a job that isn't known yet.
+fn job_event(id: JobId, state: &'static str, queue: &QueueName) -> Effect {
+    let (id, queue) = (id.hex(), queue.to_string());
+    Effect::LogEvent(LogEvent::Job { id, state, queue, age_ms: 0 })
+}
+
 fn show(state: &State, id: JobId) -> Reply {
     match state.jobs.get(&id) {
         Some(job) => Reply::Job(job.phase),
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -22,6 +22,7 @@
         record::{Node, Record},
         report::Ended,
         response_size::ResponseLimits,
+        retention::Retention,
         send_budget::SendBudget,
         state::{Change, State},
         suspects::Suspects,
@@ -122,13 +123,15 @@
     pub(super) records: Vec<Record>,
     pub(super) crashes: Vec<CrashEntry>,
     pub(super) orders: Vec<EvacuationOrder>,
+    /// Cancellations of jobs that aren't known.
+    pub(super) cancels: Vec<JobId>,
     /// The progress of the evacuations.
     pub(super) drain: Drain,
     pub(super) answers: Vec<(Ticket, Answer)>,
     pub(super) log_events: Vec<LogEvent>,
     pub(super) changes: Vec<Change>,
-    /// Ended jobs, by the time at which they are forgotten.
-    ended: BTreeSet<(Time, JobId)>,
+    /// When ended jobs and early cancellations are forgotten.
+    retention: Retention,
     /// When estimates of interference are compared with the recorded ones next.
     pub(super) next_estimates: Time,
     next_expiry: Time,
@@ -183,11 +186,12 @@
             records: Vec::new(),
             crashes: Vec::new(),
             orders: Vec::new(),
+            cancels: Vec::new(),
             drain: Drain::new(now),
             answers: Vec::new(),
             log_events: Vec::new(),
             changes: Vec::new(),
-            ended: BTreeSet::new(),
+            retention: Retention::default(),
             next_estimates: now + RECORD_INTERVAL,
             next_expiry: now + EXPIRY_INTERVAL,
             next_forget: now + FORGET_INTERVAL,
@@ -210,7 +214,8 @@
             leader.admit_job(*id);
         }
         let closed = leader.state.jobs.iter().filter(|(_, job)| !job.phase.is_open());
-        leader.ended = closed.map(|(id, _)| (now + timing.retain, *id)).collect();
+        let kept = closed.map(|(id, _)| *id).chain(leader.state.cancels.iter());
+        kept.for_each(|id| leader.retention.keep(id, now + timing.retain));
         out.push(Effect::LogEvent(LogEvent::Leading { epoch, jobs: open.len(), runs }));
         let estimates = &leader.state.estimates;
         if !estimates.is_empty() {
@@ -455,19 +460,15 @@
     }
 
     fn forget_jobs(&mut self, now: Time) {
-        let mut jobs = Vec::new();
-        while let Some((at, id)) = self.ended.first().copied().filter(|(at, _)| *at <= now) {
-            self.ended.remove(&(at, id));
-            jobs.push(id);
-        }
+        let jobs = self.retention.take_expired(now);
         if !jobs.is_empty() {
             self.record(now, Record::Forget { jobs });
         }
     }
 
-    /// Schedules the removal of a job that has ended.
+    /// Schedules the removal of a job that has ended, or of its early cancellation.
     pub(super) fn schedule_forget(&mut self, now: Time, id: JobId) {
-        self.ended.insert((now + self.timing.retain, id));
+        self.retention.keep(id, now + self.timing.retain);
     }
 
     /// Removes an incarnation of a worker none of whose runs can still be executing.
--- a/lib/src/jobs/controller/proposal.rs
+++ b/lib/src/jobs/controller/proposal.rs
@@ -8,6 +8,7 @@
         crash::{CrashEntry, CrashRecord},
         estimates::EstimateRecord,
         evacuation::EvacuationOrder,
+        model::JobId,
         record::{Ending, Record},
         state::Change,
     },
@@ -27,6 +28,7 @@
     pub(super) crashes: Vec<CrashEntry>,
     pub(super) evacuations: Vec<EvacuationOrder>,
     pub(super) estimates: EstimateRecord,
+    pub(super) cancels: Vec<JobId>,
 }
 
 /// The result of a turn: changes to propose, and answers.
@@ -40,9 +42,9 @@
 impl Proposal {
     /// The number of changes to commit.
     pub(super) fn len(&self) -> usize {
-        let StateChanges { records, crashes, evacuations, estimates } = &self.changes;
+        let StateChanges { records, crashes, evacuations, estimates, cancels } = &self.changes;
         let estimates = usize::from(!estimates.is_empty());
-        records.len() + crashes.len() + evacuations.len() + estimates
+        records.len() + crashes.len() + evacuations.len() + estimates + cancels.len()
     }
 
     /// Whether there is nothing to commit.
--- a/lib/src/jobs/controller/schedule.rs
+++ b/lib/src/jobs/controller/schedule.rs
@@ -62,6 +62,7 @@
             crashes: std::mem::take(&mut self.crashes),
             evacuations: std::mem::take(&mut self.orders),
             estimates,
+            cancels: std::mem::take(&mut self.cancels),
         };
         let answers = std::mem::take(&mut self.answers);
         self.last_work = std::mem::take(&mut self.work);
--- a/lib/src/jobs/controller/turn.rs
+++ b/lib/src/jobs/controller/turn.rs
@@ -62,9 +62,10 @@
         let proposal = leader.finish_turn(now, wall, out);
         if !proposal.is_empty() {
             let (since, changes) = (now, proposal.len());
-            let StateChanges { records, crashes, evacuations, estimates } = proposal.changes;
+            let StateChanges { records, crashes, evacuations, estimates, cancels } =
+                proposal.changes;
             let (origin, number) = (self.config.me.id, self.proposals + 1);
-            let batch = Batch { origin, number, records, crashes, evacuations, estimates };
+            let batch = Batch { origin, number, records, crashes, evacuations, estimates, cancels };
             let commands = encode_records(batch);
             let first = self.proposals + 1;
             self.proposals += commands.len() as u64;
--- a/lib/src/jobs/record.rs
+++ b/lib/src/jobs/record.rs
@@ -134,6 +134,9 @@
     /// Estimates of interference. They are encoded behind the evacuations.
     #[serde(skip)]
     pub estimates: EstimateRecord,
+    /// Cancellations of jobs that weren't known, in order. They are encoded behind the estimates.
+    #[serde(skip)]
+    pub cancels: Vec<JobId>,
 }
 
 impl Batch {
@@ -143,12 +146,13 @@
         extensions.append(&self.crashes, self.crashes.is_empty());
         extensions.append(&self.evacuations, self.evacuations.is_empty());
         extensions.append(&self.estimates, self.estimates.is_empty());
+        extensions.append(&self.cancels, self.cancels.is_empty());
         extensions.finish()
     }
 
     /// Splits the batch so that the encoded records of each part have at most `max_bytes`, unless it is a
-    /// single record. The parts are numbered from the batch's number on. The first one has the evacuations, so
-    /// that no start is committed before the order that it was decided under.
+    /// single record. The parts are numbered from the batch's number on. The first one has the evacuations and
+    /// the cancellations, so that no start is committed before the order that it was decided under.
     pub fn split(self, max_bytes: usize) -> Vec<Self> {
         let part = |number| Self {
             origin: self.origin,
@@ -157,8 +161,10 @@
             crashes: Vec::new(),
             evacuations: Vec::new(),
             estimates: EstimateRecord::default(),
+            cancels: Vec::new(),
         };
-        let mut parts = vec![Self { evacuations: self.evacuations, ..part(self.number) }];
+        let (evacuations, cancels) = (self.evacuations, self.cancels);
+        let mut parts = vec![Self { evacuations, cancels, ..part(self.number) }];
         let mut crashes = self.crashes.into_iter().peekable();
         let (mut before, mut bytes) = (0, 0);
         for (at, record) in (0..).zip(self.records) {
@@ -192,7 +198,8 @@
         let (batch, rest): (Self, _) = decode_first(bytes)?;
         let (crashes, rest) = decode_extension(rest)?;
         let (evacuations, rest) = decode_extension(rest)?;
-        let (estimates, _) = decode_extension(rest)?;
-        Ok(Self { crashes, evacuations, estimates, ..batch })
+        let (estimates, rest) = decode_extension(rest)?;
+        let (cancels, _) = decode_extension(rest)?;
+        Ok(Self { crashes, evacuations, estimates, cancels, ..batch })
     }
 }
--- a/lib/src/jobs/state.rs
+++ b/lib/src/jobs/state.rs
@@ -14,6 +14,7 @@
         config::{Config, Queue},
         crash::CrashCounts,
         dependents::Dependents,
+        early_cancels::EarlyCancels,
         estimates::Estimates,
         evacuation::Evacuations,
         gang::Gangs,
@@ -57,6 +58,9 @@
         /// The estimates of interference between images. They are encoded behind the evacuations.
         #[serde(skip)]
         pub estimates: Estimates,
+        /// The jobs that were cancelled before they were submitted. They are encoded behind the estimates.
+        #[serde(skip)]
+        pub cancels: EarlyCancels,
     }
 
     /// One incarnation of a worker.
@@ -139,8 +143,9 @@
         let (gangs, rest) = decode_extension(rest)?;
         let (returns, rest) = decode_extension(rest)?;
         let (evacuations, rest) = decode_extension(rest)?;
-        let (estimates, _) = decode_extension(rest)?;
-        Ok(Self { crashes, gangs, returns, evacuations, estimates, ..state })
+        let (estimates, rest) = decode_extension(rest)?;
+        let (cancels, _) = decode_extension(rest)?;
+        Ok(Self { crashes, gangs, returns, evacuations, estimates, cancels, ..state })
     }
 
     /// Encodes the state for a snapshot.
@@ -151,6 +156,7 @@
         extensions.append(&self.returns, self.returns.is_empty());
         extensions.append(&self.evacuations, self.evacuations.is_empty());
         extensions.append(&self.estimates, self.estimates.is_empty());
+        extensions.append(&self.cancels, self.cancels.is_empty());
         extensions.finish()
     }
 
@@ -191,6 +197,10 @@
         for order in &batch.evacuations {
             self.evacuations.apply(order);
         }
+        // A turn cancels before it forgets, and submits no job that is cancelled.
+        for id in &batch.cancels {
+            self.cancels.insert(*id);
+        }
         let mut crashes = batch.crashes.iter().peekable();
         for (before, record) in (0..).zip(&batch.records) {
             while let Some(crash) = crashes.next_if(|crash| crash.after <= before) {
@@ -228,6 +238,7 @@
             }
             Record::Forget { jobs } => {
                 for id in jobs {
+                    self.cancels.remove(*id);
                     self.jobs.remove(id);
                     self.crashes.remove_job(*id);
                     self.gangs.remove_job(*id);
@@ -265,6 +276,8 @@
         if self.jobs.contains_key(&id) {
             return;
         }
+        // Only a leader of a release that remembers no cancellations submits such a job.
+        self.cancels.remove(id);
         let job = Job {
             queue: queue.clone(),
             accepted: at,
--- a/lib/tests/jobs/encoding.rs
+++ b/lib/tests/jobs/encoding.rs
@@ -68,6 +68,7 @@
         crashes,
         evacuations: Vec::new(),
         estimates: EstimateRecord::default(),
+        cancels: Vec::new(),
     }
 }
 
@@ -379,3 +380,47 @@
         assert_eq!(split, whole, "{crashes} crashes");
     }
 }
+
+/// Guards against early cancellations that a batch, its parts or a snapshot lose, or that an older release
+/// can't skip.
+#[test]
+fn early_cancels_survive_in_batches_and_snapshots() {
+    struct Case {
+        name: &'static str,
+        crashes: u32,
+        pairs: usize,
+        cancels: &'static [u64],
+        want: &'static [u64],
+    }
+    let cases = [
+        Case { name: "none", crashes: 0, pairs: 0, cancels: &[], want: &[] },
+        Case { name: "alone", crashes: 0, pairs: 0, cancels: &[9, 8], want: &[8, 9] },
+        Case { name: "behind the others", crashes: 2, pairs: 3, cancels: &[8], want: &[8] },
+        // A leader of an older release may submit a job that was cancelled early.
+        Case { name: "submitted", crashes: 0, pairs: 0, cancels: &[7, 8], want: &[8] },
+    ];
+    for case in cases {
+        let cancels = case.cancels.iter().copied().map(JobId).collect();
+        let estimates = estimates(case.pairs);
+        let batch = Batch { cancels, estimates, ..batch(case.crashes) };
+        let encoded = batch.encode();
+        assert!(encoded.starts_with(&bytes(OLD_BATCH)), "{}", case.name);
+        assert_eq!(Batch::decode(&encoded).ok().as_ref(), Some(&batch), "{}", case.name);
+        let mut state = State::default();
+        state.apply_batch(&batch, &mut Vec::new());
+        let kept: Vec<u64> = state.cancels.iter().map(|id| id.0).collect();
+        assert_eq!(kept, case.want, "{}", case.name);
+        let snapshot = state.encode();
+        assert!(snapshot.starts_with(&bytes(OLD_STATE)), "{}", case.name);
+        assert_eq!(State::decode(&snapshot).ok().as_ref(), Some(&state), "{}", case.name);
+        let mut split = State::default();
+        for part in batch.split(40) {
+            let part = Batch::decode(&part.encode()).expect("a batch can be decoded");
+            split.apply_batch(&part, &mut Vec::new());
+        }
+        assert_eq!(split, state, "{}", case.name);
+        let forget = Record::Forget { jobs: case.cancels.iter().copied().map(JobId).collect() };
+        state.apply(&forget, &mut Vec::new());
+        assert!(state.cancels.is_empty(), "{}", case.name);
+    }
+}
--- a/lib/tests/jobs/limits.rs
+++ b/lib/tests/jobs/limits.rs
@@ -140,6 +140,7 @@
             crashes,
             evacuations,
             estimates: EstimateRecord::default(),
+            cancels: Vec::new(),
         };
         let parts = batch.clone().split(case.max_bytes);
         let shape: Vec<_> = parts
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -11,6 +11,7 @@
 mod crashes;
 mod data_centres;
 mod deployment;
+mod early_cancels;
 mod encoding;
 mod estimates;
 mod estimates_load;
--- a/lib/tests/jobs/recovery.rs
+++ b/lib/tests/jobs/recovery.rs
@@ -34,6 +34,7 @@
         crashes: Vec::new(),
         evacuations: Vec::new(),
         estimates: EstimateRecord::default(),
+        cancels: Vec::new(),
     };
     let bytes = postcard::to_allocvec(&batch).expect("a batch can be encoded");
     let members = Members { voters, learners: Vec::new() };
