gateway: refuse calls whose callers gave up while it was suspended

Cause: the time of a call counted from when it was read. Calls that the gateway held were sent to the leader that it found after the suspension before their deadlines were looked at.

Change: an instance notices pauses of its own process. A request that is read just after one counts as sent when the pause began, and is refused with 503 and Retry-After if its time has passed; slow bodies count, too. A call that waits for a leader carries its deadline and isn't sent after it. Metric and log line: clients_refused with the cause `expired`.

Why it works: what arrived during a pause is read within the 250 ms after it, and what is older than its deadline by then isn't forwarded. What is held up behind the gateway is covered by the memory of cancellations.

Before: the test of the suspended gateway gets `200 OK` in place of 503; the test of the leader's change gets an accepted job. After: both pass.

--- a/cli/tests/deployment/main.rs
+++ b/cli/tests/deployment/main.rs
@@ -15,6 +15,7 @@
 use serde_json::json;
 use tempfile::TempDir;
 
+mod cancels;
 mod config_check;
 mod evacuations;
 mod odd_entries;
--- a/lib/src/clients.rs
+++ b/lib/src/clients.rs
@@ -12,10 +12,12 @@
 
 pub mod cause;
 pub mod limits;
+pub mod pauses;
 
 pub use self::{
     cause::Cause,
     limits::{Limits, Share, Timeouts},
+    pauses::Pauses,
 };
 
 /// The share of the bytes that is spare, as a divisor.
--- a/lib/src/clients/cause.rs
+++ b/lib/src/clients/cause.rs
@@ -17,11 +17,13 @@
     Idle,
     /// The body is larger than the limit of its path.
     TooLarge,
+    /// The time for which the client waits had passed when the request was read.
+    Expired,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 7] = [
+    pub const ALL: [Self; 8] = [
         Self::Connections,
         Self::Bytes,
         Self::Head,
@@ -29,6 +31,7 @@
         Self::Write,
         Self::Idle,
         Self::TooLarge,
+        Self::Expired,
     ];
 
     /// The name in metrics and in the log.
@@ -41,6 +44,7 @@
             Self::Write => "write_timeout",
             Self::Idle => "idle_timeout",
             Self::TooLarge => "too_large",
+            Self::Expired => "expired",
         }
     }
 }
--- a/lib/src/jobs/gateway.rs
+++ b/lib/src/jobs/gateway.rs
@@ -55,8 +55,8 @@
         ticket: u64,
         /// The call.
         call: Call,
-        /// How long the caller is willing to wait.
-        timeout: Duration,
+        /// Until when the caller is willing to wait.
+        deadline: Time,
     },
     /// A message from a controller.
     Received {
@@ -208,7 +208,7 @@
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Effect>) {
         match event {
             Event::Timer => {}
-            Event::Call { ticket, call, timeout } => self.call(now, ticket, call, timeout, out),
+            Event::Call { ticket, call, deadline } => self.call(now, ticket, call, deadline, out),
             Event::Received { from, message } => self.receive(now, from, message, out),
             Event::Disconnected(at) if self.leader == Some(at) => {
                 self.lose_leader(now, "disconnected", out)
@@ -224,14 +224,7 @@
         }
     }
 
-    fn call(
-        &mut self,
-        now: Time,
-        ticket: u64,
-        call: Call,
-        timeout: Duration,
-        out: &mut Vec<Effect>,
-    ) {
+    fn call(&mut self, now: Time, ticket: u64, call: Call, deadline: Time, out: &mut Vec<Effect>) {
         let bytes = call.memory_bytes();
         let full = self.bytes > 0 && self.bytes + bytes > self.max_bytes;
         if self.pending.len() >= MAX_CALLS || full {
@@ -245,13 +238,13 @@
             call,
             bytes,
             since: now,
-            until: now + timeout.min(UNSENT_WAIT),
-            answer_until: now + timeout.min(SENT_WAIT),
+            until: deadline.min(now + UNSENT_WAIT),
+            answer_until: deadline.min(now + SENT_WAIT),
             maybe_received: false,
             sent: None,
         };
         self.pending.insert(self.next, pending);
-        self.send(self.next, out);
+        self.send(now, self.next, out);
     }
 
     /// Removes a pending call.
@@ -261,11 +254,15 @@
         Some(pending)
     }
 
-    /// Sends a call to the leader, if one is known.
-    fn send(&mut self, number: u64, out: &mut Vec<Effect>) {
+    /// Sends a call to the leader, if one is known, unless its caller no longer waits for the answer. The time
+    /// for it may have passed while this process was suspended.
+    fn send(&mut self, now: Time, number: u64, out: &mut Vec<Effect>) {
         let (Some(to), Some(pending)) = (self.leader, self.pending.get_mut(&number)) else {
             return;
         };
+        if pending.answer_until <= now {
+            return;
+        }
         pending.sent = Some(to);
         pending.until = pending.answer_until;
         let message = LinkMessage::Forward { number, call: pending.call.clone() };
@@ -360,7 +357,7 @@
         self.next_probe = now + PROBE_INTERVAL;
         let numbers: Vec<u64> = self.pending.keys().copied().collect();
         for number in numbers {
-            self.send(number, out);
+            self.send(now, number, out);
         }
     }
 
--- a/lib/tests/jobs/gateway.rs
+++ b/lib/tests/jobs/gateway.rs
@@ -32,6 +32,8 @@
 #[derive(Clone, Copy)]
 enum Step {
     Advance(u64),
+    /// The process is suspended for this many milliseconds.
+    Suspend(u64),
     LeaderFound,
     SecondLeaderFound,
     Disconnected,
@@ -139,11 +141,7 @@
         for step in case.before {
             harness.step(*step);
         }
-        harness.handle(Event::Call {
-            ticket: 1,
-            call: (case.call)(),
-            timeout: Duration::from_secs(3),
-        });
+        harness.call((case.call)());
         for step in case.after {
             harness.step(*step);
         }
@@ -193,13 +191,54 @@
     for case in cases {
         let mut harness = Harness::new();
         case.before.iter().for_each(|step| harness.step(*step));
-        let timeout = Duration::from_secs(3);
-        harness.handle(Event::Call { ticket: 1, call: submit(), timeout });
+        harness.call(submit());
         case.after.iter().for_each(|step| harness.step(*step));
         assert_eq!(harness.replies, [(1, case.want)], "{}", case.name);
     }
 }
 
+// Guards against calls that run although their callers have given up: the gateway was suspended before it sent
+// them, and sent them to the leader that it found afterwards.
+#[test]
+fn a_call_is_not_sent_after_its_caller_has_given_up() {
+    use Step::{Advance, Disconnected, LeaderFound, SecondLeaderFound, Suspend};
+    struct Case {
+        name: &'static str,
+        /// What happens before the call, and between it and the next leader.
+        steps: [&'static [Step]; 2],
+        want: Option<Reply>,
+    }
+    let cases = [
+        Case {
+            name: "suspended before it was sent",
+            steps: [&[], &[Suspend(5000)]],
+            want: Some(Reply::NotRun),
+        },
+        Case {
+            name: "suspended while no leader was known",
+            steps: [&[LeaderFound, Disconnected], &[Advance(50), Suspend(2600)]],
+            want: Some(Reply::NotRun),
+        },
+        Case {
+            name: "suspended after it was sent",
+            steps: [&[LeaderFound], &[Disconnected, Suspend(5000)]],
+            want: Some(Reply::Unknown),
+        },
+        Case { name: "suspended for a short time", steps: [&[], &[Suspend(1000)]], want: None },
+    ];
+    for case in cases {
+        let mut harness = Harness::new();
+        case.steps[0].iter().for_each(|step| harness.step(*step));
+        harness.call(submit());
+        case.steps[1].iter().for_each(|step| harness.step(*step));
+        harness.forwarded = None;
+        harness.step(SecondLeaderFound);
+        assert_eq!(harness.forwarded.is_some(), case.want.is_none(), "{}", case.name);
+        let want: Vec<_> = case.want.into_iter().map(|reply| (1, reply)).collect();
+        assert_eq!(harness.replies, want, "{}", case.name);
+    }
+}
+
 #[test]
 fn a_gateway_is_ready_only_while_a_leader_is_known() {
     let mut harness = Harness::new();
@@ -239,6 +278,12 @@
         }
     }
 
+    /// A call whose caller waits for 3 s.
+    fn call(&mut self, call: Call) {
+        let deadline = self.now + Duration::from_secs(3);
+        self.handle(Event::Call { ticket: 1, call, deadline });
+    }
+
     fn step(&mut self, step: Step) {
         let from = address("10.0.0.1:7000");
         match step {
@@ -249,6 +294,7 @@
                     self.handle(Event::Timer);
                 }
             }
+            Step::Suspend(millis) => self.now = self.now + Duration::from_millis(millis),
             Step::LeaderFound => self.handle(Event::Received { from, message: status(true, None) }),
             Step::SecondLeaderFound => {
                 let from = address("10.0.0.2:7000");
@@ -350,7 +396,8 @@
     let mut out = Vec::new();
     let timeout = Duration::from_secs(3);
     for ticket in 1..=5 {
-        gateway.handle(now, Event::Call { ticket, call: submit(), timeout }, &mut out);
+        let deadline = now + timeout;
+        gateway.handle(now, Event::Call { ticket, call: submit(), deadline }, &mut out);
     }
     assert_eq!((gateway.waiting(), gateway.pending_bytes()), (3, 3 * size));
     let refused = [4, 5].map(|ticket| Effect::Reply { ticket, reply: Reply::NotRun });
@@ -361,6 +408,7 @@
     let wide = JobSpec { text: "x".repeat(4000).into(), steps: vec![step(1)], schedule: None };
     let call = Call { action: Action::Submit(wide), ..submit() };
     assert!(call.memory_bytes() > 3 * size);
-    gateway.handle(now + timeout, Event::Call { ticket: 6, call, timeout }, &mut out);
+    let (now, deadline) = (now + timeout, now + timeout + timeout);
+    gateway.handle(now, Event::Call { ticket: 6, call, deadline }, &mut out);
     assert_eq!(gateway.waiting(), 1, "a single call is always taken");
 }
--- a/runtime/src/clients.rs
+++ b/runtime/src/clients.rs
@@ -11,7 +11,8 @@
 
 use hickorylink_lib::{
     clients::{
-        Admission, Cause, Closing, ConnectionId, Limits, Listener, Phase, Share, Timeouts, Usage,
+        Admission, Cause, Closing, ConnectionId, Limits, Listener, Pauses, Phase, Share, Timeouts,
+        Usage,
     },
     time::Time,
 };
@@ -67,6 +68,7 @@
 #[derive(Debug)]
 struct State {
     admission: Admission,
+    pauses: Pauses,
     tasks: HashMap<ConnectionId, AbortHandle>,
     reports: HashMap<(Listener, Cause), Report>,
     /// Whether [`Clients::watch`] waits for a connection.
@@ -109,6 +111,7 @@
     pub fn new(limits: Limits, clock: Clock, log: &Logger) -> Self {
         let state = State {
             admission: Admission::new(limits),
+            pauses: Pauses::new(clock.now()),
             tasks: HashMap::new(),
             reports: HashMap::new(),
             watch_idle: false,
@@ -171,6 +174,11 @@
         next
     }
 
+    /// Records that the process runs, so that a pause is noticed. It has to be called at least once a second.
+    pub fn record_running(&self, now: Time) {
+        self.lock().pauses.record(now);
+    }
+
     /// Counts a refusal, and logs it unless one with the same cause was logged shortly before.
     pub fn refuse(&self, listener: Listener, cause: Cause) {
         let now = self.shared.clock.now();
@@ -248,7 +256,8 @@
             | Cause::Head
             | Cause::Body
             | Cause::Write
-            | Cause::TooLarge => warn!(log, "clients are refused or their connections closed";
+            | Cause::TooLarge
+            | Cause::Expired => warn!(log, "clients are refused or their connections closed";
                 "listener" => listener, "cause" => cause.name(), "count" => count),
         }
     }
@@ -283,6 +292,17 @@
         self.clients.lock().admission.enter(now, self.id, phase);
     }
 
+    /// The earliest time at which a request that is read now may have arrived.
+    pub fn arrival(&self) -> Time {
+        let now = self.clients.shared.clock.now();
+        self.clients.lock().pauses.arrival(now)
+    }
+
+    /// The time since a request arrived.
+    pub fn age(&self, arrival: Time) -> Duration {
+        self.clients.shared.clock.now().since(arrival)
+    }
+
     /// `bytes` were received or sent.
     pub fn progress(&self, bytes: usize) {
         let now = self.clients.shared.clock.now();
--- a/runtime/src/controller.rs
+++ b/runtime/src/controller.rs
@@ -240,9 +240,9 @@
         [control.reading(), storage.reading(), links.reading(), answers.reading()]
     };
     let calls = CallBytes::new(settings.clients.buffer_bytes as u64 / 2);
-    let ring_calls = calls.clone();
+    let (ring_calls, running) = (calls.clone(), clients.clone());
     spawn("control", move || {
-        run_control(&control_ring, clock, controller, outputs, &ring_calls);
+        run_control(&control_ring, clock, controller, outputs, &ring_calls, &running);
     })
     .context(StartSnafu)?;
     let (confirmations, disk_log) = (control.clone(), log.clone());
@@ -370,11 +370,13 @@
     mut controller: Controller,
     mut outputs: Outputs,
     calls: &CallBytes,
+    clients: &Clients,
 ) {
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
     loop {
         let (began, count) = (clock.now(), events.len());
+        clients.record_running(began);
         controller.handle(began, wall_now(), events.drain(..), &mut out);
         outputs.record_turn(began.until(clock.now()), count, &controller);
         for effect in out.drain(..) {
--- a/runtime/src/gateway.rs
+++ b/runtime/src/gateway.rs
@@ -89,7 +89,8 @@
 
     async fn forward(&self, call: Call, timeout: Duration) -> Reply {
         let waiter = self.waiters.wait();
-        let event = Event::Call { ticket: waiter.ticket, call, timeout };
+        let deadline = self.clock.now() + timeout;
+        let event = Event::Call { ticket: waiter.ticket, call, deadline };
         if self.events.offer(event).is_err() {
             return Reply::NotRun;
         }
@@ -165,7 +166,8 @@
     let ring_readings = move || [rings.0.reading(), rings.1.reading(), rings.2.reading()];
     let state_machine = Gateway::new(settings.seed_peers(), clock.now())
         .with_max_bytes(settings.clients.buffer_bytes as u64 / 2);
-    spawn("gateway", move || run_gateway(&gateway_ring, clock, state_machine, outputs))
+    let running = clients.clone();
+    spawn("gateway", move || run_gateway(&gateway_ring, clock, state_machine, outputs, &running))
         .context(GatewaySnafu)?;
     spawn_links(links_ring, gateway.clone(), log).context(GatewaySnafu)?;
 
@@ -246,11 +248,18 @@
     spawn("links", move || runtime.block_on(links.run(ring, None))).map(drop)
 }
 
-fn run_gateway(ring: &Receiver<Event>, clock: Clock, mut gateway: Gateway, mut outputs: Outputs) {
+fn run_gateway(
+    ring: &Receiver<Event>,
+    clock: Clock,
+    mut gateway: Gateway,
+    mut outputs: Outputs,
+    clients: &Clients,
+) {
     let mut out = Vec::new();
     let mut events = vec![Event::Timer];
     loop {
         let now = clock.now();
+        clients.record_running(now);
         for event in events.drain(..) {
             gateway.handle(now, event, &mut out);
         }
--- a/runtime/src/http.rs
+++ b/runtime/src/http.rs
@@ -7,7 +7,10 @@
 use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use hickorylink_lib::clients::{Cause, Listener, Phase};
+use hickorylink_lib::{
+    clients::{Cause, Listener, Phase},
+    time::Time,
+};
 use http_body_util::{BodyExt as _, Full};
 use hyper::{
     StatusCode,
@@ -62,6 +65,8 @@
     NoRoom,
     /// The body ended early, or isn't encoded correctly.
     Incomplete,
+    /// Its sender no longer waits for the response.
+    Expired,
 }
 
 impl From<Refusal> for Response {
@@ -69,12 +74,12 @@
     fn from(refusal: Refusal) -> Self {
         let status = match refusal {
             Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::NoRoom => StatusCode::SERVICE_UNAVAILABLE,
+            Refusal::NoRoom | Refusal::Expired => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::Incomplete => StatusCode::BAD_REQUEST,
         };
         let mut response = response(status, "application/json", "{}");
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-        if refusal == Refusal::NoRoom {
+        if status == StatusCode::SERVICE_UNAVAILABLE {
             response.headers_mut().insert(header::RETRY_AFTER, RETRY_AFTER_S);
         }
         response
@@ -88,6 +93,8 @@
     pub head: Parts,
     body: Incoming,
     progress: Arc<Progress>,
+    /// The earliest time at which it may have arrived.
+    arrival: Time,
 }
 
 impl Request {
@@ -152,6 +159,21 @@
         Err(Refusal::NoRoom)
     }
 
+    /// What is left of the time for which its sender waits, counted from its arrival.
+    ///
+    /// # Errors
+    ///
+    /// That time has passed, or may have if the process was suspended when the request arrived.
+    pub fn time_left(&self, timeout: Duration) -> Result<Duration, Refusal> {
+        let slot = self.progress.slot();
+        let left = timeout.saturating_sub(slot.age(self.arrival));
+        if left.is_zero() {
+            slot.refuse(Cause::Expired);
+            return Err(Refusal::Expired);
+        }
+        Ok(left)
+    }
+
     fn too_large(&self) -> Refusal {
         self.progress.slot().refuse(Cause::TooLarge);
         Refusal::TooLarge
@@ -250,7 +272,9 @@
             progress.written().await;
             progress.enter(Phase::Calling);
             let (head, body) = request.into_parts();
-            let response = service(Request { head, body, progress: progress.clone() }).await;
+            let arrival = progress.slot().arrival();
+            let request = Request { head, body, progress: progress.clone(), arrival };
+            let response = service(request).await;
             let bytes = response.body().size_hint().lower();
             progress.enter(Phase::Writing);
             if progress.slot().hold(if bytes > SMALL_RESPONSE { bytes } else { 0 }) {
