jobs: tell when a worker leaves and which ends aren't known then

The log had the notice of a leaving worker and, up to a lease later, that its wait was over.

`a worker leaves` says how long ago the worker was heard and when it said first that it would leave, and names the unknown run that had progressed most. `unknown_ends_total` counts such runs.

--- a/lib/src/jobs/controller.rs
+++ b/lib/src/jobs/controller.rs
@@ -40,6 +40,7 @@
 mod hellos;
 mod hold;
 pub mod leader;
+mod leaving;
 mod near;
 mod near_gang;
 mod occurrences;
@@ -63,7 +64,7 @@
 
 pub use self::{
     config::{Config, Timing},
-    port::{Answer, Effect, Event, LogEvent, Ticket},
+    port::{Answer, Effect, Event, LogEvent, Ticket, UnknownEnd},
 };
 
 /// A controller.
--- a/lib/src/jobs/controller/leader.rs
+++ b/lib/src/jobs/controller/leader.rs
@@ -520,6 +520,7 @@
             for ended in ended {
                 self.process_end(now, number, ended);
             }
+            self.log_leave(now, number);
             if let Some(worker) = self.fleet.workers.get_mut(&number) {
                 let exited = now + EXIT_TIMEOUT;
                 let lapsed = worker.lease_until.max(exited);
--- a/lib/src/jobs/controller/port.rs
+++ b/lib/src/jobs/controller/port.rs
@@ -163,6 +163,23 @@
     LogEvent(LogEvent),
 }
 
+/// A run whose end isn't known when its worker leaves.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UnknownEnd {
+    /// The task.
+    pub task: String,
+    /// The run.
+    pub run: u32,
+    /// Its progress by the last heartbeat, in percent.
+    pub percent: u8,
+    /// The time since it was started.
+    pub age: Duration,
+    /// The customer's estimate of its duration; zero if it is long-running.
+    pub estimate: Duration,
+    /// Whether the worker was told to stop it.
+    pub stopping: bool,
+}
+
 /// An event for the log and the metrics.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LogEvent {
@@ -285,6 +302,19 @@
         /// The number of its runs.
         runs: usize,
     },
+    /// A worker leaves now. The ends of its last runs may not be known.
+    Leave {
+        /// Its name.
+        worker: String,
+        /// The time since its last heartbeat.
+        silent: Duration,
+        /// The time since it reported first that it would leave.
+        notice: Duration,
+        /// The number of its runs whose end isn't known.
+        runs: usize,
+        /// The one of these that had progressed most.
+        last: Option<UnknownEnd>,
+    },
     /// Ends that a worker lists begin or cease to be withheld from its acknowledgements.
     Withheld {
         /// The name of the worker.
--- a/lib/src/jobs/fleet/worker.rs
+++ b/lib/src/jobs/fleet/worker.rs
@@ -80,6 +80,8 @@
     pub withheld: BTreeMap<u64, TaskKey>,
     /// Whether withheld ends fill its list, so that it can't report others.
     pub blocked: bool,
+    /// Since when it has reported that it leaves.
+    pub leaving_since: Option<Time>,
     /// `None` if it hasn't left.
     pub departure: Option<Departure>,
     /// Since when its runs have reserved more than it has, or when some were last moved away for it.
@@ -158,6 +160,7 @@
             more_ends: false,
             withheld: BTreeMap::new(),
             blocked: false,
+            leaving_since: None,
             departure: None,
             excess_since: None,
             neighbours: Neighbours::default(),
@@ -181,7 +184,10 @@
             capacity: report.capacity,
             leaves_at,
         });
-        if leaves_at.is_none() {
+        if leaves_at.is_some() {
+            self.leaving_since.get_or_insert(now);
+        } else {
+            self.leaving_since = None;
             // The leave message was that of an earlier incarnation with the same name.
             self.departure = None;
         }
--- a/runtime/src/log_events.rs
+++ b/runtime/src/log_events.rs
@@ -100,6 +100,16 @@
             info!(log, "worker"; "name" => name, "state" => state, "silent_ms" => silent_ms,
                 "runs" => runs);
         }
+        LogEvent::Leave { worker, silent, notice, runs, last } => {
+            let task = last.as_ref().map(|last| &*last.task);
+            info!(log, "a worker leaves"; "worker" => worker, "silent_ms" => millis(*silent),
+                "notice_ms" => millis(*notice), "runs" => runs, "task" => task,
+                "run" => last.as_ref().map(|last| last.run),
+                "percent" => last.as_ref().map(|last| last.percent),
+                "age_ms" => last.as_ref().map(|last| millis(last.age)),
+                "estimate_ms" => last.as_ref().map(|last| millis(last.estimate)),
+                "stopping" => last.as_ref().map(|last| last.stopping));
+        }
         LogEvent::Withheld { worker, ends, task, acknowledged, returned } => {
             info!(log, "ends of a worker are withheld"; "worker" => worker, "ends" => ends,
                 "task" => task, "acknowledged" => acknowledged, "returned" => returned);
--- a/runtime/src/metrics/controller.rs
+++ b/runtime/src/metrics/controller.rs
@@ -58,6 +58,7 @@
     near_waiting: IntGauge,
     crashes: Counter<u64, AtomicU64>,
     given_up: Counter<u64, AtomicU64>,
+    unknown_ends: Counter<u64, AtomicU64>,
     records: Counter<u64, AtomicU64>,
     commits: Histogram,
     /// How long the turns of control take, in seconds.
@@ -103,6 +104,7 @@
             near_waiting: IntGauge::default(),
             crashes: Counter::default(),
             given_up: Counter::default(),
+            unknown_ends: Counter::default(),
             records: Counter::default(),
             commits: latency_histogram(),
             turns: latency_histogram(),
@@ -164,6 +166,11 @@
             "Tasks that had crashed too many workers",
             self.given_up.clone(),
         );
+        r.register(
+            "unknown_ends",
+            "Runs whose end wasn't known when their worker left",
+            self.unknown_ends.clone(),
+        );
         r.register("records", "Records that were committed", self.records.clone());
         r.register(
             "commit_duration_seconds",
@@ -270,6 +277,7 @@
             }
             LogEvent::Crash { .. } => drop(self.crashes.inc()),
             LogEvent::GivenUp { .. } => drop(self.given_up.inc()),
+            LogEvent::Leave { runs, .. } => drop(self.unknown_ends.inc_by(*runs as u64)),
             LogEvent::Committed { records, took } => {
                 self.records.inc_by(*records as u64);
                 self.commits.observe(took.as_secs_f64());
