jobs: stop what is left on a worker before it leaves

Cause: a leaving worker exits at the time that it has announced, whatever runs there. A run that is done in its last tenth of a second isn't listed any more, so its task starts again once the lease of the worker has run out.

The broken cases are those whose progress reaches 100% between the last heartbeat and the exit.

Change: when the next order to stop would come too late for its end to be listed and acknowledged, all runs that are left are stopped. How long a stop takes is the setting `stop_ms`. Whether a run with checkpoints is stopped before follows from its progress, no longer from its estimate alone.

Why it works: the end of every run is known before its worker exits.

--- a/lib/src/jobs/controller/config.rs
+++ b/lib/src/jobs/controller/config.rs
@@ -48,4 +48,6 @@
     pub max_hold: Duration,
     /// How long ended jobs are retained.
     pub retain: Duration,
+    /// How long a worker takes at most to stop a run.
+    pub stop: Duration,
 }
--- a/lib/src/jobs/controller/heartbeat.rs
+++ b/lib/src/jobs/controller/heartbeat.rs
@@ -8,6 +8,7 @@
             Answer, LogEvent, Ticket,
             capacity::UnlistedStart,
             leader::{Leader, Removal},
+            leaving::stop_before_leaving,
         },
         fleet::{FULL_PACE_PERCENT, HeldHeartbeat, Orphan, RunView, Worker},
         lifecycle::TaskPhase,
@@ -74,7 +75,7 @@
         if !stays {
             pace::stop_paused(worker, now);
         }
-        evacuate(worker, now);
+        stop_before_leaving(worker, now, self.timing.stop);
         stop_stalled(worker, now);
         let was_slow = worker.health.slow;
         worker.health.record_speed(now, slow);
@@ -396,18 +397,6 @@
     }
 }
 
-/// Stops runs on a leaving worker that can continue elsewhere: long-running tasks, and tasks with
-/// checkpoints that won't be done in time.
-fn evacuate(worker: &mut Worker, now: Time) {
-    let Some(leaves_at) = worker.profile.as_ref().and_then(|profile| profile.leaves_at) else {
-        return;
-    };
-    for view in worker.runs.values_mut().filter(|view| view.listed) {
-        let late = view.expected_end().is_some_and(|end| end.max(now) > leaves_at);
-        view.stopping |= view.long_running || (view.checkpoints && late);
-    }
-}
-
 /// How long a run at full pace may go without progress, in addition to half its estimate.
 const STALL_TIMEOUT: Duration = Duration::from_millis(2500);
 
--- a/lib/src/jobs/controller/hold.rs
+++ b/lib/src/jobs/controller/hold.rs
@@ -25,7 +25,7 @@
 
 /// The heartbeat interval of a leaving worker. It is short, since the ends of its runs must be
 /// reported before it is gone.
-const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
+pub(super) const LEAVING_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The heartbeat interval of a worker that stops a run while a long-running task waits for room there. It is
 /// shorter than the time after which a worker reports an end by itself.
--- a/lib/src/jobs/controller/leaving.rs
+++ b/lib/src/jobs/controller/leaving.rs
@@ -1,16 +1,38 @@
 //! Workers that leave.
+//!
+//! A worker says how long it stays at least. Then it exits, whatever runs there. A run that is done just before is lost
+//! twice over: no heartbeat lists its end any more, and its task starts again although it was done. So no
+//! run may be left by then.
 
 use std::time::Duration;
 
 use crate::{
     jobs::{
-        controller::{LogEvent, UnknownEnd, leader::Leader},
-        fleet::RunView,
+        controller::{LogEvent, UnknownEnd, hold::LEAVING_INTERVAL, leader::Leader},
+        fleet::{RunView, Worker},
+        locality::forecast::expected_end,
         model::{TaskKey, WorkerNumber},
     },
     time::Time,
 };
 
+/// How long before a worker leaves the last end must be that it still lists, and that a response to its heartbeat
+/// acknowledges.
+const LISTING_TIME: Duration = Duration::from_millis(250);
+
+/// Stops runs on a leaving worker: long-running ones, those with checkpoints that won't be done in time, and all that
+/// are left when a later order to stop would come too late. They continue, or start again, elsewhere.
+pub(super) fn stop_before_leaving(worker: &mut Worker, now: Time, stop: Duration) {
+    let Some(leaves_at) = worker.profile.as_ref().and_then(|profile| profile.leaves_at) else {
+        return;
+    };
+    let is_last = now.until(leaves_at) <= stop + LEAVING_INTERVAL + LISTING_TIME;
+    for view in worker.runs.values_mut().filter(|view| view.listed) {
+        let late = expected_end(view, now, 1.0).is_none_or(|end| end > leaves_at);
+        view.stopping |= is_last || view.long_running || (view.checkpoints && late);
+    }
+}
+
 impl Leader {
     /// Reports that a worker leaves, and what isn't known of its runs.
     pub(super) fn log_leave(&mut self, now: Time, number: WorkerNumber) {
--- a/lib/tests/jobs/main.rs
+++ b/lib/tests/jobs/main.rs
@@ -21,6 +21,7 @@
 mod gateway;
 mod handover;
 mod leases;
+mod leaving;
 mod limits;
 mod load;
 mod locality;
--- a/lib/tests/jobs/world.rs
+++ b/lib/tests/jobs/world.rs
@@ -32,6 +32,7 @@
 
 pub(crate) const HOST: &str = "fold.example";
 pub(crate) const LEASE: Duration = Duration::from_secs(5);
+pub(crate) const STOP: Duration = Duration::from_millis(200);
 pub(crate) const MARGIN: Duration = Duration::from_millis(300);
 
 /// The limits on responses: more than any test reaches that doesn't change them.
@@ -95,6 +96,7 @@
             lease_margin: MARGIN,
             max_hold: Duration::from_millis(700),
             retain: Duration::from_secs(120),
+            stop: STOP,
         },
         centres: Vec::new(),
         responses: RESPONSES,
--- a/runtime/src/controller/config.rs
+++ b/runtime/src/controller/config.rs
@@ -65,6 +65,7 @@
             lease_margin: lease / DRIFT_DIVISOR + MAX_TIMER_DELAY,
             max_hold: MAX_HOLD,
             retain: settings.retain,
+            stop: settings.stop,
         },
         centres: settings.centres.iter().map(|centre| centre.as_str().into()).collect(),
         responses,
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -30,6 +30,7 @@
     "centres",
     "lease_most_ms",
     "retain_s",
+    "stop_ms",
     "grace_s",
     "log_level",
     "locality",
@@ -54,6 +55,10 @@
 const DEFAULT_RETAIN_S: u64 = 120;
 const MAX_RETAIN_S: u64 = 86_400;
 
+/// How long a worker takes at most to stop a run: its default and its largest value.
+const DEFAULT_STOP_MS: u64 = 900;
+const MAX_STOP_MS: u64 = 60_000;
+
 /// The grace period of a shutdown: its default and its largest value.
 const DEFAULT_GRACE_S: u64 = 6;
 const MAX_GRACE_S: u64 = 600;
@@ -103,6 +108,8 @@
     pub max_lease: Duration,
     /// How long ended jobs are retained.
     pub retain: Duration,
+    /// How long a worker takes at most to stop a run.
+    pub stop: Duration,
     /// The grace period of a shutdown.
     pub grace: Duration,
     /// The settings for waits for better placements.
@@ -157,6 +164,7 @@
     let centres = centres.map(str::to_owned).collect();
     let lease = integer("lease_most_ms", DEFAULT_LEASE_MS, MAX_LEASE_MS);
     let retain = integer("retain_s", DEFAULT_RETAIN_S, MAX_RETAIN_S);
+    let stop = integer("stop_ms", DEFAULT_STOP_MS, MAX_STOP_MS);
     let grace = integer("grace_s", DEFAULT_GRACE_S, MAX_GRACE_S);
     let level = root.get("log_level").and_then(|value| value.one_of(LogLevel::NAMES));
     let level = level.and_then(LogLevel::from_name).unwrap_or(LogLevel::Info);
@@ -188,6 +196,7 @@
         centres,
         max_lease: Duration::from_millis(lease),
         retain: Duration::from_secs(retain),
+        stop: Duration::from_millis(stop),
         grace: Duration::from_secs(grace),
         locality: locality?,
         log: LogSettings { format: LogFormat::Json, level },
