--- a/lib/src/jobs/controller/leaving.rs
+++ b/lib/src/jobs/controller/leaving.rs
@@ -1,8 +1,7 @@
 //! Workers that leave.
 //!
-//! A worker says how long it stays at least. Then it exits, whatever runs there. A run that is done just before is lost
-//! twice over: no heartbeat lists its end any more, and its task starts again although it was done. So no
-//! run may be left by then.
+//! A worker says how long it stays at least, and then exits, whatever runs there. If a run is done just before that, no
+//! heartbeat lists its end any more, and its task would start again. So all runs are stopped in time.
 
 use std::time::Duration;
 
@@ -16,8 +15,7 @@
     time::Time,
 };
 
-/// How long before a worker leaves the last end must be that it still lists, and that a response to its heartbeat
-/// acknowledges.
+/// How long a worker needs to list an end and to receive its acknowledgement.
 const LISTING_TIME: Duration = Duration::from_millis(250);
 
 /// Stops runs on a leaving worker: long-running ones, those with checkpoints that won't be done in time, and all that
